--- /dev/null
+++ b/Source/claims/ClaimTable.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "log/LogEntry.h"
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+namespace shallot {
+
+// The winning claim of one key.
+struct Claim {
+    std::string holder;
+    uint64_t fingerprint { 0 };
+    uint64_t offset { 0 };
+};
+
+// Claims folded from the log: for each organisation and idempotency key the first one wins until it is released or old.
+class ClaimTable {
+public:
+    void apply(uint64_t offset, int64_t timeMs, const ClaimEntry&);
+    void apply(const ReleaseEntry&);
+
+    const Claim* find(const std::string& organisation, const std::string& key) const;
+    size_t size() const { return m_claims.size(); }
+
+    std::string serialize() const;
+    bool restore(std::string_view);
+
+private:
+    struct Aged {
+        int64_t timeMs { 0 };
+        std::string name;
+        uint64_t offset { 0 };
+    };
+
+    static std::string nameOf(const std::string& organisation, const std::string& key);
+    void expire(int64_t timeMs);
+
+    std::unordered_map<std::string, Claim> m_claims;
+    std::deque<Aged> m_byAge; // Oldest first
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/daemon/BackendAnnouncement.cpp
@@ -0,0 +1,36 @@
+#include "daemon/BackendAnnouncement.h"
+
+#include "core/JSON.h"
+
+namespace shallot {
+
+namespace {
+
+constexpr double maximumSlots = 100'000;
+
+} // namespace
+
+Result<BackendAnnouncement> parseAnnouncement(std::string_view json)
+{
+    const auto root = parseJSONObject(json);
+    if (!root)
+        return fail(ErrorKind::BadRequest, "the announcement is not a JSON object");
+    JsonObject* object = json_node_get_object(root.get());
+    BackendAnnouncement announcement;
+    announcement.service = jsonString(object, "service");
+    if (announcement.service.empty())
+        return fail(ErrorKind::BadRequest, "the announcement lacks \"service\"");
+    auto address = parseSocketAddress(jsonString(object, "address"));
+    if (!address)
+        return fail(ErrorKind::BadRequest, "\"address\": " + address.error().detail);
+    announcement.address = *address;
+    const double slots = jsonNumber(object, "slots");
+    if (!(slots >= 1) || slots > maximumSlots)
+        return fail(ErrorKind::BadRequest, "\"slots\" must be between 1 and 100000");
+    announcement.slots = static_cast<uint32_t>(slots);
+    announcement.draining = jsonString(object, "state", "serving") == "draining";
+    announcement.boot = jsonString(object, "boot");
+    return announcement;
+}
+
+} // namespace shallot
--- /dev/null
+++ b/Source/daemon/CallFrames.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/RequestContext.h"
+#include "daemon/CallOutcome.h"
+
+#include <memory>
+
+namespace shallot {
+
+namespace wire {
+struct AnswerT;
+struct CallT;
+struct FrameT;
+} // namespace wire
+
+// Calls and answers in the form that the peer link carries.
+wire::FrameT makeCallFrame(uint64_t id, const RequestContext&, const std::string& service, const HTTPRequest&);
+wire::FrameT makeAnswerFrame(uint64_t id, const CallOutcome&);
+wire::FrameT makeCancelFrame(uint64_t id);
+
+RequestContext readContext(const wire::CallT&);
+HTTPRequest readRequest(wire::CallT&);
+CallOutcome readOutcome(wire::AnswerT&);
+
+} // namespace shallot
--- /dev/null
+++ b/Source/daemon/Daemon.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "claims/ClaimTable.h"
+#include "config/ConfigurationIndex.h"
+#include "daemon/AdminAPI.h"
+#include "daemon/CallExecutor.h"
+#include "daemon/CallRouter.h"
+#include "daemon/ClaimKeeper.h"
+#include "daemon/Egress.h"
+#include "daemon/Gossiper.h"
+#include "daemon/Ingress.h"
+#include "daemon/LogClient.h"
+#include "daemon/LogFollower.h"
+#include "daemon/Metrics.h"
+#include "daemon/Settings.h"
+#include "limits/LimitSystem.h"
+#include "log/AppendQueue.h"
+#include "membership/GossipTable.h"
+#include "net/MainLoop.h"
+#include "net/PeerLinks.h"
+#include "policy/CrashFingerprints.h"
+#include "policy/EndpointTable.h"
+
+#include <functional>
+
+namespace shallot {
+
+// One daemon: the parts of the library, wired together and ticked from the main loop.
+class Daemon {
+public:
+    explicit Daemon(Settings);
+    ~Daemon();
+
+    // Binds all ports; Internal with the address that could not be bound.
+    Result<void> start();
+    // Announces the leave, finishes what is in progress, hands back what it holds, then calls the left handler.
+    void leave();
+    // Also called when the daemon leaves because its witnesses declared it dead.
+    void setLeftHandler(std::function<void()> handler) { m_onLeft = std::move(handler); }
+
+    const std::string& member() const { return m_member; }
+    std::string status() const;
+
+private:
+    void tick();
+    void onFrame(PeerLink&, wire::FrameT&);
+    void onLinkClosed(PeerLink&);
+    void onPromiseRequest(PeerLink&, const wire::FrameT&);
+    void onLoanRequests(PeerLink&, const wire::FrameT&);
+    void onLoans(PeerLink&, const wire::FrameT&);
+    void onCall(PeerLink&, wire::FrameT&);
+    void onCancel(PeerLink&, uint64_t id);
+    void sendLoanRequests(const LoanRequestBatch&);
+    void onFoldChanged();
+    void onMembershipChanged();
+    void updateOwnEntry();
+    void updateSources();
+    void runOwnership(TimePoint now);
+    void continueLeaving(TimePoint now);
+    std::vector<std::string> aliveInZone() const;
+
+    Settings m_settings;
+    LimitSettings m_limitSettings;
+    std::string m_member;
+    PeerLinks m_links;
+    CrashFingerprints m_crashes;
+    EndpointTable m_endpoints;
+    CallExecutor m_executor;
+    CallRouter m_router;
+    AppendQueue m_appends;
+    LogClient m_logClient;
+    LogFollower m_follower;
+    ConfigurationIndex m_index;
+    LimitSystem m_limits;
+    GossipTable m_gossipTable;
+    Gossiper m_gossiper;
+    ClaimKeeper m_claims;
+    Metrics m_metrics;
+    Ingress m_ingress;
+    Egress m_egress;
+    AdminAPI m_admin;
+    Timer m_ticker;
+    uint64_t m_indexedRevision { 0 };
+    std::map<std::pair<const PeerLink*, uint64_t>, uint64_t> m_peerCalls; // (link, the caller's id) to the executor's id
+    TimePoint m_lastSeedProbe {};
+
+    enum class LeaveStage : uint8_t {
+        None,
+        Announced,
+        HandingOver,
+        Done,
+    };
+
+    LeaveStage m_leaveStage { LeaveStage::None };
+    TimePoint m_leaveStarted {};
+    size_t m_openAppends { 0 };
+    std::function<void()> m_onLeft;
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/daemon/Egress.cpp
@@ -0,0 +1,96 @@
+#include "daemon/Egress.h"
+
+#include "daemon/CallExecutor.h"
+#include "daemon/CallRouter.h"
+#include "daemon/ErrorResponse.h"
+#include "daemon/KeyScrubber.h"
+#include "net/HTTPExchange.h"
+#include "policy/PolicySettings.h"
+
+namespace shallot {
+
+Egress::Egress(CallExecutor& executor, CallRouter& router, const ConfigurationIndex& index, const PolicySettings& settings)
+    : m_executor(executor)
+    , m_router(router)
+    , m_index(index)
+    , m_settings(settings)
+{
+}
+
+Result<void> Egress::start(const SocketAddress& address)
+{
+    return m_server.start(address, {}, [this](RefPtr<HTTPExchange> exchange) { handle(exchange); });
+}
+
+void Egress::handle(const RefPtr<HTTPExchange>& exchange)
+{
+    if (exchange->path() == "/shallot/announce" && exchange->request().method == "POST")
+        handleAnnouncement(exchange);
+    else
+        handleOnwardCall(exchange);
+}
+
+void Egress::handleAnnouncement(const RefPtr<HTTPExchange>& exchange)
+{
+    const auto announcement = parseAnnouncement(exchange->request().body);
+    if (!announcement) {
+        exchange->respond(makeErrorResponse(announcement.error()));
+        return;
+    }
+    m_executor.announce(*announcement, MonotonicClock::now());
+    exchange->respondJSON(200, "{}");
+}
+
+// Without the token of a running request the call comes from nobody, and only routes open to all accept it.
+void Egress::handleOnwardCall(const RefPtr<HTTPExchange>& exchange)
+{
+    const auto now = MonotonicClock::now();
+    const auto token = requestIDFromHex(findHeader(exchange->request().headers, "X-Shallot-Token"));
+    const auto parent = m_executor.findByToken(token);
+    const auto* route = m_index.findRoute(exchange->path());
+    if (!route) {
+        exchange->respond(makeErrorResponse({ ErrorKind::RouteUnknown, exchange->path(), {} }));
+        return;
+    }
+    if (!parent && !route->route.open) {
+        exchange->respond(makeErrorResponse({ ErrorKind::KeyMissing, "no live request has this token", {} }));
+        return;
+    }
+    HTTPRequest request = exchange->takeRequest();
+    if (auto key = takeKey(request); !key) {
+        exchange->respond(makeErrorResponse(key.error()));
+        return;
+    }
+    RequestContext context;
+    context.route = route->name;
+    context.idempotent = route->route.idempotent;
+    context.remaining = std::chrono::milliseconds(route->route.timeoutMs);
+    uint16_t lent = 0;
+    if (parent) {
+        lent = parent->tokens.lend();
+        context.id = parent->context.id;
+        context.organisation = parent->context.organisation;
+        context.priority = parent->context.priority;
+        context.remaining = std::min(context.remaining, parent->deadline - now);
+        context.hops = static_cast<uint8_t>(parent->context.hops + 1);
+        context.retryTokens = lent;
+    } else {
+        context.id = makeRandomRequestID();
+        context.priority = route->route.priority;
+        context.retryTokens = m_settings.retryTokens;
+    }
+    const auto id
+        = m_router.start(context, route->route.service, std::move(request), now, [exchange, parent, lent](CallOutcome outcome) {
+              if (parent) {
+                  parent->tokens.giveBack(lent, outcome.retryTokens);
+                  parent->childLevel = std::max(parent->childLevel, outcome.level);
+              }
+              exchange->setGoneHandler(nullptr);
+              exchange->respond(outcome.response ? *outcome.response : makeErrorResponse(outcome.response.error()));
+          });
+    exchange->setGoneHandler([this, id] { m_router.cancel(id); });
+    if (parent)
+        parent->onEnd.emplace_back([this, id] { m_router.cancel(id); });
+}
+
+} // namespace shallot
--- /dev/null
+++ b/Source/daemon/Egress.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "config/ConfigurationIndex.h"
+#include "core/RefCounted.h"
+#include "net/HTTPServer.h"
+
+namespace shallot {
+
+class CallExecutor;
+class CallRouter;
+class HTTPExchange;
+struct PolicySettings;
+
+// Loopback side for the own backend server: POST /shallot/announce, and onward calls under the token of a running request.
+class Egress {
+public:
+    Egress(CallExecutor&, CallRouter&, const ConfigurationIndex&, const PolicySettings&);
+
+    Result<void> start(const SocketAddress&);
+
+private:
+    void handle(const RefPtr<HTTPExchange>&);
+    void handleAnnouncement(const RefPtr<HTTPExchange>&);
+    void handleOnwardCall(const RefPtr<HTTPExchange>&);
+
+    CallExecutor& m_executor;
+    CallRouter& m_router;
+    const ConfigurationIndex& m_index;
+    const PolicySettings& m_settings;
+    HTTPServer m_server;
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/daemon/ErrorResponse.cpp
@@ -0,0 +1,37 @@
+#include "daemon/ErrorResponse.h"
+
+#include "core/JSON.h"
+
+namespace shallot {
+
+namespace {
+
+constexpr auto defaultRetryAfter = std::chrono::seconds(1);
+
+} // namespace
+
+HTTPResponse makeErrorResponse(const Error& error)
+{
+    const auto& answer = errorAnswer(error.kind);
+    HTTPResponse response;
+    response.status = static_cast<uint16_t>(answer.httpStatus);
+    response.headers = {
+        { "Content-Type", "application/json" },
+        { "X-Shallot-Error", std::string(answer.name) },
+        { "X-Shallot-Ran", std::string(toString(answer.ran)) },
+    };
+    JSONWriter writer;
+    writer.beginObject().add("error", answer.name).add("sentence", answer.sentence).add("detail", error.detail);
+    writer.add("ran", toString(answer.ran)).add("retryable", answer.retryable);
+    if (answer.retryable) {
+        const Duration wait = error.retryAfter > Duration::zero() ? error.retryAfter : Duration(defaultRetryAfter);
+        const int64_t milliseconds = std::max<int64_t>(1, wait.count() / 1000);
+        writer.add("retryAfterMs", milliseconds);
+        response.headers.emplace_back("Retry-After", std::to_string((milliseconds + 999) / 1000));
+    }
+    writer.endObject();
+    response.body = writer.finish();
+    return response;
+}
+
+} // namespace shallot
--- /dev/null
+++ b/Source/daemon/Gossiper.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "core/Time.h"
+#include "membership/GossipTable.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace shallot {
+
+namespace wire {
+struct FrameT;
+struct GossipT;
+} // namespace wire
+
+class CrashFingerprints;
+class LimitSystem;
+class PeerLink;
+class PeerLinks;
+
+// Carries gossip over the peer links: probes, acknowledgements, witness questions and crash reports.
+class Gossiper {
+public:
+    Gossiper(GossipTable&, PeerLinks&, CrashFingerprints&, LimitSystem&);
+
+    void tick(TimePoint now);
+    void onGossip(PeerLink&, const wire::GossipT&, TimePoint now);
+    // Asks a witness whether it still vouches for this daemon.
+    void probeWitness(const std::string& member, TimePoint now);
+    // Probes a daemon that is only known by address.
+    void probeAddress(const std::string& address, TimePoint now);
+    // Tells some members at once that the own entry changed.
+    void announce(TimePoint now);
+    void setChangeHandler(std::function<void()> handler) { m_onChange = std::move(handler); }
+
+private:
+    struct Probe {
+        std::string member;
+        TimePoint sentAt {};
+    };
+
+    void probe(const std::string& member, TimePoint now);
+    wire::FrameT makeMessage(const std::string& peer, uint64_t sequence, uint64_t acknowledges, TimePoint now);
+    void mergeCrashes(const std::string& peer, const wire::GossipT&, TimePoint now);
+
+    GossipTable& m_table;
+    PeerLinks& m_links;
+    CrashFingerprints& m_crashes;
+    LimitSystem& m_limits;
+    std::map<uint64_t, Probe> m_probes;
+    std::set<std::string> m_greeted; // Peers that were sent the whole table
+    uint64_t m_nextSequence { 1 };
+    std::function<void()> m_onChange;
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/daemon/LogClient.cpp
@@ -0,0 +1,95 @@
+#include "daemon/LogClient.h"
+
+#include "core/JSON.h"
+
+namespace shallot {
+
+namespace {
+
+constexpr auto requestTimeout = std::chrono::seconds(1);
+constexpr int recordsPerPage = 500;
+
+Result<LogPage> readPage(const HTTPResponse& response)
+{
+    const auto root = parseJSONObject(response.body);
+    JsonObject* object = root ? json_node_get_object(root.get()) : nullptr;
+    JsonArray* records = jsonArray(object, "records");
+    if (response.status != 200 || !records)
+        return fail(ErrorKind::LogUnavailable, "the log service answered " + std::to_string(response.status));
+    LogPage page;
+    page.first = static_cast<uint64_t>(jsonNumber(object, "first"));
+    page.next = static_cast<uint64_t>(jsonNumber(object, "next"));
+    for (unsigned i = 0; i < json_array_get_length(records); ++i) {
+        JsonObject* item = jsonObjectAt(records, i);
+        page.records.push_back({ static_cast<uint64_t>(jsonNumber(item, "offset")),
+            static_cast<int64_t>(jsonNumber(item, "timeMs")), jsonString(item, "bytes") });
+    }
+    return page;
+}
+
+} // namespace
+
+LogClient::LogClient(const SocketAddress& address)
+    : m_host(address.toString())
+{
+    m_pool.setAddress(address);
+}
+
+void LogClient::send(HTTPRequest request, TimePoint now, Completion completion)
+{
+    if (m_blocked) {
+        completion(fail(ErrorKind::LogUnavailable, "blocked by fault injection"));
+        return;
+    }
+    const uint64_t id = m_nextID++;
+    request.headers.emplace_back("Host", m_host);
+    m_pending[id] = { now + requestTimeout, std::move(completion) };
+    m_pool.send(id, request, [this, id](Result<HTTPResponse> response) {
+        const auto found = m_pending.find(id);
+        if (found == m_pending.end())
+            return;
+        const auto completion = std::move(found->second.completion);
+        m_pending.erase(found);
+        completion(std::move(response));
+    });
+}
+
+void LogClient::append(std::string bytes, TimePoint now, AppendCompletion completion)
+{
+    send({ "POST", "/append", {}, std::move(bytes) }, now, [completion = std::move(completion)](Result<HTTPResponse> response) {
+        if (!response)
+            completion(tl::unexpected(response.error()));
+        else if (response->status != 200)
+            completion(fail(ErrorKind::LogUnavailable, "the log service answered " + std::to_string(response->status)));
+        else
+            completion({});
+    });
+}
+
+void LogClient::read(uint64_t from, TimePoint now, ReadCompletion completion)
+{
+    const auto target = "/records?from=" + std::to_string(from) + "&max=" + std::to_string(recordsPerPage);
+    send({ "GET", target, {}, {} }, now, [completion = std::move(completion)](Result<HTTPResponse> response) {
+        if (response)
+            completion(readPage(*response));
+        else
+            completion(tl::unexpected(response.error()));
+    });
+}
+
+void LogClient::tick(TimePoint now)
+{
+    std::vector<uint64_t> late;
+    for (const auto& [id, pending] : m_pending) {
+        if (pending.deadline <= now)
+            late.push_back(id);
+    }
+    for (const auto id : late) {
+        m_pool.abandon(id);
+        const auto completion = std::move(m_pending.at(id).completion);
+        m_pending.erase(id);
+        completion(fail(ErrorKind::LogUnavailable, "the log service did not answer in time"));
+    }
+}
+
+} // namespace shallot
--- /dev/null
+++ b/Source/limits/BorrowerLedger.cpp
@@ -0,0 +1,247 @@
+#include "limits/BorrowerLedger.h"
+
+#include <cmath>
+
+namespace shallot {
+
+namespace {
+
+constexpr double renewalPart = 0.4;      // A loan is exchanged once this part of its time is left
+constexpr double lowWaterSeconds = 0.15; // More is asked for when the tokens last for less than this
+constexpr double idleDemand = 0.05;      // Requests a second below which nothing is renewed
+
+double tokensOf(const auto& loans)
+{
+    double total = 0;
+    for (const auto& loan : loans)
+        total += loan.bucket.tokens;
+    return total;
+}
+
+double rateOf(const auto& loans)
+{
+    double total = 0;
+    for (const auto& loan : loans)
+        total += loan.bucket.rate;
+    return total;
+}
+
+} // namespace
+
+void BorrowerLedger::settle(Account& account, TimePoint now)
+{
+    std::erase_if(account.loans, [now](const auto& loan) { return loan.expires <= now; });
+    for (auto& loan : account.loans)
+        loan.bucket.refill(now);
+}
+
+void BorrowerLedger::averageDemand(Account& account, TimePoint now)
+{
+    if (account.averaged == TimePoint())
+        account.averaged = now;
+    const double passed = toSeconds(now - account.averaged);
+    const double window = toSeconds(m_settings.demandWindow);
+    if (passed < window / 10)
+        return;
+    const double weight = std::min(1.0, passed / window);
+    account.demand += weight * (account.arrivals / passed - account.demand);
+    account.arrivals = 0;
+    account.averaged = now;
+}
+
+Admission BorrowerLedger::admit(const std::string& organisation, TimePoint now, bool isNew)
+{
+    auto& account = m_accounts[organisation];
+    if (isNew) {
+        ++account.arrivals;
+        account.lastArrival = now;
+    }
+    settle(account, now);
+    HeldLoan* best = nullptr;
+    for (auto& loan : account.loans) {
+        if (loan.bucket.tokens >= 1 && (!best || loan.expires < best->expires))
+            best = &loan;
+    }
+    if (best) {
+        best->bucket.tokens -= 1;
+        return Admission::Admitted;
+    }
+    return admissionWithoutToken(account, organisation, now);
+}
+
+bool BorrowerLedger::isAskable(Account& account, const std::string& lender, TimePoint now)
+{
+    const auto& state = account.lenders[lender];
+    return !state.asked && state.notBefore <= now;
+}
+
+// Waiting makes sense while a request is under way or can be made within the hold time.
+Admission BorrowerLedger::admissionWithoutToken(Account& account, const std::string& organisation, TimePoint now)
+{
+    const auto lenders = m_lenders(organisation);
+    if (lenders.empty() && account.loans.empty())
+        return Admission::NoLender;
+    for (const auto& lender : lenders) {
+        const auto& state = account.lenders[lender];
+        if (state.asked || state.notBefore <= now + m_settings.holdTime / 2)
+            return Admission::Wait;
+    }
+    return Admission::Refused;
+}
+
+void BorrowerLedger::setWaiting(const std::string& organisation, uint32_t waiting)
+{
+    m_accounts[organisation].waiting = waiting;
+}
+
+Duration BorrowerLedger::retryAfter(const std::string& organisation, TimePoint now) const
+{
+    const auto found = m_accounts.find(organisation);
+    if (found == m_accounts.end())
+        return m_settings.loanDuration;
+    Duration shortest = m_settings.loanDuration;
+    for (const auto& loan : found->second.loans) {
+        if (loan.bucket.rate > 0)
+            shortest = std::min(shortest, fromSeconds(std::max(0.0, 1 - loan.bucket.tokens) / loan.bucket.rate));
+    }
+    for (const auto& [lender, state] : found->second.lenders)
+        shortest = std::min(shortest, std::max(Duration::zero(), state.notBefore - now));
+    return std::max(Duration(std::chrono::milliseconds(1)), shortest);
+}
+
+LoanRequest& BorrowerLedger::requestFor(Batches& batches, const std::string& lender, const std::string& organisation)
+{
+    auto& batch = batches[lender];
+    batch.lender = lender;
+    for (auto& request : batch.requests) {
+        if (request.organisation == organisation)
+            return request;
+    }
+    batch.requests.push_back({ organisation, {}, 0, 0 });
+    return batch.requests.back();
+}
+
+void BorrowerLedger::collectReturns(
+    const std::string& organisation, Account& account, Batches& batches, bool everything, TimePoint now)
+{
+    const bool idle = account.demand < idleDemand && !account.waiting && now - account.lastArrival > m_settings.loanDuration;
+    std::erase_if(account.loans, [&](const auto& loan) {
+        const bool isSpentToken = loan.bucket.rate <= 0 && loan.bucket.tokens < 1;
+        if (!everything && !idle && !isSpentToken)
+            return false;
+        // Debited here before the message leaves: if it is lost, so is the loan, until the lender counts it as home.
+        requestFor(batches, loan.lender, organisation).returned.push_back({ loan.id, loan.bucket.tokens });
+        return true;
+    });
+}
+
+void BorrowerLedger::collectRequests(const std::string& organisation, Account& account, Batches& batches, TimePoint now)
+{
+    const bool isIdle = account.demand < idleDemand && !account.waiting;
+    if (isIdle)
+        return;
+    const double rate = rateOf(account.loans);
+    const bool runningLow = tokensOf(account.loans) + rate * lowWaterSeconds < account.demand * lowWaterSeconds + account.waiting;
+    const double wanted = std::max(account.demand, static_cast<double>(account.waiting));
+    bool asksMore = runningLow || account.waiting;
+    const auto lenders = m_lenders(organisation);
+    for (size_t i = 0; i < lenders.size(); ++i) {
+        const auto& lender = lenders[i];
+        if (!isAskable(account, lender, now))
+            continue;
+        const auto held = std::find_if(account.loans.begin(), account.loans.end(),
+            [&](const auto& loan) { return loan.lender == lender && loan.bucket.rate > 0; });
+        const bool isHeld = held != account.loans.end();
+        const bool expires = isHeld && held->expires - now < fromSeconds(toSeconds(m_settings.loanDuration) * renewalPart);
+        if (!expires && !asksMore)
+            continue;
+        auto& request = requestFor(batches, lender, organisation);
+        // What other lenders already give is not asked for again.
+        const double heldRate = isHeld ? held->bucket.rate : 0;
+        request.demand = std::max(wanted * 0.1, wanted - (rate - heldRate) / m_settings.headroom);
+        request.waiting = account.waiting;
+        std::erase_if(account.loans, [&](const auto& loan) {
+            if (loan.lender != lender)
+                return false;
+            request.returned.push_back({ loan.id, loan.bucket.tokens });
+            return true;
+        });
+        account.lenders[lender].asked = true;
+        account.lenders[lender].askedAt = now;
+        // One lender more at a time: the next one only when this one had nothing.
+        asksMore = false;
+    }
+}
+
+std::vector<LoanRequestBatch> BorrowerLedger::takeRequests(TimePoint now)
+{
+    Batches batches;
+    for (auto& [organisation, account] : m_accounts) {
+        settle(account, now);
+        averageDemand(account, now);
+        for (auto& [lender, state] : account.lenders) {
+            if (state.asked && now - state.askedAt >= m_settings.requestTimeout) {
+                state.asked = false;
+                state.notBefore = now + m_settings.requestTimeout;
+            }
+        }
+        collectReturns(organisation, account, batches, false, now);
+        collectRequests(organisation, account, batches, now);
+    }
+    std::erase_if(m_accounts, [&](const auto& item) {
+        return item.second.loans.empty() && !item.second.waiting && now - item.second.lastArrival > 8 * m_settings.loanDuration;
+    });
+    std::erase_if(m_sent, [&](const auto& item) { return now - item.second.sentAt > m_settings.loanDuration; });
+    return finish(std::move(batches), now);
+}
+
+std::vector<LoanRequestBatch> BorrowerLedger::takeAllBack(TimePoint now)
+{
+    Batches batches;
+    for (auto& [organisation, account] : m_accounts) {
+        settle(account, now);
+        collectReturns(organisation, account, batches, true, now);
+    }
+    return finish(std::move(batches), now);
+}
+
+std::vector<LoanRequestBatch> BorrowerLedger::finish(Batches batches, TimePoint now)
+{
+    std::vector<LoanRequestBatch> result;
+    for (auto& [lender, batch] : batches) {
+        batch.sequence = m_nextSequence++;
+        auto& sent = m_sent[batch.sequence];
+        sent.lender = lender;
+        sent.sentAt = now;
+        for (const auto& request : batch.requests)
+            sent.organisations.push_back(request.organisation);
+        result.push_back(std::move(batch));
+    }
+    return result;
+}
+
+void BorrowerLedger::onLoans(const std::string& lender, uint64_t sequence, const std::vector<Loan>& loans, TimePoint now)
+{
+    const auto found = m_sent.find(sequence);
+    if (found == m_sent.end() || found->second.lender != lender)
+        return;
+    const auto sent = std::move(found->second);
+    m_sent.erase(found);
+    const auto expires = sent.sentAt + m_settings.loanDuration;
+    for (const auto& loan : loans) {
+        const auto account = m_accounts.find(loan.organisation);
+        if (account == m_accounts.end())
+            continue;
+        auto& state = account->second.lenders[lender];
+        if (state.askedAt == sent.sentAt)
+            state.asked = false;
+        if (loan.burst <= 0) {
+            state.notBefore = std::max(state.notBefore, now + std::max(Duration(m_settings.emptyBackoff), loan.retryAfter));
+            continue;
+        }
+        if (expires > now)
+            account->second.loans.push_back({ lender, loan.id, { loan.rate, loan.burst, loan.tokens, now }, expires });
+    }
+}
+
+} // namespace shallot
--- /dev/null
+++ b/Source/limits/OwnershipTable.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "log/LogEntry.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace shallot {
+
+class MemberRoster;
+
+constexpr uint32_t partsPerZone = 16;            // Organisations are spread over this many owners in each zone
+constexpr uint32_t wholeFractionPpm = 1'000'000; // All of a plan
+
+uint32_t partOfOrganisation(std::string_view organisation);
+
+struct PartID {
+    std::string zone;
+    uint32_t part { 0 };
+
+    auto operator<=>(const PartID&) const = default;
+};
+
+// What a new owner waits for before it lends.
+enum class OwnerWait : uint8_t {
+    None,     // Nobody owned the part before
+    Loans,    // The previous owner stopped and handed over; its loans are out
+    Takeover, // The previous owner may not know yet that it lost the part
+};
+
+// Who holds one part of a zone's share, and how much of each plan it is.
+struct Ownership {
+    std::string owner;
+    uint64_t epoch { 0 }; // Offset of the entry that made it so
+    uint32_t fractionPpm { 0 };
+    OwnerWait wait { OwnerWait::None };
+};
+
+// Ownerships folded from the log. For each part, the fractions of all zones never add up to more than the whole.
+class OwnershipTable {
+public:
+    // Voids entries with a stale epoch, over a live foreign owner, or with a fraction that is not free.
+    bool apply(uint64_t offset, const OwnEntry&, const std::string& writer, const MemberRoster&);
+
+    const Ownership* find(const PartID&) const;
+    const std::map<PartID, Ownership>& parts() const { return m_parts; }
+    // Fraction that no zone holds for the part, not counting what `except` holds.
+    uint32_t freeFraction(uint32_t part, const std::string& exceptZone) const;
+
+    void restorePart(const PartID& id, Ownership ownership) { m_parts[id] = std::move(ownership); }
+    void clear() { m_parts.clear(); }
+
+private:
+    std::map<PartID, Ownership> m_parts;
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/log/FleetFold.cpp
@@ -0,0 +1,176 @@
+#include "log/FleetFold.h"
+
+#include "core/JSON.h"
+
+#include <algorithm>
+
+namespace shallot {
+
+namespace {
+
+constexpr size_t maximumWriters = 4000; // Writers remembered for duplicates, about ten days of replacements at the design size
+
+const SnapshotEntry* soleSnapshot(const LogRecord& record)
+{
+    return record.entries.size() == 1 ? std::get_if<SnapshotEntry>(&record.entries.front()) : nullptr;
+}
+
+void writeRoster(JSONWriter& writer, const MemberRoster& roster)
+{
+    writer.beginArray("members");
+    for (const auto& [name, member] : roster.members()) {
+        writer.beginObject().add("name", name).add("zone", member.zone).add("address", member.address);
+        writer.add("joinOffset", member.joinOffset).add("endedOffset", member.endedOffset).add("revoked", member.revoked);
+        writer.beginArray("witnesses");
+        for (const auto& witness : member.witnesses)
+            writer.addString(witness);
+        writer.endArray().endObject();
+    }
+    writer.endArray();
+}
+
+void readRoster(JsonArray* members, MemberRoster& roster)
+{
+    for (unsigned i = 0; members && i < json_array_get_length(members); ++i) {
+        JsonObject* item = jsonObjectAt(members, i);
+        roster.restoreMember(jsonString(item, "name"),
+            { jsonString(item, "zone"), jsonString(item, "address"), jsonStrings(item, "witnesses"),
+                static_cast<uint64_t>(jsonNumber(item, "joinOffset")), static_cast<uint64_t>(jsonNumber(item, "endedOffset")),
+                jsonBoolean(item, "revoked") });
+    }
+}
+
+void writeOwnerships(JSONWriter& writer, const OwnershipTable& table)
+{
+    writer.beginArray("parts");
+    for (const auto& [id, ownership] : table.parts()) {
+        writer.beginObject()
+            .add("zone", id.zone)
+            .add("part", id.part)
+            .add("owner", ownership.owner)
+            .add("epoch", ownership.epoch);
+        writer.add("fractionPpm", ownership.fractionPpm).add("wait", static_cast<int64_t>(ownership.wait)).endObject();
+    }
+    writer.endArray();
+}
+
+void readOwnerships(JsonArray* parts, OwnershipTable& table)
+{
+    for (unsigned i = 0; parts && i < json_array_get_length(parts); ++i) {
+        JsonObject* item = jsonObjectAt(parts, i);
+        table.restorePart({ jsonString(item, "zone"), static_cast<uint32_t>(jsonNumber(item, "part")) },
+            { jsonString(item, "owner"), static_cast<uint64_t>(jsonNumber(item, "epoch")),
+                static_cast<uint32_t>(jsonNumber(item, "fractionPpm")),
+                static_cast<OwnerWait>(static_cast<uint8_t>(jsonNumber(item, "wait"))) });
+    }
+}
+
+} // namespace
+
+bool FleetFold::apply(const StoredRecord& stored)
+{
+    if (stored.offset < m_nextOffset)
+        return true;
+    const auto record = parseRecord(stored.bytes);
+    if (stored.offset > m_nextOffset) {
+        // After a gap only a snapshot that covers it can go on.
+        const auto* snapshot = record ? soleSnapshot(*record) : nullptr;
+        if (!snapshot || snapshot->upTo < m_nextOffset || !restore(snapshot->state))
+            return false;
+        if (m_nextOffset != stored.offset)
+            return false;
+    }
+    m_nextOffset = stored.offset + 1;
+    if (!record) {
+        ++m_skippedRecords;
+        return true;
+    }
+    m_skippedRecords += record->skipped;
+    if (isDuplicate(*record))
+        return true;
+    rememberWriter(*record, stored.offset);
+    for (size_t i = 0; i < record->entries.size(); ++i)
+        m_applied.push_back(
+            { record->writer, record->sequence, i, stored.offset, applyEntry(stored, *record, record->entries[i]) });
+    return true;
+}
+
+Result<void> FleetFold::applyEntry(const StoredRecord& stored, const LogRecord& record, const LogEntry& entry)
+{
+    if (const auto* edit = std::get_if<EditEntry>(&entry))
+        return m_configuration.apply(stored.offset, stored.timeMs, edit->edit);
+    if (const auto* join = std::get_if<JoinEntry>(&entry))
+        m_roster.apply(stored.offset, *join);
+    else if (const auto* leave = std::get_if<LeaveEntry>(&entry))
+        m_roster.apply(stored.offset, *leave);
+    else if (const auto* revoke = std::get_if<RevokeEntry>(&entry))
+        m_roster.apply(stored.offset, *revoke);
+    else if (const auto* own = std::get_if<OwnEntry>(&entry))
+        m_ownerships.apply(stored.offset, *own, record.writer, m_roster);
+    else if (const auto* claim = std::get_if<ClaimEntry>(&entry))
+        m_claims.apply(stored.offset, stored.timeMs, *claim);
+    else if (const auto* release = std::get_if<ReleaseEntry>(&entry))
+        m_claims.apply(*release);
+    return {};
+}
+
+bool FleetFold::isDuplicate(const LogRecord& record) const
+{
+    return hasFolded(record.writer, record.sequence);
+}
+
+bool FleetFold::hasFolded(const std::string& writer, uint64_t sequence) const
+{
+    const auto found = m_writers.find(writer);
+    return found != m_writers.end() && sequence <= found->second.sequence;
+}
+
+void FleetFold::rememberWriter(const LogRecord& record, uint64_t offset)
+{
+    m_writers[record.writer] = { record.sequence, offset };
+    if (m_writers.size() <= maximumWriters)
+        return;
+    m_writers.erase(std::min_element(
+        m_writers.begin(), m_writers.end(), [](const auto& a, const auto& b) { return a.second.offset < b.second.offset; }));
+}
+
+std::string FleetFold::serialize() const
+{
+    JSONWriter writer;
+    writer.beginObject().add("nextOffset", m_nextOffset).add("skippedRecords", m_skippedRecords);
+    writer.add("configuration", m_configuration.serialize()).add("claims", m_claims.serialize());
+    writeRoster(writer, m_roster);
+    writeOwnerships(writer, m_ownerships);
+    writer.beginArray("writers");
+    for (const auto& [name, state] : m_writers)
+        writer.beginObject().add("name", name).add("sequence", state.sequence).add("offset", state.offset).endObject();
+    writer.endArray().endObject();
+    return writer.finish();
+}
+
+bool FleetFold::restore(std::string_view text)
+{
+    const auto root = parseJSONObject(text);
+    JsonObject* object = root ? json_node_get_object(root.get()) : nullptr;
+    const auto nextOffset = static_cast<uint64_t>(jsonNumber(object, "nextOffset"));
+    if (nextOffset <= m_nextOffset)
+        return false;
+    FleetFold next;
+    if (!next.m_configuration.restore(jsonString(object, "configuration"))
+        || !next.m_claims.restore(jsonString(object, "claims")))
+        return false;
+    next.m_nextOffset = nextOffset;
+    next.m_skippedRecords = static_cast<uint64_t>(jsonNumber(object, "skippedRecords"));
+    readRoster(jsonArray(object, "members"), next.m_roster);
+    readOwnerships(jsonArray(object, "parts"), next.m_ownerships);
+    JsonArray* writers = jsonArray(object, "writers");
+    for (unsigned i = 0; writers && i < json_array_get_length(writers); ++i) {
+        JsonObject* item = jsonObjectAt(writers, i);
+        next.m_writers[jsonString(item, "name")]
+            = { static_cast<uint64_t>(jsonNumber(item, "sequence")), static_cast<uint64_t>(jsonNumber(item, "offset")) };
+    }
+    *this = std::move(next);
+    return true;
+}
+
+} // namespace shallot
--- /dev/null
+++ b/Source/log/FleetFold.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "claims/ClaimTable.h"
+#include "config/ConfigurationFold.h"
+#include "limits/OwnershipTable.h"
+#include "log/LogEntry.h"
+#include "membership/MemberRoster.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace shallot {
+
+// Outcome of one entry that this process waits for.
+struct AppliedEntry {
+    std::string writer;
+    uint64_t sequence { 0 };
+    size_t index { 0 }; // Position within the record
+    uint64_t offset { 0 };
+    Result<void> result; // Why the fold voided it
+};
+
+// Everything that the fleet agrees on, folded from the log. Equal at every reader that has folded up to the same offset.
+class FleetFold {
+public:
+    // Folds the next record. Records before nextOffset() are ignored, unreadable ones counted.
+    // Returns false for a gap: the records between nextOffset() and this one are gone and a snapshot is needed.
+    bool apply(const StoredRecord&);
+
+    uint64_t nextOffset() const { return m_nextOffset; }
+    uint64_t skippedRecords() const { return m_skippedRecords; }
+    const ConfigurationFold& configuration() const { return m_configuration; }
+    const MemberRoster& roster() const { return m_roster; }
+    const OwnershipTable& ownerships() const { return m_ownerships; }
+    const ClaimTable& claims() const { return m_claims; }
+    // Whether a record of the writer was folded, which tells the fate of an append whose acknowledgement was lost.
+    bool hasFolded(const std::string& writer, uint64_t sequence) const;
+    // Entries folded since the last call, with their outcomes.
+    std::vector<AppliedEntry> takeApplied() { return std::exchange(m_applied, {}); }
+
+    std::string serialize() const;
+    // Replaces the state by a snapshot that reaches further than this fold; false leaves everything as it was.
+    bool restore(std::string_view);
+
+private:
+    Result<void> applyEntry(const StoredRecord&, const LogRecord&, const LogEntry&);
+    bool isDuplicate(const LogRecord&) const;
+    void rememberWriter(const LogRecord&, uint64_t offset);
+
+    struct WriterState {
+        uint64_t sequence { 0 };
+        uint64_t offset { 0 };
+    };
+
+    uint64_t m_nextOffset { 0 };
+    uint64_t m_skippedRecords { 0 };
+    std::map<std::string, WriterState> m_writers;
+    ConfigurationFold m_configuration;
+    MemberRoster m_roster;
+    OwnershipTable m_ownerships;
+    ClaimTable m_claims;
+    std::vector<AppliedEntry> m_applied;
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/net/HTTPConnection.cpp
@@ -0,0 +1,212 @@
+#include "net/HTTPConnection.h"
+
+#include "net/StreamSocket.h"
+
+namespace shallot {
+
+namespace {
+
+constexpr size_t maximumResponseBytes = 4 * 1024 * 1024;
+constexpr size_t maximumResponseHeaders = 200;
+
+std::string formatRequest(const HTTPRequest& request)
+{
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const auto& [name, value] : request.headers) {
+        text += name;
+        text += ": ";
+        text += value;
+        text += "\r\n";
+    }
+    text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n";
+    text += request.body;
+    return text;
+}
+
+} // namespace
+
+RefPtr<HTTPConnection> HTTPConnection::connect(const SocketAddress& address, Callbacks callbacks)
+{
+    auto socket = StreamSocket::connect(address);
+    return socket ? makeRef<HTTPConnection>(std::move(socket), std::move(callbacks)) : nullptr;
+}
+
+HTTPConnection::HTTPConnection(RefPtr<StreamSocket> socket, Callbacks callbacks)
+    : m_socket(std::move(socket))
+    , m_callbacks(std::move(callbacks))
+{
+    http_parser_init(&m_parser, HTTP_RESPONSE);
+    m_parser.data = this;
+    m_socket->start({
+        [this](std::span<const uint8_t> bytes) { onData(bytes); },
+        [this] { onConnected(); },
+        [this] { onSocketClosed(); },
+    });
+}
+
+HTTPConnection::~HTTPConnection()
+{
+    m_socket->close();
+}
+
+bool HTTPConnection::isOpen() const
+{
+    return m_socket->isOpen();
+}
+
+void HTTPConnection::send(const HTTPRequest& request, Completion completion)
+{
+    const RefPtr<HTTPConnection> protect(this);
+    m_completion = std::move(completion);
+    m_response = {};
+    m_headRequest = request.method == "HEAD";
+    m_complete = false;
+    m_trailersReached = false;
+    m_lastWasValue = true;
+    // While the socket connects the bytes wait in its buffer; onConnected() marks when they leave.
+    m_socket->write(formatRequest(request));
+}
+
+void HTTPConnection::onConnected()
+{
+    m_connected = true;
+}
+
+const http_parser_settings& HTTPConnection::parserSettings()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings result;
+        http_parser_settings_init(&result);
+        result.on_header_field = [](http_parser* parser, const char* at, size_t length) {
+            auto& connection = from(parser);
+            if (connection.m_trailersReached)
+                return 0;
+            auto& headers = connection.m_response.headers;
+            if (connection.m_lastWasValue) {
+                if (headers.size() >= maximumResponseHeaders)
+                    return 1;
+                headers.emplace_back();
+            }
+            connection.m_lastWasValue = false;
+            headers.back().first.append(at, length);
+            return 0;
+        };
+        result.on_header_value = [](http_parser* parser, const char* at, size_t length) {
+            auto& connection = from(parser);
+            connection.m_lastWasValue = true;
+            if (!connection.m_trailersReached)
+                connection.m_response.headers.back().second.append(at, length);
+            return 0;
+        };
+        result.on_headers_complete = [](http_parser* parser) {
+            auto& connection = from(parser);
+            connection.m_trailersReached = true;
+            return connection.m_headRequest ? 1 : 0;
+        };
+        result.on_body = [](http_parser* parser, const char* at, size_t length) {
+            return from(parser).appendBody({ at, length }) ? 0 : 1;
+        };
+        result.on_message_complete = [](http_parser* parser) {
+            from(parser).m_complete = true;
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return result;
+    }();
+    return settings;
+}
+
+bool HTTPConnection::appendBody(std::string_view bytes)
+{
+    if (m_response.body.size() + bytes.size() > maximumResponseBytes)
+        return false;
+    m_response.body.append(bytes);
+    return true;
+}
+
+void HTTPConnection::onData(std::span<const uint8_t> bytes)
+{
+    const RefPtr<HTTPConnection> protect(this);
+    if (!m_completion) {
+        // Bytes that nobody asked for: the stream can no longer be trusted.
+        closeAndNotify();
+        return;
+    }
+    const size_t parsed
+        = http_parser_execute(&m_parser, &parserSettings(), reinterpret_cast<const char*>(bytes.data()), bytes.size());
+    if (m_complete) {
+        const bool trailingBytes = parsed < bytes.size();
+        if (trailingBytes)
+            m_socket->close();
+        completeResponse();
+        return;
+    }
+    if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK)
+        failExchange(
+            ErrorKind::BadAnswer, std::string("the answer is malformed: ") + http_errno_name(HTTP_PARSER_ERRNO(&m_parser)));
+}
+
+void HTTPConnection::completeResponse()
+{
+    const bool interim = m_parser.status_code < 200;
+    if (interim) {
+        failExchange(ErrorKind::BadAnswer, "an interim answer was not asked for");
+        return;
+    }
+    m_response.status = static_cast<uint16_t>(m_parser.status_code);
+    const bool reusable = isOpen() && http_should_keep_alive(&m_parser);
+    http_parser_init(&m_parser, HTTP_RESPONSE);
+    m_parser.data = this;
+    const auto completion = std::exchange(m_completion, nullptr);
+    if (!reusable)
+        m_socket->close();
+    completion(std::move(m_response));
+    if (!reusable) {
+        closeAndNotify();
+        return;
+    }
+    if (m_callbacks.onIdle)
+        m_callbacks.onIdle(*this);
+}
+
+// A body that ends with the connection cannot be told from a truncated one, so it counts as incomplete.
+void HTTPConnection::onSocketClosed()
+{
+    if (!m_connected) {
+        failExchange(ErrorKind::NoBackendServer, "the server does not accept connections");
+        return;
+    }
+    const bool started = m_parser.nread || !m_response.headers.empty();
+    failExchange(started ? ErrorKind::BadAnswer : ErrorKind::BackendFailed,
+        started ? "the answer ended early" : "the connection ended without an answer");
+}
+
+void HTTPConnection::failExchange(ErrorKind kind, std::string detail)
+{
+    const RefPtr<HTTPConnection> protect(this);
+    m_socket->close();
+    if (const auto completion = std::exchange(m_completion, nullptr))
+        completion(fail(kind, std::move(detail)));
+    closeAndNotify();
+}
+
+void HTTPConnection::closeAndNotify()
+{
+    const RefPtr<HTTPConnection> protect(this);
+    m_socket->close();
+    if (const auto onClosed = std::exchange(m_callbacks.onClosed, nullptr))
+        onClosed(*this);
+}
+
+void HTTPConnection::terminate()
+{
+    failExchange(ErrorKind::BackendFailed, "the backend server was replaced");
+}
+
+void HTTPConnection::abandon()
+{
+    m_completion = nullptr;
+    closeAndNotify();
+}
+
+} // namespace shallot
--- /dev/null
+++ b/Source/net/HTTPConnection.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/Error.h"
+#include "core/RefCounted.h"
+#include "net/HTTPMessage.h"
+
+#include <functional>
+#include <http_parser.h>
+#include <span>
+
+namespace shallot {
+
+class StreamSocket;
+struct SocketAddress;
+
+// One keep-alive HTTP/1.1 client connection; carries one exchange at a time.
+class HTTPConnection : public RefCounted<HTTPConnection> {
+public:
+    // The response, or why there is none. NotRun kinds are given only when no byte of the request has left.
+    using Completion = std::function<void(Result<HTTPResponse>)>;
+
+    struct Callbacks {
+        std::function<void(HTTPConnection&)> onIdle;   // May carry the next exchange
+        std::function<void(HTTPConnection&)> onClosed; // After the completion, if one was due
+    };
+
+    // Null when no socket can be made.
+    static RefPtr<HTTPConnection> connect(const SocketAddress&, Callbacks);
+    explicit HTTPConnection(RefPtr<StreamSocket>, Callbacks);
+    ~HTTPConnection();
+
+    void send(const HTTPRequest&, Completion);
+    // Ends the connection without a completion; a late answer can then reach nobody.
+    void abandon();
+    // Ends the connection; an exchange in progress completes with BackendFailed.
+    void terminate();
+    bool isOpen() const;
+
+private:
+    void onData(std::span<const uint8_t>);
+    void onConnected();
+    void onSocketClosed();
+    void completeResponse();
+    void failExchange(ErrorKind, std::string detail);
+    void closeAndNotify();
+    bool appendBody(std::string_view);
+
+    static const http_parser_settings& parserSettings();
+    static HTTPConnection& from(http_parser* parser) { return *static_cast<HTTPConnection*>(parser->data); }
+
+    RefPtr<StreamSocket> m_socket;
+    Callbacks m_callbacks;
+    Completion m_completion;
+    http_parser m_parser {};
+    HTTPResponse m_response;
+    bool m_connected { false };
+    bool m_headRequest { false };
+    bool m_lastWasValue { true };
+    bool m_complete { false };
+    bool m_trailersReached { false };
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/net/HTTPExchange.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/RefCounted.h"
+#include "net/HTTPMessage.h"
+
+#include <functional>
+
+typedef struct _SoupServerMessage SoupServerMessage;
+
+namespace shallot {
+
+// One request that this process answers. The answer may come later; a caller who goes away is reported once.
+class HTTPExchange : public RefCounted<HTTPExchange> {
+public:
+    explicit HTTPExchange(SoupServerMessage*);
+    ~HTTPExchange();
+
+    const HTTPRequest& request() const { return m_request; }
+    HTTPRequest takeRequest() { return std::move(m_request); }
+    // Path without the query.
+    const std::string& path() const { return m_path; }
+    // Sends the whole answer; later calls do nothing.
+    void respond(const HTTPResponse&, bool closeConnection = false);
+    void respondJSON(uint16_t status, std::string body);
+    void setGoneHandler(std::function<void()> handler) { m_onGone = std::move(handler); }
+    bool isAnswered() const { return !m_message; }
+
+private:
+    void readRequest();
+    void onDisconnected();
+    void release();
+
+    SoupServerMessage* m_message { nullptr };
+    HTTPRequest m_request;
+    std::string m_path;
+    std::function<void()> m_onGone;
+    unsigned long m_disconnectedHandler { 0 };
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/net/HTTPMessage.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace shallot {
+
+using HTTPHeaders = std::vector<std::pair<std::string, std::string>>;
+
+struct HTTPRequest {
+    std::string method { "GET" };
+    std::string target { "/" }; // Path and query
+    HTTPHeaders headers;
+    std::string body;
+};
+
+struct HTTPResponse {
+    uint16_t status { 200 };
+    HTTPHeaders headers;
+    std::string body;
+};
+
+// Header names compare without regard to case.
+bool equalsIgnoringCase(std::string_view, std::string_view);
+// Value of the first header of that name; empty when there is none.
+std::string_view findHeader(const HTTPHeaders&, std::string_view name);
+// Headers that concern one connection only and never travel on.
+bool isHopByHopHeader(std::string_view name);
+// Whether names and values are free of bytes that would split a message.
+bool isSafeHeader(std::string_view name, std::string_view value);
+
+} // namespace shallot
--- /dev/null
+++ b/Source/net/HTTPPool.cpp
@@ -0,0 +1,81 @@
+#include "net/HTTPPool.h"
+
+namespace shallot {
+
+HTTPPool::~HTTPPool()
+{
+    const auto busy = std::exchange(m_busy, {});
+    for (const auto& [id, connection] : busy)
+        connection->abandon();
+    reset();
+}
+
+void HTTPPool::setAddress(const SocketAddress& address)
+{
+    if (address.toString() == m_address.toString())
+        return;
+    reset();
+    m_address = address;
+}
+
+RefPtr<HTTPConnection> HTTPPool::takeConnection()
+{
+    while (!m_idle.empty()) {
+        auto connection = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (connection->isOpen())
+            return connection;
+    }
+    return HTTPConnection::connect(m_address,
+        { [this](HTTPConnection& connection) { onIdle(connection); },
+            [this](HTTPConnection& connection) { onClosed(connection); } });
+}
+
+void HTTPPool::send(uint64_t id, const HTTPRequest& request, Completion completion)
+{
+    auto connection = takeConnection();
+    if (!connection) {
+        completion(fail(ErrorKind::NoBackendServer, "no socket could be made"));
+        return;
+    }
+    m_busy[id] = connection;
+    connection->send(
+        request, [this, id, connection = connection.get(), completion = std::move(completion)](Result<HTTPResponse> response) {
+            const RefPtr<HTTPConnection> protect(connection);
+            m_busy.erase(id);
+            completion(std::move(response));
+        });
+}
+
+void HTTPPool::onIdle(HTTPConnection& connection)
+{
+    m_idle.emplace_back(&connection);
+}
+
+void HTTPPool::onClosed(HTTPConnection& connection)
+{
+    std::erase_if(m_idle, [&connection](const auto& item) { return item.get() == &connection; });
+    std::erase_if(m_busy, [&connection](const auto& item) { return item.second.get() == &connection; });
+}
+
+void HTTPPool::abandon(uint64_t id)
+{
+    const auto found = m_busy.find(id);
+    if (found == m_busy.end())
+        return;
+    const auto connection = found->second;
+    m_busy.erase(found);
+    connection->abandon();
+}
+
+void HTTPPool::reset()
+{
+    const auto idle = std::exchange(m_idle, {});
+    for (const auto& connection : idle)
+        connection->abandon();
+    const auto busy = std::exchange(m_busy, {});
+    for (const auto& [id, connection] : busy)
+        connection->terminate();
+}
+
+} // namespace shallot
--- /dev/null
+++ b/Source/net/HTTPPool.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "net/HTTPConnection.h"
+#include "net/SocketAddress.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace shallot {
+
+// Keep-alive client connections to one server. Concurrency is limited by the caller.
+class HTTPPool {
+public:
+    using Completion = HTTPConnection::Completion;
+
+    ~HTTPPool();
+
+    void setAddress(const SocketAddress&);
+    // Starts the exchange under the caller's id.
+    void send(uint64_t id, const HTTPRequest&, Completion);
+    // Gives up on an exchange; its completion is not called and its connection is closed.
+    void abandon(uint64_t id);
+    // Closes all connections; exchanges in progress complete with an error.
+    void reset();
+    size_t openConnections() const { return m_idle.size() + m_busy.size(); }
+
+private:
+    RefPtr<HTTPConnection> takeConnection();
+    void onIdle(HTTPConnection&);
+    void onClosed(HTTPConnection&);
+
+    SocketAddress m_address;
+    std::vector<RefPtr<HTTPConnection>> m_idle; // Most recently used last
+    std::unordered_map<uint64_t, RefPtr<HTTPConnection>> m_busy;
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/net/HTTPServer.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/Error.h"
+#include "core/RefCounted.h"
+#include "core/Time.h"
+#include "net/SocketAddress.h"
+
+#include <functional>
+
+typedef struct _SoupServer SoupServer;
+typedef struct _SoupServerMessage SoupServerMessage;
+typedef struct _GSocketService GSocketService;
+typedef struct _GSocketConnection GSocketConnection;
+
+namespace shallot {
+
+class HTTPExchange;
+
+// What one HTTP server accepts before it refuses.
+struct HTTPServerLimits {
+    size_t maximumBodyBytes { 1024 * 1024 }; // Larger requests get 413
+    size_t maximumConnections { 4000 };      // Further ones are closed at once
+    std::chrono::seconds idleTimeout { 75 }; // Without a byte in either direction; above the longest time limit
+};
+
+// HTTP server on the main loop.
+class HTTPServer {
+public:
+    using Handler = std::function<void(RefPtr<HTTPExchange>)>;
+
+    HTTPServer() = default;
+    ~HTTPServer();
+    HTTPServer(const HTTPServer&) = delete;
+    HTTPServer& operator=(const HTTPServer&) = delete;
+
+    Result<void> start(const SocketAddress&, const HTTPServerLimits&, Handler);
+    // Takes no new connections; open ones go on.
+    void stopListening();
+    size_t connectionCount() const { return m_connections; }
+
+private:
+    void accept(GSocketConnection*);
+    void checkSize(SoupServerMessage*);
+
+    SoupServer* m_server { nullptr };
+    GSocketService* m_service { nullptr };
+    HTTPServerLimits m_limits;
+    Handler m_handler;
+    size_t m_connections { 0 };
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/net/Listener.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/Error.h"
+#include "core/RefCounted.h"
+#include "net/SocketAddress.h"
+
+#include <functional>
+
+typedef struct _GSocketService GSocketService;
+
+namespace shallot {
+
+class StreamSocket;
+
+// Accepts TCP connections on the main loop.
+class Listener {
+public:
+    using Handler = std::function<void(RefPtr<StreamSocket>)>;
+
+    Listener() = default;
+    ~Listener();
+    Listener(const Listener&) = delete;
+    Listener& operator=(const Listener&) = delete;
+
+    // Internal with the system's text when the address cannot be bound.
+    Result<void> start(const SocketAddress&, Handler);
+    void stop();
+
+private:
+    GSocketService* m_service { nullptr };
+    Handler m_handler;
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/net/PeerLink.cpp
@@ -0,0 +1,158 @@
+#include "net/PeerLink.h"
+
+#include "core/Digest.h"
+#include "core/Log.h"
+#include "core/RequestID.h"
+#include "net/StreamSocket.h"
+#include "wire/Frames_generated.h"
+
+namespace shallot {
+
+namespace {
+
+constexpr auto handshakeTimeout = std::chrono::seconds(3);
+constexpr size_t maximumHandshakeFrameBytes = 4096;
+constexpr size_t maximumWaitingFrames = 10'000;
+
+} // namespace
+
+PeerLink::PeerLink(RefPtr<StreamSocket> socket, const PeerIdentity& identity, bool initiator, Callbacks callbacks)
+    : m_socket(std::move(socket))
+    , m_identity(identity)
+    , m_callbacks(std::move(callbacks))
+    , m_reader(maximumHandshakeFrameBytes)
+    , m_nonce(toHex(makeRandomRequestID()))
+    , m_initiator(initiator)
+{
+    start();
+}
+
+PeerLink::~PeerLink()
+{
+    m_socket->close();
+}
+
+bool PeerLink::isOpen() const
+{
+    return m_socket->isOpen();
+}
+
+void PeerLink::start()
+{
+    m_socket->start({
+        [this](std::span<const uint8_t> bytes) { onData(bytes); },
+        nullptr,
+        [this] { fail("closed by the peer"); },
+    });
+    m_handshakeTimer.startOnce(handshakeTimeout, [this] { fail("no handshake in time"); });
+    wire::FrameT frame;
+    wire::HelloT hello;
+    hello.member = m_identity.member;
+    hello.zone = m_identity.zone;
+    hello.nonce = m_nonce;
+    frame.body.Set(std::move(hello));
+    sendNow(frame);
+}
+
+void PeerLink::onData(std::span<const uint8_t> bytes)
+{
+    const RefPtr<PeerLink> protect(this);
+    auto frames = m_reader.read(bytes);
+    if (!frames) {
+        fail(frames.error().detail.c_str());
+        return;
+    }
+    for (auto& frame : *frames) {
+        if (!isOpen())
+            return;
+        if (m_established) {
+            m_callbacks.onFrame(*this, *frame);
+            continue;
+        }
+        if (!onHandshakeFrame(*frame)) {
+            fail("the handshake failed");
+            return;
+        }
+    }
+}
+
+bool PeerLink::onHandshakeFrame(const wire::FrameT& frame)
+{
+    if (const auto* hello = frame.body.AsHello())
+        return onHello(*hello);
+    if (const auto* proof = frame.body.AsProof())
+        return onProof(*proof);
+    return false;
+}
+
+// The role is part of the text, so a peer cannot answer a challenge by reflecting it.
+std::string PeerLink::proofText(const std::string& nonce, const std::string& member, bool byInitiator) const
+{
+    return hmacHex(m_identity.secret, nonce + (byInitiator ? "|initiator|" : "|acceptor|") + member);
+}
+
+bool PeerLink::onHello(const wire::HelloT& hello)
+{
+    if (!m_peer.empty() || hello.member.empty() || hello.member == m_identity.member)
+        return false;
+    m_peer = hello.member;
+    wire::FrameT frame;
+    wire::ProofT proof;
+    proof.mac = proofText(hello.nonce, m_identity.member, m_initiator);
+    frame.body.Set(std::move(proof));
+    sendNow(frame);
+    return true;
+}
+
+bool PeerLink::onProof(const wire::ProofT& proof)
+{
+    if (m_peer.empty() || !equalConstantTime(proof.mac, proofText(m_nonce, m_peer, !m_initiator)))
+        return false;
+    m_established = true;
+    m_handshakeTimer.stop();
+    m_reader.setMaximumBytes(maximumFrameBytes);
+    for (const auto& bytes : std::exchange(m_waiting, {})) {
+        m_bytesSent += bytes.size();
+        if (!m_socket->write(bytes))
+            break;
+    }
+    return true;
+}
+
+bool PeerLink::send(const wire::FrameT& frame)
+{
+    if (!isOpen())
+        return false;
+    if (m_established) {
+        sendNow(frame);
+        return isOpen();
+    }
+    if (m_waiting.size() >= maximumWaitingFrames)
+        return false;
+    m_waiting.push_back(packFrame(frame));
+    return true;
+}
+
+void PeerLink::sendNow(const wire::FrameT& frame)
+{
+    const auto bytes = packFrame(frame);
+    m_bytesSent += bytes.size();
+    m_socket->write(bytes);
+}
+
+void PeerLink::fail(const char* reason)
+{
+    const RefPtr<PeerLink> protect(this);
+    m_handshakeTimer.stop();
+    m_socket->close();
+    SHALLOT_LOG(DEBUG, "link") << "Link to " << (m_peer.empty() ? "unknown peer" : m_peer) << " ended: " << reason << ".";
+    if (const auto onClosed = std::exchange(m_callbacks.onClosed, nullptr))
+        onClosed(*this);
+}
+
+void PeerLink::close()
+{
+    fail("closed here");
+}
+
+} // namespace shallot
--- /dev/null
+++ b/Source/policy/AdmissionLevel.cpp
@@ -0,0 +1,68 @@
+#include "policy/AdmissionLevel.h"
+
+#include "core/Digest.h"
+#include "core/RequestContext.h"
+#include "policy/PolicySettings.h"
+
+#include <algorithm>
+
+namespace shallot {
+
+namespace {
+
+constexpr float scoreCeiling = static_cast<float>(priorityClasses) - 0.001F; // Keeps the very top admitted at any level
+constexpr double throughputSmoothing = 0.3;
+
+} // namespace
+
+float admissionScore(uint8_t priority, std::string_view organisation, const RequestID& id)
+{
+    const uint64_t hash = stableHash(organisation, id.high ^ id.low);
+    const float fraction = static_cast<float>(hash >> 40) / static_cast<float>(1U << 24);
+    return std::min(static_cast<float>(std::min<uint8_t>(priority, priorityClasses - 1)) + fraction, scoreCeiling);
+}
+
+void AdmissionLevel::recordArrival(float score)
+{
+    const auto bucket = static_cast<size_t>(std::max(0.0F, score) * bucketsPerClass);
+    ++m_arrivals[std::min(bucket, bucketCount - 1)];
+}
+
+void AdmissionLevel::tick(TimePoint now, size_t queued, bool idleSlots)
+{
+    if (now - m_windowStart < m_settings.levelWindow)
+        return;
+    const double windows = std::max(1.0, toSeconds(now - m_windowStart) / toSeconds(m_settings.levelWindow));
+    m_windowStart = now;
+    m_throughput += throughputSmoothing * (m_completions / windows - m_throughput);
+    m_completions = 0;
+    const double targetWindows = toSeconds(m_settings.targetDelay) / toSeconds(m_settings.levelWindow);
+    const bool overloaded = !idleSlots && static_cast<double>(queued) > std::max(1.0, m_throughput * targetWindows);
+    if (overloaded)
+        raise();
+    else
+        relax(idleSlots);
+    m_arrivals.fill(0);
+}
+
+// Admits from the top as many of the scores that arrived in this window as the backend server completes in one.
+void AdmissionLevel::raise()
+{
+    const double wanted = m_throughput * m_settings.levelOvershoot;
+    double above = 0;
+    size_t bucket = bucketCount;
+    while (bucket > 0 && above + m_arrivals[bucket - 1] <= wanted) {
+        --bucket;
+        above += m_arrivals[bucket];
+    }
+    const float next = static_cast<float>(bucket) / bucketsPerClass;
+    m_level = std::clamp(std::max(next, m_level), 0.0F, scoreCeiling);
+}
+
+void AdmissionLevel::relax(bool idleSlots)
+{
+    const double step = idleSlots ? m_settings.levelIdleStep : m_settings.levelRelaxStep;
+    m_level = std::max(0.0F, m_level - static_cast<float>(step));
+}
+
+} // namespace shallot
--- /dev/null
+++ b/Source/policy/AdmissionLevel.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/Time.h"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace shallot {
+
+struct PolicySettings;
+struct RequestID;
+
+// Rank of a request from 0 (shed first) to below 8: its priority, plus a fraction that all hops compute alike, so that
+// overloaded services along a chain shed the same requests.
+float admissionScore(uint8_t priority, std::string_view organisation, const RequestID&);
+
+// Lowest score that a service admits now, set from what its own daemon measures.
+class AdmissionLevel {
+public:
+    explicit AdmissionLevel(const PolicySettings& settings)
+        : m_settings(settings)
+    {
+    }
+
+    bool admits(float score) const { return score >= m_level; }
+    float level() const { return m_level; }
+
+    // Counts a request that arrived, admitted or not.
+    void recordArrival(float score);
+    void recordCompletion() { ++m_completions; }
+    // Sets the level once a window has passed. `idleSlots` tells whether more requests could run at once.
+    void tick(TimePoint now, size_t queued, bool idleSlots);
+
+private:
+    static constexpr size_t bucketsPerClass = 64;
+    static constexpr size_t bucketCount = 8 * bucketsPerClass;
+
+    void raise();
+    void relax(bool idleSlots);
+
+    const PolicySettings& m_settings;
+    std::array<uint32_t, bucketCount> m_arrivals {};
+    uint32_t m_completions { 0 };
+    double m_throughput { 0 }; // Completions per window, smoothed
+    float m_level { 0 };
+    TimePoint m_windowStart {};
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/standins/LogStore.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "log/LogEntry.h"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace shallot {
+
+// What the stand-in log service does wrong, as tests order it.
+struct LogFaults {
+    bool down { false };                 // Neither appends nor reads
+    bool loseAcknowledgements { false }; // Appends take effect but the answer is an error
+    uint32_t appendsPerSecond { 500 };   // Further appends of a second are refused
+};
+
+// Stand-in for the platform's append-only log: offsets, limited retention, and the service's faults.
+class LogStore {
+public:
+    enum class AppendOutcome : uint8_t {
+        Stored,
+        Refused,
+        Unanswered, // Stored, but the caller is not told
+    };
+
+    AppendOutcome append(std::string bytes, int64_t timeMs);
+    std::vector<StoredRecord> read(uint64_t from, size_t maximum) const;
+    // Forgets all but the last records.
+    void retain(size_t records);
+
+    uint64_t first() const { return m_first; }
+    uint64_t next() const { return m_first + m_records.size(); }
+    LogFaults& faults() { return m_faults; }
+
+private:
+    std::deque<StoredRecord> m_records;
+    uint64_t m_first { 0 };
+    LogFaults m_faults;
+    int64_t m_second { 0 };
+    uint32_t m_appendsThisSecond { 0 };
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/wire/FrameReader.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/Error.h"
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace shallot {
+
+namespace wire {
+struct FrameT;
+}
+
+constexpr size_t maximumFrameBytes = 8 * 1024 * 1024;
+
+// Cuts a byte stream into verified frames. After an error the stream is unusable.
+class FrameReader {
+public:
+    explicit FrameReader(size_t maximumBytes = maximumFrameBytes)
+        : m_maximumBytes(maximumBytes)
+    {
+    }
+
+    // Takes the bytes and returns the frames that they complete; BadRequest or TooLarge for a stream that is not ours.
+    Result<std::vector<std::unique_ptr<wire::FrameT>>> read(std::span<const uint8_t>);
+    void setMaximumBytes(size_t bytes) { m_maximumBytes = bytes; }
+    size_t bufferedBytes() const { return m_buffer.size(); }
+
+private:
+    size_t m_maximumBytes;
+    std::vector<uint8_t> m_buffer;
+};
+
+// A frame as it stands on the wire, length included.
+std::string packFrame(const wire::FrameT&);
+
+} // namespace shallot
--- /dev/null
+++ b/Tests/ErrorKindTest.cpp
@@ -0,0 +1,29 @@
+#include "core/ErrorKind.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace shallot {
+namespace {
+
+TEST(ErrorKind, EveryKindHasItsOwnName)
+{
+    std::set<std::string_view> names;
+    for (size_t i = 0; i < static_cast<size_t>(ErrorKind::Count); ++i)
+        EXPECT_TRUE(names.insert(errorAnswer(static_cast<ErrorKind>(i)).name).second);
+}
+
+TEST(ErrorKind, ValuesOutsideTheListAreInternal)
+{
+    EXPECT_EQ(errorAnswer(static_cast<ErrorKind>(200)).kind, ErrorKind::Internal);
+}
+
+// A refusal that a daemon may send elsewhere without a retry token must be certain not to have run.
+TEST(ErrorKind, FateUnknownIsNeverRetried)
+{
+    EXPECT_FALSE(errorAnswer(ErrorKind::FateUnknown).retryable);
+    EXPECT_EQ(errorAnswer(ErrorKind::FateUnknown).ran, RunState::Unknown);
+}
+
+} // namespace
+} // namespace shallot
