--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,14 @@
 
 BUILD ?= build
 GENERATOR ?= Ninja
-PORT ?= 21000
+# Stateful fuzzing: a fixed seed and few cases by default; "make fuzz" runs longer with any seed.
+SEED ?= 20261204
+CASES ?= 30
+RC_PARAMS ?= seed=$(SEED) max_success=$(CASES) max_size=12
 
-.PHONY: setup all run test bench lint format clean
+# make fuzz    long stateful fuzzing; FUZZ_SEED=n FUZZ_CASES=n
+
+.PHONY: setup all run test fuzz bench lint format clean
 
 all: $(BUILD)/CMakeCache.txt
 	@cmake --build $(BUILD)
@@ -23,7 +28,10 @@
 	@SHALLOT_BIN=$(BUILD) scripts/run-demo.sh
 
 test: all
-	@ctest --test-dir $(BUILD) --output-on-failure --no-tests=error -j 4
+	@RC_PARAMS="$(RC_PARAMS)" ctest --test-dir $(BUILD) --output-on-failure --no-tests=error -j 4
+
+fuzz: all
+	@RC_PARAMS="seed=$(or $(FUZZ_SEED),$(shell date +%s)) max_success=$(or $(FUZZ_CASES),500) max_size=40" $(BUILD)/shallot-tests --gtest_filter='*Fuzz*'
 
 bench: all
 	@SHALLOT_BIN=$(BUILD) scripts/run-bench.sh
--- a/Source/daemon/AdminAPI.cpp
+++ b/Source/daemon/AdminAPI.cpp
@@ -34,7 +34,7 @@
     HTTPServerLimits limits;
     limits.maximumConnections = 100;
     limits.maximumBodyBytes = 4 * 1024 * 1024;
-    return m_server.start(address, limits, [this](RefPtr<HTTPExchange> exchange) { handle(exchange); });
+    return m_server.start(address, limits, [this](const RefPtr<HTTPExchange>& exchange) { handle(exchange); });
 }
 
 // The operator whose credential the request carries; empty when it is unknown.
--- a/Source/daemon/ClaimKeeper.cpp
+++ b/Source/daemon/ClaimKeeper.cpp
@@ -32,7 +32,7 @@
 {
 }
 
-void ClaimKeeper::claim(Request request, TimePoint now, Completion completion)
+void ClaimKeeper::claim(const Request& request, TimePoint now, Completion completion)
 {
     const auto name = nameOf(request.organisation, request.key);
     const auto* claim = m_fold.claims().find(request.organisation, request.key);
@@ -52,8 +52,8 @@
     record.request = request;
     record.waiters.push_back({ request.deadline, std::move(completion) });
     const ClaimEntry entry { request.organisation, request.key, request.fingerprint, m_member };
-    m_appends.push(
-        entry, request.deadline, [this, name](Result<void> result) { onClaimFolded(name, result, MonotonicClock::now()); });
+    m_appends.push(entry, request.deadline,
+        [this, name](const Result<void>& result) { onClaimFolded(name, result, MonotonicClock::now()); });
 }
 
 void ClaimKeeper::waitFor(Record& record, const Request& request, Completion completion)
--- a/Source/daemon/ClaimKeeper.h
+++ b/Source/daemon/ClaimKeeper.h
@@ -38,7 +38,7 @@
 
     ClaimKeeper(const FleetFold&, AppendQueue&, PeerLinks&, std::string member);
 
-    void claim(Request, TimePoint now, Completion);
+    void claim(const Request&, TimePoint now, Completion);
     // The request that claim() let run has ended. One that did not run frees its key.
     void finish(const std::string& organisation, const std::string& key, const Result<HTTPResponse>&, TimePoint now);
 
--- a/Source/daemon/Egress.cpp
+++ b/Source/daemon/Egress.cpp
@@ -19,7 +19,7 @@
 
 Result<void> Egress::start(const SocketAddress& address)
 {
-    return m_server.start(address, {}, [this](RefPtr<HTTPExchange> exchange) { handle(exchange); });
+    return m_server.start(address, {}, [this](const RefPtr<HTTPExchange>& exchange) { handle(exchange); });
 }
 
 void Egress::handle(const RefPtr<HTTPExchange>& exchange)
--- a/Source/daemon/Ingress.cpp
+++ b/Source/daemon/Ingress.cpp
@@ -41,7 +41,8 @@
 
 Result<void> Ingress::start(const SocketAddress& address, const HTTPServerLimits& limits)
 {
-    return m_server.start(address, limits, [this](RefPtr<HTTPExchange> exchange) { handle(exchange, MonotonicClock::now()); });
+    return m_server.start(
+        address, limits, [this](const RefPtr<HTTPExchange>& exchange) { handle(exchange, MonotonicClock::now()); });
 }
 
 void Ingress::startLeaving()
@@ -221,7 +222,7 @@
 {
     visit->context.remaining = visit->deadline - now;
     const auto id = m_parts.router.start(
-        visit->context, visit->service, std::move(visit->request), now, [this, visit](CallOutcome outcome) {
+        visit->context, visit->service, std::move(visit->request), now, [this, visit](const CallOutcome& outcome) {
             const auto now = MonotonicClock::now();
             if (!visit->context.idempotent)
                 m_parts.claims.finish(visit->context.organisation, visit->idempotencyKey, outcome.response, now);
--- a/Source/daemon/LogFollower.cpp
+++ b/Source/daemon/LogFollower.cpp
@@ -49,7 +49,7 @@
     if (!m_appending) {
         if (auto bytes = m_appends.takeAppend(now)) {
             m_appending = true;
-            m_client.append(std::move(*bytes), now, [this](Result<void> result) {
+            m_client.append(std::move(*bytes), now, [this](const Result<void>& result) {
                 m_appending = false;
                 if (result)
                     m_appends.onAcknowledged();
@@ -69,7 +69,7 @@
 {
     m_reading = true;
     m_lastRead = now;
-    m_client.read(m_fold.nextOffset(), now, [this, now](Result<LogPage> page) {
+    m_client.read(m_fold.nextOffset(), now, [this, now](const Result<LogPage>& page) {
         m_reading = false;
         onPage(now, page);
     });
--- a/Source/daemon/Settings.cpp
+++ b/Source/daemon/Settings.cpp
@@ -13,7 +13,7 @@
 constexpr size_t minimumSecretLength = 16;
 
 // The flag "--log-level" has the environment variable SHALLOT_LOG_LEVEL.
-std::string environmentName(std::string flag)
+std::string environmentName(const std::string& flag)
 {
     std::string name = "SHALLOT_";
     for (const char c : flag)
--- a/Source/limits/BorrowerLedger.cpp
+++ b/Source/limits/BorrowerLedger.cpp
@@ -145,8 +145,7 @@
     const double wanted = std::max(account.demand, static_cast<double>(account.waiting));
     bool asksMore = runningLow || account.waiting;
     const auto lenders = m_lenders(organisation);
-    for (size_t i = 0; i < lenders.size(); ++i) {
-        const auto& lender = lenders[i];
+    for (const auto& lender : lenders) {
         if (!isAskable(account, lender, now))
             continue;
         const auto held = std::find_if(account.loans.begin(), account.loans.end(),
@@ -192,7 +191,7 @@
         return item.second.loans.empty() && !item.second.waiting && now - item.second.lastArrival > 8 * m_settings.loanDuration;
     });
     std::erase_if(m_sent, [&](const auto& item) { return now - item.second.sentAt > m_settings.loanDuration; });
-    return finish(std::move(batches), now);
+    return finish(batches, now);
 }
 
 std::vector<LoanRequestBatch> BorrowerLedger::takeAllBack(TimePoint now)
@@ -202,10 +201,10 @@
         settle(account, now);
         collectReturns(organisation, account, batches, true, now);
     }
-    return finish(std::move(batches), now);
+    return finish(batches, now);
 }
 
-std::vector<LoanRequestBatch> BorrowerLedger::finish(Batches batches, TimePoint now)
+std::vector<LoanRequestBatch> BorrowerLedger::finish(Batches& batches, TimePoint now)
 {
     std::vector<LoanRequestBatch> result;
     for (auto& [lender, batch] : batches) {
@@ -239,6 +238,9 @@
             state.notBefore = std::max(state.notBefore, now + std::max(Duration(m_settings.emptyBackoff), loan.retryAfter));
             continue;
         }
+        // Asking again at once would bring no more, and a loan on its way back and forth earns no tokens.
+        if (loan.tokens < std::max(1.0, static_cast<double>(account->second.waiting)))
+            state.notBefore = std::max(state.notBefore, now + m_settings.scarceBackoff);
         if (expires > now)
             account->second.loans.push_back({ lender, loan.id, { loan.rate, loan.burst, loan.tokens, now }, expires });
     }
--- a/Source/limits/BorrowerLedger.h
+++ b/Source/limits/BorrowerLedger.h
@@ -93,7 +93,7 @@
     void collectRequests(const std::string& organisation, Account&, Batches&, TimePoint now);
     void collectReturns(const std::string& organisation, Account&, Batches&, bool everything, TimePoint now);
     LoanRequest& requestFor(Batches&, const std::string& lender, const std::string& organisation);
-    std::vector<LoanRequestBatch> finish(Batches, TimePoint now);
+    std::vector<LoanRequestBatch> finish(Batches&, TimePoint now);
 
     const LimitSettings& m_settings;
     LenderLookup m_lenders;
--- a/Source/limits/LimitSettings.h
+++ b/Source/limits/LimitSettings.h
@@ -14,6 +14,7 @@
     Duration requestTimeout { std::chrono::milliseconds(200) }; // A loan request without answer is given up
     Duration demandWindow { std::chrono::milliseconds(500) };   // Averaging time of the measured demand
     Duration emptyBackoff { std::chrono::milliseconds(20) };    // Shortest pause after a lender had nothing
+    Duration scarceBackoff { std::chrono::milliseconds(100) };  // Pause after a lender gave less than was waiting
     double keptPart { 0.1 };                                    // Part of the rate that a lender keeps for newcomers
     double headroom { 1.3 };                                    // Rate lent per unit of measured demand
     double smallestRatedBurst { 2 };                            // Shares with a smaller burst are lent as single tokens
--- a/Source/limits/LimitSystem.cpp
+++ b/Source/limits/LimitSystem.cpp
@@ -10,8 +10,7 @@
 
 LimitSystem::LimitSystem(
     const LimitSettings& settings, std::string member, std::string zone, std::string address, Callbacks callbacks)
-    : m_settings(settings)
-    , m_member(std::move(member))
+    : m_member(std::move(member))
     , m_zone(std::move(zone))
     , m_callbacks(std::move(callbacks))
     , m_ownership(settings, m_member, m_zone, std::move(address))
--- a/Source/limits/LimitSystem.h
+++ b/Source/limits/LimitSystem.h
@@ -56,7 +56,6 @@
     void updateShares(const FleetFold&, const ConfigurationIndex&, TimePoint now);
     void deliver(const LoanRequestBatch&, TimePoint now);
 
-    const LimitSettings& m_settings;
     std::string m_member;
     std::string m_zone;
     Callbacks m_callbacks;
--- a/Source/log/FleetFold.cpp
+++ b/Source/log/FleetFold.cpp
@@ -97,18 +97,19 @@
 
 Result<void> FleetFold::applyEntry(const StoredRecord& stored, const LogRecord& record, const LogEntry& entry)
 {
+    const uint64_t position = stored.offset + 1;
     if (const auto* edit = std::get_if<EditEntry>(&entry))
-        return m_configuration.apply(stored.offset, stored.timeMs, edit->edit);
+        return m_configuration.apply(position, stored.timeMs, edit->edit);
     if (const auto* join = std::get_if<JoinEntry>(&entry))
-        m_roster.apply(stored.offset, *join);
+        m_roster.apply(position, *join);
     else if (const auto* leave = std::get_if<LeaveEntry>(&entry))
-        m_roster.apply(stored.offset, *leave);
+        m_roster.apply(position, *leave);
     else if (const auto* revoke = std::get_if<RevokeEntry>(&entry))
-        m_roster.apply(stored.offset, *revoke);
+        m_roster.apply(position, *revoke);
     else if (const auto* own = std::get_if<OwnEntry>(&entry))
-        m_ownerships.apply(stored.offset, *own, record.writer, m_roster);
+        m_ownerships.apply(position, *own, record.writer, m_roster);
     else if (const auto* claim = std::get_if<ClaimEntry>(&entry))
-        m_claims.apply(stored.offset, stored.timeMs, *claim);
+        m_claims.apply(position, stored.timeMs, *claim);
     else if (const auto* release = std::get_if<ReleaseEntry>(&entry))
         m_claims.apply(*release);
     return {};
--- a/Source/log/FleetFold.h
+++ b/Source/log/FleetFold.h
@@ -22,6 +22,7 @@
 };
 
 // Everything that the fleet agrees on, folded from the log. Equal at every reader that has folded up to the same offset.
+// Revisions, epochs and the positions of members are log offsets plus one, so that 0 always means "none".
 class FleetFold {
 public:
     // Folds the next record. Records before nextOffset() are ignored, unreadable ones counted.
--- a/Source/membership/GossipTable.cpp
+++ b/Source/membership/GossipTable.cpp
@@ -160,7 +160,7 @@
     // Every member is probed once before any is probed again, in a random order.
     for (int rounds = 0; rounds < 2; ++rounds) {
         while (!m_probeOrder.empty()) {
-            const auto name = m_probeOrder.back();
+            auto name = m_probeOrder.back();
             m_probeOrder.pop_back();
             const auto found = m_entries.find(name);
             if (found == m_entries.end() || !isRunning(found->second.member.status))
--- /dev/null
+++ b/Tests/FleetModel.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "config/ConfigurationIndex.h"
+#include "limits/LimitSystem.h"
+#include "log/AppendQueue.h"
+#include "log/FleetFold.h"
+#include "standins/LogStore.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace shallot {
+
+// A small fleet of LimitSystems over fakes of the network and the log, in simulated time. Three zones of three daemons, one
+// organisation that sends twice its rate everywhere.
+class FleetModel {
+public:
+    enum class Fault : int {
+        None,
+        CutZone,     // One zone from the others and from the log
+        CutInstance, // One daemon from everybody and from the log
+        CutLog,      // One daemon from the log only
+        HealAll,
+        LogDown,
+        LogUp,
+        LoseAcknowledgements,
+        LoseMessages,  // Every third message is lost from now on
+        DelayMessages, // Messages take up to a second from now on
+        Pause,         // One daemon stands still until Resume
+        Resume,
+        Crash, // One daemon is gone and is replaced two seconds later
+        Leave, // One daemon hands over and goes
+        SmallerPlan,
+        LargerPlan,
+        ShiftWeights, // Zones' weights change
+        Count,
+    };
+
+    explicit FleetModel(uint32_t seed);
+
+    static const char* nameOf(Fault);
+    // Settings of one daemon, to break a mechanism there.
+    LimitSettings& settingsOf(size_t node) { return *m_nodeSettings[node]; }
+    static constexpr size_t nodeCount = 9;
+    // The daemon that owns the organisation's part in a zone.
+    size_t ownerInZone(size_t zone) const;
+    void inject(Fault, size_t target);
+    void run(Duration);
+
+    uint64_t overruns() const { return m_overruns; }
+    uint64_t admitted() const { return m_admitted; }
+    uint64_t admittedInZone(size_t zone) const { return m_admittedInZone[zone]; }
+    uint64_t refused() const { return m_refused; }
+    double allowed() const { return m_allowed; }
+    void clearCounts();
+    bool allPartsOwnedByTheLiving() const;
+
+private:
+    static constexpr size_t zoneCount = 3;
+    static constexpr size_t daemonsPerZone = 3;
+
+    struct Node {
+        std::string member;
+        size_t zone { 0 };
+        FleetFold fold;
+        std::unique_ptr<AppendQueue> appends;
+        std::unique_ptr<LimitSystem> limits;
+        ConfigurationIndex index;
+        uint64_t indexedRevision { 0 };
+        TimePoint confirmedAt {};
+        std::map<std::string, TimePoint> heardAt; // Stands in for gossip
+        Duration clockOffset {};                  // Monotonic clocks differ
+        bool alive { true };
+        bool paused { false };
+        bool cut { false };
+        bool cutFromLog { false };
+        bool leaving { false };
+        size_t openAppends { 0 };
+        double due { 0 };
+        std::vector<TimePoint> waiting; // Arrival of each request that waits for a loan
+        size_t incarnation { 0 };
+    };
+
+    struct Message {
+        TimePoint due {};
+        uint64_t order { 0 };
+        size_t from { 0 };
+        size_t to { 0 };
+        size_t incarnation { 0 };
+        std::function<void(Node&)> deliver;
+    };
+
+    struct Later {
+        bool operator()(const Message& a, const Message& b) const { return a.due != b.due ? a.due > b.due : a.order > b.order; }
+    };
+
+    void startNode(size_t index);
+    void tickNode(size_t index);
+    void tickLog(Node&);
+    void applyActions(size_t index, const OwnershipActions&);
+    void send(size_t from, size_t to, std::function<void(Node&)>);
+    bool canReach(const Node&, const Node&) const;
+    bool canReachLog(const Node&) const;
+    bool seemsAlive(const Node&, const std::string& member) const;
+    Node* findNode(const std::string& member);
+    size_t indexOf(const std::string& member) const;
+    TimePoint clockOf(const Node& node) const { return m_now + node.clockOffset; }
+    void callers(Node&);
+    void countAdmission(Node&);
+    void edit(const std::function<void(Configuration&)>&);
+
+    LimitSettings m_settings;
+    std::vector<std::unique_ptr<LimitSettings>> m_nodeSettings;
+    std::mt19937 m_random;
+    TimePoint m_now { std::chrono::seconds(100) };
+    std::vector<Node> m_nodes;
+    std::map<size_t, TimePoint> m_restarts;
+    std::priority_queue<Message, std::vector<Message>, Later> m_messages;
+    LogStore m_log;
+    FleetFold m_truth; // Folds everything at once; the oracle's plan
+    uint64_t m_editSequence { 0 };
+    uint64_t m_nextOrder { 0 };
+    bool m_lossy { false };
+    bool m_slow { false };
+
+    TokenBucket m_oracle;
+    TimePoint m_shrunkAt {};
+    uint64_t m_overruns { 0 };
+    uint64_t m_admitted { 0 };
+    uint64_t m_refused { 0 };
+    double m_allowed { 0 };
+    uint64_t m_admittedInZone[zoneCount] {};
+};
+
+} // namespace shallot
--- a/Tests/FrameReaderTest.cpp
+++ b/Tests/FrameReaderTest.cpp
@@ -9,7 +9,10 @@
 namespace shallot {
 namespace {
 
-std::span<const uint8_t> bytesOf(const std::string& text) { return { reinterpret_cast<const uint8_t*>(text.data()), text.size() }; }
+std::span<const uint8_t> bytesOf(const std::string& text)
+{
+    return { reinterpret_cast<const uint8_t*>(text.data()), text.size() };
+}
 
 std::string callFrame(uint64_t id)
 {
--- /dev/null
+++ b/Tests/LimitFuzzTest.cpp
@@ -0,0 +1,101 @@
+// Stateful fuzzing of the fleet-wide limits: daemons in zones, a network that loses, delays and cuts, a log with outages and
+// lost acknowledgements, pauses, crashes, replacements and plan edits. The oracle is one bucket of the plan's rate and
+// burst, fed with every admission in true time order.
+
+#include "FleetModel.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace shallot {
+namespace {
+
+struct Step {
+    FleetModel::Fault fault;
+    size_t target { 0 };
+    int milliseconds { 0 };
+};
+
+rc::Gen<Step> genStep()
+{
+    return rc::gen::apply(
+        [](int fault, int target, int milliseconds) {
+            return Step { static_cast<FleetModel::Fault>(fault), static_cast<size_t>(target), milliseconds };
+        },
+        rc::gen::inRange(0, static_cast<int>(FleetModel::Fault::Count)), rc::gen::inRange(0, 100), rc::gen::inRange(50, 4000));
+}
+
+std::ostream& operator<<(std::ostream& stream, const Step& step)
+{
+    return stream << FleetModel::nameOf(step.fault) << "(" << step.target << ", " << step.milliseconds << " ms)";
+}
+
+void runSteps(FleetModel& fleet, const std::vector<Step>& steps)
+{
+    fleet.run(std::chrono::milliseconds(3000));
+    for (const auto& step : steps) {
+        fleet.inject(step.fault, step.target);
+        fleet.run(std::chrono::milliseconds(step.milliseconds));
+    }
+    fleet.run(std::chrono::milliseconds(3000));
+}
+
+RC_GTEST_PROP(LimitFuzz, NoOrganisationGetsMoreThanItsPlan, ())
+{
+    const auto steps = *rc::gen::container<std::vector<Step>>(genStep());
+    FleetModel fleet(*rc::gen::inRange<uint32_t>(1, 1'000'000));
+    runSteps(fleet, steps);
+    RC_ASSERT(fleet.overruns() == 0U);
+}
+
+// The oracle can fail: each broken mechanism must be found by it.
+TEST(LimitFuzz, FindsAnOwnerThatLendsWithoutContact)
+{
+    FleetModel fleet(11);
+    fleet.run(std::chrono::milliseconds(6000));
+    for (size_t zone = 0; zone < 3; ++zone) {
+        const auto owner = fleet.ownerInZone(zone);
+        ASSERT_LT(owner, FleetModel::nodeCount);
+        fleet.settingsOf(owner).contactLapse = std::chrono::hours(10);
+        fleet.inject(FleetModel::Fault::CutInstance, owner);
+    }
+    fleet.run(std::chrono::milliseconds(40'000));
+    EXPECT_GT(fleet.overruns(), 0U);
+}
+
+TEST(LimitModel, AnUndisturbedFleetServesWhatThePlanAllows)
+{
+    FleetModel fleet(3);
+    fleet.run(std::chrono::milliseconds(6000));
+    fleet.clearCounts();
+    fleet.run(std::chrono::milliseconds(10'000));
+    EXPECT_EQ(fleet.overruns(), 0U);
+    // Demand is twice the rate, so everything that the plan allows can be served; the lenders keep a part back.
+    EXPECT_GE(static_cast<double>(fleet.admitted()), 0.9 * fleet.allowed());
+}
+
+TEST(LimitModel, AZoneThatIsCutOffFromAllGoesOn)
+{
+    FleetModel fleet(5);
+    fleet.run(std::chrono::milliseconds(6000));
+    fleet.inject(FleetModel::Fault::LogDown, 0);
+    fleet.inject(FleetModel::Fault::CutZone, 0);
+    fleet.run(std::chrono::milliseconds(20'000));
+    fleet.clearCounts();
+    fleet.run(std::chrono::milliseconds(10'000));
+    EXPECT_GT(fleet.admittedInZone(0), 0U);
+    EXPECT_EQ(fleet.overruns(), 0U);
+}
+
+TEST(LimitModel, TheShareOfADeadOwnerIsLentAgain)
+{
+    FleetModel fleet(9);
+    fleet.run(std::chrono::milliseconds(6000));
+    fleet.inject(FleetModel::Fault::Crash, 0);
+    fleet.run(std::chrono::milliseconds(25'000));
+    EXPECT_TRUE(fleet.allPartsOwnedByTheLiving());
+    EXPECT_EQ(fleet.overruns(), 0U);
+}
+
+} // namespace
+} // namespace shallot
