--- a/Source/core/RequestContext.h
+++ b/Source/core/RequestContext.h
@@ -13,6 +13,7 @@
     RequestID id;               // Same on all hops
     std::string organisation;   // Empty on open routes
     std::string route;          // Route that the caller asked for at ingress
+    float score { 0 };          // Rank for shedding, set once at ingress; see FairScore
     uint8_t priority { 0 };     // Class of the ingress route, 0 (shed first) to 7 (shed last)
     Duration remaining {};      // Time left when the frame was sent; relative because clocks differ
     uint16_t retryTokens { 0 }; // Retries that this call and all below it may still make
--- a/Source/daemon/CallExecutor.cpp
+++ b/Source/daemon/CallExecutor.cpp
@@ -74,9 +74,8 @@
         return ErrorKind::ExpiredInQueue;
     if (m_crashes.isRefused(fingerprint, now))
         return ErrorKind::CrashSuspect;
-    const float score = admissionScore(context.priority, context.organisation, context.id);
-    m_level.recordArrival(score);
-    if (!m_level.admits(score)) {
+    m_level.recordArrival(context.score);
+    if (!m_level.admits(context.score)) {
         ++m_counters.shedByLevel;
         return ErrorKind::Overloaded;
     }
--- a/Source/daemon/CallFrames.cpp
+++ b/Source/daemon/CallFrames.cpp
@@ -45,6 +45,7 @@
     call.route = context.route;
     call.service = service;
     call.priority = context.priority;
+    call.score = context.score;
     call.remaining_us = static_cast<uint64_t>(std::max<int64_t>(0, context.remaining.count()));
     call.retry_tokens = context.retryTokens;
     call.hops = context.hops;
@@ -94,6 +95,7 @@
     context.organisation = call.organisation;
     context.route = call.route;
     context.priority = std::min<uint8_t>(call.priority, priorityClasses - 1);
+    context.score = std::isfinite(call.score) ? std::clamp(call.score, 0.0F, static_cast<float>(priorityClasses)) : 0;
     constexpr uint64_t longestRemainingUs = 600'000'000;
     context.remaining = Duration(static_cast<int64_t>(std::min(call.remaining_us, longestRemainingUs)));
     context.retryTokens = call.retry_tokens;
--- a/Source/daemon/Daemon.cpp
+++ b/Source/daemon/Daemon.cpp
@@ -2,7 +2,7 @@
 //   Wiring:      constructor, start
 //   Frames:      onFrame and the handlers of each message
 //   Changes:     onFoldChanged, onMembershipChanged, updateOwnEntry, updateSources
-//   Tick:        tick, runOwnership, appendSnapshot
+//   Tick:        tick, controlTick, runOwnership, appendSnapshot
 //   Leaving:     leave, continueLeaving
 //   Inspection:  status
 
@@ -20,11 +20,13 @@
 
 namespace {
 
-constexpr auto tickInterval = 5ms;
+constexpr auto tickInterval = 5ms;     // Of what requests wait for
+constexpr auto controlInterval = 50ms; // Of what costs time in proportion to the members
 constexpr auto seedInterval = 2s;
 constexpr auto ownershipDeadline = 10s; // An ownership entry that the log does not take in this time is decided anew
 constexpr auto handOverMaximum = 3s;    // The log gets this long to take the hand-over of a leaving daemon
-constexpr size_t readersPerZone = 2;
+constexpr size_t minimumReaders = 2;    // Of the log, in each zone
+constexpr size_t membersPerReader = 10;
 
 uint64_t seedOf(const std::string& member)
 {
@@ -343,13 +345,14 @@
     const auto zone = aliveInZone();
     const auto rank = static_cast<size_t>(std::find(zone.begin(), zone.end(), m_member) - zone.begin());
     std::vector<std::string> relays;
-    for (size_t i = 0; i < zone.size() && i < readersPerZone; ++i) {
+    const size_t readers = std::max(minimumReaders, zone.size() / membersPerReader);
+    for (size_t i = 0; i < zone.size() && i < readers; ++i) {
         if (zone[i] != m_member)
             relays.push_back(m_gossipTable.find(zone[i])->address);
     }
-    // Half of the others ask one reader first, half the other.
-    if (rank % 2 && relays.size() > 1)
-        std::swap(relays[0], relays[1]);
+    // The others spread over the readers.
+    if (!relays.empty())
+        std::rotate(relays.begin(), relays.begin() + static_cast<ptrdiff_t>(rank % relays.size()), relays.end());
     for (const auto* member : m_gossipTable.members()) {
         if (member->member != m_member && m_gossipTable.isAlive(member->member)
             && std::find(relays.begin(), relays.end(), member->address) == relays.end())
@@ -357,7 +360,7 @@
     }
     relays.insert(relays.end(), m_settings.seeds.begin(), m_settings.seeds.end());
     std::erase(relays, m_settings.peer.toString());
-    m_follower.setSources(std::move(relays), rank < readersPerZone);
+    m_follower.setSources(std::move(relays), rank < readers);
 }
 
 // Tick
@@ -369,19 +372,28 @@
     m_router.tick(now);
     m_logClient.tick(now);
     m_follower.tick(now);
+    m_limits.exchangeLoans(now);
+    m_ingress.tick(now);
+    if (now - m_lastControlTick >= controlInterval) {
+        m_lastControlTick = now;
+        controlTick(now);
+    }
+    if (m_leaveStage != LeaveStage::None)
+        continueLeaving(now);
+}
+
+void Daemon::controlTick(TimePoint now)
+{
     m_gossiper.tick(now);
     runOwnership(now);
     appendSnapshot(now);
     m_claims.tick(now);
-    m_ingress.tick(now);
     m_crashes.expire(now);
     if (m_gossipTable.members().size() < 2 && now - m_lastSeedProbe >= seedInterval) {
         m_lastSeedProbe = now;
         for (const auto& seed : m_settings.seeds)
             m_gossiper.probeAddress(seed, now);
     }
-    if (m_leaveStage != LeaveStage::None)
-        continueLeaving(now);
 }
 
 void Daemon::runOwnership(TimePoint now)
--- a/Source/daemon/Daemon.h
+++ b/Source/daemon/Daemon.h
@@ -43,6 +43,7 @@
 
 private:
     void tick();
+    void controlTick(TimePoint now);
     void onFrame(PeerLink&, wire::FrameT&);
     void onLinkClosed(PeerLink&);
     void onPromiseRequest(PeerLink&, const wire::FrameT&);
@@ -83,6 +84,7 @@
     Timer m_ticker;
     uint64_t m_indexedRevision { 0 };
     std::map<std::pair<const PeerLink*, uint64_t>, uint64_t> m_peerCalls; // (link, the caller's id) to the executor's id
+    TimePoint m_lastControlTick {};
     TimePoint m_lastSeedProbe {};
     bool m_snapshotPending { false };
 
--- a/Source/daemon/Egress.cpp
+++ b/Source/daemon/Egress.cpp
@@ -71,12 +71,14 @@
         context.id = parent->context.id;
         context.organisation = parent->context.organisation;
         context.priority = parent->context.priority;
+        context.score = parent->context.score;
         context.remaining = std::min(context.remaining, parent->deadline - now);
         context.hops = static_cast<uint8_t>(parent->context.hops + 1);
         context.retryTokens = lent;
     } else {
         context.id = makeRandomRequestID();
         context.priority = route->route.priority;
+        context.score = context.priority;
         context.retryTokens = m_settings.retryTokens;
     }
     const auto id
--- a/Source/daemon/Gossiper.cpp
+++ b/Source/daemon/Gossiper.cpp
@@ -12,6 +12,7 @@
 constexpr auto probeMemory = std::chrono::seconds(10);
 constexpr size_t announceFanout = 4;
 constexpr size_t crashesPerMessage = 8;
+constexpr int tablesWanted = 3; // A daemon that starts asks this many peers for their whole table; nobody else sends it
 
 std::unique_ptr<wire::MemberStateT> pack(const GossipMember& member)
 {
@@ -42,13 +43,15 @@
 {
 }
 
-wire::FrameT Gossiper::makeMessage(const std::string& peer, uint64_t sequence, uint64_t acknowledges, TimePoint now)
+wire::FrameT Gossiper::makeMessage(
+    const std::string& peer, uint64_t sequence, uint64_t acknowledges, bool wholeTable, TimePoint now)
 {
     wire::GossipT gossip;
     gossip.sequence = sequence;
     gossip.acknowledges = acknowledges;
     gossip.vouches = m_limits.ownership().vouchesFor(peer);
-    const bool wholeTable = !peer.empty() && m_greeted.insert(peer).second;
+    gossip.wants_table = m_tablesReceived < tablesWanted;
+    gossip.whole_table = wholeTable;
     for (const auto& member : m_table.takeUpdates(wholeTable))
         gossip.members.push_back(pack(member));
     // A peer that this daemon suspects must learn it, or it could never refute it.
@@ -76,7 +79,7 @@
         return;
     const uint64_t sequence = m_nextSequence++;
     m_probes[sequence] = { member, now };
-    link->send(makeMessage(member, sequence, 0, now));
+    link->send(makeMessage(member, sequence, 0, false, now));
 }
 
 void Gossiper::probeWitness(const std::string& member, TimePoint now)
@@ -89,7 +92,7 @@
     if (auto link = m_links.linkTo(address)) {
         const uint64_t sequence = m_nextSequence++;
         m_probes[sequence] = { {}, now };
-        link->send(makeMessage({}, sequence, 0, now));
+        link->send(makeMessage({}, sequence, 0, false, now));
     }
 }
 
@@ -123,6 +126,7 @@
             members.push_back(unpack(*state));
     }
     const bool changed = m_table.merge(members, now);
+    m_tablesReceived += gossip.whole_table ? 1 : 0;
     mergeCrashes(peer, gossip, now);
     if (gossip.acknowledges) {
         const auto found = m_probes.find(gossip.acknowledges);
@@ -133,7 +137,7 @@
             m_probes.erase(found);
         }
     } else {
-        link.send(makeMessage(peer, 0, gossip.sequence, now));
+        link.send(makeMessage(peer, 0, gossip.sequence, gossip.wants_table, now));
     }
     if (changed && m_onChange)
         m_onChange();
--- a/Source/daemon/Gossiper.h
+++ b/Source/daemon/Gossiper.h
@@ -5,7 +5,6 @@
 
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -43,7 +42,7 @@
     };
 
     void probe(const std::string& member, TimePoint now);
-    wire::FrameT makeMessage(const std::string& peer, uint64_t sequence, uint64_t acknowledges, TimePoint now);
+    wire::FrameT makeMessage(const std::string& peer, uint64_t sequence, uint64_t acknowledges, bool wholeTable, TimePoint now);
     void mergeCrashes(const std::string& peer, const wire::GossipT&, TimePoint now);
 
     GossipTable& m_table;
@@ -51,7 +50,7 @@
     CrashFingerprints& m_crashes;
     LimitSystem& m_limits;
     std::map<uint64_t, Probe> m_probes;
-    std::set<std::string> m_greeted; // Peers that were sent the whole table
+    int m_tablesReceived { 0 };
     uint64_t m_nextSequence { 1 };
     std::function<void()> m_onChange;
 };
--- a/Source/daemon/Ingress.cpp
+++ b/Source/daemon/Ingress.cpp
@@ -14,7 +14,6 @@
 #include "daemon/Metrics.h"
 #include "limits/LimitSystem.h"
 #include "net/HTTPExchange.h"
-#include "policy/AdmissionLevel.h"
 #include "policy/CrashFingerprints.h"
 #include "policy/PolicySettings.h"
 
@@ -121,8 +120,8 @@
     }
     if (m_parts.crashes.isRefused(visit.fingerprint, now))
         return ErrorKind::CrashSuspect;
-    const float score = admissionScore(context.priority, context.organisation, context.id);
-    if (score < m_parts.router.levels().level(visit.service, now))
+    context.score = m_scores.score(context.priority, context.organisation, context.id, now);
+    if (context.score < m_parts.router.levels().level(visit.service, now))
         return ErrorKind::Overloaded;
     return ErrorKind::None;
 }
--- a/Source/daemon/Ingress.h
+++ b/Source/daemon/Ingress.h
@@ -5,6 +5,7 @@
 #include "core/RequestContext.h"
 #include "daemon/CallOutcome.h"
 #include "net/HTTPServer.h"
+#include "policy/FairScore.h"
 
 #include <boost/intrusive/list.hpp>
 #include <map>
@@ -79,6 +80,7 @@
 
     IngressParts m_parts;
     HTTPServer m_server;
+    FairScore m_scores;
     boost::intrusive::list<Visit, boost::intrusive::base_hook<HeldHook>, boost::intrusive::constant_time_size<false>> m_held;
     std::map<std::string, uint32_t> m_heldByOrganisation;
     size_t m_heldCount { 0 };
--- a/Source/membership/GossipTable.h
+++ b/Source/membership/GossipTable.h
@@ -54,7 +54,7 @@
     // Learns of a member from elsewhere, such as the log; does not replace what gossip knows.
     void introduce(const GossipMember&, TimePoint now);
 
-    // Entries for the next message. A peer not heard before gets the whole table.
+    // Entries for the next message. A peer that has just started asks for the whole table.
     std::vector<GossipMember> takeUpdates(bool wholeTable);
     // Takes what a message carried. Returns whether anything changed.
     bool merge(const std::vector<GossipMember>&, TimePoint now);
--- a/Source/policy/AdmissionLevel.cpp
+++ b/Source/policy/AdmissionLevel.cpp
@@ -1,6 +1,5 @@
 #include "policy/AdmissionLevel.h"
 
-#include "core/Digest.h"
 #include "core/RequestContext.h"
 #include "policy/PolicySettings.h"
 
@@ -17,13 +16,6 @@
 
 } // namespace
 
-float admissionScore(uint8_t priority, std::string_view organisation, const RequestID& id)
-{
-    const uint64_t hash = stableHash(organisation, id.high ^ id.low);
-    const float fraction = static_cast<float>(hash >> 40) / static_cast<float>(1U << 24);
-    return std::min(static_cast<float>(std::min<uint8_t>(priority, priorityClasses - 1)) + fraction, scoreCeiling);
-}
-
 void AdmissionLevel::recordArrival(float score)
 {
     const auto bucket = static_cast<size_t>(std::max(0.0F, score) * bucketsPerClass);
--- a/Source/policy/AdmissionLevel.h
+++ b/Source/policy/AdmissionLevel.h
@@ -4,18 +4,12 @@
 
 #include <array>
 #include <cstdint>
-#include <string_view>
 
 namespace shallot {
 
 struct PolicySettings;
-struct RequestID;
 
-// Rank of a request from 0 (shed first) to below 8: its priority, plus a fraction that all hops compute alike, so that
-// overloaded services along a chain shed the same requests.
-float admissionScore(uint8_t priority, std::string_view organisation, const RequestID&);
-
-// Lowest score that a service admits now, set from what its own daemon measures.
+// Lowest score (see FairScore) that a service admits now, set from what its own daemon measures.
 class AdmissionLevel {
 public:
     explicit AdmissionLevel(const PolicySettings& settings)
--- a/Source/policy/PolicySettings.h
+++ b/Source/policy/PolicySettings.h
@@ -33,7 +33,7 @@
     // Retries
     uint16_t retryTokens { 3 };             // Retries that one request may make over its whole call graph
     double retryDepositPerSuccess { 0.05 }; // Retries earned by one success, so retries vanish under overload
-    double retryBalanceMaximum { 20 };      // Retries that a daemon may save up
+    double retryBalanceMaximum { 5 };       // Retries that a daemon may save up
     uint8_t rerouteMaximum { 2 };           // Other backend servers tried after "not run" refusals
 
     // Choice of backend server
--- a/Source/standins/backend.cpp
+++ b/Source/standins/backend.cpp
@@ -114,6 +114,10 @@
             m_waiting.pop_front();
             ++m_running;
             ++m_ran;
+            if (m_options.latencyMs <= 0 && m_options.onwardPath.empty()) {
+                finish(exchange, 200, "");
+                continue;
+            }
             m_working.push_back({ MonotonicClock::now() + fromSeconds(m_options.latencyMs / 1000), exchange });
         }
     }
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -681,6 +681,7 @@
   std::string route{};
   std::string service{};
   uint8_t priority = 0;
+  float score = 0.0f;
   uint64_t remaining_us = 0;
   uint16_t retry_tokens = 0;
   uint8_t hops = 0;
@@ -707,14 +708,15 @@
     VT_ROUTE = 12,
     VT_SERVICE = 14,
     VT_PRIORITY = 16,
-    VT_REMAINING_US = 18,
-    VT_RETRY_TOKENS = 20,
-    VT_HOPS = 22,
-    VT_IDEMPOTENT = 24,
-    VT_METHOD = 26,
-    VT_TARGET = 28,
-    VT_HEADERS = 30,
-    VT_BODY = 32
+    VT_SCORE = 18,
+    VT_REMAINING_US = 20,
+    VT_RETRY_TOKENS = 22,
+    VT_HOPS = 24,
+    VT_IDEMPOTENT = 26,
+    VT_METHOD = 28,
+    VT_TARGET = 30,
+    VT_HEADERS = 32,
+    VT_BODY = 34
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -737,6 +739,9 @@
   uint8_t priority() const {
     return GetField<uint8_t>(VT_PRIORITY, 0);
   }
+  float score() const {
+    return GetField<float>(VT_SCORE, 0.0f);
+  }
   uint64_t remaining_us() const {
     return GetField<uint64_t>(VT_REMAINING_US, 0);
   }
@@ -773,6 +778,7 @@
            VerifyOffsetRequired(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
            VerifyField<uint8_t>(verifier, VT_PRIORITY, 1) &&
+           VerifyField<float>(verifier, VT_SCORE, 4) &&
            VerifyField<uint64_t>(verifier, VT_REMAINING_US, 8) &&
            VerifyField<uint16_t>(verifier, VT_RETRY_TOKENS, 2) &&
            VerifyField<uint8_t>(verifier, VT_HOPS, 1) &&
@@ -818,6 +824,9 @@
   void add_priority(uint8_t priority) {
     fbb_.AddElement<uint8_t>(Call::VT_PRIORITY, priority, 0);
   }
+  void add_score(float score) {
+    fbb_.AddElement<float>(Call::VT_SCORE, score, 0.0f);
+  }
   void add_remaining_us(uint64_t remaining_us) {
     fbb_.AddElement<uint64_t>(Call::VT_REMAINING_US, remaining_us, 0);
   }
@@ -865,6 +874,7 @@
     flatbuffers::Offset<flatbuffers::String> route = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
     uint8_t priority = 0,
+    float score = 0.0f,
     uint64_t remaining_us = 0,
     uint16_t retry_tokens = 0,
     uint8_t hops = 0,
@@ -882,6 +892,7 @@
   builder_.add_headers(headers);
   builder_.add_target(target);
   builder_.add_method(method);
+  builder_.add_score(score);
   builder_.add_service(service);
   builder_.add_route(route);
   builder_.add_organisation(organisation);
@@ -906,6 +917,7 @@
     const char *route = nullptr,
     const char *service = nullptr,
     uint8_t priority = 0,
+    float score = 0.0f,
     uint64_t remaining_us = 0,
     uint16_t retry_tokens = 0,
     uint8_t hops = 0,
@@ -930,6 +942,7 @@
       route__,
       service__,
       priority,
+      score,
       remaining_us,
       retry_tokens,
       hops,
@@ -1445,6 +1458,8 @@
   uint64_t sequence = 0;
   uint64_t acknowledges = 0;
   bool vouches = false;
+  bool wants_table = false;
+  bool whole_table = false;
   uint64_t next_offset = 0;
   uint64_t log_age_us = 0;
   std::vector<std::unique_ptr<shallot::wire::MemberStateT>> members{};
@@ -1463,10 +1478,12 @@
     VT_SEQUENCE = 4,
     VT_ACKNOWLEDGES = 6,
     VT_VOUCHES = 8,
-    VT_NEXT_OFFSET = 10,
-    VT_LOG_AGE_US = 12,
-    VT_MEMBERS = 14,
-    VT_CRASHES = 16
+    VT_WANTS_TABLE = 10,
+    VT_WHOLE_TABLE = 12,
+    VT_NEXT_OFFSET = 14,
+    VT_LOG_AGE_US = 16,
+    VT_MEMBERS = 18,
+    VT_CRASHES = 20
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1477,6 +1494,12 @@
   bool vouches() const {
     return GetField<uint8_t>(VT_VOUCHES, 0) != 0;
   }
+  bool wants_table() const {
+    return GetField<uint8_t>(VT_WANTS_TABLE, 0) != 0;
+  }
+  bool whole_table() const {
+    return GetField<uint8_t>(VT_WHOLE_TABLE, 0) != 0;
+  }
   uint64_t next_offset() const {
     return GetField<uint64_t>(VT_NEXT_OFFSET, 0);
   }
@@ -1494,6 +1517,8 @@
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_ACKNOWLEDGES, 8) &&
            VerifyField<uint8_t>(verifier, VT_VOUCHES, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_TABLE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE_TABLE, 1) &&
            VerifyField<uint64_t>(verifier, VT_NEXT_OFFSET, 8) &&
            VerifyField<uint64_t>(verifier, VT_LOG_AGE_US, 8) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
@@ -1522,6 +1547,12 @@
   void add_vouches(bool vouches) {
     fbb_.AddElement<uint8_t>(Gossip::VT_VOUCHES, static_cast<uint8_t>(vouches), 0);
   }
+  void add_wants_table(bool wants_table) {
+    fbb_.AddElement<uint8_t>(Gossip::VT_WANTS_TABLE, static_cast<uint8_t>(wants_table), 0);
+  }
+  void add_whole_table(bool whole_table) {
+    fbb_.AddElement<uint8_t>(Gossip::VT_WHOLE_TABLE, static_cast<uint8_t>(whole_table), 0);
+  }
   void add_next_offset(uint64_t next_offset) {
     fbb_.AddElement<uint64_t>(Gossip::VT_NEXT_OFFSET, next_offset, 0);
   }
@@ -1550,6 +1581,8 @@
     uint64_t sequence = 0,
     uint64_t acknowledges = 0,
     bool vouches = false,
+    bool wants_table = false,
+    bool whole_table = false,
     uint64_t next_offset = 0,
     uint64_t log_age_us = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::MemberState>>> members = 0,
@@ -1561,6 +1594,8 @@
   builder_.add_sequence(sequence);
   builder_.add_crashes(crashes);
   builder_.add_members(members);
+  builder_.add_whole_table(whole_table);
+  builder_.add_wants_table(wants_table);
   builder_.add_vouches(vouches);
   return builder_.Finish();
 }
@@ -1575,6 +1610,8 @@
     uint64_t sequence = 0,
     uint64_t acknowledges = 0,
     bool vouches = false,
+    bool wants_table = false,
+    bool whole_table = false,
     uint64_t next_offset = 0,
     uint64_t log_age_us = 0,
     const std::vector<flatbuffers::Offset<shallot::wire::MemberState>> *members = nullptr,
@@ -1586,6 +1623,8 @@
       sequence,
       acknowledges,
       vouches,
+      wants_table,
+      whole_table,
       next_offset,
       log_age_us,
       members__,
@@ -2946,6 +2985,7 @@
         route(o.route),
         service(o.service),
         priority(o.priority),
+        score(o.score),
         remaining_us(o.remaining_us),
         retry_tokens(o.retry_tokens),
         hops(o.hops),
@@ -2965,6 +3005,7 @@
   std::swap(route, o.route);
   std::swap(service, o.service);
   std::swap(priority, o.priority);
+  std::swap(score, o.score);
   std::swap(remaining_us, o.remaining_us);
   std::swap(retry_tokens, o.retry_tokens);
   std::swap(hops, o.hops);
@@ -2992,6 +3033,7 @@
   { auto _e = route(); if (_e) _o->route = _e->str(); }
   { auto _e = service(); if (_e) _o->service = _e->str(); }
   { auto _e = priority(); _o->priority = _e; }
+  { auto _e = score(); _o->score = _e; }
   { auto _e = remaining_us(); _o->remaining_us = _e; }
   { auto _e = retry_tokens(); _o->retry_tokens = _e; }
   { auto _e = hops(); _o->hops = _e; }
@@ -3017,6 +3059,7 @@
   auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
   auto _service = _fbb.CreateString(_o->service);
   auto _priority = _o->priority;
+  auto _score = _o->score;
   auto _remaining_us = _o->remaining_us;
   auto _retry_tokens = _o->retry_tokens;
   auto _hops = _o->hops;
@@ -3034,6 +3077,7 @@
       _route,
       _service,
       _priority,
+      _score,
       _remaining_us,
       _retry_tokens,
       _hops,
@@ -3236,6 +3280,8 @@
       : sequence(o.sequence),
         acknowledges(o.acknowledges),
         vouches(o.vouches),
+        wants_table(o.wants_table),
+        whole_table(o.whole_table),
         next_offset(o.next_offset),
         log_age_us(o.log_age_us) {
   members.reserve(o.members.size());
@@ -3248,6 +3294,8 @@
   std::swap(sequence, o.sequence);
   std::swap(acknowledges, o.acknowledges);
   std::swap(vouches, o.vouches);
+  std::swap(wants_table, o.wants_table);
+  std::swap(whole_table, o.whole_table);
   std::swap(next_offset, o.next_offset);
   std::swap(log_age_us, o.log_age_us);
   std::swap(members, o.members);
@@ -3267,6 +3315,8 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = acknowledges(); _o->acknowledges = _e; }
   { auto _e = vouches(); _o->vouches = _e; }
+  { auto _e = wants_table(); _o->wants_table = _e; }
+  { auto _e = whole_table(); _o->whole_table = _e; }
   { auto _e = next_offset(); _o->next_offset = _e; }
   { auto _e = log_age_us(); _o->log_age_us = _e; }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<shallot::wire::MemberStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
@@ -3284,6 +3334,8 @@
   auto _sequence = _o->sequence;
   auto _acknowledges = _o->acknowledges;
   auto _vouches = _o->vouches;
+  auto _wants_table = _o->wants_table;
+  auto _whole_table = _o->whole_table;
   auto _next_offset = _o->next_offset;
   auto _log_age_us = _o->log_age_us;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::MemberState>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMemberState(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
@@ -3293,6 +3345,8 @@
       _sequence,
       _acknowledges,
       _vouches,
+      _wants_table,
+      _whole_table,
       _next_offset,
       _log_age_us,
       _members,
--- a/Tests/PathTest.cpp
+++ b/Tests/PathTest.cpp
@@ -73,6 +73,11 @@
     const char* error;
 };
 
+std::ostream& operator<<(std::ostream& stream, const BrokenAnswer& answer)
+{
+    return stream << answer.name;
+}
+
 class BrokenAnswers : public testing::TestWithParam<BrokenAnswer> { };
 
 TEST_P(BrokenAnswers, NeverReachACallerAsGoodOnes)
