--- a/Bench/OverloadModel.cpp
+++ b/Bench/OverloadModel.cpp
@@ -194,7 +194,7 @@
 
     using Done = std::function<void(bool served, bool ran, uint16_t tokens, float level)>;
 
-    void call(size_t service, RequestContext context, TimePoint deadline, int hopRetries, Done done)
+    void call(size_t service, const RequestContext& context, TimePoint deadline, int hopRetries, Done done)
     {
         auto attempt = std::make_shared<Attempt>();
         attempt->id = m_nextID++;
@@ -320,10 +320,9 @@
         dispatch(endpoint);
     }
 
-    void answer(const AttemptPtr& reference, bool served, bool ran, float level)
+    // By value: the argument may stand in the table that the attempt leaves.
+    void answer(AttemptPtr attempt, bool served, bool ran, float level) // NOLINT(performance-unnecessary-value-param)
     {
-        // The reference may stand in the table that the attempt leaves.
-        const AttemptPtr attempt = reference;
         m_attempts.erase(attempt->id);
         at(m_now + networkDelay, [attempt, served, ran, level] { attempt->done(served, ran, attempt->tokens.left(), level); });
     }
--- /dev/null
+++ b/Bench/limits.cpp
@@ -0,0 +1,55 @@
+// Measures how many requests inside an organisation's rate are refused, in four conditions, beside equal static shares.
+// Prints `figure refused_in_rate_ratio_CONDITION VALUE ratio baseline VALUE`.
+
+#include "FleetModel.h"
+
+#include <cstdio>
+
+using namespace shallot;
+
+namespace {
+
+constexpr uint32_t seed = 20261204;
+
+struct Condition {
+    const char* name;
+    double demand; // Of the organisation's rate
+    bool skewed;   // All callers in one zone
+    FleetModel::Fault first;
+    FleetModel::Fault second;
+};
+
+double refusedRatio(const FleetModel& fleet)
+{
+    const double asked = static_cast<double>(fleet.admitted() + fleet.refused());
+    return asked > 0 ? static_cast<double>(fleet.refused()) / asked : 0;
+}
+
+void measure(const Condition& condition)
+{
+    FleetModel fleet(seed);
+    fleet.setDemand(condition.demand, condition.skewed);
+    fleet.useDefaultSettings();
+    fleet.setStep(std::chrono::milliseconds(1)); // Finer than the time that a request is held
+    fleet.run(std::chrono::seconds(10));
+    fleet.inject(condition.first, 0);
+    fleet.inject(condition.second, 0);
+    fleet.clearCounts();
+    fleet.run(std::chrono::seconds(30));
+    std::printf("figure refused_in_rate_ratio_%s %.4f ratio baseline %.4f\n", condition.name, refusedRatio(fleet),
+        fleet.staticShareRefusals());
+    std::printf("figure quota_overrun_requests_%s %llu requests baseline 0\n", condition.name,
+        static_cast<unsigned long long>(fleet.overruns()));
+}
+
+} // namespace
+
+int main()
+{
+    using enum FleetModel::Fault;
+    measure({ "steady", 0.8, false, None, None });
+    measure({ "skewed", 0.8, true, None, None });
+    measure({ "zone_cut", 0.8, false, CutZone, None });
+    measure({ "log_down", 0.8, false, LogDown, None });
+    return 0;
+}
--- a/Tests/FleetModel.cpp
+++ b/Tests/FleetModel.cpp
@@ -8,7 +8,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto step = 10ms;
 constexpr auto heartbeatLapse
     = 400ms;                // Without word for this long a member seems dead; hasty, so that the living are often judged
 constexpr double rate = 90; // Of the organisation's plan, requests a second
@@ -38,6 +37,8 @@
         configuration.organisations[organisation] = { "plan", {} };
     });
     m_oracle = { rate, burst, burst, m_now };
+    const auto daemons = static_cast<double>(m_nodes.size());
+    m_staticShares.assign(m_nodes.size(), { rate / daemons, burst / daemons, burst / daemons, m_now });
     for (size_t i = 0; i < m_nodes.size(); ++i)
         startNode(i);
 }
@@ -228,7 +229,7 @@
 
 void FleetModel::run(Duration duration)
 {
-    for (const auto end = m_now + duration; m_now < end; m_now += step) {
+    for (const auto end = m_now + duration; m_now < end; m_now += m_step) {
         for (const auto& record : m_log.read(m_truth.nextOffset(), 1000))
             m_truth.apply(record);
         for (auto restart = m_restarts.begin(); restart != m_restarts.end();) {
@@ -248,7 +249,8 @@
                 continue;
             if (node.paused) {
                 // Waits in the socket until the process goes on.
-                m_messages.push({ m_now + step, m_nextOrder++, message.from, message.to, message.incarnation, message.deliver });
+                m_messages.push(
+                    { m_now + m_step, m_nextOrder++, message.from, message.to, message.incarnation, message.deliver });
                 continue;
             }
             message.deliver(node);
@@ -279,7 +281,7 @@
 {
     auto& node = m_nodes[index];
     const auto now = clockOf(node);
-    const bool logTurn = (m_now.time_since_epoch() / step) % 10 == static_cast<int64_t>(index);
+    const bool logTurn = (m_now.time_since_epoch() / 1ms) % 100 == static_cast<int64_t>(index) * 10;
     if (logTurn) {
         for (size_t i = 0; i < m_nodes.size(); ++i) {
             if (i != index) {
@@ -354,13 +356,19 @@
     }
 }
 
-// Callers send three times the organisation's rate, spread over all daemons; what has to wait asks again in the next step.
+// Callers send a multiple of the organisation's rate; what has to wait asks again in the next step.
 void FleetModel::callers(Node& node)
 {
-    const double perNode = 3 * rate / static_cast<double>(m_nodes.size());
-    node.due += perNode * std::chrono::duration<double>(step).count() * (0.5 + static_cast<double>(m_random() % 1000) / 1000);
-    for (; node.due >= 1; node.due -= 1)
+    if (m_firstZoneOnly && node.zone)
+        return;
+    const double senders = static_cast<double>(m_firstZoneOnly ? daemonsPerZone : m_nodes.size());
+    const double perNode = m_demand * rate / senders;
+    node.due += perNode * toSeconds(m_step) * (0.5 + static_cast<double>(m_random() % 1000) / 1000);
+    for (; node.due >= 1; node.due -= 1) {
         node.waiting.push_back(m_now);
+        ++m_arrivals;
+        m_staticRefusals += m_staticShares[static_cast<size_t>(&node - m_nodes.data())].tryTake(m_now) ? 0 : 1;
+    }
     const auto holdTime = m_settings.holdTime;
     std::erase_if(node.waiting, [&](TimePoint arrival) {
         const auto admission = node.limits->admit(organisation, clockOf(node), arrival == m_now);
@@ -417,11 +425,28 @@
 
 void FleetModel::clearCounts()
 {
-    m_admitted = m_refused = 0;
+    m_admitted = m_refused = m_arrivals = m_staticRefusals = 0;
     std::fill(std::begin(m_admittedInZone), std::end(m_admittedInZone), 0);
     m_allowed = rate * 10;
 }
 
+void FleetModel::setDemand(double demand, bool firstZoneOnly)
+{
+    m_demand = demand;
+    m_firstZoneOnly = firstZoneOnly;
+}
+
+void FleetModel::useDefaultSettings()
+{
+    for (auto& settings : m_nodeSettings)
+        *settings = LimitSettings();
+}
+
+double FleetModel::staticShareRefusals() const
+{
+    return m_arrivals ? static_cast<double>(m_staticRefusals) / static_cast<double>(m_arrivals) : 0;
+}
+
 bool FleetModel::allPartsOwnedByTheLiving() const
 {
     size_t owned = 0;
--- a/Tests/FleetModel.h
+++ b/Tests/FleetModel.h
@@ -52,6 +52,13 @@
     size_t ownerInZone(size_t zone) const;
     void inject(Fault, size_t target);
     void run(Duration);
+    // Callers' demand in units of the plan's rate, over all daemons or those of the first zone only.
+    void setDemand(double demand, bool firstZoneOnly);
+    void useDefaultSettings();
+    // Resolution of simulated time; 10 ms or a divisor of it.
+    void setStep(Duration step) { m_step = step; }
+    // Part of the requests that equal static shares of all daemons would have refused since clearCounts().
+    double staticShareRefusals() const;
 
     uint64_t overruns() const { return m_overruns; }
     uint64_t admitted() const { return m_admitted; }
@@ -119,6 +126,7 @@
     std::vector<std::unique_ptr<LimitSettings>> m_nodeSettings;
     std::mt19937 m_random;
     TimePoint m_now { std::chrono::seconds(100) };
+    Duration m_step { std::chrono::milliseconds(10) };
     std::vector<Node> m_nodes;
     std::map<size_t, TimePoint> m_restarts;
     std::priority_queue<Message, std::vector<Message>, Later> m_messages;
@@ -129,6 +137,11 @@
     bool m_lossy { false };
     bool m_slow { false };
 
+    double m_demand { 3 };
+    bool m_firstZoneOnly { false };
+    std::vector<TokenBucket> m_staticShares; // By daemon
+    uint64_t m_arrivals { 0 };
+    uint64_t m_staticRefusals { 0 };
     TokenBucket m_oracle;
     TimePoint m_shrunkAt {};
     uint64_t m_overruns { 0 };
--- a/Tests/PathTest.cpp
+++ b/Tests/PathTest.cpp
@@ -179,6 +179,7 @@
         fleet.backend(i).setScript([&open](StreamSocket& socket, const std::string&) { open.emplace_back(&socket); });
     // More than the slots of one, so that some are queued.
     std::vector<std::shared_ptr<FleetHarness::Answer>> answers;
+    answers.reserve(13);
     for (int i = 0; i < 12; ++i)
         answers.push_back(fleet.get(0, "/profiles/open"));
     ASSERT_TRUE(fleet.runUntil([&] { return open.size() >= 5; }));
--- a/scripts/run-bench.sh
+++ b/scripts/run-bench.sh
@@ -93,6 +93,7 @@
 finish
 
 mkdir -p "$bin/plots"
+"$bin/shallot-limits-experiment" | tee -a "$rows"
 "$bin/shallot-experiment" "$bin/plots" | tee -a "$rows"
 "$bin/shallot-decision-cost" --benchmark_min_time=0.1 2>/dev/null | awk '/^[a-zA-Z]+(\/[0-9]+)?  / { gsub("/", "_at_", $1); print "figure cost_" $1, $2, "ns baseline 0" }' | tee -a "$rows"
 for name in quokka carrington; do
