Faults on real processes under load

The scripts share fleet.sh. A sanitizer run failed one test by a port clash with a script (assertion in startLog); test fleets now keep to their own ports.

--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,10 @@
 CASES ?= 30
 RC_PARAMS ?= seed=$(SEED) max_success=$(CASES) max_size=12
 
+# make faults  faults on real processes under load, a minute
 # make fuzz    long stateful fuzzing; FUZZ_SEED=n FUZZ_CASES=n
 
-.PHONY: setup all run test fuzz bench lint format clean
+.PHONY: setup all run test fuzz faults bench lint format clean
 
 all: $(BUILD)/CMakeCache.txt
 	@cmake --build $(BUILD)
@@ -33,6 +34,9 @@
 fuzz: all
 	@RC_PARAMS="seed=$(or $(FUZZ_SEED),$(shell date +%s)) max_success=$(or $(FUZZ_CASES),500) max_size=40" $(BUILD)/shallot-tests --gtest_filter='*Fuzz*'
 
+faults: all
+	@SHALLOT_BIN=$(BUILD) scripts/run-faults.sh
+
 bench: all
 	@SHALLOT_BIN=$(BUILD) scripts/run-bench.sh
 
--- a/Tests/FleetHarness.cpp
+++ b/Tests/FleetHarness.cpp
@@ -16,7 +16,7 @@
 constexpr auto longestWait = 10s;
 constexpr uint16_t firstPort = 10'000; // Below the ports that the kernel gives to outgoing connections
 constexpr uint16_t portsPerFleet = 100;
-constexpr uint16_t fleetSlots = 200;
+constexpr uint16_t fleetSlots = 40;
 
 // A port range that no other test process uses: its last port stays bound as a lock until the process ends.
 uint16_t nextBasePort()
--- a/scripts/run-bench.sh
+++ b/scripts/run-bench.sh
@@ -3,69 +3,57 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=${SHALLOT_BIN:-build}
-port=${SHALLOT_BENCH_PORT:-24000}
+port=${SHALLOT_BENCH_PORT:-14000}
 rows=$bin/figures.txt
 : >"$rows"
-pids=()
-finish() {
-    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-    pids=()
-}
-trap finish EXIT
+work=$(mktemp -d)
+. scripts/fleet.sh
+trap 'end_fleet; rm -rf "$work"' EXIT
 figure() { echo "figure $1 $2 $3 baseline $4" | tee -a "$rows"; }
-
-export SHALLOT_SECRET="a secret that all daemons share" SHALLOT_CREDENTIAL="bench"
-export SHALLOT_OPERATORS="bench:$("$bin/shallotctl" digest bench)" SHALLOT_LOG="127.0.0.1:$port" SHALLOT_LOG_LEVEL=error
+export SHALLOT_LOG_LEVEL=error
 
 # start_fleet ZONES PER_ZONE: daemons, the first of each zone with a backend server.
 start_fleet() {
-    "$bin/standin-logd" "$SHALLOT_LOG" >/dev/null 2>&1 &
-    pids+=($!)
-    daemons=()
-    local node=0
+    local node=0 zone i zones=
+    start_log
     for zone in $(seq "$1"); do
         for i in $(seq "$2"); do
-            local base=$((port + 100 + node * 10))
-            "$bin/shallotd" --name "d$node" --zone "zone-$zone" --ingress "127.0.0.1:$base" --egress "127.0.0.1:$((base + 1))" \
-                --admin "127.0.0.1:$((base + 2))" --peer "127.0.0.1:$((base + 3))" >/dev/null 2>&1 &
-            pids+=($!)
-            daemons+=($!)
-            if [ "$i" = 1 ]; then
-                "$bin/standin-backend" --service profiles --listen "127.0.0.1:$((base + 4))" --egress "127.0.0.1:$((base + 1))" \
-                    --slots 64 --latency-ms 0 >/dev/null 2>&1 &
-                pids+=($!)
-            fi
+            start_daemon "$node" "d$node" "zone-$zone"
+            [ "$i" != 1 ] || start_backend "$node" profiles 64 0 ""
             node=$((node + 1))
         done
+        zones+="${zones:+,}\"zone-$zone\":{}"
     done
-    export SHALLOT_ADMIN="127.0.0.1:$((port + 102))"
-    for _ in $(seq 100); do "$bin/shallotctl" status >/dev/null 2>&1 && break; sleep 0.1; done
-    local zones=
-    for zone in $(seq "$1"); do zones+="${zones:+,}\"zone-$zone\":{}"; done
-    cat >"$bin/bench-lists.json" <<JSON
+    wait_for_admin
+    cat >"$work/lists.json" <<JSON
 { "zones": {$zones},
   "routes": { "profiles": { "path": "/profiles", "service": "profiles" } },
   "plans": { "large": { "rate": 100000, "burst": 100000, "routes": ["profiles"] } },
-  "organisations": { "bench": { "plan": "large", "keyDigests": ["$("$bin/shallotctl" digest bench-key)"] } } }
+  "organisations": { "bench": { "plan": "large", "keyDigests": ["$(digest bench-key)"] } } }
 JSON
-    "$bin/shallotctl" apply "$bin/bench-lists.json" >/dev/null
-    sleep 8
+    "$bin/shallotctl" apply "$work/lists.json" >/dev/null
+    sleep 15 # Parts are claimed and tables exchanged
 }
 
 cpu_ticks() { awk '{ print $14 + $15 }' "/proc/$1/stat"; }
 resident_kb() { awk '/VmRSS/ { print $2 }' "/proc/$1/status"; }
 bytes_sent() { curl -s "http://127.0.0.1:$1/status" | sed -n 's/.*"bytesSent" : \([0-9]*\).*/\1/p'; }
 
-# Control cost of an idle daemon in a fleet of a given size.
+# Control cost of idle daemons in a fleet: the second one of the first zone reads the log, the last one of it does not.
 measure_control() {
-    local node=1 count=${#daemons[@]} admin=$((port + 112)) seconds=20
-    local cpu=$(cpu_ticks "${daemons[$node]}") bytes=$(bytes_sent "$admin")
+    local count=${#daemons[@]} seconds=20 nodes=(1 $((${#daemons[@]} / 3 - 1))) roles=(reader follower) cpu=() bytes=()
+    for i in 0 1; do
+        cpu[i]=$(cpu_ticks "${daemons[${nodes[i]}]}")
+        bytes[i]=$(bytes_sent $((port + 102 + nodes[i] * 10)))
+    done
     sleep "$seconds"
-    local cpu2=$(cpu_ticks "${daemons[$node]}") bytes2=$(bytes_sent "$admin")
-    figure "control_cpu_percent_at_$count" "$(awk "BEGIN { print ($cpu2 - $cpu) / $seconds / $(getconf CLK_TCK) * 100 }")" percent 0
-    figure "control_bytes_per_second_at_$count" "$(awk "BEGIN { print ($bytes2 - $bytes) / $seconds }")" bytes/s 0
-    figure "resident_mb_at_$count" "$(awk "BEGIN { print $(resident_kb "${daemons[$node]}") / 1024 }")" MB 0
+    for i in 0 1; do
+        local pid=${daemons[${nodes[i]}]}
+        local cpu2=$(cpu_ticks "$pid") bytes2=$(bytes_sent $((port + 102 + nodes[i] * 10)))
+        figure "control_cpu_percent_${roles[i]}_at_$count" "$(awk "BEGIN { print ($cpu2 - ${cpu[i]}) / $seconds / $(getconf CLK_TCK) * 100 }")" percent 0
+        figure "control_bytes_per_second_${roles[i]}_at_$count" "$(awk "BEGIN { print ($bytes2 - ${bytes[i]}) / $seconds }")" bytes/s 0
+        figure "resident_mb_${roles[i]}_at_$count" "$(awk "BEGIN { print $(resident_kb "$pid") / 1024 }")" MB 0
+    done
 }
 
 start_fleet 3 3
@@ -84,13 +72,11 @@
 done
 figure key_withdrawal_max_s "$(awk "BEGIN { print ($(date +%s%N) - $start) / 1e9 }")" s 2
 measure_control
-finish
-sleep 1
-port=$((port + 1000)) SHALLOT_LOG="127.0.0.1:$port"
-export SHALLOT_LOG
+end_fleet
+port=$((port + 1000))
 start_fleet 3 9
 measure_control
-finish
+end_fleet
 
 mkdir -p "$bin/plots"
 "$bin/shallot-limits-experiment" | tee -a "$rows"
--- a/scripts/run-demo.sh
+++ b/scripts/run-demo.sh
@@ -7,55 +7,31 @@
 port=${SHALLOT_DEMO_PORT:-21000}
 seconds=${SHALLOT_DEMO_SECONDS:-10}
 work=$(mktemp -d)
-pids=()
+. scripts/fleet.sh
 
 finish() {
     local status=$?
-    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-    [ "$status" = 0 ] && rm -rf "$work" || echo "logs are kept in $work" >&2
-    return "$status"
+    end_fleet
+    if [ "$status" = 0 ]; then rm -rf "$work"; else echo "logs are kept in $work" >&2; fi
 }
 trap finish EXIT
 
-export SHALLOT_SECRET="a secret that all daemons of the demo share"
-export SHALLOT_CREDENTIAL="demo operator"
-export SHALLOT_OPERATORS="demo:$(printf %s "$SHALLOT_CREDENTIAL" | sha256sum | cut -d' ' -f1)"
-export SHALLOT_LOG="127.0.0.1:$port"
-export SHALLOT_DRAIN_GRACE_MS=500
-
-"$bin/standin-logd" "$SHALLOT_LOG" >"$work/log.txt" 2>&1 &
-pids+=($!)
-
+start_log
 # profiles calls status; matcher runs confirmations at most once.
 services=(profiles matcher status)
 latencies=(3 4 1)
 onwards=("/internal/status" "" "")
-targets=
 node=0
 for zone in a b c; do
     for i in 0 1 2; do
-        base=$((port + 100 + node * 10))
-        "$bin/shallotd" --name "$zone-${services[$i]}" --zone "zone-$zone" \
-            --ingress "127.0.0.1:$base" --egress "127.0.0.1:$((base + 1))" --admin "127.0.0.1:$((base + 2))" --peer "127.0.0.1:$((base + 3))" \
-            >"$work/$zone-${services[$i]}.txt" 2>&1 &
-        pids+=($!)
-        "$bin/standin-backend" --service "${services[$i]}" --listen "127.0.0.1:$((base + 4))" --egress "127.0.0.1:$((base + 1))" \
-            --slots 16 --latency-ms "${latencies[$i]}" --onward "${onwards[$i]}" >"$work/backend-$zone-$i.txt" 2>&1 &
-        pids+=($!)
-        targets+="${targets:+,}127.0.0.1:$base"
+        start_daemon "$node" "$zone-${services[$i]}" "zone-$zone"
+        start_backend "$node" "${services[$i]}" 16 "${latencies[$i]}" "${onwards[$i]}"
         node=$((node + 1))
     done
 done
-export SHALLOT_ADMIN="127.0.0.1:$((port + 102))"
-
 echo "Started one log service, 9 daemons in 3 zones and 9 backend servers."
-for _ in $(seq 100); do
-    "$bin/shallotctl" status >/dev/null 2>&1 && break
-    sleep 0.1
-done
+wait_for_admin
 
-digest() { "$bin/shallotctl" digest "$1"; }
 cat >"$work/lists.json" <<JSON
 {
   "zones": { "zone-a": {}, "zone-b": {}, "zone-c": {} },
@@ -91,12 +67,7 @@
     --load "not-in-its-plan:secret-key-over:GET:/profiles:5" \
     --load "open-to-all::GET:/about:20"
 
-doubles=0
-keys=0
-for node in $(seq 0 8); do
-    stats=$(curl -s "http://127.0.0.1:$((port + 104 + node * 10))/stats")
-    doubles=$((doubles + $(sed 's/.*"doubles":\([0-9]*\).*/\1/' <<<"$stats")))
-    keys=$((keys + $(sed 's/.*"keys":\([0-9]*\).*/\1/' <<<"$stats")))
-done
+doubles=$(sum_stat doubles 9)
+keys=$(sum_stat keys 9)
 echo "Confirmations run twice: $doubles. Keys seen by backend servers: $keys."
 [ "$doubles" = 0 ] && [ "$keys" = 0 ]
