--- a/Source/config/ConfigurationFold.cpp
+++ b/Source/config/ConfigurationFold.cpp
@@ -103,6 +103,20 @@
         m_history.pop_front();
 }
 
+void ConfigurationFold::writeHistory(JSONWriter& writer) const
+{
+    writer.beginArray("history");
+    for (const auto& entry : m_history) {
+        writer.beginObject().add("revision", entry.revision).add("timeMs", entry.timeMs).add("author", entry.author);
+        writer.add("note", entry.note)
+            .add("accepted", entry.accepted)
+            .add("outcome", entry.outcome)
+            .add("changes", entry.changes);
+        writer.endObject();
+    }
+    writer.endArray();
+}
+
 std::string ConfigurationFold::serialize() const
 {
     JSONWriter writer;
@@ -118,16 +132,8 @@
             .add("revision", revision)
             .endObject();
     writer.endArray();
-    writer.beginArray("history");
-    for (const auto& entry : m_history) {
-        writer.beginObject().add("revision", entry.revision).add("timeMs", entry.timeMs).add("author", entry.author);
-        writer.add("note", entry.note)
-            .add("accepted", entry.accepted)
-            .add("outcome", entry.outcome)
-            .add("changes", entry.changes);
-        writer.endObject();
-    }
-    writer.endArray().endObject();
+    writeHistory(writer);
+    writer.endObject();
     return writer.finish();
 }
 
--- a/Source/config/ConfigurationFold.h
+++ b/Source/config/ConfigurationFold.h
@@ -7,6 +7,8 @@
 
 namespace shallot {
 
+class JSONWriter;
+
 // One line of the audit trail.
 struct AuditEntry {
     uint64_t revision { 0 }; // Log offset of the edit
@@ -30,6 +32,8 @@
     uint64_t revision() const { return m_revision; }
     const std::deque<AuditEntry>& history() const { return m_history; }
 
+    // Adds the audit trail as the member "history".
+    void writeHistory(JSONWriter&) const;
     std::string serialize() const;
     bool restore(std::string_view);
 
--- a/Source/config/ConfigurationJSON.cpp
+++ b/Source/config/ConfigurationJSON.cpp
@@ -48,24 +48,16 @@
     return { readInteger<uint32_t>(object, "weight", 1, 0) };
 }
 
-void writeStrings(JSONWriter& writer, const char* name, const std::vector<std::string>& values)
-{
-    writer.beginArray(name);
-    for (const auto& value : values)
-        writer.addString(value);
-    writer.endArray();
-}
-
 void writeItem(JSONWriter& writer, const Organisation& organisation)
 {
     writer.add("plan", organisation.plan);
-    writeStrings(writer, "keyDigests", organisation.keyDigests);
+    writer.addStrings("keyDigests", organisation.keyDigests);
 }
 
 void writeItem(JSONWriter& writer, const Plan& plan)
 {
     writer.add("rate", plan.rate).add("burst", plan.burst);
-    writeStrings(writer, "routes", plan.routes);
+    writer.addStrings("routes", plan.routes);
 }
 
 void writeItem(JSONWriter& writer, const Route& route)
--- a/Source/core/JSON.cpp
+++ b/Source/core/JSON.cpp
@@ -152,11 +152,12 @@
     return *this;
 }
 
-JSONWriter& JSONWriter::addNull(const char* name)
+JSONWriter& JSONWriter::addStrings(const char* name, const std::vector<std::string>& values)
 {
-    setName(name);
-    json_builder_add_null_value(m_builder);
-    return *this;
+    beginArray(name);
+    for (const auto& value : values)
+        addString(value);
+    return endArray();
 }
 
 std::string JSONWriter::finish(bool pretty)
--- a/Source/core/JSON.h
+++ b/Source/core/JSON.h
@@ -51,7 +51,7 @@
     JSONWriter& add(const char* name, int value) { return add(name, static_cast<int64_t>(value)); }
     JSONWriter& add(const char* name, bool);
     JSONWriter& addString(std::string_view);
-    JSONWriter& addNull(const char* name);
+    JSONWriter& addStrings(const char* name, const std::vector<std::string>&);
     std::string finish(bool pretty = false);
 
 private:
--- a/Source/daemon/AdminAPI.cpp
+++ b/Source/daemon/AdminAPI.cpp
@@ -128,16 +128,9 @@
 std::string AdminAPI::formatHistory() const
 {
     JSONWriter writer;
-    writer.beginObject().beginArray("history");
-    for (const auto& entry : m_parts.fold.configuration().history()) {
-        writer.beginObject().add("revision", entry.revision).add("timeMs", entry.timeMs).add("author", entry.author);
-        writer.add("note", entry.note)
-            .add("accepted", entry.accepted)
-            .add("outcome", entry.outcome)
-            .add("changes", entry.changes);
-        writer.endObject();
-    }
-    writer.endArray().endObject();
+    writer.beginObject();
+    m_parts.fold.configuration().writeHistory(writer);
+    writer.endObject();
     return writer.finish(true);
 }
 
--- a/Source/log/FleetFold.cpp
+++ b/Source/log/FleetFold.cpp
@@ -28,10 +28,7 @@
     for (const auto& [name, member] : roster.members()) {
         writer.beginObject().add("name", name).add("zone", member.zone).add("address", member.address);
         writer.add("joinOffset", member.joinOffset).add("endedOffset", member.endedOffset).add("revoked", member.revoked);
-        writer.beginArray("witnesses");
-        for (const auto& witness : member.witnesses)
-            writer.addString(witness);
-        writer.endArray().endObject();
+        writer.addStrings("witnesses", member.witnesses).endObject();
     }
     writer.endArray();
 }
--- a/Source/log/LogEntry.cpp
+++ b/Source/log/LogEntry.cpp
@@ -12,14 +12,6 @@
 
 constexpr int64_t recordVersion = 1;
 
-void writeStrings(JSONWriter& writer, const char* name, const std::vector<std::string>& values)
-{
-    writer.beginArray(name);
-    for (const auto& value : values)
-        writer.addString(value);
-    writer.endArray();
-}
-
 // 64-bit hashes do not fit a JSON number.
 std::string formatHash(uint64_t value)
 {
@@ -42,7 +34,7 @@
 void writeEntry(JSONWriter& writer, const JoinEntry& entry)
 {
     writer.add("type", "join").add("member", entry.member).add("zone", entry.zone).add("address", entry.address);
-    writeStrings(writer, "witnesses", entry.witnesses);
+    writer.addStrings("witnesses", entry.witnesses);
 }
 
 void writeEntry(JSONWriter& writer, const LeaveEntry& entry)
@@ -53,7 +45,7 @@
 void writeEntry(JSONWriter& writer, const RevokeEntry& entry)
 {
     writer.add("type", "revoke").add("member", entry.member).add("joinOffset", entry.joinOffset);
-    writeStrings(writer, "promises", entry.promises);
+    writer.addStrings("promises", entry.promises);
 }
 
 void writeEntry(JSONWriter& writer, const OwnEntry& entry)
--- a/Tests/FleetHarness.cpp
+++ b/Tests/FleetHarness.cpp
@@ -292,6 +292,16 @@
     return wait(get(daemon, target, key));
 }
 
+size_t FleetHarness::countRequests(std::string_view text) const
+{
+    size_t count = 0;
+    for (const auto& backend : m_backends) {
+        for (const auto& request : backend->requests())
+            count += request.find(text) != std::string::npos ? 1 : 0;
+    }
+    return count;
+}
+
 std::string FleetHarness::status(size_t daemon)
 {
     return m_daemons[daemon]->status();
--- a/Tests/FleetHarness.h
+++ b/Tests/FleetHarness.h
@@ -84,6 +84,8 @@
     // Sends and waits.
     const Answer& fetch(size_t daemon, const std::string& target, const std::string& key = "secret-key");
     ConfigurationEdit withdrawKey() const;
+    // Requests that any backend server got and that contain the text.
+    size_t countRequests(std::string_view text) const;
     std::string status(size_t daemon);
 
     void stopDaemon(size_t daemon) { m_daemons[daemon].reset(); }
--- a/Tests/FleetTest.cpp
+++ b/Tests/FleetTest.cpp
@@ -13,16 +13,6 @@
 
 using namespace std::chrono_literals;
 
-size_t countRuns(FleetHarness& fleet, size_t daemons, const std::string& text)
-{
-    size_t count = 0;
-    for (size_t i = 0; i < daemons; ++i) {
-        for (const auto& request : fleet.backend(i).requests())
-            count += request.find(text) != std::string::npos ? 1 : 0;
-    }
-    return count;
-}
-
 TEST(Fleet, AResendThroughAnotherDaemonGetsTheFirstAnswer)
 {
     FleetHarness fleet({ "zone-a", "zone-b", "zone-c" });
@@ -30,7 +20,7 @@
     ASSERT_EQ(first.response->status, 200) << first.error();
     for (size_t i = 0; i < 3; ++i)
         EXPECT_EQ(fleet.wait(fleet.post(i, "/confirm/1", "key-1")).response->body, first.response->body);
-    EXPECT_EQ(countRuns(fleet, 3, "/confirm/1"), 1U);
+    EXPECT_EQ(fleet.countRequests("/confirm/1"), 1U);
     EXPECT_EQ(fleet.wait(fleet.post(1, "/confirm/other", "key-1")).error(), "bad-request");
 }
 
@@ -42,7 +32,7 @@
         answers.push_back(fleet.post(i % 3, "/confirm/race", "key-race"));
     for (const auto& answer : answers)
         EXPECT_EQ(fleet.wait(answer).response->status, 200) << answer->error();
-    EXPECT_EQ(countRuns(fleet, 3, "/confirm/race"), 1U);
+    EXPECT_EQ(fleet.countRequests("/confirm/race"), 1U);
 }
 
 TEST(Fleet, ALostAcknowledgementOfAClaimDoesNotRunItTwice)
@@ -52,19 +42,19 @@
     const auto& answer = fleet.wait(fleet.post(0, "/confirm/lost", "key-lost"));
     EXPECT_EQ(answer.response->status, 200) << answer.error();
     fleet.wait(fleet.post(1, "/confirm/lost", "key-lost"));
-    EXPECT_EQ(countRuns(fleet, 2, "/confirm/lost"), 1U);
+    EXPECT_EQ(fleet.countRequests("/confirm/lost"), 1U);
 }
 
 TEST(Fleet, AResendAfterItsHolderDiedIsToldThatItsFateIsUnknown)
 {
     FleetHarness fleet({ "zone-a", "zone-b", "zone-c" });
     ASSERT_EQ(fleet.wait(fleet.post(0, "/confirm/dead", "key-dead")).response->status, 200);
-    const size_t runs = countRuns(fleet, 3, "/confirm/dead");
+    const size_t runs = fleet.countRequests("/confirm/dead");
     fleet.stopDaemon(0);
     const auto& answer = fleet.wait(fleet.post(1, "/confirm/dead", "key-dead"));
     EXPECT_EQ(answer.error(), "fate-unknown");
     EXPECT_EQ(answer.ran(), "unknown");
-    EXPECT_EQ(countRuns(fleet, 3, "/confirm/dead"), runs);
+    EXPECT_EQ(fleet.countRequests("/confirm/dead"), runs);
 }
 
 TEST(Fleet, WithoutTheLogIdempotentRoutesGoOnAndOthersSayNotRun)
@@ -77,14 +67,14 @@
     const auto& refused = fleet.wait(fleet.post(0, "/confirm/outage", "key-outage"));
     EXPECT_EQ(refused.error(), "log-unavailable");
     EXPECT_EQ(refused.ran(), "no");
-    EXPECT_EQ(countRuns(fleet, 2, "/confirm/outage"), 0U);
+    EXPECT_EQ(fleet.countRequests("/confirm/outage"), 0U);
     fleet.log().faults().down = false;
     EXPECT_TRUE(fleet.runUntil([&] {
         fleet.runFor(50ms);
         return fleet.wait(fleet.post(0, "/confirm/after", "key-after")).response->status == 200;
     }));
     // What was refused as not run did not run afterwards either, unless it was sent again.
-    EXPECT_EQ(countRuns(fleet, 2, "/confirm/outage"), 0U);
+    EXPECT_EQ(fleet.countRequests("/confirm/outage"), 0U);
 }
 
 TEST(Fleet, AnEditInAnOutageIsNotCalledAccepted)
--- a/Tests/PathTest.cpp
+++ b/Tests/PathTest.cpp
@@ -11,16 +11,6 @@
 
 using namespace std::chrono_literals;
 
-size_t countRequests(FleetHarness& fleet, size_t daemons, const std::string& text)
-{
-    size_t count = 0;
-    for (size_t i = 0; i < daemons; ++i) {
-        for (const auto& request : fleet.backend(i).requests())
-            count += request.find(text) != std::string::npos ? 1 : 0;
-    }
-    return count;
-}
-
 TEST(Path, NoBackendServerSeesAKey)
 {
     FleetHarness fleet({ "zone-a" });
@@ -36,10 +26,10 @@
         = fleet.wait(fleet.send(0, { "POST", "/profiles", { { "Authorization", "bearer secret-key" } }, "it is secret-key" }));
     EXPECT_EQ(inBody.error(), "bad-request");
     EXPECT_EQ(inBody.response->body.find("secret-key"), std::string::npos);
-    EXPECT_EQ(countRequests(fleet, 1, "secret-key"), 0U);
-    EXPECT_EQ(countRequests(fleet, 1, "secret%2Dkey"), 0U);
-    EXPECT_EQ(countRequests(fleet, 1, "X-Fine: kept"), 1U);
-    EXPECT_EQ(countRequests(fleet, 1, "GET /profiles/1?x=1 "), 1U);
+    EXPECT_EQ(fleet.countRequests("secret-key"), 0U);
+    EXPECT_EQ(fleet.countRequests("secret%2Dkey"), 0U);
+    EXPECT_EQ(fleet.countRequests("X-Fine: kept"), 1U);
+    EXPECT_EQ(fleet.countRequests("GET /profiles/1?x=1 "), 1U);
 }
 
 TEST(Path, RunsOnlyForTheOrganisationOfTheKey)
@@ -50,7 +40,7 @@
     EXPECT_EQ(fleet.wait(fleet.post(0, "/confirm", "k", "tiny-key")).error(), "route-forbidden");
     EXPECT_EQ(fleet.fetch(0, "/nowhere").error(), "route-unknown");
     EXPECT_EQ(fleet.wait(fleet.send(0, { "GET", "/about", {}, {} })).response->status, 200);
-    EXPECT_EQ(countRequests(fleet, 1, "/confirm"), 0U);
+    EXPECT_EQ(fleet.countRequests("/confirm"), 0U);
 }
 
 TEST(Path, AWithdrawnKeyStopsOnAnOpenConnection)
@@ -140,9 +130,9 @@
     const auto dropFirst = [](StreamSocket& socket, const std::string&) { socket.close(); };
     fleet.backend(0).setScript(dropFirst);
     fleet.backend(1).setScript(dropFirst);
-    const size_t before = countRequests(fleet, 2, "/confirm");
+    const size_t before = fleet.countRequests("/confirm");
     EXPECT_EQ(fleet.wait(fleet.post(0, "/confirm", "drop-1")).error(), "fate-unknown");
-    EXPECT_EQ(countRequests(fleet, 2, "/confirm") - before, 1U);
+    EXPECT_EQ(fleet.countRequests("/confirm") - before, 1U);
     fleet.backend(1).setScript([](StreamSocket& socket, const std::string&) { answerOK(socket, "second"); });
     bool served = false;
     for (int i = 0; i < 5 && !served; ++i)
@@ -156,8 +146,8 @@
     for (size_t i = 0; i < 7; ++i)
         fleet.backend(i).setScript([](StreamSocket& socket, const std::string&) { socket.close(); });
     EXPECT_EQ(fleet.fetch(0, "/profiles/all-fail").ran(), "unknown");
-    EXPECT_LE(countRequests(fleet, 7, "/profiles/all-fail"), 1U + PolicySettings().retryTokens);
-    EXPECT_GE(countRequests(fleet, 7, "/profiles/all-fail"), 2U);
+    EXPECT_LE(fleet.countRequests("/profiles/all-fail"), 1U + PolicySettings().retryTokens);
+    EXPECT_GE(fleet.countRequests("/profiles/all-fail"), 2U);
 }
 
 TEST(Path, ADrainingBackendServerGetsNoNewWork)
@@ -259,7 +249,7 @@
         });
     }
     EXPECT_EQ(last, "crash-suspect");
-    EXPECT_EQ(countRequests(fleet, 1, "/profiles/poison"), PolicySettings().crashDeaths);
+    EXPECT_EQ(fleet.countRequests("/profiles/poison"), PolicySettings().crashDeaths);
     EXPECT_EQ(fleet.fetch(0, "/profiles/innocent").response->status, 200);
 }
 
