--- a/Source/core/Time.h
+++ b/Source/core/Time.h
@@ -11,7 +11,7 @@
     using period = std::chrono::microseconds::period;
     using duration = std::chrono::microseconds;
     using time_point = std::chrono::time_point<MonotonicClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the name that std::chrono asks for
 
     static time_point now() noexcept
     {
--- a/Source/daemon/Daemon.cpp
+++ b/Source/daemon/Daemon.cpp
@@ -12,6 +12,7 @@
 #include "core/Log.h"
 #include "core/Version.h"
 #include "daemon/CallFrames.h"
+#include "daemon/LoanFrames.h"
 #include "wire/Frames_generated.h"
 
 #include <algorithm>
@@ -58,7 +59,7 @@
           seedOf(m_member))
     , m_gossiper(m_gossipTable, m_links, m_crashes, m_limits)
     , m_claims(m_follower.fold(), m_appends, m_links, m_member)
-    , m_ingress({ m_index, m_settings.policy, m_router, m_limits, m_claims, m_crashes, m_metrics })
+    , m_ingress({ m_index, m_settings.policy, m_limitSettings, m_router, m_limits, m_claims, m_crashes, m_metrics })
     , m_egress(m_executor, m_router, m_index, m_settings.policy)
     , m_admin(
           { m_follower.fold(), m_gossipTable, m_metrics, m_appends, m_settings.operators, [this] { return status(); }, nullptr })
@@ -191,69 +192,21 @@
 {
     const auto* lender = m_gossipTable.find(batch.lender);
     const auto link = lender ? m_links.linkTo(lender->address) : nullptr;
-    if (!link)
-        return;
-    wire::LoanRequestsT message;
-    message.sequence = batch.sequence;
-    for (const auto& request : batch.requests) {
-        auto packed = std::make_unique<wire::LoanRequestT>();
-        packed->organisation = request.organisation;
-        packed->demand = request.demand;
-        packed->waiting = request.waiting;
-        for (const auto& returned : request.returned) {
-            auto loan = std::make_unique<wire::ReturnedLoanT>();
-            loan->id = returned.id;
-            loan->tokens = returned.tokens;
-            packed->returned.push_back(std::move(loan));
-        }
-        message.requests.push_back(std::move(packed));
-    }
-    wire::FrameT frame;
-    frame.body.Set(std::move(message));
-    link->send(frame);
+    if (link)
+        link->send(makeLoanRequestsFrame(batch));
 }
 
 void Daemon::onLoanRequests(PeerLink& link, const wire::FrameT& frame)
 {
     const auto& message = *frame.body.AsLoanRequests();
-    std::vector<LoanRequest> requests;
-    for (const auto& packed : message.requests) {
-        if (!packed)
-            continue;
-        LoanRequest request { packed->organisation, {}, packed->demand, packed->waiting };
-        for (const auto& returned : packed->returned) {
-            if (returned)
-                request.returned.push_back({ returned->id, returned->tokens });
-        }
-        requests.push_back(std::move(request));
-    }
-    wire::LoansT answer;
-    answer.sequence = message.sequence;
-    for (const auto& loan : m_limits.onRequests(link.peer(), requests, MonotonicClock::now())) {
-        auto packed = std::make_unique<wire::LoanT>();
-        packed->organisation = loan.organisation;
-        packed->id = loan.id;
-        packed->rate = loan.rate;
-        packed->burst = loan.burst;
-        packed->tokens = loan.tokens;
-        packed->retry_after_us = static_cast<uint64_t>(loan.retryAfter.count());
-        answer.loans.push_back(std::move(packed));
-    }
-    wire::FrameT reply;
-    reply.body.Set(std::move(answer));
-    link.send(reply);
+    const auto loans = m_limits.onRequests(link.peer(), readLoanRequests(message), MonotonicClock::now());
+    link.send(makeLoansFrame(message.sequence, loans));
 }
 
 void Daemon::onLoans(PeerLink& link, const wire::FrameT& frame)
 {
     const auto& message = *frame.body.AsLoans();
-    std::vector<Loan> loans;
-    for (const auto& packed : message.loans) {
-        if (packed)
-            loans.push_back({ packed->organisation, packed->id, packed->rate, packed->burst, packed->tokens,
-                Duration(static_cast<int64_t>(packed->retry_after_us)) });
-    }
-    m_limits.onLoans(link.peer(), message.sequence, loans, MonotonicClock::now());
+    m_limits.onLoans(link.peer(), message.sequence, readLoans(message), MonotonicClock::now());
 }
 
 void Daemon::onPromiseRequest(PeerLink& link, const wire::FrameT& frame)
--- a/Source/daemon/Ingress.cpp
+++ b/Source/daemon/Ingress.cpp
@@ -21,7 +21,6 @@
 
 namespace {
 
-constexpr auto holdTime = 20ms; // A request waits this long for a loan
 constexpr size_t maximumHeld = 2000;
 constexpr size_t maximumIdempotencyKeyLength = 256;
 
@@ -137,7 +136,8 @@
         claim(visit, now);
         return;
     }
-    const bool mayWait = visit->heldSince == TimePoint() ? m_heldCount < maximumHeld : now - visit->heldSince < holdTime;
+    const bool mayWait
+        = visit->heldSince == TimePoint() ? m_heldCount < maximumHeld : now - visit->heldSince < m_parts.limitSettings.holdTime;
     if (admission == Admission::Wait && mayWait) {
         hold(visit, now);
         return;
--- a/Source/daemon/Ingress.h
+++ b/Source/daemon/Ingress.h
@@ -19,12 +19,14 @@
 class HTTPExchange;
 class LimitSystem;
 class Metrics;
+struct LimitSettings;
 struct PolicySettings;
 
 // What ingress needs of the rest of the daemon.
 struct IngressParts {
     const ConfigurationIndex& index;
     const PolicySettings& policy;
+    const LimitSettings& limitSettings;
     CallRouter& router;
     LimitSystem& limits;
     ClaimKeeper& claims;
--- a/Source/limits/OwnershipTable.h
+++ b/Source/limits/OwnershipTable.h
@@ -19,7 +19,7 @@
     std::string zone;
     uint32_t part { 0 };
 
-    auto operator<=>(const PartID&) const = default;
+    auto operator<=>(const PartID&) const = default; // NOLINT(modernize-use-nullptr): the linter misreads the operator
 };
 
 // What a new owner waits for before it lends.
--- a/Tests/FleetHarness.h
+++ b/Tests/FleetHarness.h
@@ -106,7 +106,6 @@
     HTTPServer m_logServer;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
     std::vector<std::unique_ptr<FakeBackend>> m_backends;
-    HTTPPool m_log_client;
     std::vector<std::unique_ptr<HTTPPool>> m_ingress;
     std::vector<std::unique_ptr<HTTPPool>> m_admin;
     std::vector<std::shared_ptr<Answer>> m_answers;
