--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-EndpointExecutor::EndpointExecutor(const MeshSettings& settings, const SocketAddress& backendServer)
+EndpointExecutor::EndpointExecutor(
+    const MeshSettings& settings, const SocketAddress& backendServer, const std::string& service)
     : m_settings(settings)
     , m_host(backendServer.toString())
     , m_queue(settings)
@@ -26,6 +27,7 @@
 {
     m_pool.setAddress(backendServer);
     m_probes.setAddress(backendServer);
+    m_announcement.service = service;
 }
 
 // Announcements
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -19,7 +19,8 @@
 // and whether a request has run.
 class EndpointExecutor {
 public:
-    EndpointExecutor(const MeshSettings&, const SocketAddress& backendServer);
+    // `service` is what the instance was set up for; it holds until an announcement says otherwise.
+    EndpointExecutor(const MeshSettings&, const SocketAddress& backendServer, const std::string& service);
 
     // The completion is called exactly once unless the call is cancelled. Returns the call's id.
     uint64_t submit(MeshCall, TimePoint now, MeshCompletion);
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -59,7 +59,7 @@
                   m_beliefs.endpoints().recordReport(member.name, report, MonotonicClock::now());
               },
               [this] { return m_executor.report(MonotonicClock::now()); } })
-    , m_executor(settings, m_instance.backendServer)
+    , m_executor(settings, m_instance.backendServer, m_instance.service)
     , m_rates(settings, m_beliefs, m_links, m_own.name)
     , m_ingress({ settings, m_beliefs, m_links, m_executor, m_rates, m_metrics, m_own.name, m_instance.callers.host })
     , m_store(m_instance.store)
