Keep each organisation's tokens in one bucket at a ledger; equal parts only while no ledger answers

A rate of 12/s dealt over 13 members leaves buckets of one token, and a Poisson stream finds such a bucket empty half of the time (admitted: half of the rate). Change: the ledger keeps the organisation's own bucket and gives tokens on request; requests that wait are asked for together.

--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -42,10 +42,11 @@
     Duration keyStalenessMargin { 400ms }; // For the time between the check and the arrival at the backend server
 
     // Organisations' rates
-    Duration shareInterval { 500ms };  // How often shares are asked for
-    Duration shareLifetime { 1500ms }; // A share not renewed for three intervals falls back to an equal part
-    Duration memberMemory { 30s };     // A member that is silent for longer holds no part of any rate
-    unsigned shareOwners { 4 };        // Members among which organisations' ledgers are spread
+    unsigned ledgers { 4 };           // Parts into which organisations are dealt; each part's ledger is kept by one member
+    Duration greetInterval { 500ms }; // How often each ledger hears of each member
+    Duration ledgerMemory { 1600ms }; // A member not heard of for three greetings uses its own part
+    Duration ledgerTimeout { 60ms };  // Of a question to a ledger; tens of times the way between zones
+    double initialFill { 0.2 };       // Part of the burst in a new bucket
 };
 
 } // namespace shallot
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Arrival:   handle, identify
+//   Arrival:   handle, identify, admit
 //   Attempts:  place, send, endAttempt, withdrawAttempt
 //   Outcomes:  onAnswer, onLinkClosed, onOutcome, mayTryAgain
 //   Ends:      answer, onGone, onDue
@@ -87,9 +87,28 @@
         return;
     }
     visit->call.request = std::move(request);
-    budgetFor(visit->call.service).recordSuccess();
     m_deadlines.set(visit->id, visit->deadline + answerGrace);
-    place(*visit, now);
+    admit(visit, now);
+}
+
+void MeshIngress::admit(const RefPtr<Visit>& visit, TimePoint now)
+{
+    const auto* organisation = std::exchange(visit->organisation, nullptr);
+    if (!organisation) {
+        place(*visit, now);
+        return;
+    }
+    m_parts.rates.request(*organisation, now, [this, visit](bool admitted, Duration retryAfter) {
+        if (!m_visits.contains(visit->id))
+            return;
+        const auto now = MonotonicClock::now();
+        if (admitted) {
+            place(*visit, now);
+            return;
+        }
+        const auto wait = std::max<Duration>(retryAfter, m_parts.settings.retryAfterMinimum);
+        answer(*visit, tl::unexpected(Error { ErrorKind::RateExceeded, visit->call.context.organisation, wait }), now);
+    });
 }
 
 Result<void> MeshIngress::identify(Visit& visit, HTTPRequest& request, TimePoint now)
@@ -118,10 +137,7 @@
             return fail(ErrorKind::KeyUnknown);
         context.organisation = organisation->name;
         rank = organisation->rank.value_or(rank);
-        if (!m_parts.rates.tryTake(*organisation, now)) {
-            const auto wait = std::max<Duration>(m_parts.rates.retryAfter(organisation->name, now), m_parts.settings.retryAfterMinimum);
-            return tl::unexpected(Error { ErrorKind::RateExceeded, organisation->name, wait });
-        }
+        visit.organisation = organisation;
     }
     context.route = route->name;
     context.idempotent = route->idempotent;
@@ -132,6 +148,7 @@
         visit.target = now + std::min(route->targetLatency, patience);
     visit.maximumEndpoints = route->maximumEndpoints;
     visit.call.service = beliefs.routes()->nextService(*route);
+    budgetFor(visit.call.service).recordSuccess();
     platform::addOrigin(request, context.organisation, m_parts.executor.service());
     return {};
 }
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -59,6 +59,7 @@
         RefPtr<StrictHTTPConnection> connection;
         MeshCall call;
         std::string attemptID;
+        const MeshOrganisation* organisation { nullptr }; // Whose rate it spends; only until it is admitted
         unsigned maximumEndpoints { 1 };
         TimePoint arrived {};
         TimePoint deadline {};
@@ -76,6 +77,7 @@
 
     void handle(const RefPtr<StrictHTTPConnection>&, HTTPRequest, TimePoint now);
     Result<void> identify(Visit&, HTTPRequest&, TimePoint now);
+    void admit(const RefPtr<Visit>&, TimePoint now);
     void place(Visit&, TimePoint now);
     bool send(Visit&, RemoteEndpoint&, TimePoint now);
     void onOutcome(Visit&, MeshOutcome, TimePoint now);
--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -1,12 +1,14 @@
 #include "sidecar/RateExchange.h"
 
 #include "core/Digest.h"
+#include "core/EventLog.h"
 #include "mesh/MeshSettings.h"
 #include "sidecar/MeshBeliefs.h"
 #include "sidecar/MeshLinks.h"
 #include "wire/Frames_generated.h"
 
 #include <cmath>
+#include <set>
 
 namespace shallot {
 
@@ -15,27 +17,26 @@
     , m_beliefs(beliefs)
     , m_links(links)
     , m_ownName(std::move(ownName))
-    , m_buckets(settings)
+    , m_parts(settings)
     , m_ledger(settings)
 {
 }
 
-bool RateExchange::tryTake(const MeshOrganisation& organisation, TimePoint now)
+uint64_t RateExchange::ledgerNumber(const std::string& organisation) const
 {
-    return m_buckets.tryTake(organisation.name, organisation.rate, organisation.burst, m_beliefs.memberCount(), now);
+    return stableHash(organisation) % m_settings.ledgers;
 }
 
-// Rendezvous hashing over the members that can be reached. Members that see different ones ask different owners; each owner
+// Rendezvous hashing over the members that can be reached. Members that see different ones ask different ledgers; each
 // deals only the parts of those that ask it, so the sum stays within the rate.
-const RemoteEndpoint* RateExchange::ownerOf(const std::string& organisation, TimePoint now)
+const RemoteEndpoint* RateExchange::ledgerOf(uint64_t ledger, TimePoint now)
 {
-    const uint64_t bucket = stableHash(organisation) % m_settings.shareOwners;
     const RemoteEndpoint* owner = nullptr;
     uint64_t best = 0;
     for (const auto& [name, endpoint] : m_beliefs.endpoints().all()) {
         if (endpoint.linkFailures && endpoint.avoidUntil > now)
             continue;
-        const auto weight = stableHash(name, bucket);
+        const auto weight = stableHash(name, ledger + 1);
         if (!owner || weight > best) {
             owner = &endpoint;
             best = weight;
@@ -44,45 +45,113 @@
     return owner;
 }
 
-void RateExchange::exchange(TimePoint now)
+RatePlan RateExchange::planOf(const std::string& organisation)
 {
-    std::map<const RemoteEndpoint*, std::vector<RateDemand>> byOwner;
-    for (auto& demand : m_buckets.takeDemands(now)) {
-        if (const auto* owner = ownerOf(demand.organisation, now))
-            byOwner[owner].push_back(std::move(demand));
+    if (!m_beliefs.routes())
+        return {};
+    for (const auto& item : m_beliefs.routes()->configuration().organisations) {
+        if (item.name == organisation)
+            return { item.rate, item.burst };
     }
-    for (const auto& [owner, demands] : byOwner) {
+    return {};
+}
+
+void RateExchange::request(const MeshOrganisation& organisation, TimePoint now, Completion completion)
+{
+    if (organisation.rate <= 0) {
+        completion(true, {});
+        return;
+    }
+    auto& waiting = m_waiting[organisation.name];
+    waiting.plan = { organisation.rate, organisation.burst };
+    waiting.pending.push_back(std::move(completion));
+    if (!waiting.question)
+        ask(organisation.name, waiting, now);
+}
+
+void RateExchange::ask(const std::string& organisation, Waiting& waiting, TimePoint now)
+{
+    waiting.asked = std::exchange(waiting.pending, {});
+    const auto wanted = static_cast<unsigned>(waiting.asked.size());
+    const auto* ledger = ledgerOf(ledgerNumber(organisation), now);
+    if (!ledger) {
+        settle(organisation, waiting, m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.memberCount(), now), now);
+        return;
+    }
+    if (ledger->member.name == m_ownName) {
+        m_ledger.hear(m_ownName, now);
+        settle(organisation, waiting, m_ledger.grant(organisation, wanted, waiting.plan, m_beliefs.memberCount(), now), now);
+        return;
+    }
+    auto request = std::make_unique<wire::LoanRequestT>();
+    request->organisation = organisation;
+    request->waiting = wanted;
+    wire::LoanRequestsT requests;
+    waiting.question = requests.sequence = m_nextQuestion++;
+    requests.requests.push_back(std::move(request));
+    wire::FrameT frame;
+    frame.body.Set(std::move(requests));
+    waiting.timeout.startOnce(m_settings.ledgerTimeout, [this, organisation] { onTimeout(organisation); });
+    if (const auto link = m_links.linkTo(ledger->member.address))
+        link->send(frame);
+}
+
+void RateExchange::settle(const std::string& organisation, Waiting& waiting, const RateGrant& grant, TimePoint now)
+{
+    waiting.question = 0;
+    waiting.timeout.stop();
+    auto settled = std::exchange(waiting.asked, {});
+    for (size_t i = 0; i < settled.size(); ++i)
+        settled[i](i < grant.tokens, grant.retryAfter);
+    if (!waiting.pending.empty() && !waiting.question)
+        ask(organisation, waiting, now);
+}
+
+void RateExchange::onTimeout(const std::string& organisation)
+{
+    auto& waiting = m_waiting[organisation];
+    const auto now = MonotonicClock::now();
+    const auto wanted = static_cast<unsigned>(waiting.asked.size());
+    const auto grant = m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.memberCount(), now);
+    EventLog::write("ledger-silent", { { "organisation", organisation }, { "waiting", wanted }, { "granted", grant.tokens } });
+    settle(organisation, waiting, grant, now);
+}
+
+void RateExchange::greet(TimePoint now)
+{
+    std::set<const RemoteEndpoint*> ledgers;
+    for (uint64_t ledger = 0; ledger < m_settings.ledgers; ++ledger) {
+        if (const auto* owner = ledgerOf(ledger, now))
+            ledgers.insert(owner);
+    }
+    for (const auto* owner : ledgers) {
         if (owner->member.name == m_ownName) {
-            for (const auto& share : m_ledger.grant(m_ownName, demands, m_beliefs.memberCount(), now))
-                m_buckets.applyShare(share, now);
+            m_ledger.hear(m_ownName, now);
             continue;
         }
-        wire::LoanRequestsT requests;
-        for (const auto& demand : demands) {
-            auto request = std::make_unique<wire::LoanRequestT>();
-            request->organisation = demand.organisation;
-            request->demand = demand.perSecond;
-            requests.requests.push_back(std::move(request));
-        }
         wire::FrameT frame;
-        frame.body.Set(std::move(requests));
+        frame.body.Set(wire::LoanRequestsT {});
         if (const auto link = m_links.linkTo(owner->member.address))
             link->send(frame);
     }
 }
 
-void RateExchange::onDemands(PeerLink& link, const wire::LoanRequestsT& requests, TimePoint now)
+void RateExchange::onRequests(PeerLink& link, const wire::LoanRequestsT& requests, TimePoint now)
 {
-    std::vector<RateDemand> demands;
-    for (const auto& request : requests.requests) {
-        if (request && std::isfinite(request->demand) && request->demand >= 0)
-            demands.push_back({ request->organisation, request->demand });
-    }
+    m_ledger.hear(link.peer(), now);
+    if (requests.requests.empty())
+        return;
     wire::LoansT loans;
-    for (const auto& share : m_ledger.grant(link.peer(), demands, m_beliefs.memberCount(), now)) {
+    loans.sequence = requests.sequence;
+    for (const auto& request : requests.requests) {
+        if (!request)
+            continue;
+        const auto plan = planOf(request->organisation);
+        const auto grant = m_ledger.grant(request->organisation, request->waiting, plan, m_beliefs.memberCount(), now);
         auto loan = std::make_unique<wire::LoanT>();
-        loan->organisation = share.organisation;
-        loan->rate = share.part;
+        loan->organisation = request->organisation;
+        loan->tokens = grant.tokens;
+        loan->retry_after_us = static_cast<uint64_t>(grant.retryAfter.count());
         loans.loans.push_back(std::move(loan));
     }
     wire::FrameT frame;
@@ -90,11 +159,16 @@
     link.send(frame);
 }
 
-void RateExchange::onShares(const wire::LoansT& loans, TimePoint now)
+void RateExchange::onGrants(const wire::LoansT& loans, TimePoint now)
 {
     for (const auto& loan : loans.loans) {
-        if (loan && std::isfinite(loan->rate))
-            m_buckets.applyShare({ loan->organisation, loan->rate }, now);
+        if (!loan || !std::isfinite(loan->tokens) || loan->tokens < 0)
+            continue;
+        const auto found = m_waiting.find(loan->organisation);
+        if (found == m_waiting.end() || found->second.question != loans.sequence)
+            continue; // Settled by the time-out
+        const RateGrant grant { static_cast<unsigned>(loan->tokens), Duration(static_cast<int64_t>(loan->retry_after_us)) };
+        settle(found->first, found->second, grant, now);
     }
 }
 
--- a/Source/sidecar/RateExchange.h
+++ b/Source/sidecar/RateExchange.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "mesh/RateShares.h"
+#include "net/MainLoop.h"
 
+#include <deque>
+#include <functional>
 #include <string>
 
 namespace shallot {
@@ -17,28 +20,46 @@
 struct MeshOrganisation;
 struct RemoteEndpoint;
 
-// Carries demands to the daemons that keep the organisations' ledgers, and shares back.
+// Asks the ledgers for tokens on behalf of waiting requests, and answers for the ledgers kept here. Requests of one
+// organisation that wait together are asked for together, so a busy organisation costs few messages.
 class RateExchange {
 public:
-    RateExchange(const MeshSettings&, MeshBeliefs&, MeshLinks&, std::string ownName);
+    // Whether the request has a token; if not, when to come back.
+    using Completion = std::function<void(bool, Duration retryAfter)>;
 
-    // Whether the organisation has room for one more request.
-    bool tryTake(const MeshOrganisation&, TimePoint now);
-    Duration retryAfter(const std::string& organisation, TimePoint now) const { return m_buckets.retryAfter(organisation, now); }
+    RateExchange(const MeshSettings&, MeshBeliefs&, MeshLinks&, std::string ownName);
 
-    void exchange(TimePoint now);
-    void onDemands(PeerLink&, const wire::LoanRequestsT&, TimePoint now);
-    void onShares(const wire::LoansT&, TimePoint now);
+    // The completion is called once, perhaps before this returns, and within MeshSettings::ledgerTimeout.
+    void request(const MeshOrganisation&, TimePoint now, Completion);
+    // Lets every ledger know that this member asks it.
+    void greet(TimePoint now);
+    void onRequests(PeerLink&, const wire::LoanRequestsT&, TimePoint now);
+    void onGrants(const wire::LoansT&, TimePoint now);
 
 private:
-    const RemoteEndpoint* ownerOf(const std::string& organisation, TimePoint now);
+    struct Waiting {
+        std::deque<Completion> asked;   // The ledger's answer decides these
+        std::deque<Completion> pending; // Arrived since that question
+        uint64_t question { 0 };        // Sequence of the open question; 0: none
+        RatePlan plan;
+        Timer timeout;
+    };
+
+    const RemoteEndpoint* ledgerOf(uint64_t ledger, TimePoint now);
+    uint64_t ledgerNumber(const std::string& organisation) const;
+    RatePlan planOf(const std::string& organisation);
+    void ask(const std::string& organisation, Waiting&, TimePoint now);
+    void settle(const std::string& organisation, Waiting&, const RateGrant&, TimePoint now);
+    void onTimeout(const std::string& organisation);
 
     const MeshSettings& m_settings;
     MeshBeliefs& m_beliefs;
     MeshLinks& m_links;
     std::string m_ownName;
-    RateBuckets m_buckets;
+    RateParts m_parts;
     RateLedger m_ledger;
+    std::map<std::string, Waiting> m_waiting; // By organisation
+    uint64_t m_nextQuestion { 1 };
 };
 
 } // namespace shallot
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -21,7 +21,7 @@
 namespace {
 
 constexpr auto tickInterval = 250ms;      // Watches links; several times within the shortest time-out that it enforces
-constexpr uint64_t ticksPerExchange = 2;  // Shares, proofs and logs: each half second
+constexpr uint64_t ticksPerGreeting = 2;  // Ledgers, proofs and logs: each half second
 constexpr auto configurationHold = 1500ms; // Age at which knowledge of the configuration is renewed; a third of its limit
 constexpr auto memberHold = 20s;          // News of members also comes over links, so a silent read costs little
 constexpr auto readTimeout = 700ms;       // Beyond the hold; the store answers within milliseconds
@@ -212,10 +212,10 @@
         m_ingress.onAnswer(link, *answer);
     else if (const auto* cancel = frame.body.AsCancel())
         cancelCall(link, *cancel);
-    else if (const auto* demands = frame.body.AsLoanRequests())
-        m_rates.onDemands(link, *demands, now);
-    else if (const auto* shares = frame.body.AsLoans())
-        m_rates.onShares(*shares, now);
+    else if (const auto* requests = frame.body.AsLoanRequests())
+        m_rates.onRequests(link, *requests, now);
+    else if (const auto* grants = frame.body.AsLoans())
+        m_rates.onGrants(*grants, now);
     else if (const auto* question = frame.body.AsRecordsRequest())
         answerProof(link, *question);
     else if (const auto* proof = frame.body.AsRecords())
@@ -351,10 +351,10 @@
 {
     const auto now = MonotonicClock::now();
     m_links.tick(now);
-    if (++m_ticks % ticksPerExchange)
+    if (++m_ticks % ticksPerGreeting)
         return;
     m_executor.tick();
-    m_rates.exchange(now);
+    m_rates.greet(now);
     askPeersForProof(now);
     EventLog::flush();
 }
