Shed at the root of the call graph by the waits that its calls meet

Ruled out: placing (busiest endpoint 1.2 to 1.4 of the mean), queue bound at status. Change: calls are matched to the run that makes them; answers carry the longest wait on their path; RootGuard limits the requests at work for each route and priority by it.

--- a/Source/mesh/MeshCall.h
+++ b/Source/mesh/MeshCall.h
@@ -28,12 +28,20 @@
 
 using MeshCompletion = std::function<void(MeshOutcome)>;
 
-// Rank of a call in queues and when load is shed: the backend servers' own calls go first, because refusing one wastes
-// the request that made it; then requests by their rank, 0 before 1.
-constexpr uint8_t innerCallPriority = priorityClasses - 1;
+// Priority of a call in queues, higher first. It follows the request at the root of the call graph, so that a whole graph is
+// served or shed together; of two equal ones a backend server's own call goes first, because refusing it wastes its parent.
 constexpr uint8_t priorityOfRank(uint8_t rank)
 {
-    return rank >= innerCallPriority ? 0 : static_cast<uint8_t>(innerCallPriority - 1 - rank);
+    constexpr uint8_t lowestRank = priorityClasses / 2 - 1; // Less urgent ranks share the lowest class
+    return static_cast<uint8_t>(2 * (lowestRank - (rank < lowestRank ? rank : lowestRank)));
+}
+constexpr uint8_t innerPriority(uint8_t parentPriority)
+{
+    return parentPriority | 1U;
+}
+constexpr bool isInnerPriority(uint8_t priority)
+{
+    return priority & 1U;
 }
 
 } // namespace shallot
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -37,6 +37,14 @@
     double serviceTimeWeight { 0.05 };  // Weight of the newest run in the average
     Duration announcementLapse { 5s };  // Silent for three announcement intervals: gone
 
+    // Shedding at the root of a call graph
+    Duration pressureTarget { 20ms };  // Wait at a service below that is no sign of overload; half of a short run
+    Duration pressureWindow { 200ms }; // Between two changes of a limit; about half of a call graph's time
+    double pressureDecreaseFloor { 0.6 }; // Largest cut in one window
+    double pressureIncrease { 1.08 };  // Growth in a window without pressure
+    Duration pressureLifetime { 1s };  // A pressure not renewed for longer is gone
+    double returningShare { 1.25 };    // Of the limit, for requests that come back as they were told
+
     // Keys
     Duration keyStaleness { 5s };          // Deployment: how long a withdrawn key may still work
     Duration keyStalenessMargin { 400ms }; // For the time between the check and the arrival at the backend server
--- /dev/null
+++ b/Source/mesh/ReturnList.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/Time.h"
+
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+
+namespace shallot {
+
+// Refused requests that were told when to come back, so that they go before new ones when they do.
+class ReturnList {
+public:
+    void expect(uint64_t fingerprint, Duration retryAfter, TimePoint now);
+    // Whether the request was told to come back; each promise counts once.
+    bool take(uint64_t fingerprint, TimePoint now);
+
+private:
+    struct Promise {
+        uint64_t fingerprint { 0 };
+        TimePoint until {};
+    };
+
+    void expire(TimePoint now);
+
+    std::deque<Promise> m_order;
+    std::unordered_map<uint64_t, uint32_t> m_counts; // Open promises by fingerprint
+};
+
+} // namespace shallot
--- /dev/null
+++ b/Source/mesh/RootGuard.cpp
@@ -0,0 +1,78 @@
+#include "mesh/RootGuard.h"
+
+#include "mesh/MeshSettings.h"
+
+#include <algorithm>
+
+namespace shallot {
+
+namespace {
+
+constexpr double waitWeight = 0.1;     // Weight of the newest wait in the average
+constexpr double smallestLimit = 1;    // One request at work keeps telling how long the waits are
+constexpr double unboundedLimit = 1e6; // The limit is lifted once it has grown this far above what is used
+constexpr double liftFactor = 4;
+
+} // namespace
+
+void RootGuard::adapt(Flow& flow, TimePoint now) const
+{
+    if (now - flow.changedAt < m_settings.pressureWindow)
+        return;
+    flow.changedAt = now;
+    const double target = toSeconds(m_settings.pressureTarget);
+    const double wait = now - flow.reportedAt < m_settings.pressureLifetime ? flow.wait : 0;
+    if (wait > target) {
+        const double used = std::max<double>(smallestLimit, flow.running);
+        const double base = flow.limit > 0 ? std::min(flow.limit, used * m_settings.returningShare) : used;
+        flow.limit = std::max(smallestLimit, base * std::max(m_settings.pressureDecreaseFloor, target / wait));
+        return;
+    }
+    if (flow.limit <= 0)
+        return;
+    flow.limit = std::min(unboundedLimit, flow.limit * m_settings.pressureIncrease + 0.2);
+    if (flow.limit > liftFactor * (flow.running + 1) && flow.limit > liftFactor)
+        flow.limit = 0;
+}
+
+bool RootGuard::admits(const std::string& route, uint8_t priority, bool returning, TimePoint now)
+{
+    const auto found = m_flows.find({ route, priority });
+    if (found == m_flows.end())
+        return true;
+    auto& flow = found->second;
+    adapt(flow, now);
+    if (flow.limit <= 0)
+        return true;
+    return flow.running < flow.limit * (returning ? m_settings.returningShare : 1);
+}
+
+void RootGuard::recordStart(const std::string& route, uint8_t priority)
+{
+    ++m_flows[{ route, priority }].running;
+}
+
+void RootGuard::recordEnd(const std::string& route, uint8_t priority)
+{
+    auto& running = m_flows[{ route, priority }].running;
+    running -= running ? 1 : 0;
+}
+
+void RootGuard::recordPressure(const std::string& route, uint8_t priority, Duration wait, TimePoint now)
+{
+    auto& flow = m_flows[{ route, priority }];
+    const bool stale = now - flow.reportedAt > m_settings.pressureLifetime;
+    flow.wait = stale ? toSeconds(wait) : flow.wait + waitWeight * (toSeconds(wait) - flow.wait);
+    flow.reportedAt = now;
+    adapt(flow, now);
+}
+
+Duration RootGuard::pressure(const std::string& route, uint8_t priority, TimePoint now) const
+{
+    const auto found = m_flows.find({ route, priority });
+    if (found == m_flows.end() || now - found->second.reportedAt > m_settings.pressureLifetime)
+        return {};
+    return fromSeconds(found->second.wait);
+}
+
+} // namespace shallot
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -1,6 +1,6 @@
 // Index of this file
 //   Announcements:  announce, announceLeave, verifyInstance, isAvailable
-//   Admission:      submit, refusalFor, runNext
+//   Admission:      submit, refusalFor, runNext, findParent, recordPressure
 //   Runs:           run, onResponse, finish, refuse, cancel, onDue
 
 #include "sidecar/EndpointExecutor.h"
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr auto deadlineGrace = 20ms; // The backend server ends at its deadline by itself; its answer gets this much longer
+constexpr auto inheritedDeadlineTolerance = 3ms; // Deadlines travel in whole milliseconds
 constexpr auto probeTimeout = 1s;    // Of the health question after a start; several times a probe's usual few milliseconds
 
 } // namespace
@@ -23,6 +24,7 @@
     : m_settings(settings)
     , m_host(backendServer.toString())
     , m_queue(settings)
+    , m_guard(settings)
     , m_deadlines([this](uint64_t id) { onDue(id); })
 {
     m_pool.setAddress(backendServer);
@@ -148,6 +150,11 @@
         refuse(*live, refusal, now);
         return id;
     }
+    const auto& context = live->call.context;
+    if (!isInnerPriority(context.priority) && !m_guard.admits(context.route, context.priority, live->call.returning, now)) {
+        refuse(*live, ErrorKind::Overloaded, now);
+        return id;
+    }
     const auto service = m_queue.serviceTime();
     const auto target = live->call.targetLatency > Duration::zero() ? live->call.targetLatency : live->call.context.remaining;
     const auto patience = std::min(target - service, live->call.context.remaining - service);
@@ -184,6 +191,31 @@
     }
 }
 
+// Callers that name their calls after the request that makes them are matched by name, the others by the deadline that a
+// call inherits.
+std::optional<ParentRun> EndpointExecutor::findParent(std::string_view attemptID, Duration remaining, TimePoint now) const
+{
+    const auto toParent = [this](uint64_t id) {
+        const auto& context = m_calls.at(id)->call.context;
+        return ParentRun { context.route, context.priority, context.hops };
+    };
+    if (const auto dot = attemptID.rfind('.'); dot != std::string_view::npos) {
+        if (const auto found = m_running.find(std::string(attemptID.substr(0, dot))); found != m_running.end())
+            return toParent(found->second);
+    }
+    for (const auto& [name, id] : m_running) {
+        const auto difference = m_calls.at(id)->deadline - (now + remaining);
+        if (difference > -inheritedDeadlineTolerance && difference < inheritedDeadlineTolerance)
+            return toParent(id);
+    }
+    return std::nullopt;
+}
+
+void EndpointExecutor::recordPressure(const ParentRun& parent, Duration wait, TimePoint now)
+{
+    m_guard.recordPressure(parent.route, parent.priority, wait, now);
+}
+
 // Runs
 
 void EndpointExecutor::run(LiveRun& live, TimePoint now)
@@ -195,6 +227,9 @@
     m_deadlines.set(live.item.id, live.deadline + deadlineGrace);
     HTTPRequest request = std::move(live.call.request);
     const std::string attemptID(platform::attemptIDOf(request.headers));
+    live.attemptID = attemptID;
+    m_running[attemptID] = live.item.id;
+    m_guard.recordStart(live.call.context.route, live.call.context.priority);
     platform::addDelivery(request, live.deadline - now, m_announcement.instance);
     const auto id = live.item.id;
     m_pool.send(
@@ -254,10 +289,18 @@
     m_queue.remove(live.item);
     m_calls.erase(live.item.id);
     m_deadlines.remove(live.item.id);
-    if (std::exchange(live.running, false))
+    const auto& context = live.call.context;
+    if (std::exchange(live.running, false)) {
         m_queue.recordEnd();
-    if (const auto completion = std::exchange(live.completion, nullptr))
-        completion({ std::move(response), report(now), arrived });
+        m_running.erase(live.attemptID);
+        m_guard.recordEnd(context.route, context.priority);
+    }
+    if (const auto completion = std::exchange(live.completion, nullptr)) {
+        auto ownReport = report(now);
+        ownReport.pressure
+            = std::max(m_queue.expectedWait(context.priority), m_guard.pressure(context.route, context.priority, now));
+        completion({ std::move(response), ownReport, arrived });
+    }
     runNext(now);
 }
 
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -4,17 +4,27 @@
 #include "mesh/EndpointAnnouncement.h"
 #include "mesh/EndpointQueue.h"
 #include "mesh/MeshCall.h"
+#include "mesh/RootGuard.h"
 #include "net/DeadlineQueue.h"
 #include "net/HTTPPool.h"
 #include "net/MainLoop.h"
 
 #include <memory>
+#include <optional>
+#include <string_view>
 #include <unordered_map>
 
 namespace shallot {
 
 struct MeshSettings;
 
+// The run that made a call.
+struct ParentRun {
+    std::string route;
+    uint8_t priority { 0 };
+    uint8_t hops { 0 };
+};
+
 // The only way to the backend server beside this daemon, so its decisions are strict: who runs, who waits, who is refused,
 // and whether a request has run.
 class EndpointExecutor {
@@ -26,6 +36,11 @@
     uint64_t submit(MeshCall, TimePoint now, MeshCompletion);
     void cancel(uint64_t id);
 
+    // The run at the backend server that makes a call with that id and that much time left; nothing when a caller makes it.
+    std::optional<ParentRun> findParent(std::string_view attemptID, Duration remaining, TimePoint now) const;
+    // A call made by such a run met this wait.
+    void recordPressure(const ParentRun&, Duration wait, TimePoint now);
+
     // The backend server's word. Stale announcements change nothing.
     void announce(const EndpointAnnouncement&, TimePoint now);
     void announceLeave(const std::string& instance, TimePoint now);
@@ -46,6 +61,7 @@
         QueueItem item;
         MeshCall call;
         MeshCompletion completion;
+        std::string attemptID;
         TimePoint deadline {};
         TimePoint started {};
         bool running { false };
@@ -66,7 +82,9 @@
     HTTPPool m_pool;
     HTTPPool m_probes;
     EndpointQueue m_queue;
+    RootGuard m_guard;
     std::unordered_map<uint64_t, RefPtr<LiveRun>> m_calls;
+    std::unordered_map<std::string, uint64_t> m_running; // By attempt, while at the backend server
     DeadlineQueue m_deadlines;
     EndpointAnnouncement m_announcement;
     std::string m_healthPath;
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -40,6 +40,7 @@
     body->queued = outcome.report.queued;
     body->limit = outcome.report.limit;
     body->service_us = toMicroseconds(outcome.report.serviceTime);
+    body->pressure_us = toMicroseconds(outcome.report.pressure);
     body->arrived = outcome.arrived;
     return frame;
 }
@@ -58,7 +59,7 @@
 MeshOutcome readMeshOutcome(wire::AnswerT& answer)
 {
     const EndpointReport report { !answer.unavailable, answer.in_flight, answer.queued, std::max(1U, answer.limit),
-        fromMicroseconds(answer.service_us) };
+        fromMicroseconds(answer.service_us), fromMicroseconds(answer.pressure_us) };
     const bool arrived = answer.arrived;
     return { readOutcome(answer).response, report, arrived };
 }
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -10,7 +10,7 @@
 #include "daemon/CallFrames.h"
 #include "mesh/MeshSettings.h"
 #include "platform/RequestCodec.h"
-#include "sidecar/EndpointExecutor.h"
+#include "policy/CrashFingerprints.h"
 #include "sidecar/MeshBeliefs.h"
 #include "sidecar/MeshFrames.h"
 #include "sidecar/MeshLinks.h"
@@ -123,7 +123,6 @@
     const auto* route = beliefs.routes()->find(caller->host, request.target);
     if (!route)
         return fail(ErrorKind::RouteUnknown);
-    const bool isInner = visit.connection->peerHost() == m_parts.ownHost;
     auto& context = visit.call.context;
     uint8_t rank = route->rank;
     if (!route->open) {
@@ -141,11 +140,17 @@
     }
     context.route = route->name;
     context.idempotent = route->idempotent;
-    context.priority = isInner ? innerCallPriority : priorityOfRank(rank);
     const auto patience = std::min(caller->patience.value_or(route->timeLimit), route->timeLimit);
     visit.deadline = now + patience;
-    if (!isInner)
+    if (caller->key.empty())
+        visit.parent = m_parts.executor.findParent(caller->attemptID, patience, now);
+    context.priority = visit.parent ? innerPriority(visit.parent->priority) : priorityOfRank(rank);
+    context.hops = visit.parent ? static_cast<uint8_t>(visit.parent->hops + 1) : 0;
+    if (!visit.parent) {
         visit.target = now + std::min(route->targetLatency, patience);
+        visit.fingerprint = requestFingerprint(context.organisation, request.method, request.target, request.body);
+        visit.call.returning = m_returns.take(visit.fingerprint, now);
+    }
     visit.maximumEndpoints = route->maximumEndpoints;
     visit.call.service = beliefs.routes()->nextService(*route);
     budgetFor(visit.call.service).recordSuccess();
@@ -267,6 +272,8 @@
     endAttempt(visit);
     auto& endpoints = m_parts.beliefs.endpoints();
     endpoints.recordReport(visit.member, outcome.report, now);
+    if (visit.parent)
+        m_parts.executor.recordPressure(*visit.parent, outcome.report.pressure, now);
     if (outcome.response || outcome.arrived)
         ++visit.arrivals;
     const bool isError = !outcome.response || outcome.response->status >= 500;
@@ -305,7 +312,9 @@
         if (kind == ErrorKind::TimedOut || kind == ErrorKind::Cancelled || kind == ErrorKind::ExpiredInQueue)
             return false;
         if (!outcome.arrived) {
-            if (visit.reroutes >= m_parts.settings.reroutes)
+            // Where a service below is overloaded, the other backend servers of this one refuse as well.
+            const bool belowOverloaded = !visit.parent && outcome.report.pressure > m_parts.settings.pressureTarget;
+            if (visit.reroutes >= m_parts.settings.reroutes || (kind == ErrorKind::Overloaded && belowOverloaded))
                 return false;
             ++visit.reroutes;
             return true;
@@ -331,12 +340,14 @@
     const auto& context = visit.call.context;
     const auto kind = response ? ErrorKind::None : response.error().kind;
     m_parts.metrics.record(context.route, kind, now - visit.arrived);
+    if (!response && response.error().retryAfter > Duration::zero() && visit.fingerprint)
+        m_returns.expect(visit.fingerprint, response.error().retryAfter, now);
     EventLog::write("request",
         { { "request", visit.attemptID }, { "route", context.route }, { "organisation", context.organisation },
             { "service", visit.call.service }, { "priority", context.priority }, { "member", visit.member },
             { "outcome", response ? "answered" : errorAnswer(kind).name }, { "status", response ? response->status : 0 },
             { "detail", response ? std::string_view {} : std::string_view(response.error().detail) },
-            { "ms", toSeconds(now - visit.arrived) * 1000 }, { "tried", visit.tried.size() }, { "arrivals", visit.arrivals },
+            { "ms", toSeconds(now - visit.arrived) * 1000 }, { "returning", visit.call.returning }, { "hops", context.hops }, { "tried", visit.tried.size() }, { "arrivals", visit.arrivals },
             { "configuration", m_parts.beliefs.version() } });
     const auto connection = std::exchange(visit.connection, nullptr);
     connection->respond(response ? *response : platform::makeFailure(response.error(), visit.attemptID), m_leaving, now);
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -7,6 +7,8 @@
 #include "net/DeadlineQueue.h"
 #include "net/StrictHTTPServer.h"
 #include "policy/RetryBudget.h"
+#include "mesh/ReturnList.h"
+#include "sidecar/EndpointExecutor.h"
 
 #include <map>
 #include <optional>
@@ -18,7 +20,6 @@
 struct AnswerT;
 }
 
-class EndpointExecutor;
 class MeshBeliefs;
 class MeshLinks;
 class MeshMetrics;
@@ -35,7 +36,6 @@
     RateExchange& rates;
     MeshMetrics& metrics;
     std::string ownName;
-    std::string ownHost; // IP number of this instance: calls from there are the backend server's own
 };
 
 // Callers' side: identifies each request, spends its organisation's rate, places it on a backend server, repeats what may be
@@ -60,6 +60,8 @@
         MeshCall call;
         std::string attemptID;
         const MeshOrganisation* organisation { nullptr }; // Whose rate it spends; only until it is admitted
+        std::optional<ParentRun> parent; // The run that makes this call; nothing for a caller's request
+        uint64_t fingerprint { 0 };      // Same for a request that comes back
         unsigned maximumEndpoints { 1 };
         TimePoint arrived {};
         TimePoint deadline {};
@@ -96,6 +98,7 @@
     std::unordered_map<uint64_t, RefPtr<Visit>> m_attempts; // By attempt, as frames carry it
     std::unordered_map<StrictHTTPConnection*, uint64_t> m_byConnection;
     std::map<std::string, RetryBudget> m_budgets; // By service
+    ReturnList m_returns;
     DeadlineQueue m_deadlines;
     uint64_t m_nextID { 1 };
     bool m_leaving { false };
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -61,7 +61,7 @@
               [this] { return m_executor.report(MonotonicClock::now()); } })
     , m_executor(settings, m_instance.backendServer, m_instance.service)
     , m_rates(settings, m_beliefs, m_links, m_own.name)
-    , m_ingress({ settings, m_beliefs, m_links, m_executor, m_rates, m_metrics, m_own.name, m_instance.callers.host })
+    , m_ingress({ settings, m_beliefs, m_links, m_executor, m_rates, m_metrics, m_own.name })
     , m_store(m_instance.store)
     , m_configurationFollower(m_store, configurationFollow(),
           { [this](const platform::KeyedRecord& record) {
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -997,6 +997,7 @@
   uint32_t queued = 0;
   uint64_t service_us = 0;
   bool unavailable = false;
+  uint64_t pressure_us = 0;
   bool arrived = false;
   AnswerT() = default;
   AnswerT(const AnswerT &o);
@@ -1023,7 +1024,8 @@
     VT_QUEUED = 26,
     VT_SERVICE_US = 28,
     VT_UNAVAILABLE = 30,
-    VT_ARRIVED = 32
+    VT_PRESSURE_US = 32,
+    VT_ARRIVED = 34
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1067,6 +1069,9 @@
   bool unavailable() const {
     return GetField<uint8_t>(VT_UNAVAILABLE, 0) != 0;
   }
+  uint64_t pressure_us() const {
+    return GetField<uint64_t>(VT_PRESSURE_US, 0);
+  }
   bool arrived() const {
     return GetField<uint8_t>(VT_ARRIVED, 0) != 0;
   }
@@ -1090,6 +1095,7 @@
            VerifyField<uint32_t>(verifier, VT_QUEUED, 4) &&
            VerifyField<uint64_t>(verifier, VT_SERVICE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_UNAVAILABLE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_PRESSURE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_ARRIVED, 1) &&
            verifier.EndTable();
   }
@@ -1144,6 +1150,9 @@
   void add_unavailable(bool unavailable) {
     fbb_.AddElement<uint8_t>(Answer::VT_UNAVAILABLE, static_cast<uint8_t>(unavailable), 0);
   }
+  void add_pressure_us(uint64_t pressure_us) {
+    fbb_.AddElement<uint64_t>(Answer::VT_PRESSURE_US, pressure_us, 0);
+  }
   void add_arrived(bool arrived) {
     fbb_.AddElement<uint8_t>(Answer::VT_ARRIVED, static_cast<uint8_t>(arrived), 0);
   }
@@ -1174,8 +1183,10 @@
     uint32_t queued = 0,
     uint64_t service_us = 0,
     bool unavailable = false,
+    uint64_t pressure_us = 0,
     bool arrived = false) {
   AnswerBuilder builder_(_fbb);
+  builder_.add_pressure_us(pressure_us);
   builder_.add_service_us(service_us);
   builder_.add_retry_after_us(retry_after_us);
   builder_.add_id(id);
@@ -1215,6 +1226,7 @@
     uint32_t queued = 0,
     uint64_t service_us = 0,
     bool unavailable = false,
+    uint64_t pressure_us = 0,
     bool arrived = false) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -1235,6 +1247,7 @@
       queued,
       service_us,
       unavailable,
+      pressure_us,
       arrived);
 }
 
@@ -3190,6 +3203,7 @@
         queued(o.queued),
         service_us(o.service_us),
         unavailable(o.unavailable),
+        pressure_us(o.pressure_us),
         arrived(o.arrived) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new shallot::wire::HeaderT(*headers_) : nullptr); }
@@ -3210,6 +3224,7 @@
   std::swap(queued, o.queued);
   std::swap(service_us, o.service_us);
   std::swap(unavailable, o.unavailable);
+  std::swap(pressure_us, o.pressure_us);
   std::swap(arrived, o.arrived);
   return *this;
 }
@@ -3237,6 +3252,7 @@
   { auto _e = queued(); _o->queued = _e; }
   { auto _e = service_us(); _o->service_us = _e; }
   { auto _e = unavailable(); _o->unavailable = _e; }
+  { auto _e = pressure_us(); _o->pressure_us = _e; }
   { auto _e = arrived(); _o->arrived = _e; }
 }
 
@@ -3262,6 +3278,7 @@
   auto _queued = _o->queued;
   auto _service_us = _o->service_us;
   auto _unavailable = _o->unavailable;
+  auto _pressure_us = _o->pressure_us;
   auto _arrived = _o->arrived;
   return shallot::wire::CreateAnswer(
       _fbb,
@@ -3279,6 +3296,7 @@
       _queued,
       _service_us,
       _unavailable,
+      _pressure_us,
       _arrived);
 }
 
