--- a/Source/core/RequestContext.h
+++ b/Source/core/RequestContext.h
@@ -22,6 +22,7 @@
 };
 
 constexpr uint8_t maximumHops = 32;
-constexpr uint8_t priorityClasses = 8;
+constexpr uint8_t priorityClasses = 8; // That a route can have
+constexpr uint8_t queueClasses = 16;   // That queues tell apart; on the mesh, inner calls have classes of their own
 
 } // namespace shallot
--- a/Source/daemon/CallFrames.cpp
+++ b/Source/daemon/CallFrames.cpp
@@ -94,7 +94,7 @@
     context.id = { call.request_high, call.request_low };
     context.organisation = call.organisation;
     context.route = call.route;
-    context.priority = std::min<uint8_t>(call.priority, priorityClasses - 1);
+    context.priority = std::min<uint8_t>(call.priority, queueClasses - 1);
     context.score = std::isfinite(call.score) ? std::clamp(call.score, 0.0F, static_cast<float>(priorityClasses)) : 0;
     constexpr uint64_t longestRemainingUs = 600'000'000;
     context.remaining = Duration(static_cast<int64_t>(std::min(call.remaining_us, longestRemainingUs)));
--- a/Source/mesh/EndpointQueue.cpp
+++ b/Source/mesh/EndpointQueue.cpp
@@ -14,7 +14,7 @@
 Duration EndpointQueue::expectedWait(uint8_t priority) const
 {
     uint32_t ahead = 0;
-    for (size_t i = priority; i < priorityClasses; ++i)
+    for (size_t i = priority; i < queueClasses; ++i)
         ahead += m_waiting[i];
     const auto service = m_serviceTime > Duration::zero() ? m_serviceTime : m_settings.assumedServiceTime;
     if (!ahead && m_running < m_limit)
--- a/Source/mesh/EndpointQueue.h
+++ b/Source/mesh/EndpointQueue.h
@@ -56,7 +56,7 @@
 private:
     const MeshSettings& m_settings;
     RequestQueue m_queue;
-    std::array<uint32_t, priorityClasses> m_waiting {}; // By priority
+    std::array<uint32_t, queueClasses> m_waiting {}; // By priority
     uint32_t m_limit { 1 };
     uint32_t m_running { 0 };
     Duration m_serviceTime {};
--- a/Source/mesh/MeshCall.h
+++ b/Source/mesh/MeshCall.h
@@ -30,9 +30,9 @@
 
 // Priority of a call in queues, higher first. It follows the request at the root of the call graph, so that a whole graph is
 // served or shed together; of two equal ones a backend server's own call goes first, because refusing it wastes its parent.
-constexpr uint8_t priorityOfRank(uint8_t rank)
+constexpr uint8_t priorityOfRank(unsigned rank)
 {
-    constexpr uint8_t lowestRank = priorityClasses / 2 - 1; // Less urgent ranks share the lowest class
+    constexpr unsigned lowestRank = queueClasses / 2 - 1; // Less urgent ranks share the lowest class
     return static_cast<uint8_t>(2 * (lowestRank - (rank < lowestRank ? rank : lowestRank)));
 }
 constexpr uint8_t innerPriority(uint8_t parentPriority)
--- a/Source/mesh/RouteTable.cpp
+++ b/Source/mesh/RouteTable.cpp
@@ -13,10 +13,14 @@
         std::stable_sort(routes.begin(), routes.end(),
             [](const auto* a, const auto* b) { return a->pathPrefix.size() > b->pathPrefix.size(); });
     }
+    std::optional<uint8_t> firstRank;
     for (const auto& organisation : m_configuration.organisations) {
+        if (organisation.rank)
+            firstRank = std::min(firstRank.value_or(*organisation.rank), *organisation.rank);
         for (const auto& key : organisation.keys)
             m_keys[key] = &organisation;
     }
+    m_firstOrganisationRank = firstRank.value_or(0);
 }
 
 const MeshRoute* RouteTable::find(std::string_view host, std::string_view path) const
@@ -38,6 +42,15 @@
     return found == m_keys.end() ? nullptr : found->second;
 }
 
+unsigned RouteTable::rankOf(const MeshRoute& route, const MeshOrganisation* organisation) const
+{
+    constexpr unsigned routeRanks = 3; // That are told apart within one organisation's rank
+    const unsigned routeRank = std::min<unsigned>(route.rank, routeRanks - 1);
+    if (!organisation || !organisation->rank)
+        return routeRank;
+    return (*organisation->rank - m_firstOrganisationRank) * routeRanks + routeRank;
+}
+
 const MeshService* RouteTable::findService(std::string_view name) const
 {
     for (const auto& service : m_configuration.services) {
--- a/Source/policy/RequestQueue.cpp
+++ b/Source/policy/RequestQueue.cpp
@@ -6,7 +6,7 @@
 
 void RequestQueue::push(QueueItem& item)
 {
-    auto& classQueue = m_classes[std::min<size_t>(item.priority, priorityClasses - 1)];
+    auto& classQueue = m_classes[std::min<size_t>(item.priority, queueClasses - 1)];
     auto& queue = classQueue.organisations[item.organisation];
     queue.items.push_back(item);
     item.queued = true;
@@ -18,7 +18,7 @@
 void RequestQueue::remove(QueueItem& item)
 {
     if (item.queued)
-        unlink(m_classes[std::min<size_t>(item.priority, priorityClasses - 1)], item.organisation, item);
+        unlink(m_classes[std::min<size_t>(item.priority, queueClasses - 1)], item.organisation, item);
 }
 
 void RequestQueue::unlink(ClassQueue& classQueue, const std::string& organisation, QueueItem& item)
@@ -35,7 +35,7 @@
 
 QueueItem* RequestQueue::pop()
 {
-    for (size_t i = priorityClasses; i-- > 0;) {
+    for (size_t i = queueClasses; i-- > 0;) {
         if (m_classes[i].length)
             return popFrom(m_classes[i]);
     }
--- a/Source/policy/RequestQueue.h
+++ b/Source/policy/RequestQueue.h
@@ -53,7 +53,7 @@
     void unlink(ClassQueue&, const std::string& organisation, QueueItem&);
     QueueItem* popFrom(ClassQueue&);
 
-    std::array<ClassQueue, priorityClasses> m_classes;
+    std::array<ClassQueue, queueClasses> m_classes;
     size_t m_size { 0 };
 };
 
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -158,7 +158,7 @@
     const auto service = m_queue.serviceTime();
     const auto target = live->call.targetLatency > Duration::zero() ? live->call.targetLatency : live->call.context.remaining;
     const auto patience = std::min(target - service, live->call.context.remaining - service);
-    live->item.deadline = now + std::max(Duration::zero(), live->call.context.remaining - service / 2);
+    live->item.deadline = now + std::max(Duration::zero(), live->call.context.remaining - service);
     switch (m_queue.decide(live->item.priority, patience)) {
     case QueueDecision::Run:
         run(*live, now);
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -124,7 +124,6 @@
     if (!route)
         return fail(ErrorKind::RouteUnknown);
     auto& context = visit.call.context;
-    uint8_t rank = route->rank;
     if (!route->open) {
         if (caller->key.empty())
             return fail(ErrorKind::KeyMissing);
@@ -135,7 +134,6 @@
         if (!organisation)
             return fail(ErrorKind::KeyUnknown);
         context.organisation = organisation->name;
-        rank = organisation->rank.value_or(rank);
         visit.organisation = organisation;
     }
     context.route = route->name;
@@ -144,7 +142,7 @@
     visit.deadline = now + patience;
     if (caller->key.empty())
         visit.parent = m_parts.executor.findParent(caller->attemptID, patience, now);
-    context.priority = visit.parent ? innerPriority(visit.parent->priority) : priorityOfRank(rank);
+    context.priority = visit.parent ? innerPriority(visit.parent->priority) : priorityOfRank(beliefs.routes()->rankOf(*route, visit.organisation));
     context.hops = visit.parent ? static_cast<uint8_t>(visit.parent->hops + 1) : 0;
     if (!visit.parent) {
         visit.target = now + std::min(route->targetLatency, patience);
