--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -12,8 +12,8 @@
 // Every knob of the decisions on the platform's path. Figures that a deployment sets replace those marked so.
 struct MeshSettings {
     // Placing
-    Duration zonePenalty { 12ms };      // Least advantage that makes another zone's backend server worth its traffic
-    double zonePenaltyShare { 0.5 };    // The same as a share of the service time
+    Duration zonePenalty { 40ms };      // Least advantage that makes another zone's backend server worth its traffic
+    double zonePenaltyShare { 1.0 };    // The same as a share of the service time
     Duration assumedServiceTime { 50ms }; // Of a backend server that has not answered yet
     double loadKnee { 0.7 };            // Share of the slots above which a backend server counts as slower
     Duration reportLifetime { 2s };     // After it a report says nothing about the load; two announcement intervals
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -48,11 +48,29 @@
     return found == m_endpoints.end() ? nullptr : &found->second;
 }
 
-double RemoteEndpoints::expectedSeconds(const RemoteEndpoint& endpoint, TimePoint now) const
+bool RemoteEndpoints::hasReport(const RemoteEndpoint& endpoint, TimePoint now) const
+{
+    return endpoint.reportedAt != TimePoint() && now - endpoint.reportedAt < m_settings.reportLifetime;
+}
+
+// What a backend server without a recent report is taken for: as good as the best, so that new ones are tried, and slow ones
+// again after a while.
+Duration RemoteEndpoints::typicalServiceTime(const std::vector<RemoteEndpoint*>& endpoints, TimePoint now) const
+{
+    Duration best = Duration::max();
+    for (const auto* endpoint : endpoints) {
+        if (hasReport(*endpoint, now) && endpoint->report.serviceTime > Duration::zero())
+            best = std::min(best, endpoint->report.serviceTime);
+    }
+    return best == Duration::max() ? m_settings.assumedServiceTime : best;
+}
+
+double RemoteEndpoints::expectedSeconds(const RemoteEndpoint& endpoint, Duration unknownServiceTime, TimePoint now) const
 {
     const auto& report = endpoint.report;
-    const bool reported = endpoint.reportedAt != TimePoint() && now - endpoint.reportedAt < m_settings.reportLifetime;
-    const double service = toSeconds(report.serviceTime > Duration::zero() ? report.serviceTime : m_settings.assumedServiceTime);
+    const bool reported = hasReport(endpoint, now);
+    const bool measured = reported && report.serviceTime > Duration::zero();
+    const double service = toSeconds(measured ? report.serviceTime : unknownServiceTime);
     const double limit = std::max(1U, report.limit);
     const double reportedLoad = reported ? report.running + report.queued + endpoint.sentSinceReport : 0;
     const double load = (std::max<double>(reportedLoad, endpoint.outstanding) + 1) / limit;
@@ -74,12 +92,13 @@
     RemoteEndpoint* best = nullptr;
     double bestCost = 0;
     bool bestAvoided = true;
+    const auto unknownServiceTime = typicalServiceTime(found->second, now);
     std::uniform_real_distribution<double> factor(1, 1 + spread);
     for (auto* endpoint : found->second) {
         if (std::find(tried.begin(), tried.end(), endpoint->member.name) != tried.end())
             continue;
         const bool avoided = endpoint->avoidUntil > now;
-        const double cost = expectedSeconds(*endpoint, now) * factor(m_random);
+        const double cost = expectedSeconds(*endpoint, unknownServiceTime, now) * factor(m_random);
         if (best && (avoided != bestAvoided ? avoided : cost >= bestCost))
             continue;
         best = endpoint;
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -47,7 +47,9 @@
     const std::map<std::string, RemoteEndpoint, std::less<>>& all() const { return m_endpoints; }
 
 private:
-    double expectedSeconds(const RemoteEndpoint&, TimePoint now) const;
+    double expectedSeconds(const RemoteEndpoint&, Duration unknownServiceTime, TimePoint now) const;
+    Duration typicalServiceTime(const std::vector<RemoteEndpoint*>&, TimePoint now) const;
+    bool hasReport(const RemoteEndpoint&, TimePoint now) const;
 
     const MeshSettings& m_settings;
     std::string m_ownZone;
