--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -49,12 +49,20 @@
     Duration keyStaleness { 5s };          // Deployment: how long a withdrawn key may still work
     Duration keyStalenessMargin { 400ms }; // For the time between the check and the arrival at the backend server
 
+    // Knowledge of the configuration: a change has to be in force everywhere within 2 s
+    size_t readersPerZone { 1 };       // Members that hold a read at the store; the others ask these
+    Duration readHold { 700ms };       // How long that read waits for news
+    Duration proofInterval { 450ms };  // How often the others ask
+    Duration proofTimeout { 300ms };   // Of a question; tens of times the way within a zone
+    Duration proofPatience { 1400ms }; // Oldest proof that a member is content with: hold, interval and the way
+    Duration readerPenalty { 3s };     // How long a member whose knowledge was older is not taken for a reader
+
     // Organisations' rates
     unsigned ledgers { 4 };           // Parts into which organisations are dealt; each part's ledger is kept by one member
-    Duration greetInterval { 500ms }; // How often each ledger hears of each member
-    Duration ledgerMemory { 1600ms }; // A member not heard of for three greetings uses its own part
+    Duration greetInterval { 250ms }; // How often each ledger hears of each member
+    Duration ledgerMemory { 600ms };  // A member not heard of for two greetings uses its own part
+    Duration ledgerSilence { 300ms }; // A ledger that nobody greeted for longer was replaced by another meanwhile
     Duration ledgerTimeout { 60ms };  // Of a question to a ledger; tens of times the way between zones
-    double initialFill { 0.2 };       // Part of the burst in a new bucket
 };
 
 } // namespace shallot
--- a/Source/mesh/RateShares.cpp
+++ b/Source/mesh/RateShares.cpp
@@ -9,26 +9,41 @@
 
 namespace {
 
-// A new bucket starts nearly empty: after a restart nobody knows what was spent before it.
-void adapt(TokenBucket& bucket, const RatePlan& plan, double part, double initialFill, TimePoint now)
+constexpr double unknownRate = 1e-9; // Of a bucket whose plan comes with the next request
+
+// A bucket begins with a debt when its holder takes over the part: another member may deal it until it notices.
+void adapt(TokenBucket& bucket, const RatePlan& plan, double part, Duration takeoverDelay, TimePoint heldSince, TimePoint now)
 {
-    const bool fresh = bucket.rate <= 0;
-    bucket.refill(now);
-    bucket.updated = now;
+    if (bucket.rate <= 0 || bucket.updated < heldSince) {
+        bucket.tokens = 1 - plan.rate * part * toSeconds(takeoverDelay);
+        bucket.updated = heldSince;
+    }
     bucket.rate = plan.rate * part;
     bucket.burst = std::max(1.0, plan.burst * part);
-    bucket.tokens = fresh ? std::max(1.0, initialFill * bucket.burst) : std::min(bucket.tokens, bucket.burst);
+    bucket.refill(now);
+    bucket.tokens = std::min(bucket.tokens, bucket.burst);
 }
 
 unsigned take(TokenBucket& bucket, unsigned wanted)
 {
-    const auto taken = std::min(wanted, static_cast<unsigned>(bucket.tokens));
+    const auto taken = std::min(wanted, static_cast<unsigned>(std::max(0.0, bucket.tokens)));
     bucket.tokens -= taken;
     return taken;
 }
 
 } // namespace
 
+void RateLedger::hear(const std::string& member, TimePoint now)
+{
+    // Members greet the ledgers that they ask. After a silence this one takes over from another.
+    if (now - m_lastHeard > m_settings.ledgerSilence) {
+        m_buckets.clear();
+        m_activeSince = now;
+    }
+    m_lastHeard = now;
+    m_heard[member] = now;
+}
+
 double RateLedger::heardPart(size_t members, TimePoint now)
 {
     std::erase_if(m_heard, [&](const auto& item) { return now - item.second > m_settings.ledgerMemory; });
@@ -42,7 +57,7 @@
     if (plan.rate <= 0)
         return { wanted, {} };
     auto& bucket = m_buckets[organisation];
-    adapt(bucket.tokens, plan, heardPart(members, now), m_settings.initialFill, now);
+    adapt(bucket.tokens, plan, heardPart(members, now), m_settings.ledgerMemory, m_activeSince, now);
     const auto taken = take(bucket.tokens, wanted);
     if (taken == wanted)
         return { taken, {} };
@@ -54,13 +69,38 @@
     return { taken, fromSeconds(std::max(1 - bucket.tokens.tokens, bucket.promised) / rate) };
 }
 
+std::map<std::string, double> RateLedger::handOver(TimePoint now)
+{
+    std::map<std::string, double> tokens;
+    for (auto& [organisation, bucket] : m_buckets) {
+        bucket.tokens.refill(now);
+        tokens[organisation] = bucket.tokens.tokens;
+    }
+    m_buckets.clear();
+    m_heard.clear();
+    m_lastHeard = {};
+    return tokens;
+}
+
+void RateLedger::takeOver(const std::string& organisation, double tokens, TimePoint now)
+{
+    auto& bucket = m_buckets[organisation].tokens;
+    // Members may have greeted this ledger already and left it a debt; the former keeper deals no more, so that falls away.
+    bucket.rate = std::max(bucket.rate, unknownRate);
+    bucket.tokens = tokens;
+    bucket.updated = now;
+    m_lastHeard = now;
+}
+
 RateGrant RateParts::grant(
     const std::string& organisation, unsigned wanted, const RatePlan& plan, size_t members, TimePoint now)
 {
     if (plan.rate <= 0)
         return { wanted, {} };
     auto& bucket = m_buckets[organisation];
-    adapt(bucket, plan, 1 / static_cast<double>(std::max<size_t>(1, members)), m_settings.initialFill, now);
+    const double part = 1 / static_cast<double>(std::max<size_t>(1, members));
+    const bool outOfUse = now - bucket.updated > m_settings.ledgerSilence;
+    adapt(bucket, plan, part, m_settings.ledgerMemory, outOfUse ? now : TimePoint {}, now);
     const auto taken = take(bucket, wanted);
     return { taken, taken == wanted ? Duration::zero() : fromSeconds((1 - bucket.tokens) / bucket.rate) };
 }
--- a/Source/mesh/RateShares.h
+++ b/Source/mesh/RateShares.h
@@ -24,7 +24,8 @@
 
 // The buckets of some organisations, kept by one member for all that can reach it. Every member owns an equal part of each
 // rate by birth, which it uses by itself while it reaches no ledger; a ledger deals only the parts of the members that it
-// heard from lately. So both sides of a cut together stay within the rate without a word between them.
+// heard from lately. So both sides of a cut together stay within the rate without a word between them. Whoever takes over a
+// part first waits for as long as its former holder may still use it.
 class RateLedger {
 public:
     explicit RateLedger(const MeshSettings& settings)
@@ -32,9 +33,14 @@
     {
     }
 
-    void hear(const std::string& member, TimePoint now) { m_heard[member] = now; }
+    void hear(const std::string& member, TimePoint now);
     RateGrant grant(const std::string& organisation, unsigned wanted, const RatePlan&, size_t members, TimePoint now);
 
+    // Ends this ledger: tokens by organisation, for the one that follows. It deals nothing until it is greeted again.
+    std::map<std::string, double> handOver(TimePoint now);
+    // Goes on with the tokens of the ledger before this one, without the wait of a takeover.
+    void takeOver(const std::string& organisation, double tokens, TimePoint now);
+
 private:
     struct Bucket {
         TokenBucket tokens;
@@ -46,6 +52,8 @@
 
     const MeshSettings& m_settings;
     std::map<std::string, TimePoint> m_heard; // By member
+    TimePoint m_lastHeard {};
+    TimePoint m_activeSince {}; // Asked without a break since
     std::map<std::string, Bucket> m_buckets;  // By organisation
 };
 
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -1,5 +1,6 @@
 #include "mesh/RemoteEndpoints.h"
 
+#include "core/Digest.h"
 #include "mesh/MeshSettings.h"
 
 #include <algorithm>
@@ -108,6 +109,21 @@
     return best;
 }
 
+std::vector<const RemoteEndpoint*> RemoteEndpoints::readersOf(std::string_view zone, size_t count, TimePoint now) const
+{
+    std::vector<std::pair<uint64_t, const RemoteEndpoint*>> order;
+    for (const auto& [name, endpoint] : m_endpoints) {
+        const bool unreachable = endpoint.linkFailures && endpoint.avoidUntil > now;
+        if (endpoint.member.zone == zone && !unreachable && endpoint.noReaderUntil <= now)
+            order.emplace_back(stableHash(name), &endpoint);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<const RemoteEndpoint*> readers;
+    for (size_t i = 0; i < std::min(count, order.size()); ++i)
+        readers.push_back(order[i].second);
+    return readers;
+}
+
 void RemoteEndpoints::recordSent(RemoteEndpoint& endpoint)
 {
     ++endpoint.outstanding;
@@ -152,6 +168,12 @@
     endpoint->avoidUntil = std::max(endpoint->avoidUntil, now + std::min(penalty, m_settings.linkPenaltyMaximum));
 }
 
+void RemoteEndpoints::recordOldKnowledge(std::string_view name, TimePoint now)
+{
+    if (auto* endpoint = find(name))
+        endpoint->noReaderUntil = now + m_settings.readerPenalty;
+}
+
 void RemoteEndpoints::recordReachable(std::string_view name)
 {
     auto* endpoint = find(name);
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -22,6 +22,7 @@
     uint32_t sentSinceReport { 0 };
     TimePoint avoidUntil {};      // Refusals and failures
     unsigned linkFailures { 0 };  // In a row
+    TimePoint noReaderUntil {};   // Its knowledge of the configuration was old
 };
 
 // Places calls: spreads load over a service's backend servers by their reports, and stays in the own availability zone
@@ -43,6 +44,10 @@
     void recordFailure(std::string_view name, TimePoint now);
     void recordUnreachable(std::string_view name, TimePoint now);
     void recordReachable(std::string_view name);
+    void recordOldKnowledge(std::string_view name, TimePoint now);
+
+    // Members of a zone that read the store for it: the first few reachable ones in an order that all members share.
+    std::vector<const RemoteEndpoint*> readersOf(std::string_view zone, size_t count, TimePoint now) const;
 
     const std::map<std::string, RemoteEndpoint, std::less<>>& all() const { return m_endpoints; }
 
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -47,11 +47,6 @@
             [this](StrictHTTPConnection& connection) { onGone(connection); } });
 }
 
-void MeshIngress::startLeaving()
-{
-    m_leaving = true;
-}
-
 void MeshIngress::applyLimits(const CallerLimits& limits)
 {
     m_limits.maximumHeaderBytes = limits.headerBytes;
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -45,7 +45,10 @@
     explicit MeshIngress(MeshIngressParts);
 
     Result<void> start(const SocketAddress&);
-    void startLeaving();
+    // Closes each connection with its next answer.
+    void startLeaving() { m_leaving = true; }
+    // Takes no new requests; those in progress go on.
+    void stopAccepting() { m_server.startLeaving(); }
     void applyLimits(const CallerLimits&);
 
     void onAnswer(PeerLink&, wire::AnswerT&);
--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -18,23 +18,24 @@
     , m_links(links)
     , m_ownName(std::move(ownName))
     , m_parts(settings)
-    , m_ledger(settings)
+    , m_ledgers(settings.ledgers, RateLedger(settings))
 {
 }
 
-uint64_t RateExchange::ledgerNumber(const std::string& organisation) const
+size_t RateExchange::ledgerNumber(const std::string& organisation) const
 {
     return stableHash(organisation) % m_settings.ledgers;
 }
 
 // Rendezvous hashing over the members that can be reached. Members that see different ones ask different ledgers; each
 // deals only the parts of those that ask it, so the sum stays within the rate.
-const RemoteEndpoint* RateExchange::ledgerOf(uint64_t ledger, TimePoint now)
+const RemoteEndpoint* RateExchange::ledgerOf(size_t ledger, TimePoint now)
 {
     const RemoteEndpoint* owner = nullptr;
     uint64_t best = 0;
     for (const auto& [name, endpoint] : m_beliefs.endpoints().all()) {
-        if (endpoint.linkFailures && endpoint.avoidUntil > now)
+        const bool unreachable = endpoint.linkFailures && endpoint.avoidUntil > now;
+        if (unreachable || (m_leaving && name == m_ownName))
             continue;
         const auto weight = stableHash(name, ledger + 1);
         if (!owner || weight > best) {
@@ -79,8 +80,9 @@
         return;
     }
     if (ledger->member.name == m_ownName) {
-        m_ledger.hear(m_ownName, now);
-        settle(organisation, waiting, m_ledger.grant(organisation, wanted, waiting.plan, m_beliefs.memberCount(), now), now);
+        auto& own = m_ledgers[ledgerNumber(organisation)];
+        own.hear(m_ownName, now);
+        settle(organisation, waiting, own.grant(organisation, wanted, waiting.plan, m_beliefs.memberCount(), now), now);
         return;
     }
     auto request = std::make_unique<wire::LoanRequestT>();
@@ -119,41 +121,76 @@
 
 void RateExchange::greet(TimePoint now)
 {
-    std::set<const RemoteEndpoint*> ledgers;
-    for (uint64_t ledger = 0; ledger < m_settings.ledgers; ++ledger) {
-        if (const auto* owner = ledgerOf(ledger, now))
-            ledgers.insert(owner);
-    }
-    for (const auto* owner : ledgers) {
+    std::map<const RemoteEndpoint*, wire::LoanRequestsT> greetings;
+    for (size_t ledger = 0; ledger < m_ledgers.size(); ++ledger) {
+        const auto* owner = ledgerOf(ledger, now);
+        if (!owner)
+            continue;
         if (owner->member.name == m_ownName) {
-            m_ledger.hear(m_ownName, now);
+            m_ledgers[ledger].hear(m_ownName, now);
             continue;
         }
+        // Without an organisation the request is a greeting to the ledger of that number.
+        auto greeting = std::make_unique<wire::LoanRequestT>();
+        greeting->waiting = static_cast<uint32_t>(ledger);
+        greetings[owner].requests.push_back(std::move(greeting));
+    }
+    for (auto& [owner, greeting] : greetings) {
         wire::FrameT frame;
-        frame.body.Set(wire::LoanRequestsT {});
+        frame.body.Set(std::move(greeting));
         if (const auto link = m_links.linkTo(owner->member.address))
             link->send(frame);
     }
 }
 
+void RateExchange::handOver(TimePoint now)
+{
+    m_leaving = true;
+    for (size_t ledger = 0; ledger < m_ledgers.size(); ++ledger) {
+        const auto tokens = m_ledgers[ledger].handOver(now);
+        const auto* next = ledgerOf(ledger, now);
+        if (tokens.empty() || !next)
+            continue;
+        wire::LoansT loans;
+        for (const auto& [organisation, left] : tokens) {
+            auto loan = std::make_unique<wire::LoanT>();
+            loan->organisation = organisation;
+            loan->tokens = left;
+            loans.loans.push_back(std::move(loan));
+        }
+        EventLog::write("ledger-handed-over",
+            { { "ledger", ledger }, { "to", next->member.name }, { "organisations", tokens.size() } });
+        wire::FrameT frame;
+        frame.body.Set(std::move(loans));
+        if (const auto link = m_links.linkTo(next->member.address))
+            link->send(frame);
+    }
+}
+
 void RateExchange::onRequests(PeerLink& link, const wire::LoanRequestsT& requests, TimePoint now)
 {
-    m_ledger.hear(link.peer(), now);
-    if (requests.requests.empty())
-        return;
     wire::LoansT loans;
     loans.sequence = requests.sequence;
     for (const auto& request : requests.requests) {
         if (!request)
             continue;
+        if (request->organisation.empty()) {
+            if (request->waiting < m_ledgers.size())
+                m_ledgers[request->waiting].hear(link.peer(), now);
+            continue;
+        }
+        auto& ledger = m_ledgers[ledgerNumber(request->organisation)];
+        ledger.hear(link.peer(), now);
         const auto plan = planOf(request->organisation);
-        const auto grant = m_ledger.grant(request->organisation, request->waiting, plan, m_beliefs.memberCount(), now);
+        const auto grant = ledger.grant(request->organisation, request->waiting, plan, m_beliefs.memberCount(), now);
         auto loan = std::make_unique<wire::LoanT>();
         loan->organisation = request->organisation;
         loan->tokens = grant.tokens;
         loan->retry_after_us = static_cast<uint64_t>(grant.retryAfter.count());
         loans.loans.push_back(std::move(loan));
     }
+    if (loans.loans.empty())
+        return;
     wire::FrameT frame;
     frame.body.Set(std::move(loans));
     link.send(frame);
@@ -162,12 +199,16 @@
 void RateExchange::onGrants(const wire::LoansT& loans, TimePoint now)
 {
     for (const auto& loan : loans.loans) {
-        if (!loan || !std::isfinite(loan->tokens) || loan->tokens < 0)
+        if (!loan || !std::isfinite(loan->tokens))
             continue;
+        if (!loans.sequence) { // A ledger that its keeper hands over
+            m_ledgers[ledgerNumber(loan->organisation)].takeOver(loan->organisation, loan->tokens, now);
+            continue;
+        }
         const auto found = m_waiting.find(loan->organisation);
         if (found == m_waiting.end() || found->second.question != loans.sequence)
             continue; // Settled by the time-out
-        const RateGrant grant { static_cast<unsigned>(loan->tokens), Duration(static_cast<int64_t>(loan->retry_after_us)) };
+        const RateGrant grant { static_cast<unsigned>(std::max(0.0, loan->tokens)), Duration(static_cast<int64_t>(loan->retry_after_us)) };
         settle(found->first, found->second, grant, now);
     }
 }
--- a/Source/sidecar/RateExchange.h
+++ b/Source/sidecar/RateExchange.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace shallot {
 
@@ -33,6 +34,8 @@
     void request(const MeshOrganisation&, TimePoint now, Completion);
     // Lets every ledger know that this member asks it.
     void greet(TimePoint now);
+    // Passes the ledgers kept here on to the members that follow; this one keeps none any more.
+    void handOver(TimePoint now);
     void onRequests(PeerLink&, const wire::LoanRequestsT&, TimePoint now);
     void onGrants(const wire::LoansT&, TimePoint now);
 
@@ -45,8 +48,8 @@
         Timer timeout;
     };
 
-    const RemoteEndpoint* ledgerOf(uint64_t ledger, TimePoint now);
-    uint64_t ledgerNumber(const std::string& organisation) const;
+    const RemoteEndpoint* ledgerOf(size_t ledger, TimePoint now);
+    size_t ledgerNumber(const std::string& organisation) const;
     RatePlan planOf(const std::string& organisation);
     void ask(const std::string& organisation, Waiting&, TimePoint now);
     void settle(const std::string& organisation, Waiting&, const RateGrant&, TimePoint now);
@@ -57,9 +60,10 @@
     MeshLinks& m_links;
     std::string m_ownName;
     RateParts m_parts;
-    RateLedger m_ledger;
+    std::vector<RateLedger> m_ledgers; // By number; those that others keep stand idle
     std::map<std::string, Waiting> m_waiting; // By organisation
     uint64_t m_nextQuestion { 1 };
+    bool m_leaving { false };
 };
 
 } // namespace shallot
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -2,7 +2,7 @@
 //   Start and leave:  Sidecar, start, leave, finishLeaving, applySettings
 //   Own servers:      answerControl, answerReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, cancelCall
-//   Beliefs:          onConfiguration, announceMembership, askPeersForProof, answerProof, takeProof
+//   Beliefs:          onConfiguration, announceMembership, renewProof, askSomeForProof, dropUnansweredQuestions, pushConfiguration, answerProof, takeProof
 //   Time:             tick
 
 #include "sidecar/Sidecar.h"
@@ -16,26 +16,27 @@
 #include "sidecar/MeshFrames.h"
 #include "wire/Frames_generated.h"
 
+#include <algorithm>
+
 namespace shallot {
 
 namespace {
 
-constexpr auto tickInterval = 250ms;      // Watches links; several times within the shortest time-out that it enforces
-constexpr uint64_t ticksPerGreeting = 2;  // Ledgers, proofs and logs: each half second
-constexpr auto configurationHold = 1500ms; // Age at which knowledge of the configuration is renewed; a third of its limit
+constexpr auto tickInterval = 250ms;      // Watches links and greets ledgers; MeshSettings::greetInterval
+constexpr uint64_t ticksPerFlush = 2;   // Logs: each half second
 constexpr auto memberHold = 20s;          // News of members also comes over links, so a silent read costs little
 constexpr auto readTimeout = 700ms;       // Beyond the hold; the store answers within milliseconds
 constexpr auto memberPause = 400ms;       // A start of the whole fleet writes one record a member
 constexpr auto appendTimeout = 1s;
 constexpr auto appendRetry = 700ms;
-constexpr auto proofAgeBeforeQuestion = 2200ms; // A held read with its time-out is over by then
+constexpr auto readinessLag = 2600ms;     // Two questions, one a second, and the way
 constexpr auto leaveCheck = 100ms;
 constexpr auto closeMargin = 700ms;       // Of the shutdown time; left for the last answers to go out
-constexpr size_t questionsAtOnce = 3;
+constexpr size_t questionsAtOnce = 3; // To members at random, while no reader answers
 
-FollowSettings configurationFollow()
+FollowSettings configurationFollow(const MeshSettings& settings)
 {
-    return { platform::StoreTopic::Configuration, configurationHold, readTimeout, Duration::zero() };
+    return { platform::StoreTopic::Configuration, settings.readHold, readTimeout, Duration::zero() };
 }
 
 FollowSettings memberFollow()
@@ -63,10 +64,14 @@
     , m_rates(settings, m_beliefs, m_links, m_own.name)
     , m_ingress({ settings, m_beliefs, m_links, m_executor, m_rates, m_metrics, m_own.name })
     , m_store(m_instance.store)
-    , m_configurationFollower(m_store, configurationFollow(),
+    , m_configurationFollower(m_store, configurationFollow(settings),
           { [this](const platform::KeyedRecord& record) {
-               if (platform::isConfigurationRecord(record))
-                   (void)m_beliefs.takeConfiguration(record.value, "store");
+               if (!platform::isConfigurationRecord(record))
+                   return;
+               const auto before = m_beliefs.version();
+               (void)m_beliefs.takeConfiguration(record.value, "store");
+               if (m_isReader && m_beliefs.version() > before)
+                   pushConfiguration();
            },
               [this](TimePoint asked) { m_beliefs.proof().record(asked); } })
     , m_memberFollower(m_store, memberFollow(),
@@ -127,11 +132,14 @@
     EventLog::write("leave", { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() } });
     m_executor.startLeaving();
     m_ingress.startLeaving();
+    m_rates.handOver(MonotonicClock::now());
     const auto closeBy = MonotonicClock::now() + m_instance.shutdownTime - closeMargin;
-    // Callers learn of the leave by the readiness question, once a second; until then they are served.
-    const auto earliest = MonotonicClock::now() + 2500ms;
+    // Callers learn of the leave by the readiness question; until then they are served.
+    const auto earliest = MonotonicClock::now() + readinessLag;
     m_leaveTimer.startRepeating(leaveCheck, [this, closeBy, earliest] {
         const auto now = MonotonicClock::now();
+        if (now >= earliest && !std::exchange(m_stoppedAccepting, true))
+            m_ingress.stopAccepting();
         const bool idle = !m_ingress.inProgress() && m_served.empty();
         if ((idle && now >= earliest) || now >= closeBy)
             finishLeaving();
@@ -219,7 +227,7 @@
     else if (const auto* question = frame.body.AsRecordsRequest())
         answerProof(link, *question);
     else if (const auto* proof = frame.body.AsRecords())
-        takeProof(*proof);
+        takeProof(link, *proof);
 }
 
 void Sidecar::serveCall(PeerLink& link, wire::CallT& frame)
@@ -287,31 +295,77 @@
     });
 }
 
-// A daemon that the store does not answer learns from its peers what is in force and how recently they knew.
-void Sidecar::askPeersForProof(TimePoint now)
+// A few members of each zone hold a read at the store; the others ask them. Whoever gets no fresh proof that way reads by
+// itself, and asks members at random, of which one may be in touch with the store.
+void Sidecar::renewProof(TimePoint now)
 {
-    if (now - m_beliefs.proof().provenAt < proofAgeBeforeQuestion)
-        return;
-    std::erase_if(m_proofQuestions, [now](const auto& item) { return now - item.second > 2s; });
-    size_t asked = 0;
+    dropUnansweredQuestions(now);
+    auto& endpoints = m_beliefs.endpoints();
+    const bool isOld = now - m_beliefs.proof().provenAt > m_settings.proofPatience;
+    if (isOld) {
+        endpoints.recordOldKnowledge(m_own.name, now);
+        m_configurationFollower.readOnce();
+        askSomeForProof(now);
+    }
+    const auto readers = endpoints.readersOf(m_own.zone, m_settings.readersPerZone, now);
+    const auto isOwn = [this](const auto* reader) { return reader->member.name == m_own.name; };
+    m_isReader = !m_beliefs.isComplete() || readers.empty() || std::any_of(readers.begin(), readers.end(), isOwn);
+    m_configurationFollower.setPaused(!m_isReader);
+    if (!m_isReader && now - m_lastQuestion >= m_settings.proofInterval) {
+        m_lastQuestion = now;
+        askForProof(*readers[m_nextQuestion % readers.size()], now);
+    }
+}
+
+void Sidecar::askSomeForProof(TimePoint now)
+{
+    size_t index = m_ticks; // A different few each time
     for (const auto& [name, endpoint] : m_beliefs.endpoints().all()) {
-        if (name == m_own.name || endpoint.linkFailures)
-            continue;
-        // A different few each time, so that one of them is in touch with the store.
-        if ((std::hash<std::string>()(name) + m_ticks) % 3 && m_beliefs.memberCount() > questionsAtOnce + 1)
+        if (index++ % m_beliefs.memberCount() < questionsAtOnce && name != m_own.name)
+            askForProof(endpoint, now);
+    }
+}
+
+void Sidecar::dropUnansweredQuestions(TimePoint now)
+{
+    for (auto it = m_proofQuestions.begin(); it != m_proofQuestions.end();) {
+        if (now - it->second.asked < m_settings.proofTimeout) {
+            ++it;
             continue;
-        const auto link = m_links.linkTo(endpoint.member.address);
-        if (!link)
+        }
+        m_beliefs.endpoints().recordOldKnowledge(it->second.member, now);
+        it = m_proofQuestions.erase(it);
+        m_configurationFollower.readOnce();
+    }
+}
+
+void Sidecar::askForProof(const RemoteEndpoint& endpoint, TimePoint now)
+{
+    const auto link = m_links.linkTo(endpoint.member.address);
+    if (!link)
+        return;
+    wire::RecordsRequestT question;
+    question.sequence = m_nextQuestion++;
+    question.from = m_beliefs.version();
+    m_proofQuestions[question.sequence] = { endpoint.member.name, now };
+    wire::FrameT frame;
+    frame.body.Set(question);
+    link->send(frame);
+}
+
+// News travel at once; that nothing newer exists is proved by questions only, since a pushed frame may be held up on the way.
+void Sidecar::pushConfiguration()
+{
+    wire::RecordsT news;
+    news.next_offset = m_beliefs.version();
+    news.snapshot = m_beliefs.document();
+    wire::FrameT frame;
+    frame.body.Set(std::move(news));
+    for (const auto& [name, endpoint] : m_beliefs.endpoints().all()) {
+        if (name == m_own.name || endpoint.member.zone != m_own.zone)
             continue;
-        wire::RecordsRequestT question;
-        question.sequence = m_nextQuestion++;
-        question.from = m_beliefs.version();
-        m_proofQuestions[question.sequence] = now;
-        wire::FrameT frame;
-        frame.body.Set(question);
-        link->send(frame);
-        if (++asked >= questionsAtOnce)
-            return;
+        if (const auto link = m_links.linkTo(endpoint.member.address))
+            link->send(frame);
     }
 }
 
@@ -331,18 +385,22 @@
     link.send(frame);
 }
 
-void Sidecar::takeProof(const wire::RecordsT& proof)
+void Sidecar::takeProof(PeerLink& link, const wire::RecordsT& proof)
 {
+    const auto now = MonotonicClock::now();
+    if (!proof.snapshot.empty() && proof.next_offset > m_beliefs.version())
+        (void)m_beliefs.takeConfiguration(proof.snapshot, "peer");
     const auto found = m_proofQuestions.find(proof.sequence);
     if (found == m_proofQuestions.end())
         return;
-    const auto asked = found->second;
+    const auto asked = found->second.asked;
     m_proofQuestions.erase(found);
-    if (!proof.snapshot.empty())
-        (void)m_beliefs.takeConfiguration(proof.snapshot, "peer");
     constexpr uint64_t longestAge = 3'600'000'000;
+    const auto provenAt = asked - Duration(static_cast<int64_t>(std::min(proof.log_age_us, longestAge)));
+    if (now - provenAt > m_settings.proofPatience)
+        m_beliefs.endpoints().recordOldKnowledge(link.peer(), now);
     if (proof.next_offset >= m_beliefs.version())
-        m_beliefs.proof().record(asked - Duration(static_cast<int64_t>(std::min(proof.log_age_us, longestAge))));
+        m_beliefs.proof().record(provenAt);
 }
 
 // Time
@@ -351,11 +409,11 @@
 {
     const auto now = MonotonicClock::now();
     m_links.tick(now);
-    if (++m_ticks % ticksPerGreeting)
+    m_rates.greet(now);
+    renewProof(now);
+    if (++m_ticks % ticksPerFlush)
         return;
     m_executor.tick();
-    m_rates.greet(now);
-    askPeersForProof(now);
     EventLog::flush();
 }
 
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -54,9 +54,13 @@
 
     void onConfiguration();
     void announceMembership();
-    void askPeersForProof(TimePoint now);
+    void renewProof(TimePoint now);
+    void askSomeForProof(TimePoint now);
+    void askForProof(const RemoteEndpoint&, TimePoint now);
+    void pushConfiguration();
     void answerProof(PeerLink&, const wire::RecordsRequestT&);
-    void takeProof(const wire::RecordsT&);
+    void takeProof(PeerLink&, const wire::RecordsT&);
+    void dropUnansweredQuestions(TimePoint now);
     void tick();
     void finishLeaving();
 
@@ -79,11 +83,19 @@
     Timer m_membershipRetry;
     std::unordered_map<uint64_t, ServedCall> m_served; // By the executor's id
     std::function<void()> m_onLeft;
-    std::unordered_map<uint64_t, TimePoint> m_proofQuestions; // When each was sent, by sequence
+    struct ProofQuestion {
+        std::string member;
+        TimePoint asked {};
+    };
+
+    std::unordered_map<uint64_t, ProofQuestion> m_proofQuestions; // Open ones, by sequence
     uint64_t m_nextQuestion { 1 };
+    TimePoint m_lastQuestion {};
+    bool m_isReader { true };
     uint64_t m_ticks { 0 };
     bool m_membershipStored { false };
     bool m_leaving { false };
+    bool m_stoppedAccepting { false };
     bool m_wasReady { false };
 };
 
--- a/Source/sidecar/StoreFollower.cpp
+++ b/Source/sidecar/StoreFollower.cpp
@@ -14,6 +14,8 @@
 constexpr auto firstRetry = 150ms;     // After a failed read; doubled each time
 constexpr auto longestRetry = 800ms;   // Entries are expected back two seconds after the store's return
 
+constexpr auto shortestPause = 20ms;    // Between two reads that were answered at once
+
 const char* topicName(platform::StoreTopic topic)
 {
     return topic == platform::StoreTopic::Configuration ? "configuration" : "members";
@@ -28,8 +30,26 @@
 {
 }
 
+void StoreFollower::setPaused(bool paused)
+{
+    if (paused == std::exchange(m_paused, paused))
+        return;
+    EventLog::write("store-follower", { { "topic", topicName(m_settings.topic) }, { "paused", paused } });
+    if (paused)
+        m_timer.stop();
+    else if (!m_reading)
+        readNext();
+}
+
+void StoreFollower::readOnce()
+{
+    if (!m_reading)
+        readNext();
+}
+
 void StoreFollower::readNewest()
 {
+    m_reading = true;
     const auto asked = MonotonicClock::now();
     m_client.readNewest(m_settings.topic, newestTimeout,
         [this, asked](Result<platform::StoreRead> read) { onRead(asked, std::move(read)); });
@@ -43,13 +63,15 @@
     }
     const auto asked = MonotonicClock::now();
     // After a failure the store is asked for an answer at once, to learn as early as possible that it is back.
-    const auto hold = m_failures ? Duration::zero() : m_settings.hold;
+    const auto hold = m_failures || m_paused ? Duration::zero() : m_settings.hold;
+    m_reading = true;
     m_client.readFrom(m_settings.topic, *m_offset, hold, hold + m_settings.timeout,
         [this, asked](Result<platform::StoreRead> read) { onRead(asked, std::move(read)); });
 }
 
 void StoreFollower::onRead(TimePoint asked, Result<platform::StoreRead> read)
 {
+    m_reading = false;
     if (!read) {
         if (read.error().kind == ErrorKind::LogTrimmed) {
             m_offset.reset();
@@ -69,12 +91,15 @@
     for (const auto& record : read->records)
         m_callbacks.onRecord(record);
     m_callbacks.onCurrent(asked);
-    scheduleNext(read->records.empty() ? Duration::zero() : m_settings.pause);
+    // A store that does not hold the read must not be asked without end.
+    const bool held = MonotonicClock::now() - asked >= m_settings.hold / 2;
+    scheduleNext(read->records.empty() && held ? Duration::zero() : std::max<Duration>(m_settings.pause, shortestPause));
 }
 
 void StoreFollower::scheduleNext(Duration delay)
 {
-    m_timer.startOnce(delay, [this] { readNext(); });
+    if (!m_paused)
+        m_timer.startOnce(delay, [this] { readNext(); });
 }
 
 } // namespace shallot
--- a/Source/sidecar/StoreFollower.h
+++ b/Source/sidecar/StoreFollower.h
@@ -26,6 +26,10 @@
 
     StoreFollower(platform::StoreClient&, FollowSettings, Callbacks);
     void start() { readNewest(); }
+    // A follower that is paused asks nothing; it goes on where it was.
+    void setPaused(bool);
+    // One read without a wait, also while paused.
+    void readOnce();
     bool isReachable() const { return m_reachable; }
 
 private:
@@ -41,6 +45,8 @@
     std::optional<uint64_t> m_offset; // Where the next read begins; nothing: read the newest records first
     unsigned m_failures { 0 };        // In a row
     bool m_reachable { true };
+    bool m_paused { false };
+    bool m_reading { false };
 };
 
 } // namespace shallot
--- a/Tests/FleetHarness.cpp
+++ b/Tests/FleetHarness.cpp
@@ -1,11 +1,11 @@
 #include "FleetHarness.h"
 
+#include "TestPorts.h"
 #include "config/ConfigurationJSON.h"
 #include "core/Digest.h"
 #include "core/JSON.h"
 
 #include <glib.h>
-#include <unistd.h>
 
 namespace shallot {
 
@@ -14,25 +14,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto longestWait = 10s;
-constexpr uint16_t firstPort = 10'000; // Below the ports that the kernel gives to outgoing connections
-constexpr uint16_t portsPerFleet = 100;
-constexpr uint16_t fleetSlots = 40;
-
-// A port range that no other test process uses: its last port stays bound as a lock until the process ends.
-uint16_t nextBasePort()
-{
-    static std::vector<std::unique_ptr<Listener>> locks;
-    for (uint32_t i = 0; i < fleetSlots; ++i) {
-        const auto base = static_cast<uint16_t>(firstPort + (static_cast<uint32_t>(getpid()) + i) % fleetSlots * portsPerFleet);
-        auto lock = std::make_unique<Listener>();
-        if (!lock->start({ "127.0.0.1", static_cast<uint16_t>(base + portsPerFleet - 1) }, [](const RefPtr<StreamSocket>&) {}))
-            continue;
-        locks.push_back(std::move(lock));
-        return base;
-    }
-    g_error("no free ports for a test fleet");
-}
-
 uint64_t queryNumber(const std::string& target, const std::string& name)
 {
     const auto at = target.find(name + "=");
--- /dev/null
+++ b/Tests/MeshDecisionsTest.cpp
@@ -0,0 +1,364 @@
+// The decisions on the platform's path, without a network: routes, placing, queueing, shedding at the root, returns, proofs.
+
+#include "mesh/ConfigurationProof.h"
+#include "mesh/EndpointQueue.h"
+#include "mesh/MeshCall.h"
+#include "mesh/MeshSettings.h"
+#include "mesh/RemoteEndpoints.h"
+#include "mesh/ReturnList.h"
+#include "mesh/RootGuard.h"
+#include "mesh/RouteTable.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <queue>
+#include <random>
+
+namespace shallot {
+namespace {
+
+constexpr TimePoint start { 1000s };
+
+MeshRoute makeRoute(const std::string& name, const std::string& prefix, std::vector<ServiceShare> services, uint8_t rank = 0)
+{
+    MeshRoute route;
+    route.name = name;
+    route.host = "host";
+    route.pathPrefix = prefix;
+    route.services = std::move(services);
+    route.rank = rank;
+    return route;
+}
+
+TEST(RouteTable, TheLongestPrefixOfTheHostWins)
+{
+    MeshConfiguration configuration;
+    configuration.routes = { makeRoute("short", "/a/", { { "s", 1 } }), makeRoute("long", "/a/b/", { { "s", 1 } }) };
+    const RouteTable table(configuration);
+    EXPECT_EQ(table.find("host", "/a/b/c")->name, "long");
+    EXPECT_EQ(table.find("host", "/a/bc")->name, "short");
+    EXPECT_EQ(table.find("host", "/a/?x=/a/b/")->name, "short");
+    EXPECT_EQ(table.find("host", "/b/"), nullptr);
+    EXPECT_EQ(table.find("other", "/a/"), nullptr);
+}
+
+TEST(RouteTable, WeightedServicesKeepWithinOneRequestOfTheirShares)
+{
+    MeshConfiguration configuration;
+    configuration.routes = { makeRoute("r", "/", { { "big", 85 }, { "small", 15 } }) };
+    RouteTable table(configuration);
+    const auto* route = table.find("host", "/");
+    int small = 0;
+    for (int i = 1; i <= 500; ++i) {
+        small += table.nextService(*route) == "small" ? 1 : 0;
+        EXPECT_NEAR(small, i * 0.15, 1);
+    }
+}
+
+TEST(RouteTable, OrganisationsRankBeforeRoutes)
+{
+    MeshConfiguration configuration;
+    configuration.routes = { makeRoute("urgent", "/u/", { { "s", 1 } }, 0), makeRoute("bulk", "/b/", { { "s", 1 } }, 2) };
+    configuration.organisations.resize(2);
+    configuration.organisations[0] = { "first", { "k1" }, 1, 0, 0 };
+    configuration.organisations[1] = { "second", { "k2" }, 2, 0, 0 };
+    const RouteTable table(configuration);
+    const auto* urgent = table.find("host", "/u/");
+    const auto* bulk = table.find("host", "/b/");
+    const auto* first = table.findByKey("k1");
+    const auto* second = table.findByKey("k2");
+    EXPECT_LT(table.rankOf(*urgent, first), table.rankOf(*bulk, first));
+    EXPECT_LT(table.rankOf(*bulk, first), table.rankOf(*urgent, second));
+    EXPECT_EQ(table.rankOf(*urgent, first), table.rankOf(*urgent, nullptr));
+}
+
+TEST(MeshCall, InnerCallsGoBeforeRequestsOfTheirOwnRankOnly)
+{
+    EXPECT_GT(innerPriority(priorityOfRank(1)), priorityOfRank(1));
+    EXPECT_LT(innerPriority(priorityOfRank(1)), priorityOfRank(0));
+    EXPECT_LT(innerPriority(priorityOfRank(0)), queueClasses);
+    EXPECT_EQ(priorityOfRank(1000), 0);
+    EXPECT_TRUE(isInnerPriority(innerPriority(priorityOfRank(3))));
+    EXPECT_FALSE(isInnerPriority(priorityOfRank(3)));
+}
+
+class Placing : public testing::Test {
+protected:
+    Placing()
+    {
+        for (const auto* name : { "a1", "b1" })
+            endpoints.update({ name, std::string("zone-") + name[0], std::string(name) + ":1", "s" });
+    }
+
+    void report(const std::string& name, uint32_t running, uint32_t limit, Duration service, TimePoint now)
+    {
+        endpoints.recordReport(name, { true, running, 0, limit, service, {} }, now);
+    }
+
+    std::string choose(TimePoint now, const std::vector<std::string>& tried = {})
+    {
+        const auto* endpoint = endpoints.choose("s", now, tried);
+        return endpoint ? endpoint->member.name : "";
+    }
+
+    MeshSettings settings;
+    RemoteEndpoints endpoints { settings, "zone-a" };
+};
+
+TEST_F(Placing, StaysInTheZoneWhileItHasRoom)
+{
+    report("a1", 5, 10, 60ms, start);
+    report("b1", 0, 10, 30ms, start);
+    for (int i = 0; i < 100; ++i)
+        EXPECT_EQ(choose(start), "a1");
+    report("a1", 40, 10, 60ms, start);
+    EXPECT_EQ(choose(start), "b1");
+}
+
+TEST_F(Placing, LeavesABackendServerThatHasBecomeMuchSlower)
+{
+    report("a1", 1, 10, 400ms, start);
+    report("b1", 1, 10, 40ms, start);
+    EXPECT_EQ(choose(start), "b1");
+}
+
+TEST_F(Placing, TriesOneThatNobodyHasHeardOfAndSlowOnesAgain)
+{
+    endpoints.update({ "a2", "zone-a", "a2:1", "s" });
+    report("a1", 5, 10, 30ms, start);
+    report("a2", 0, 10, 300ms, start);
+    EXPECT_EQ(choose(start), "a1");
+    const auto later = start + settings.reportLifetime + 1ms;
+    report("a1", 5, 10, 30ms, later);
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 50; ++i)
+        ++chosen[choose(later)];
+    EXPECT_GT(chosen["a2"], 0);
+}
+
+TEST_F(Placing, AvoidsTheUnreachableAndTheUnavailableUntilNothingElseIsLeft)
+{
+    report("a1", 0, 10, 30ms, start);
+    endpoints.recordUnreachable("a1", start);
+    EXPECT_EQ(choose(start), "b1");
+    EXPECT_EQ(choose(start, { "b1" }), "a1");
+    EXPECT_EQ(choose(start, { "a1", "b1" }), "");
+    endpoints.recordReachable("a1");
+    EXPECT_EQ(choose(start), "a1");
+    endpoints.recordReport("a1", { false, 0, 0, 10, 30ms, {} }, start);
+    EXPECT_EQ(choose(start), "b1");
+    endpoints.recordReport("a1", { true, 0, 0, 10, 30ms, {} }, start);
+    EXPECT_EQ(choose(start), "a1");
+}
+
+TEST_F(Placing, AMemberOfAnotherServiceIsNotChosen)
+{
+    endpoints.update({ "a1", "zone-a", "a1:1", "other" });
+    EXPECT_EQ(choose(start), "b1");
+    endpoints.remove("b1");
+    EXPECT_EQ(choose(start), "");
+}
+
+TEST(Readers, AreTheSameForAllMembersOfAZoneAndPassOverTheUnreachable)
+{
+    const MeshSettings settings;
+    RemoteEndpoints one(settings, "zone-a");
+    RemoteEndpoints two(settings, "zone-b");
+    for (int i = 0; i < 9; ++i) {
+        const MeshMember member { "m" + std::to_string(i), i < 6 ? "zone-a" : "zone-b", "1.1.1.1:1", "s" };
+        one.update(member);
+        two.update(member);
+    }
+    const auto readers = one.readersOf("zone-a", 2, start);
+    ASSERT_EQ(readers.size(), 2U);
+    EXPECT_EQ(two.readersOf("zone-a", 2, start)[0]->member.name, readers[0]->member.name);
+    const auto first = readers[0]->member.name;
+    one.recordUnreachable(first, start);
+    EXPECT_EQ(one.readersOf("zone-a", 2, start)[0]->member.name, readers[1]->member.name);
+    EXPECT_EQ(one.readersOf("zone-c", 2, start).size(), 0U);
+}
+
+TEST(EndpointQueue, RunsWaitsAndRefusesByTheTimeThatIsLeft)
+{
+    const MeshSettings settings;
+    EndpointQueue queue(settings);
+    queue.setSlots(2);
+    queue.recordServiceTime(100ms);
+    EXPECT_EQ(queue.decide(4, 0ms), QueueDecision::Run);
+    for (uint32_t i = 0; i < queue.limit(); ++i)
+        queue.recordStart();
+    EXPECT_EQ(queue.decide(4, 0ms), QueueDecision::Refuse);
+    EXPECT_EQ(queue.decide(4, 1s), QueueDecision::Wait);
+    std::vector<QueueItem> items(20);
+    for (auto& item : items) {
+        item.priority = 4;
+        queue.push(item);
+    }
+    EXPECT_EQ(queue.decide(4, 1s), QueueDecision::Refuse);
+    EXPECT_EQ(queue.decide(6, 1s), QueueDecision::Wait);
+    EXPECT_GT(queue.retryAfter(4), 0ms);
+    EXPECT_EQ(queue.popIfFree(), nullptr);
+    queue.recordEnd();
+    EXPECT_NE(queue.popIfFree(), nullptr);
+    for (auto& item : items)
+        queue.remove(item);
+    EXPECT_EQ(queue.queued(), 0U);
+}
+
+TEST(ReturnList, APromiseCountsOnceAndNotForEver)
+{
+    ReturnList returns;
+    returns.expect(7, 500ms, start);
+    EXPECT_FALSE(returns.take(8, start + 500ms));
+    EXPECT_TRUE(returns.take(7, start + 500ms));
+    EXPECT_FALSE(returns.take(7, start + 500ms));
+    returns.expect(7, 500ms, start);
+    EXPECT_FALSE(returns.take(7, start + 10s));
+}
+
+TEST(ConfigurationProof, CountsFromTheQuestionAndNeverGoesBack)
+{
+    ConfigurationProof proof;
+    EXPECT_FALSE(proof.isFresh(start, 1h));
+    proof.record(start);
+    proof.record(start - 5s);
+    EXPECT_TRUE(proof.isFresh(start + 4s, 5s));
+    EXPECT_FALSE(proof.isFresh(start + 5s, 5s));
+}
+
+// Plays the load that RootGuard answers: requests of two routes whose calls share one service far below, with twice the load
+// it can bear. Counts requests that end whole and in time.
+struct GraphLoad {
+    bool guarded { true };
+    double urgentPerSecond { 40 };
+    double bulkPerSecond { 120 };
+};
+
+struct GraphResult {
+    double urgentServed { 0 }; // Share of those asked
+    double bulkServed { 0 };
+    double bulkFailed { 0 }; // Share that was admitted and failed after work was done
+};
+
+GraphResult playGraph(const GraphLoad& load)
+{
+    constexpr unsigned callsPerRequest = 8; // One after the other, each 40 ms at a service with 36 slots: 112 requests/s
+    constexpr auto callTime = 40ms;
+    constexpr auto timeLimit = 1s;
+    constexpr auto step = 1ms;
+    const MeshSettings settings;
+    RootGuard guard(settings);
+    EndpointQueue deep(settings);
+    deep.setSlots(38);
+    deep.recordServiceTime(callTime);
+    struct Request : QueueItem {
+        const char* route { "" };
+        uint8_t root { 0 };
+        unsigned callsLeft { callsPerRequest };
+        TimePoint callEnds {};
+        bool calling { false };
+        bool over { false };
+    };
+    std::vector<std::unique_ptr<Request>> live;
+    std::mt19937 random(7);
+    constexpr auto end = start + 10s;
+    double asked[2] {};
+    double served[2] {};
+    double failed[2] {};
+    const auto finish = [&](Request& request, bool whole) {
+        request.over = true;
+        guard.recordEnd(request.route, request.root);
+        (whole ? served : failed)[request.root == priorityOfRank(0) ? 0 : 1] += 1;
+    };
+    const auto call = [&](Request& request, TimePoint now) {
+        if (deep.decide(request.priority, request.deadline - now - callTime) == QueueDecision::Refuse) {
+            guard.recordPressure(request.route, request.root, deep.expectedWait(request.priority), now);
+            finish(request, false);
+            return;
+        }
+        deep.push(request);
+    };
+    for (TimePoint now = start; now < end + timeLimit; now += step) {
+        for (const bool urgent : { true, false }) {
+            if (now >= end)
+                break;
+            const double rate = urgent ? load.urgentPerSecond : load.bulkPerSecond;
+            if (std::uniform_real_distribution<double>(0, 1)(random) >= rate * toSeconds(step))
+                continue;
+            asked[urgent ? 0 : 1] += 1;
+            const char* route = urgent ? "urgent" : "bulk";
+            const auto root = priorityOfRank(urgent ? 0 : 2);
+            if (load.guarded && !guard.admits(route, root, false, now))
+                continue;
+            auto request = std::make_unique<Request>();
+            request->route = route;
+            request->root = root;
+            request->priority = innerPriority(root);
+            request->deadline = now + timeLimit;
+            guard.recordStart(route, root);
+            call(*request, now);
+            live.push_back(std::move(request));
+        }
+        for (auto& request : live) {
+            if (request->over || !request->calling || request->callEnds > now)
+                continue;
+            request->calling = false;
+            deep.recordEnd();
+            guard.recordPressure(request->route, request->root, deep.expectedWait(request->priority), now);
+            if (!--request->callsLeft)
+                finish(*request, true);
+            else
+                call(*request, now);
+        }
+        for (auto* item : deep.takeExpired(now))
+            finish(static_cast<Request&>(*item), false);
+        while (auto* item = deep.popIfFree()) {
+            auto& request = static_cast<Request&>(*item);
+            deep.recordStart();
+            request.calling = true;
+            request.callEnds = now + callTime;
+        }
+        std::erase_if(live, [](const auto& request) { return request->over; });
+    }
+    for (auto& request : live)
+        deep.remove(*request);
+    return { served[0] / asked[0], served[1] / asked[1], failed[1] / asked[1] };
+}
+
+TEST(RootGuard, KeepsUrgentGraphsWholeAndWastesLittleWhenAServiceBelowIsOverloaded)
+{
+    GraphLoad load;
+    const auto guarded = playGraph(load);
+    load.guarded = false;
+    const auto bare = playGraph(load);
+    EXPECT_GT(guarded.urgentServed, 0.97);
+    EXPECT_GT(guarded.bulkServed, 0.45); // 72 of 120 a second would fit
+    EXPECT_GT(guarded.bulkServed, bare.bulkServed + 0.2);
+    EXPECT_LT(guarded.bulkFailed, bare.bulkFailed / 2);
+}
+
+TEST(RootGuard, LeavesRoutesWithoutPressureAloneAndLiftsItsLimitAfterwards)
+{
+    const MeshSettings settings;
+    RootGuard guard(settings);
+    auto now = start;
+    for (int i = 0; i < 40; ++i, now += 50ms) {
+        guard.recordStart("pressed", 4);
+        guard.recordPressure("pressed", 4, 500ms, now);
+        guard.recordPressure("calm", 4, 1ms, now);
+        guard.recordStart("calm", 4);
+    }
+    EXPECT_FALSE(guard.admits("pressed", 4, false, now));
+    EXPECT_TRUE(guard.admits("calm", 4, false, now));
+    EXPECT_TRUE(guard.admits("pressed", 6, false, now));
+    for (int i = 0; i < 40; ++i)
+        guard.recordEnd("pressed", 4);
+    for (int i = 0; i < 100; ++i, now += 50ms)
+        guard.admits("pressed", 4, false, now);
+    for (int i = 0; i < 1000; ++i)
+        guard.recordStart("pressed", 4);
+    EXPECT_TRUE(guard.admits("pressed", 4, false, now));
+}
+
+} // namespace
+} // namespace shallot
--- /dev/null
+++ b/Tests/RateSharesFuzzTest.cpp
@@ -0,0 +1,205 @@
+// No organisation gets more than its plan over all members together, whatever is cut, killed or started again; and nearly all
+// that is inside the plan is granted while nothing fails.
+
+#include "mesh/MeshSettings.h"
+#include "mesh/RateShares.h"
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <memory>
+#include <random>
+#include <rapidcheck.h>
+
+namespace shallot {
+namespace {
+
+constexpr TimePoint start { 1000s };
+constexpr size_t members = 9;
+constexpr size_t membersPerSide = 3;
+
+// Members that ask the ledger of their side of the cut, and their own parts when it is silent to them.
+struct RateFleet {
+    struct Member {
+        RateParts parts;
+        RateLedger ledger;
+        bool deaf { false }; // Reaches no ledger
+        size_t side { 0 };
+
+        explicit Member(const MeshSettings& settings)
+            : parts(settings)
+            , ledger(settings)
+        {
+        }
+    };
+
+    explicit RateFleet(const RatePlan& ratePlan)
+        : plan(ratePlan)
+    {
+        for (size_t i = 0; i < members; ++i)
+            fleet.push_back(std::make_unique<Member>(settings));
+    }
+
+    // The first member of the same side that can be reached.
+    RateLedger* ledgerFor(size_t index)
+    {
+        for (auto& member : fleet) {
+            if (!member->deaf && member->side == fleet[index]->side)
+                return &member->ledger;
+        }
+        return nullptr;
+    }
+
+    void greet(TimePoint now)
+    {
+        for (size_t i = 0; i < members; ++i) {
+            auto* ledger = fleet[i]->deaf ? nullptr : ledgerFor(i);
+            if (ledger)
+                ledger->hear(std::to_string(i), now);
+        }
+    }
+
+    bool request(size_t index, TimePoint now)
+    {
+        auto* ledger = fleet[index]->deaf ? nullptr : ledgerFor(index);
+        if (ledger) {
+            ledger->hear(std::to_string(index), now);
+            return ledger->grant("o", 1, plan, members, now).tokens == 1;
+        }
+        return fleet[index]->parts.grant("o", 1, plan, members, now).tokens == 1;
+    }
+
+    void restart(size_t index)
+    {
+        const auto side = fleet[index]->side;
+        fleet[index] = std::make_unique<Member>(settings);
+        fleet[index]->side = side;
+    }
+
+    MeshSettings settings;
+    RatePlan plan;
+    std::vector<std::unique_ptr<Member>> fleet;
+};
+
+// The bound of the deployments: over any window, the plan with a tenth more and twenty requests.
+class WindowOracle {
+public:
+    explicit WindowOracle(const RatePlan& plan)
+        : m_plan(plan)
+    {
+    }
+
+    void admit(TimePoint now)
+    {
+        m_admitted.push_back(now);
+        while (now - m_admitted.front() > window)
+            m_admitted.pop_front();
+        const double allowed = (m_plan.rate * toSeconds(window) + m_plan.burst) * 1.1 + 20;
+        RC_ASSERT(static_cast<double>(m_admitted.size()) <= allowed);
+    }
+
+private:
+    static constexpr auto window = 5s;
+    RatePlan m_plan;
+    std::deque<TimePoint> m_admitted;
+};
+
+TEST(RateSharesFuzz, NeverMoreThanThePlanOverAnyWindow)
+{
+    EXPECT_TRUE(rc::check([] {
+        const RatePlan plan { static_cast<double>(*rc::gen::inRange(5, 200)), static_cast<double>(*rc::gen::inRange(5, 200)) };
+        RateFleet fleet(plan);
+        WindowOracle oracle(plan);
+        std::mt19937 random(*rc::gen::arbitrary<unsigned>());
+        const double demand = plan.rate * *rc::gen::inRange(1, 8);
+        auto now = start;
+        for (int step = 0; step < 200; ++step, now += 100ms) {
+            const auto fault = random() % 40;
+            if (fault == 0) {
+                for (size_t i = 0; i < members; ++i)
+                    fleet.fleet[i]->side = i / membersPerSide;
+            } else if (fault == 1) {
+                for (auto& member : fleet.fleet)
+                    member->side = 0;
+            } else if (fault == 2) {
+                auto& member = fleet.fleet[random() % members];
+                member->deaf = !member->deaf;
+            } else if (fault == 3) {
+                fleet.restart(random() % members);
+            }
+            if (step % 2 == 0)
+                fleet.greet(now);
+            const auto arrivals = std::poisson_distribution<int>(demand * 0.1)(random);
+            for (int i = 0; i < arrivals; ++i) {
+                if (fleet.request(random() % members, now))
+                    oracle.admit(now);
+            }
+        }
+    }));
+}
+
+TEST(RateShares, GrantsNearlyAllThatIsInsideThePlanHoweverItIsSpread)
+{
+    const RatePlan plan { 12, 12 };
+    RateFleet fleet(plan);
+    std::mt19937 random(3);
+    int asked = 0;
+    int granted = 0;
+    auto now = start;
+    for (; now < start + 2s; now += 200ms) // Members greet their ledgers before there is traffic
+        fleet.greet(now);
+    for (int step = 0; step < 600; ++step, now += 100ms) {
+        if (step % 2 == 0)
+            fleet.greet(now);
+        const auto arrivals = std::poisson_distribution<int>(plan.rate * 0.7 * 0.1)(random);
+        for (int i = 0; i < arrivals; ++i) {
+            ++asked;
+            granted += fleet.request(random() % members, now) ? 1 : 0;
+        }
+    }
+    EXPECT_GT(granted, asked * 0.995);
+}
+
+TEST(RateShares, RefusedRequestsAreToldDifferentTimes)
+{
+    const MeshSettings settings;
+    RateLedger ledger(settings);
+    const RatePlan plan { 10, 10 };
+    ledger.hear("a", start);
+    EXPECT_EQ(ledger.grant("o", 100, plan, 1, start).tokens, 0U); // Its former holder may still deal the part
+    const auto first = ledger.grant("o", 1, plan, 1, start).retryAfter;
+    const auto second = ledger.grant("o", 1, plan, 1, start).retryAfter;
+    EXPECT_GE(second, first);
+    EXPECT_GT(first, 0ms);
+}
+
+TEST(RateShares, AHandedOverLedgerGoesOnWithoutTheWaitOfATakeover)
+{
+    const MeshSettings settings;
+    const RatePlan plan { 100, 100 };
+    RateLedger first(settings);
+    RateLedger second(settings);
+    first.hear("a", start);
+    const auto later = start + 10s;
+    first.hear("a", later);
+    first.hear("a", later + 1ms);
+    const auto before = first.grant("o", 1000, plan, 1, later + 2s).tokens;
+    EXPECT_GT(before, 0U);
+    const auto tokens = first.handOver(later + 2s + 500ms);
+    ASSERT_TRUE(tokens.contains("o"));
+    second.takeOver("o", tokens.at("o"), later + 2s + 500ms);
+    second.hear("a", later + 2s + 510ms);
+    EXPECT_GE(second.grant("o", 1000, plan, 1, later + 2s + 510ms).tokens, 49U);
+    EXPECT_EQ(first.handOver(later + 2s + 510ms).size(), 0U);
+}
+
+TEST(RateShares, ARateOfZeroHasNoLimit)
+{
+    const MeshSettings settings;
+    RateLedger ledger(settings);
+    RateParts parts(settings);
+    EXPECT_EQ(ledger.grant("o", 1000, {}, 3, start).tokens, 1000U);
+    EXPECT_EQ(parts.grant("o", 1000, {}, 3, start).tokens, 1000U);
+}
+
+} // namespace
+} // namespace shallot
--- /dev/null
+++ b/Tests/TestPorts.cpp
@@ -0,0 +1,35 @@
+#include "TestPorts.h"
+
+#include "net/Listener.h"
+#include "net/StreamSocket.h"
+
+#include <glib.h>
+#include <memory>
+#include <unistd.h>
+#include <vector>
+
+namespace shallot {
+
+namespace {
+
+constexpr uint16_t firstPort = 10'000; // Below the ports that the kernel gives to outgoing connections
+constexpr uint16_t fleetSlots = 40;
+
+} // namespace
+
+// The last port of the range stays bound as a lock until the process ends.
+uint16_t nextBasePort()
+{
+    static std::vector<std::unique_ptr<Listener>> locks;
+    for (uint32_t i = 0; i < fleetSlots; ++i) {
+        const auto base = static_cast<uint16_t>(firstPort + (static_cast<uint32_t>(getpid()) + i) % fleetSlots * portsPerFleet);
+        auto lock = std::make_unique<Listener>();
+        if (!lock->start({ "127.0.0.1", static_cast<uint16_t>(base + portsPerFleet - 1) }, [](const RefPtr<StreamSocket>&) {}))
+            continue;
+        locks.push_back(std::move(lock));
+        return base;
+    }
+    g_error("no free ports for a test fleet");
+}
+
+} // namespace shallot
