--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Announcements:  announce, announceLeave, verifyInstance, isAvailable
+//   Announcements:  announce, announceLeave, verifyInstance, onProbe, isAvailable
 //   Admission:      submit, refusalFor, runNext, findParent, recordPressure
 //   Runs:           run, onResponse, finish, refuse, cancel, onDue
 
@@ -36,8 +36,9 @@
 
 void EndpointExecutor::announce(const EndpointAnnouncement& announcement, TimePoint now)
 {
-    const bool sameRun
-        = m_announced && announcement.instance == m_announcement.instance && announcement.startedAt == m_announcement.startedAt;
+    // A run that was found by a probe is known by its instance alone until it announces itself.
+    const bool sameStart = announcement.startedAt == m_announcement.startedAt || !m_announcement.startedAt;
+    const bool sameRun = m_announced && announcement.instance == m_announcement.instance && sameStart;
     const bool older = m_announced && !sameRun && announcement.startedAt <= m_announcement.startedAt;
     if (older || (sameRun && announcement.sequence <= m_announcement.sequence)) {
         EventLog::write("announcement-stale", { { "instance", announcement.instance }, { "sequence", announcement.sequence } });
@@ -57,7 +58,7 @@
     m_lastHeard = now;
     m_queue.setSlots(announcement.slots);
     if (!m_verified)
-        verifyInstance(now);
+        verifyInstance();
     noteChange();
     runNext(now);
 }
@@ -72,29 +73,47 @@
     noteChange();
 }
 
-void EndpointExecutor::verifyInstance(TimePoint)
+void EndpointExecutor::setHealthPath(const std::string& path, TimePoint)
+{
+    m_healthPath = path;
+    if (!m_verified)
+        verifyInstance();
+}
+
+// Asked after a start of this daemon only. The backend server may have been running for long: its next announcement can be
+// seconds away, and one that arrives may be old.
+void EndpointExecutor::verifyInstance()
 {
     if (m_probing || m_healthPath.empty())
         return;
     m_probing = true;
-    const auto id = m_nextID++;
-    auto timer = std::make_shared<Timer>();
-    const auto done = [this, timer](bool verified, const std::string& reason) {
-        m_probing = false;
-        timer->stop();
-        m_verified = m_verified || verified;
-        EventLog::write("instance-probed",
-            { { "instance", m_announcement.instance }, { "verified", verified }, { "reason", reason } });
-        noteChange();
-    };
-    timer->startOnce(probeTimeout, [this, id, done] {
-        m_probes.abandon(id);
-        done(false, "no answer");
-    });
-    m_probes.send(id, { "GET", m_healthPath, { { "Host", m_host } }, {} }, [this, done](const Result<HTTPResponse>& response) {
-        const bool same = response && platform::instanceOf(*response) == m_announcement.instance;
-        done(same && response->status == 200, !response ? response.error().detail : std::to_string(response->status));
+    m_probeID = m_nextID++;
+    m_probeTimer.startOnce(probeTimeout, [this] {
+        m_probes.abandon(m_probeID);
+        onProbe(fail(ErrorKind::TimedOut, "no answer"));
     });
+    m_probes.send(m_probeID, { "GET", m_healthPath, { { "Host", m_host } }, {} },
+        [this](const Result<HTTPResponse>& response) { onProbe(response); });
+}
+
+void EndpointExecutor::onProbe(const Result<HTTPResponse>& response)
+{
+    m_probing = false;
+    m_probeTimer.stop();
+    const bool healthy = response && response->status == 200;
+    const std::string instance(healthy ? platform::instanceOf(*response) : "");
+    const auto load = healthy ? platform::loadOf(*response) : std::nullopt;
+    if (healthy && !m_announced && load && load->slots && !instance.empty()) {
+        m_announcement.instance = instance;
+        m_announcement.slots = load->slots;
+        m_announced = true;
+        m_lastHeard = MonotonicClock::now();
+        m_queue.setSlots(load->slots);
+    }
+    m_verified = m_verified || (healthy && instance == m_announcement.instance);
+    EventLog::write("instance-probed", { { "instance", instance }, { "verified", m_verified },
+                                           { "reason", response ? std::to_string(response->status) : response.error().detail } });
+    noteChange();
 }
 
 bool EndpointExecutor::isAvailable(TimePoint now) const
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -44,7 +44,8 @@
     // The backend server's word. Stale announcements change nothing.
     void announce(const EndpointAnnouncement&, TimePoint now);
     void announceLeave(const std::string& instance, TimePoint now);
-    void setHealthPath(const std::string& path) { m_healthPath = path; }
+    // Where the backend server answers whether it is healthy; the first word also makes up for announcements not heard yet.
+    void setHealthPath(const std::string&, TimePoint now);
     // Refuses new calls; those at work go on.
     void startLeaving();
     // Notices a backend server that fell silent.
@@ -73,7 +74,8 @@
     void onResponse(uint64_t id, Result<HTTPResponse>);
     void finish(LiveRun&, Result<HTTPResponse>, bool arrived, TimePoint now);
     void refuse(LiveRun&, ErrorKind, TimePoint now);
-    void verifyInstance(TimePoint now);
+    void verifyInstance();
+    void onProbe(const Result<HTTPResponse>&);
     void noteChange();
     void onDue(uint64_t id);
 
@@ -94,6 +96,8 @@
     bool m_announced { false };
     bool m_verified { false };  // The first announcement after a start may be old: a probe confirms it
     bool m_probing { false };
+    Timer m_probeTimer;
+    uint64_t m_probeID { 0 };
     bool m_left { false };      // The instance said that it ends
     bool m_unreachable { false }; // Refused a connection; until its next announcement
     bool m_leaving { false };
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -2,7 +2,7 @@
 //   Start and leave:  Sidecar, start, leave, finishLeaving, applySettings
 //   Own servers:      answerControl, answerReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, cancelCall
-//   Beliefs:          onConfiguration, announceMembership, renewProof, askSomeForProof, dropUnansweredQuestions, pushConfiguration, answerProof, takeProof
+//   Beliefs:          onConfiguration, announceMembership, greetMembers, renewProof, askSomeForProof, dropUnansweredQuestions, pushConfiguration, answerProof, takeProof
 //   Time:             tick
 
 #include "sidecar/Sidecar.h"
@@ -32,6 +32,7 @@
 constexpr auto readinessLag = 2600ms;     // Two questions, one a second, and the way
 constexpr auto leaveCheck = 100ms;
 constexpr auto closeMargin = 700ms;       // Of the shutdown time; left for the last answers to go out
+constexpr size_t greetedMembers = 128;    // After a start; in a larger fleet the others learn with their next call
 constexpr size_t questionsAtOnce = 3; // To members at random, while no reader answers
 
 FollowSettings configurationFollow(const MeshSettings& settings)
@@ -79,7 +80,12 @@
                if (const auto member = platform::decodeMember(record))
                    m_beliefs.takeMember(*member);
            },
-              [this](TimePoint) { m_beliefs.setMembersKnown(); } })
+              [this](TimePoint) {
+                  const bool first = !m_beliefs.isComplete();
+                  m_beliefs.setMembersKnown();
+                  if (first)
+                      greetMembers();
+              } })
 {
     m_beliefs.takeMember(m_own);
     m_beliefs.setConfigurationHandler([this] { onConfiguration(); });
@@ -281,7 +287,7 @@
     const auto& configuration = m_beliefs.routes()->configuration();
     m_ingress.applyLimits(configuration.limits);
     if (const auto* service = m_beliefs.routes()->findService(m_own.service))
-        m_executor.setHealthPath(service->healthPath);
+        m_executor.setHealthPath(service->healthPath, MonotonicClock::now());
 }
 
 void Sidecar::announceMembership()
@@ -295,6 +301,16 @@
     });
 }
 
+// After a start: those that found this daemon gone may use it again.
+void Sidecar::greetMembers()
+{
+    size_t greeted = 0;
+    for (const auto& [name, endpoint] : m_beliefs.endpoints().all()) {
+        if (name != m_own.name && greeted++ < greetedMembers)
+            m_links.linkTo(endpoint.member.address);
+    }
+}
+
 // A few members of each zone hold a read at the store; the others ask them. Whoever gets no fresh proof that way reads by
 // itself, and asks members at random, of which one may be in touch with the store.
 void Sidecar::renewProof(TimePoint now)
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -57,6 +57,7 @@
 
     void onConfiguration();
     void announceMembership();
+    void greetMembers();
     void renewProof(TimePoint now);
     void askSomeForProof(TimePoint now);
     void askForProof(const RemoteEndpoint&, TimePoint now);
