--- a/Source/core/Time.h
+++ b/Source/core/Time.h
@@ -19,7 +19,8 @@
     {
         timespec time {};
         clock_gettime(CLOCK_BOOTTIME, &time);
-        return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+        return time_point(
+            std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
     }
 };
 
--- a/Source/mesh/EndpointQueue.cpp
+++ b/Source/mesh/EndpointQueue.cpp
@@ -70,8 +70,8 @@
 {
     if (m_serviceTime <= Duration::zero())
         m_serviceTime = time;
-    m_serviceTime = fromSeconds(
-        toSeconds(m_serviceTime) + m_settings.serviceTimeWeight * (toSeconds(time) - toSeconds(m_serviceTime)));
+    m_serviceTime
+        = fromSeconds(toSeconds(m_serviceTime) + m_settings.serviceTimeWeight * (toSeconds(time) - toSeconds(m_serviceTime)));
 }
 
 EndpointReport EndpointQueue::report(bool available) const
--- a/Source/mesh/MeshCall.h
+++ b/Source/mesh/MeshCall.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "core/Error.h"
 #include "core/RequestContext.h"
 #include "mesh/EndpointReport.h"
 #include "net/HTTPMessage.h"
-#include "core/Error.h"
 
 #include <functional>
 #include <string>
--- a/Source/mesh/MeshConfiguration.h
+++ b/Source/mesh/MeshConfiguration.h
@@ -18,13 +18,13 @@
 // Requests of one host under one path.
 struct MeshRoute {
     std::string name;
-    std::string host;                    // As the Host header gives it, without a port
-    std::string pathPrefix { "/" };      // Begins and ends with a slash; the longest match wins
-    std::vector<ServiceShare> services;  // At least one
-    bool idempotent { false };           // Whether a request may run more than once
-    bool open { false };                 // Needs no key
-    uint8_t rank { 0 };                  // 0 is the most urgent
-    unsigned maximumEndpoints { 1 };     // Backend servers that one request may reach
+    std::string host;                                   // As the Host header gives it, without a port
+    std::string pathPrefix { "/" };                     // Begins and ends with a slash; the longest match wins
+    std::vector<ServiceShare> services;                 // At least one
+    bool idempotent { false };                          // Whether a request may run more than once
+    bool open { false };                                // Needs no key
+    uint8_t rank { 0 };                                 // 0 is the most urgent
+    unsigned maximumEndpoints { 1 };                    // Backend servers that one request may reach
     Duration timeLimit { std::chrono::seconds(30) };    // Longest time until the answer
     Duration targetLatency { std::chrono::seconds(1) }; // Time until which an answer has its full worth
 };
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -12,38 +12,38 @@
 // Every knob of the decisions on the platform's path. Figures that a deployment sets replace those marked so.
 struct MeshSettings {
     // Placing
-    Duration zonePenalty { 40ms };      // Least advantage that makes another zone's backend server worth its traffic
-    double zonePenaltyShare { 1.0 };    // The same as a share of the service time
+    Duration zonePenalty { 40ms };        // Least advantage that makes another zone's backend server worth its traffic
+    double zonePenaltyShare { 1.0 };      // The same as a share of the service time
     Duration assumedServiceTime { 50ms }; // Of a backend server that has not answered yet
-    double loadKnee { 0.7 };            // Share of the slots above which a backend server counts as slower
-    Duration reportLifetime { 2s };     // After it a report says nothing about the load; two announcement intervals
-    Duration linkPenalty { 1s };        // How long an unreachable member is avoided, doubled at each failure
+    double loadKnee { 0.7 };              // Share of the slots above which a backend server counts as slower
+    Duration reportLifetime { 2s };       // After it a report says nothing about the load; two announcement intervals
+    Duration linkPenalty { 1s };          // How long an unreachable member is avoided, doubled at each failure
     Duration linkPenaltyMaximum { 8s };
     Duration unavailablePenalty { 300ms }; // Before a member without a backend server is asked again
-    Duration failurePenalty { 500ms };  // How long a backend server that failed a request is avoided
+    Duration failurePenalty { 500ms };     // How long a backend server that failed a request is avoided
 
     // Rerouting and repeats
-    unsigned reroutes { 2 };             // Other members asked after refusals that reached no backend server
-    double retryShare { 0.2 };           // Deployment: repeats a service may get, as a share of its requests
-    double retryAllowance { 40 };        // Deployment: repeats beyond that share, over all daemons
-    double retryMargin { 0.5 };          // Part of both that is used; daemons do not know of each other's repeats
-    Duration retryWindow { 10s };        // Deployment: span over which both are counted
+    unsigned reroutes { 2 };      // Other members asked after refusals that reached no backend server
+    double retryShare { 0.2 };    // Deployment: repeats a service may get, as a share of its requests
+    double retryAllowance { 40 }; // Deployment: repeats beyond that share, over all daemons
+    double retryMargin { 0.5 };   // Part of both that is used; daemons do not know of each other's repeats
+    Duration retryWindow { 10s }; // Deployment: span over which both are counted
 
     // Queue beside the backend server
-    double slotShare { 0.95 };          // Part of the slots that is used; some backend servers slow down beyond it
-    double holdShare { 0.5 };           // Part of a request's target latency that it may spend waiting
+    double slotShare { 0.95 }; // Part of the slots that is used; some backend servers slow down beyond it
+    double holdShare { 0.5 };  // Part of a request's target latency that it may spend waiting
     Duration retryAfterMinimum { 100ms };
     Duration retryAfterMaximum { 2s };
-    double serviceTimeWeight { 0.05 };  // Weight of the newest run in the average
-    Duration announcementLapse { 5s };  // Silent for three announcement intervals: gone
+    double serviceTimeWeight { 0.05 }; // Weight of the newest run in the average
+    Duration announcementLapse { 5s }; // Silent for three announcement intervals: gone
 
     // Shedding at the root of a call graph
-    Duration pressureTarget { 20ms };  // Wait at a service below that is no sign of overload; half of a short run
-    Duration pressureWindow { 200ms }; // Between two changes of a limit; about half of a call graph's time
+    Duration pressureTarget { 20ms };     // Wait at a service below that is no sign of overload; half of a short run
+    Duration pressureWindow { 200ms };    // Between two changes of a limit; about half of a call graph's time
     double pressureDecreaseFloor { 0.6 }; // Largest cut in one window
-    double pressureIncrease { 1.08 };  // Growth in a window without pressure
-    Duration pressureLifetime { 1s };  // A pressure not renewed for longer is gone
-    double returningShare { 1.25 };    // Of the limit, for requests that come back as they were told
+    double pressureIncrease { 1.08 };     // Growth in a window without pressure
+    Duration pressureLifetime { 1s };     // A pressure not renewed for longer is gone
+    double returningShare { 1.25 };       // Of the limit, for requests that come back as they were told
 
     // Keys
     Duration keyStaleness { 5s };          // Deployment: how long a withdrawn key may still work
--- a/Source/mesh/RateShares.cpp
+++ b/Source/mesh/RateShares.cpp
@@ -51,8 +51,7 @@
     return static_cast<double>(heard) / static_cast<double>(std::max(members, heard));
 }
 
-RateGrant RateLedger::grant(
-    const std::string& organisation, unsigned wanted, const RatePlan& plan, size_t members, TimePoint now)
+RateGrant RateLedger::grant(const std::string& organisation, unsigned wanted, const RatePlan& plan, size_t members, TimePoint now)
 {
     if (plan.rate <= 0)
         return { wanted, {} };
@@ -92,8 +91,7 @@
     m_lastHeard = now;
 }
 
-RateGrant RateParts::grant(
-    const std::string& organisation, unsigned wanted, const RatePlan& plan, size_t members, TimePoint now)
+RateGrant RateParts::grant(const std::string& organisation, unsigned wanted, const RatePlan& plan, size_t members, TimePoint now)
 {
     if (plan.rate <= 0)
         return { wanted, {} };
--- a/Source/mesh/RateShares.h
+++ b/Source/mesh/RateShares.h
@@ -53,8 +53,8 @@
     const MeshSettings& m_settings;
     std::map<std::string, TimePoint> m_heard; // By member
     TimePoint m_lastHeard {};
-    TimePoint m_activeSince {}; // Asked without a break since
-    std::map<std::string, Bucket> m_buckets;  // By organisation
+    TimePoint m_activeSince {};              // Asked without a break since
+    std::map<std::string, Bucket> m_buckets; // By organisation
 };
 
 // This member's own parts, for the time in which no ledger answers.
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -17,12 +17,12 @@
 struct RemoteEndpoint {
     MeshMember member;
     EndpointReport report;
-    TimePoint reportedAt {};      // Zero before the first report
-    uint32_t outstanding { 0 };   // Own calls without an answer
+    TimePoint reportedAt {};    // Zero before the first report
+    uint32_t outstanding { 0 }; // Own calls without an answer
     uint32_t sentSinceReport { 0 };
-    TimePoint avoidUntil {};      // Refusals and failures
-    unsigned linkFailures { 0 };  // In a row
-    TimePoint noReaderUntil {};   // Its knowledge of the configuration was old
+    TimePoint avoidUntil {};     // Refusals and failures
+    unsigned linkFailures { 0 }; // In a row
+    TimePoint noReaderUntil {};  // Its knowledge of the configuration was old
 };
 
 // Places calls: spreads load over a service's backend servers by their reports, and stays in the own availability zone
--- a/Source/mesh/ReturnList.cpp
+++ b/Source/mesh/ReturnList.cpp
@@ -6,7 +6,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto lateness = 1500ms;         // Callers come back this much later than told at the most
+constexpr auto lateness = 1500ms;          // Callers come back this much later than told at the most
 constexpr size_t maximumPromises = 20'000; // Bounds memory: about a megabyte
 
 } // namespace
--- a/Source/mesh/RootGuard.h
+++ b/Source/mesh/RootGuard.h
@@ -36,7 +36,7 @@
     struct Flow {
         double limit { 0 }; // Requests at work; 0: none
         uint32_t running { 0 };
-        double wait { 0 };  // Averaged, seconds
+        double wait { 0 }; // Averaged, seconds
         TimePoint reportedAt {};
         TimePoint changedAt {};
     };
--- a/Source/mesh/RouteTable.h
+++ b/Source/mesh/RouteTable.h
@@ -28,7 +28,7 @@
     MeshConfiguration m_configuration;
     std::map<std::string, std::vector<const MeshRoute*>, std::less<>> m_hosts; // Longest prefix first
     std::unordered_map<std::string, const MeshOrganisation*> m_keys;
-    uint8_t m_firstOrganisationRank { 0 }; // Of the most urgent organisation
+    uint8_t m_firstOrganisationRank { 0 };                               // Of the most urgent organisation
     std::unordered_map<const MeshRoute*, std::vector<double>> m_credits; // Smooth weighted round robin
 };
 
--- a/Source/net/HTTPPool.cpp
+++ b/Source/net/HTTPPool.cpp
@@ -43,7 +43,8 @@
     }
     m_busy[id] = connection;
     connection->send(
-        request, [this, id, connection = connection.get(), completion = std::move(completion)](Result<HTTPResponse> response) {
+        request,
+        [this, id, connection = connection.get(), completion = std::move(completion)](Result<HTTPResponse> response) {
             const RefPtr<HTTPConnection> protect(connection);
             m_busy.erase(id);
             completion(std::move(response));
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr size_t maximumHeaders = 200;
-constexpr size_t maximumPipelinedBytes = 256 * 1024; // Sent ahead of an answer; more than this closes the connection
+constexpr size_t maximumPipelinedBytes = 256 * 1024;    // Sent ahead of an answer; more than this closes the connection
 constexpr auto lingerTimeout = std::chrono::seconds(2); // For the other side to close after the last answer
 
 // The parser library takes a space before the colon as part of neither the name nor the value.
@@ -101,8 +101,8 @@
 void StrictHTTPConnection::start(TimePoint now)
 {
     m_since = now;
-    m_socket->start({ [this](std::span<const uint8_t> bytes) { onData(bytes); }, nullptr,
-        [this](StreamEnd end) { onSocketClosed(end); } });
+    m_socket->start(
+        { [this](std::span<const uint8_t> bytes) { onData(bytes); }, nullptr, [this](StreamEnd end) { onSocketClosed(end); } });
 }
 
 // Parsing
--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -12,6 +12,7 @@
 #include <glib-unix.h>
 #include <glib.h>
 #include <iostream>
+#include <sys/stat.h>
 #include <tclap/CmdLine.h>
 
 INITIALIZE_EASYLOGGINGPP
@@ -29,8 +30,8 @@
 {
     const char* secret = std::getenv("SHALLOT_PEER_SECRET");
     TCLAP::CmdLine line("The daemon beside one backend server on the platform", ' ', shallot::versionText);
-    TCLAP::ValueArg<std::string> peerSecret(
-        "", "peer-secret", "shared by the fleet, 16 characters or more [SHALLOT_PEER_SECRET]", false, secret ? secret : "", "text", line);
+    TCLAP::ValueArg<std::string> peerSecret("", "peer-secret", "shared by the fleet, 16 characters or more [SHALLOT_PEER_SECRET]",
+        false, secret ? secret : "", "text", line);
     TCLAP::SwitchArg check("", "check", "check the settings and exit", line);
     line.parse(argc, argv);
     return { peerSecret.getValue(), check.getValue() };
@@ -63,15 +64,55 @@
     return G_SOURCE_CONTINUE;
 }
 
-gboolean onReload(gpointer data)
+// Settings in force stay when the new ones cannot be read.
+void reloadSettings(shallot::Sidecar& sidecar)
 {
     if (const auto instance = shallot::platform::readInstanceSettings())
-        static_cast<shallot::Sidecar*>(data)->applySettings(*instance);
+        sidecar.applySettings(*instance);
     else
         shallot::EventLog::write("reload-refused", { { "detail", instance.error().detail } });
+}
+
+gboolean onReload(gpointer data)
+{
+    reloadSettings(*static_cast<shallot::Sidecar*>(data));
     return G_SOURCE_CONTINUE;
 }
 
+// The file may change without a signal.
+class SettingsWatch {
+public:
+    explicit SettingsWatch(shallot::Sidecar& sidecar)
+        : m_sidecar(sidecar)
+        , m_changedAt(modificationTime())
+    {
+        m_timer.startRepeating(checkInterval, [this] { check(); });
+    }
+
+private:
+    static constexpr auto checkInterval = std::chrono::seconds(2);
+
+    static std::pair<time_t, long> modificationTime()
+    {
+        struct stat info { };
+        if (stat(shallot::platform::instanceSettingsPath().c_str(), &info))
+            return {};
+        return { info.st_mtim.tv_sec, info.st_mtim.tv_nsec };
+    }
+
+    void check()
+    {
+        if (const auto changedAt = modificationTime(); changedAt != m_changedAt) {
+            m_changedAt = changedAt;
+            reloadSettings(m_sidecar);
+        }
+    }
+
+    shallot::Sidecar& m_sidecar;
+    std::pair<time_t, long> m_changedAt;
+    shallot::Timer m_timer;
+};
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -106,6 +147,7 @@
             g_unix_signal_add(SIGTERM, onTerminate, &sidecar);
             g_unix_signal_add(SIGINT, onTerminate, &sidecar);
             g_unix_signal_add(SIGHUP, onReload, &sidecar);
+            const SettingsWatch watch(sidecar);
             g_main_loop_run(loop);
         }
     }
--- a/Source/programs/shallotctl.cpp
+++ b/Source/programs/shallotctl.cpp
@@ -2,6 +2,7 @@
 
 #include "config/ConfigurationJSON.h"
 #include "core/Digest.h"
+#include "core/EventLogReader.h"
 #include "core/JSON.h"
 #include "core/Version.h"
 
@@ -243,12 +244,26 @@
     { "give-key", 3, "give-key ORGANISATION KEY   let a key work; only its digest is sent" },
     { "withdraw-key", 3, "withdraw-key ORGANISATION KEY" },
     { "digest", 2, "digest TEXT                 print the SHA-256 digest of a key or credential" },
+    { "explain", 2, "explain ID < LOGS           print one request's story from the logs of many instances" },
     { "history", 1, "history                     print the audit trail" },
     { "members", 1, "members                     print the daemons that this one knows" },
     { "status", 1, "status                      print the daemon's live state" },
     { "metrics", 1, "metrics                     print the daemon's metrics" },
 };
 
+// Reads logs of any number of instances from standard input.
+int explain(const std::string& requestID)
+{
+    const auto story = readRequestStory(std::cin, requestID);
+    for (const auto& event : story)
+        std::cout << describeEvent(event, story.front().time) << "\n";
+    if (story.empty()) {
+        std::cerr << "shallotctl: no line of the logs names request \"" << requestID << "\"\n";
+        return exitRefused;
+    }
+    return 0;
+}
+
 std::string helpText()
 {
     std::string text = "Operates a fleet through one daemon's admin port. Verbs:\n";
@@ -274,6 +289,8 @@
         return diffOrApply(client, options, words[0] == "apply");
     if (words[0] == "give-key" || words[0] == "withdraw-key")
         return changeKey(client, options, words[0] == "give-key");
+    if (words[0] == "explain")
+        return explain(words[1]);
     if (words[0] == "digest") {
         std::cout << sha256Hex(words[1]) << "\n";
         return 0;
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -15,12 +15,11 @@
 
 constexpr auto deadlineGrace = 20ms; // The backend server ends at its deadline by itself; its answer gets this much longer
 constexpr auto inheritedDeadlineTolerance = 3ms; // Deadlines travel in whole milliseconds
-constexpr auto probeTimeout = 1s;    // Of the health question after a start; several times a probe's usual few milliseconds
+constexpr auto probeTimeout = 1s; // Of the health question after a start; several times a probe's usual few milliseconds
 
 } // namespace
 
-EndpointExecutor::EndpointExecutor(
-    const MeshSettings& settings, const SocketAddress& backendServer, const std::string& service)
+EndpointExecutor::EndpointExecutor(const MeshSettings& settings, const SocketAddress& backendServer, const std::string& service)
     : m_settings(settings)
     , m_host(backendServer.toString())
     , m_queue(settings)
@@ -111,8 +110,9 @@
         m_queue.setSlots(load->slots);
     }
     m_verified = m_verified || (healthy && instance == m_announcement.instance);
-    EventLog::write("instance-probed", { { "instance", instance }, { "verified", m_verified },
-                                           { "reason", response ? std::to_string(response->status) : response.error().detail } });
+    EventLog::write("instance-probed",
+        { { "instance", instance }, { "verified", m_verified },
+            { "reason", response ? std::to_string(response->status) : response.error().detail } });
     noteChange();
 }
 
@@ -128,9 +128,9 @@
     if (available == m_wasAvailable)
         return;
     m_wasAvailable = available;
-    EventLog::write("instance-availability", { { "instance", m_announcement.instance }, { "available", available },
-                                                 { "draining", m_announcement.draining }, { "left", m_left },
-                                                 { "unreachable", m_unreachable }, { "verified", m_verified } });
+    EventLog::write("instance-availability",
+        { { "instance", m_announcement.instance }, { "available", available }, { "draining", m_announcement.draining },
+            { "left", m_left }, { "unreachable", m_unreachable }, { "verified", m_verified } });
     if (m_onChange)
         m_onChange();
 }
@@ -161,6 +161,8 @@
     live->item.priority = call.context.priority;
     live->item.organisation = call.context.organisation;
     live->deadline = now + call.context.remaining;
+    live->submitted = now;
+    live->attemptID = platform::attemptIDOf(call.request.headers);
     live->call = std::move(call);
     live->completion = std::move(completion);
     const auto id = live->item.id;
@@ -245,15 +247,13 @@
     m_queue.recordStart();
     m_deadlines.set(live.item.id, live.deadline + deadlineGrace);
     HTTPRequest request = std::move(live.call.request);
-    const std::string attemptID(platform::attemptIDOf(request.headers));
-    live.attemptID = attemptID;
-    m_running[attemptID] = live.item.id;
+    m_running[live.attemptID] = live.item.id;
     m_guard.recordStart(live.call.context.route, live.call.context.priority);
     platform::addDelivery(request, live.deadline - now, m_announcement.instance);
     const auto id = live.item.id;
     m_pool.send(
         id, request, [this, id](Result<HTTPResponse> response) { onResponse(id, std::move(response)); },
-        [attemptID](const HTTPResponse& response) {
+        [attemptID = live.attemptID](const HTTPResponse& response) {
             const auto echoed = platform::attemptIDOf(response.headers);
             return echoed.empty() || echoed == attemptID;
         });
@@ -309,6 +309,16 @@
     m_calls.erase(live.item.id);
     m_deadlines.remove(live.item.id);
     const auto& context = live.call.context;
+    if (!response && live.completion) {
+        EventLog::write("run-failed",
+            { { "request", live.attemptID }, { "route", context.route }, { "priority", context.priority },
+                { "reason", errorAnswer(response.error().kind).name }, { "detail", response.error().detail },
+                { "arrived", arrived }, { "instance", m_announcement.instance }, { "running", m_queue.running() },
+                { "queued", m_queue.queued() }, { "limit", m_queue.limit() },
+                { "service_time_ms", toSeconds(m_queue.serviceTime()) * 1000 },
+                { "pressure_ms", toSeconds(m_guard.pressure(context.route, context.priority, now)) * 1000 },
+                { "held_ms", toSeconds(now - live.submitted) * 1000 }, { "announced_s", toSeconds(now - m_lastHeard) } });
+    }
     if (std::exchange(live.running, false)) {
         m_queue.recordEnd();
         m_running.erase(live.attemptID);
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -64,6 +64,7 @@
         MeshCompletion completion;
         std::string attemptID;
         TimePoint deadline {};
+        TimePoint submitted {};
         TimePoint started {};
         bool running { false };
     };
@@ -94,11 +95,11 @@
     TimePoint m_lastHeard {};
     uint64_t m_nextID { 1 };
     bool m_announced { false };
-    bool m_verified { false };  // The first announcement after a start may be old: a probe confirms it
+    bool m_verified { false }; // The first announcement after a start may be old: a probe confirms it
     bool m_probing { false };
     Timer m_probeTimer;
     uint64_t m_probeID { 0 };
-    bool m_left { false };      // The instance said that it ends
+    bool m_left { false };        // The instance said that it ends
     bool m_unreachable { false }; // Refused a connection; until its next announcement
     bool m_leaving { false };
     bool m_wasAvailable { false };
--- a/Source/sidecar/MeshBeliefs.cpp
+++ b/Source/sidecar/MeshBeliefs.cpp
@@ -22,8 +22,8 @@
     if (m_routes && decoded->version <= version())
         return {};
     EventLog::write("configuration-in-force",
-        { { "version", decoded->version }, { "replaces", version() }, { "source", source },
-            { "routes", decoded->routes.size() }, { "organisations", decoded->organisations.size() } });
+        { { "version", decoded->version }, { "replaces", version() }, { "source", source }, { "routes", decoded->routes.size() },
+            { "organisations", decoded->organisations.size() } });
     m_routes = std::make_unique<RouteTable>(std::move(*decoded));
     m_document = document;
     if (m_onConfiguration)
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -2,7 +2,7 @@
 //   Arrival:   handle, identify, admit
 //   Attempts:  place, send, endAttempt, withdrawAttempt
 //   Outcomes:  onAnswer, onLinkClosed, onOutcome, mayTryAgain
-//   Ends:      answer, onGone, onDue
+//   Ends:      answer, logEnd, onGone, onDue
 
 #include "sidecar/MeshIngress.h"
 
@@ -137,7 +137,8 @@
     visit.deadline = now + patience;
     if (caller->key.empty())
         visit.parent = m_parts.executor.findParent(caller->attemptID, patience, now);
-    context.priority = visit.parent ? innerPriority(visit.parent->priority) : priorityOfRank(beliefs.routes()->rankOf(*route, visit.organisation));
+    context.priority = visit.parent ? innerPriority(visit.parent->priority)
+                                    : priorityOfRank(beliefs.routes()->rankOf(*route, visit.organisation));
     context.hops = visit.parent ? static_cast<uint8_t>(visit.parent->hops + 1) : 0;
     if (!visit.parent) {
         visit.target = now + std::min(route->targetLatency, patience);
@@ -159,8 +160,9 @@
     while (true) {
         auto* endpoint = m_parts.beliefs.endpoints().choose(visit.call.service, now, visit.tried);
         if (!endpoint) {
-            answer(visit, visit.earlier ? *visit.earlier
-                                        : tl::unexpected(Error { ErrorKind::NoBackendServer, visit.call.service, startRetryAfter }),
+            answer(visit,
+                visit.earlier ? *visit.earlier
+                              : tl::unexpected(Error { ErrorKind::NoBackendServer, visit.call.service, startRetryAfter }),
                 now);
             return;
         }
@@ -279,7 +281,7 @@
     const bool mayHaveRun = outcome.response || !isNotRun(outcome.response.error());
     if (mayTryAgain(visit, outcome, now)) {
         EventLog::write("request-repeated",
-            { { "request", visit.attemptID }, { "member", visit.member },
+            { { "request", visit.attemptID }, { "member", visit.member }, { "service", visit.call.service },
                 { "reason", outcome.response ? "status" : errorAnswer(outcome.response.error().kind).name },
                 { "arrivals", visit.arrivals }, { "reroutes", visit.reroutes } });
         if (mayHaveRun)
@@ -335,15 +337,30 @@
     m_parts.metrics.record(context.route, kind, now - visit.arrived);
     if (!response && response.error().retryAfter > Duration::zero() && visit.fingerprint)
         m_returns.expect(visit.fingerprint, response.error().retryAfter, now);
+    logEnd(visit, response, now);
+    const auto connection = std::exchange(visit.connection, nullptr);
+    connection->respond(response ? *response : platform::makeFailure(response.error(), visit.attemptID), m_leaving, now);
+}
+
+// Inner calls that went well are the bulk of all; metrics count them, and only the others get a line.
+void MeshIngress::logEnd(const Visit& visit, const Result<HTTPResponse>& response, TimePoint now) const
+{
+    const bool good = response && response->status < 500;
+    if (visit.parent && good)
+        return;
+    const auto& context = visit.call.context;
+    const auto kind = response ? ErrorKind::None : response.error().kind;
+    auto& beliefs = m_parts.beliefs;
     EventLog::write("request",
         { { "request", visit.attemptID }, { "route", context.route }, { "organisation", context.organisation },
-            { "service", visit.call.service }, { "priority", context.priority }, { "member", visit.member },
-            { "outcome", response ? "answered" : errorAnswer(kind).name }, { "status", response ? response->status : 0 },
+            { "service", visit.call.service }, { "priority", context.priority }, { "hops", context.hops },
+            { "member", visit.member }, { "outcome", response ? "answered" : errorAnswer(kind).name },
+            { "status", response ? response->status : errorAnswer(kind).httpStatus },
             { "detail", response ? std::string_view {} : std::string_view(response.error().detail) },
-            { "ms", toSeconds(now - visit.arrived) * 1000 }, { "returning", visit.call.returning }, { "hops", context.hops }, { "tried", visit.tried.size() }, { "arrivals", visit.arrivals },
-            { "configuration", m_parts.beliefs.version() } });
-    const auto connection = std::exchange(visit.connection, nullptr);
-    connection->respond(response ? *response : platform::makeFailure(response.error(), visit.attemptID), m_leaving, now);
+            { "duration_ms", toSeconds(now - visit.arrived) * 1000 },
+            { "retry_after_s", response ? 0.0 : toSeconds(response.error().retryAfter) }, { "returning", visit.call.returning },
+            { "members_tried", visit.tried.size() }, { "arrivals", visit.arrivals }, { "configuration", beliefs.version() },
+            { "configuration_age_s", toSeconds(now - beliefs.proof().provenAt) } });
 }
 
 void MeshIngress::onGone(StrictHTTPConnection& connection)
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -4,10 +4,10 @@
 #include "mesh/MeshCall.h"
 #include "mesh/MeshConfiguration.h"
 #include "mesh/RemoteEndpoints.h"
+#include "mesh/ReturnList.h"
 #include "net/DeadlineQueue.h"
 #include "net/StrictHTTPServer.h"
 #include "policy/RetryBudget.h"
-#include "mesh/ReturnList.h"
 #include "sidecar/EndpointExecutor.h"
 
 #include <map>
@@ -63,21 +63,21 @@
         MeshCall call;
         std::string attemptID;
         const MeshOrganisation* organisation { nullptr }; // Whose rate it spends; only until it is admitted
-        std::optional<ParentRun> parent; // The run that makes this call; nothing for a caller's request
-        uint64_t fingerprint { 0 };      // Same for a request that comes back
+        std::optional<ParentRun> parent;                  // The run that makes this call; nothing for a caller's request
+        uint64_t fingerprint { 0 };                       // Same for a request that comes back
         unsigned maximumEndpoints { 1 };
         TimePoint arrived {};
         TimePoint deadline {};
         TimePoint target {};
         std::vector<std::string> tried; // Members asked
         unsigned reroutes { 0 };
-        unsigned arrivals { 0 };        // Backend servers reached
-        uint64_t attempt { 0 };         // Answers of earlier attempts are ignored
-        std::string member;             // Asked by the attempt in progress
-        RefPtr<PeerLink> link;          // Null while the own executor works on it
+        unsigned arrivals { 0 }; // Backend servers reached
+        uint64_t attempt { 0 };  // Answers of earlier attempts are ignored
+        std::string member;      // Asked by the attempt in progress
+        RefPtr<PeerLink> link;   // Null while the own executor works on it
         uint64_t executorID { 0 };
         std::optional<Result<HTTPResponse>> earlier; // Of an attempt that arrived; no later "not run" hides it
-        bool wentOut { false };         // An attempt is in progress
+        bool wentOut { false };                      // An attempt is in progress
     };
 
     void handle(const RefPtr<StrictHTTPConnection>&, HTTPRequest, TimePoint now);
@@ -90,6 +90,7 @@
     void endAttempt(Visit&);
     void withdrawAttempt(Visit&);
     void answer(Visit&, const Result<HTTPResponse>&, TimePoint now);
+    void logEnd(const Visit&, const Result<HTTPResponse>&, TimePoint now) const;
     void onGone(StrictHTTPConnection&);
     void onDue(uint64_t id);
     RetryBudget& budgetFor(const std::string& service);
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -10,9 +10,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto connectTimeout = 600ms; // To connect and prove each other; hundreds of times the way between two zones
+constexpr auto connectTimeout = 600ms;        // To connect and prove each other; hundreds of times the way between two zones
 constexpr auto silenceBeforeQuestion = 300ms; // Of a link with calls in progress; shorter than most runs are long
-constexpr auto answerTimeout = 700ms;  // Of that question
+constexpr auto answerTimeout = 700ms;         // Of that question
 
 } // namespace
 
--- a/Source/sidecar/MeshMetrics.cpp
+++ b/Source/sidecar/MeshMetrics.cpp
@@ -22,7 +22,8 @@
         return;
     auto found = m_latencies.find(name);
     if (found == m_latencies.end())
-        found = m_latencies.emplace(name, boost::histogram::make_histogram(Axis(latencyBins, shortestSeconds, longestSeconds))).first;
+        found = m_latencies.emplace(name, boost::histogram::make_histogram(Axis(latencyBins, shortestSeconds, longestSeconds)))
+                    .first;
     found->second(std::max(shortestSeconds, toSeconds(latency)));
 }
 
--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -158,8 +158,8 @@
             loan->tokens = left;
             loans.loans.push_back(std::move(loan));
         }
-        EventLog::write("ledger-handed-over",
-            { { "ledger", ledger }, { "to", next->member.name }, { "organisations", tokens.size() } });
+        EventLog::write(
+            "ledger-handed-over", { { "ledger", ledger }, { "to", next->member.name }, { "organisations", tokens.size() } });
         wire::FrameT frame;
         frame.body.Set(std::move(loans));
         if (const auto link = m_links.linkTo(next->member.address))
@@ -208,7 +208,8 @@
         const auto found = m_waiting.find(loan->organisation);
         if (found == m_waiting.end() || found->second.question != loans.sequence)
             continue; // Settled by the time-out
-        const RateGrant grant { static_cast<unsigned>(std::max(0.0, loan->tokens)), Duration(static_cast<int64_t>(loan->retry_after_us)) };
+        const RateGrant grant { static_cast<unsigned>(std::max(0.0, loan->tokens)),
+            Duration(static_cast<int64_t>(loan->retry_after_us)) };
         settle(found->first, found->second, grant, now);
     }
 }
--- a/Source/sidecar/RateExchange.h
+++ b/Source/sidecar/RateExchange.h
@@ -60,7 +60,7 @@
     MeshLinks& m_links;
     std::string m_ownName;
     RateParts m_parts;
-    std::vector<RateLedger> m_ledgers; // By number; those that others keep stand idle
+    std::vector<RateLedger> m_ledgers;        // By number; those that others keep stand idle
     std::map<std::string, Waiting> m_waiting; // By organisation
     uint64_t m_nextQuestion { 1 };
     bool m_leaving { false };
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -2,8 +2,8 @@
 //   Start and leave:  Sidecar, start, leave, finishLeaving, applySettings
 //   Own servers:      answerControl, answerReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, cancelCall
-//   Beliefs:          onConfiguration, announceMembership, greetMembers, renewProof, askSomeForProof, dropUnansweredQuestions, pushConfiguration, answerProof, takeProof
-//   Time:             tick
+//   Beliefs:          onConfiguration, announceMembership, greetMembers, renewProof, askSomeForProof, dropUnansweredQuestions,
+//   pushConfiguration, answerProof, takeProof Time:             tick
 
 #include "sidecar/Sidecar.h"
 
@@ -22,18 +22,18 @@
 
 namespace {
 
-constexpr auto tickInterval = 250ms;      // Watches links and greets ledgers; MeshSettings::greetInterval
-constexpr uint64_t ticksPerFlush = 2;   // Logs: each half second
-constexpr auto memberHold = 20s;          // News of members also comes over links, so a silent read costs little
-constexpr auto readTimeout = 700ms;       // Beyond the hold; the store answers within milliseconds
-constexpr auto memberPause = 400ms;       // A start of the whole fleet writes one record a member
+constexpr auto tickInterval = 250ms;  // Watches links and greets ledgers; MeshSettings::greetInterval
+constexpr uint64_t ticksPerFlush = 2; // Logs: each half second
+constexpr auto memberHold = 20s;      // News of members also comes over links, so a silent read costs little
+constexpr auto readTimeout = 700ms;   // Beyond the hold; the store answers within milliseconds
+constexpr auto memberPause = 400ms;   // A start of the whole fleet writes one record a member
 constexpr auto appendTimeout = 1s;
 constexpr auto appendRetry = 700ms;
-constexpr auto readinessLag = 2600ms;     // Two questions, one a second, and the way
+constexpr auto readinessLag = 2600ms; // Two questions, one a second, and the way
 constexpr auto leaveCheck = 100ms;
-constexpr auto closeMargin = 700ms;       // Of the shutdown time; left for the last answers to go out
-constexpr size_t greetedMembers = 128;    // After a start; in a larger fleet the others learn with their next call
-constexpr size_t questionsAtOnce = 3; // To members at random, while no reader answers
+constexpr auto closeMargin = 700ms;    // Of the shutdown time; left for the last answers to go out
+constexpr size_t greetedMembers = 128; // After a start; in a larger fleet the others learn with their next call
+constexpr size_t questionsAtOnce = 3;  // To members at random, while no reader answers
 
 FollowSettings configurationFollow(const MeshSettings& settings)
 {
@@ -53,8 +53,7 @@
     , m_own { m_instance.instance, m_instance.zone, m_instance.peers.toString(), m_instance.service }
     , m_beliefs(settings, m_instance.zone)
     , m_links({ m_own.name, m_own.zone, std::move(peerSecret) }, m_own,
-          { [this](PeerLink& link, wire::FrameT& frame) { onFrame(link, frame); },
-              [this](PeerLink& link) { onLinkClosed(link); },
+          { [this](PeerLink& link, wire::FrameT& frame) { onFrame(link, frame); }, [this](PeerLink& link) { onLinkClosed(link); },
               [this](const MeshMember& member, const EndpointReport& report) {
                   m_beliefs.takeMember(member);
                   m_beliefs.endpoints().recordReachable(member.name);
@@ -164,6 +163,7 @@
 void Sidecar::applySettings(const platform::InstanceSettings& instance)
 {
     m_instance.shutdownTime = instance.shutdownTime;
+    m_store.setAddress(instance.store);
     EventLog::write("reload", { { "instance", instance.instance } });
 }
 
@@ -209,8 +209,9 @@
 {
     const bool ready = !m_leaving && m_beliefs.isComplete() && m_beliefs.mayHonourKeys(now);
     if (ready != std::exchange(m_wasReady, ready)) {
-        EventLog::write("readiness", { { "ready", ready }, { "leaving", m_leaving }, { "version", m_beliefs.version() },
-                                         { "configuration_age_s", toSeconds(now - m_beliefs.proof().provenAt) } });
+        EventLog::write("readiness",
+            { { "ready", ready }, { "leaving", m_leaving }, { "version", m_beliefs.version() },
+                { "configuration_age_s", toSeconds(now - m_beliefs.proof().provenAt) } });
     }
     return ready;
 }
@@ -245,11 +246,12 @@
     // The completion may come before submit() returns, when the id is not known yet.
     auto done = std::make_shared<bool>(false);
     auto executorID = std::make_shared<uint64_t>(0);
-    *executorID = m_executor.submit(std::move(call), MonotonicClock::now(), [this, peer, id, done, executorID](const MeshOutcome& outcome) {
-        *done = true;
-        peer->send(makeMeshAnswerFrame(id, outcome));
-        m_served.erase(*executorID);
-    });
+    *executorID = m_executor.submit(
+        std::move(call), MonotonicClock::now(), [this, peer, id, done, executorID](const MeshOutcome& outcome) {
+            *done = true;
+            peer->send(makeMeshAnswerFrame(id, outcome));
+            m_served.erase(*executorID);
+        });
     if (!*done)
         m_served[*executorID] = { peer, id, idempotent };
 }
@@ -292,13 +294,14 @@
 
 void Sidecar::announceMembership()
 {
-    m_store.append(platform::StoreTopic::Members, platform::encodeMember(m_own), appendTimeout, [this](const Result<void>& result) {
-        m_membershipStored = result.has_value();
-        if (m_membershipStored)
-            return;
-        EventLog::write("membership-not-stored", { { "detail", result.error().detail } });
-        m_membershipRetry.startOnce(appendRetry, [this] { announceMembership(); });
-    });
+    m_store.append(
+        platform::StoreTopic::Members, platform::encodeMember(m_own), appendTimeout, [this](const Result<void>& result) {
+            m_membershipStored = result.has_value();
+            if (m_membershipStored)
+                return;
+            EventLog::write("membership-not-stored", { { "detail", result.error().detail } });
+            m_membershipRetry.startOnce(appendRetry, [this] { announceMembership(); });
+        });
 }
 
 // After a start: those that found this daemon gone may use it again.
--- a/Source/sidecar/StoreFollower.cpp
+++ b/Source/sidecar/StoreFollower.cpp
@@ -14,7 +14,7 @@
 constexpr auto firstRetry = 150ms;     // After a failed read; doubled each time
 constexpr auto longestRetry = 800ms;   // Entries are expected back two seconds after the store's return
 
-constexpr auto shortestPause = 20ms;    // Between two reads that were answered at once
+constexpr auto shortestPause = 20ms; // Between two reads that were answered at once
 
 const char* topicName(platform::StoreTopic topic)
 {
@@ -51,8 +51,8 @@
 {
     m_reading = true;
     const auto asked = MonotonicClock::now();
-    m_client.readNewest(m_settings.topic, newestTimeout,
-        [this, asked](Result<platform::StoreRead> read) { onRead(asked, std::move(read)); });
+    m_client.readNewest(
+        m_settings.topic, newestTimeout, [this, asked](Result<platform::StoreRead> read) { onRead(asked, std::move(read)); });
 }
 
 void StoreFollower::readNext()
--- a/Source/sidecar/StoreFollower.h
+++ b/Source/sidecar/StoreFollower.h
@@ -3,17 +3,17 @@
 #include "net/MainLoop.h"
 #include "platform/StoreClient.h"
 
-#include <optional>
 #include <functional>
+#include <optional>
 
 namespace shallot {
 
 // How one topic of the store is followed.
 struct FollowSettings {
     platform::StoreTopic topic { platform::StoreTopic::Configuration };
-    Duration hold {};     // How long a read waits for news; also the age of what a held read proves
-    Duration timeout {};  // Beyond the hold: a read that says nothing for longer has lost its connection
-    Duration pause {};    // Between two reads, so that a rush of records costs few calls
+    Duration hold {};    // How long a read waits for news; also the age of what a held read proves
+    Duration timeout {}; // Beyond the hold: a read that says nothing for longer has lost its connection
+    Duration pause {};   // Between two reads, so that a rush of records costs few calls
 };
 
 // Keeps up with one topic: the newest record of each key first, then held reads from there on.
--- /dev/null
+++ b/Tests/EventLogTest.cpp
@@ -0,0 +1,29 @@
+// One request's story out of the logs of many instances.
+
+#include "core/EventLogReader.h"
+
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace shallot {
+namespace {
+
+TEST(EventLogReader, TellsTheStoryOfARequestAndItsCallsOldestFirst)
+{
+    std::istringstream logs(
+        "12.0 host {\"time\":12.5,\"instance\":\"a\",\"event\":\"request\",\"request\":\"ab\",\"outcome\":\"timed-out\"}\n"
+        "{\"time\":12.1,\"instance\":\"b\",\"event\":\"run-failed\",\"request\":\"ab.cd\",\"queued\":7,\"arrived\":true}\n"
+        "{\"time\":12.0,\"instance\":\"b\",\"event\":\"request\",\"request\":\"abc\"}\n"
+        "{\"time\":12.0,\"instance\":\"b\",\"event\":\"start\"}\n"
+        "not a line of ours ab\n"
+        "{\"time\":12.0,\"instance\":\"b\",\"request\":\"ab\n");
+    const auto story = readRequestStory(logs, "ab");
+    ASSERT_EQ(story.size(), 2U);
+    EXPECT_EQ(story[0].request, "ab.cd");
+    EXPECT_EQ(story[0].fields, "queued=7 arrived=true");
+    EXPECT_EQ(story[1].event, "request");
+    EXPECT_NE(describeEvent(story[1], story[0].time).find("+0.400 s  a  request of ab  outcome=timed-out"), std::string::npos);
+}
+
+} // namespace
+} // namespace shallot
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -119,8 +119,8 @@
 {
     const auto route = [](const char* prefix, const char* service, const char* kind, bool open) {
         return std::string(R"({"name":"route-)") + service + kind + R"(","path_prefix":")" + prefix + R"(","kind":")" + kind
-            + R"(","timeout_s":1.5,"target_latency_s":1,"priority":1,"service":")" + service
-            + R"(","attempts":2,"anonymous":)" + (open ? "true" : "false") + "}";
+            + R"(","timeout_s":1.5,"target_latency_s":1,"priority":1,"service":")" + service + R"(","attempts":2,"anonymous":)"
+            + (open ? "true" : "false") + "}";
     };
     const std::string document = R"({"version":"r)" + std::to_string(version)
         + R"(","services":[{"name":"alpha","health_path":"/health","max_connections":100},)"
@@ -203,8 +203,8 @@
             return false;
     }
     return runUntil([this] {
-        return std::all_of(m_daemons.begin(), m_daemons.end(),
-            [this](const auto& daemon) { return daemon->memberCount() == m_daemons.size(); });
+        return std::all_of(
+            m_daemons.begin(), m_daemons.end(), [this](const auto& daemon) { return daemon->memberCount() == m_daemons.size(); });
     });
 }
 
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -163,7 +163,8 @@
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
     ASSERT_TRUE(mesh.waitUntilServing());
     std::vector<RefPtr<StrictHTTPConnection>> open;
-    mesh.endpoint(0).setScript([&open](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) { open.push_back(connection); });
+    mesh.endpoint(0).setScript(
+        [&open](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) { open.push_back(connection); });
     mesh.send(1, { "GET", "/read/1", {}, {} });
     ASSERT_TRUE(mesh.runUntil([&] { return !open.empty(); }));
     mesh.leaveAsCaller();
@@ -175,7 +176,8 @@
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
     ASSERT_TRUE(mesh.waitUntilServing());
     std::vector<RefPtr<StrictHTTPConnection>> open;
-    mesh.endpoint(0).setScript([&open](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) { open.push_back(connection); });
+    mesh.endpoint(0).setScript(
+        [&open](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) { open.push_back(connection); });
     const auto sent = MonotonicClock::now();
     EXPECT_EQ(mesh.fetch(1, "/read/1").status(), 504);
     EXPECT_GE(MonotonicClock::now() - sent, 1400ms);
