--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -32,8 +32,9 @@
     // Queue beside the backend server
     double slotShare { 0.95 }; // Part of the slots that is used; some backend servers slow down beyond it
     double holdShare { 0.5 };  // Part of a request's target latency that it may spend waiting
-    Duration retryAfterMinimum { 100ms };
-    Duration retryAfterMaximum { 2s };
+    Duration retryAfterMinimum { 30ms };  // Shorter than any target latency
+    Duration retryAfterMaximum { 2s };    // A third of the time that the most patient callers have
+    double retryAfterShare { 0.5 };       // Of the target latency: a request that returns later is late even if it is served
     double serviceTimeWeight { 0.05 }; // Weight of the newest run in the average
     Duration announcementLapse { 5s }; // Silent for three announcement intervals: gone
 
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -2,7 +2,7 @@
 //   Arrival:   handle, identify, admit
 //   Attempts:  place, send, endAttempt, withdrawAttempt
 //   Outcomes:  onAnswer, onLinkClosed, onOutcome, mayTryAgain
-//   Ends:      answer, logEnd, onGone, onDue
+//   Ends:      returnTime, answer, logEnd, onGone, onDue
 
 #include "sidecar/MeshIngress.h"
 
@@ -101,8 +101,7 @@
             place(*visit, now);
             return;
         }
-        const auto wait = std::max<Duration>(retryAfter, m_parts.settings.retryAfterMinimum);
-        answer(*visit, tl::unexpected(Error { ErrorKind::RateExceeded, visit->call.context.organisation, wait }), now);
+        answer(*visit, tl::unexpected(Error { ErrorKind::RateExceeded, visit->call.context.organisation, retryAfter }), now);
     });
 }
 
@@ -324,11 +323,22 @@
 
 // Ends
 
-void MeshIngress::answer(Visit& visit, const Result<HTTPResponse>& response, TimePoint now)
+// When a refused request should come back: when there is room, but early enough to be worth something to its caller.
+Duration MeshIngress::returnTime(const Visit& visit, Duration roomAfter) const
+{
+    const auto& settings = m_parts.settings;
+    const auto target = visit.target > visit.arrived ? visit.target - visit.arrived : settings.retryAfterMaximum;
+    const auto latest = fromSeconds(settings.retryAfterShare * toSeconds(target));
+    return std::clamp(std::min(roomAfter, latest), settings.retryAfterMinimum, settings.retryAfterMaximum);
+}
+
+void MeshIngress::answer(Visit& visit, Result<HTTPResponse> response, TimePoint now)
 {
     const RefPtr<Visit> protect(&visit);
     if (!m_visits.erase(visit.id))
         return;
+    if (!response && errorAnswer(response.error().kind).ran == RunState::NotRun)
+        response.error().retryAfter = returnTime(visit, response.error().retryAfter);
     withdrawAttempt(visit);
     m_deadlines.remove(visit.id);
     m_byConnection.erase(visit.connection.get());
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -89,7 +89,8 @@
     bool mayTryAgain(Visit&, const MeshOutcome&, TimePoint now);
     void endAttempt(Visit&);
     void withdrawAttempt(Visit&);
-    void answer(Visit&, const Result<HTTPResponse>&, TimePoint now);
+    Duration returnTime(const Visit&, Duration roomAfter) const;
+    void answer(Visit&, Result<HTTPResponse>, TimePoint now);
     void logEnd(const Visit&, const Result<HTTPResponse>&, TimePoint now) const;
     void onGone(StrictHTTPConnection&);
     void onDue(uint64_t id);
--- a/Source/sidecar/StoreFollower.cpp
+++ b/Source/sidecar/StoreFollower.cpp
@@ -52,7 +52,7 @@
     m_reading = true;
     const auto asked = MonotonicClock::now();
     m_client.readNewest(
-        m_settings.topic, newestTimeout, [this, asked](Result<platform::StoreRead> read) { onRead(asked, std::move(read)); });
+        m_settings.topic, newestTimeout, [this, asked](Result<platform::StoreRead> read) { onRead(asked, {}, std::move(read)); });
 }
 
 void StoreFollower::readNext()
@@ -66,10 +66,10 @@
     const auto hold = m_failures || m_paused ? Duration::zero() : m_settings.hold;
     m_reading = true;
     m_client.readFrom(m_settings.topic, *m_offset, hold, hold + m_settings.timeout,
-        [this, asked](Result<platform::StoreRead> read) { onRead(asked, std::move(read)); });
+        [this, asked, hold](Result<platform::StoreRead> read) { onRead(asked, hold, std::move(read)); });
 }
 
-void StoreFollower::onRead(TimePoint asked, Result<platform::StoreRead> read)
+void StoreFollower::onRead(TimePoint asked, Duration hold, Result<platform::StoreRead> read)
 {
     m_reading = false;
     if (!read) {
@@ -90,10 +90,12 @@
     m_offset = read->nextOffset;
     for (const auto& record : read->records)
         m_callbacks.onRecord(record);
-    m_callbacks.onCurrent(asked);
+    // A read that was held to its end without news shows that there were none when it ended, which the store counts from the
+    // question's arrival.
+    const bool held = read->records.empty() && hold > Duration::zero() && MonotonicClock::now() - asked >= hold;
+    m_callbacks.onCurrent(held ? asked + hold : asked);
     // A store that does not hold the read must not be asked without end.
-    const bool held = MonotonicClock::now() - asked >= m_settings.hold / 2;
-    scheduleNext(read->records.empty() && held ? Duration::zero() : std::max<Duration>(m_settings.pause, shortestPause));
+    scheduleNext(held ? Duration::zero() : std::max<Duration>(m_settings.pause, shortestPause));
 }
 
 void StoreFollower::scheduleNext(Duration delay)
--- a/Source/sidecar/StoreFollower.h
+++ b/Source/sidecar/StoreFollower.h
@@ -21,7 +21,7 @@
 public:
     struct Callbacks {
         std::function<void(const platform::KeyedRecord&)> onRecord;
-        std::function<void(TimePoint asked)> onCurrent; // Everything written before `asked` was seen
+        std::function<void(TimePoint)> onCurrent; // Everything written before that time was seen
     };
 
     StoreFollower(platform::StoreClient&, FollowSettings, Callbacks);
@@ -35,7 +35,7 @@
 private:
     void readNewest();
     void readNext();
-    void onRead(TimePoint asked, Result<platform::StoreRead>);
+    void onRead(TimePoint asked, Duration hold, Result<platform::StoreRead>);
     void scheduleNext(Duration);
 
     platform::StoreClient& m_client;
