--- a/Source/core/EventLogReader.cpp
+++ b/Source/core/EventLogReader.cpp
@@ -36,7 +36,7 @@
         if (name == "time" || name == "instance" || name == "event" || name == "request")
             continue;
         if (const auto text = fieldText(json_object_get_member(object, name.c_str())); !text.empty())
-            event.fields += (event.fields.empty() ? "" : " ") + name + "=" + text;
+            event.fields.append(event.fields.empty() ? "" : " ").append(name).append("=").append(text);
     }
     g_list_free(names);
     return event;
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -26,17 +26,15 @@
     unsigned reroutes { 2 };      // Other members asked after refusals that reached no backend server
     double retryShare { 0.2 };    // Deployment: repeats a service may get, as a share of its requests
     double retryAllowance { 40 }; // Deployment: repeats beyond that share, over all daemons
-    double retryMargin { 0.5 };   // Part of both that is used; daemons do not know of each other's repeats
-    Duration retryWindow { 10s }; // Deployment: span over which both are counted
+    double retryMargin { 0.05 };  // Part of both that is used: a repeated run makes its calls again, and they count below it
 
     // Queue beside the backend server
-    double slotShare { 0.95 }; // Part of the slots that is used; some backend servers slow down beyond it
-    double holdShare { 0.5 };  // Part of a request's target latency that it may spend waiting
-    Duration retryAfterMinimum { 30ms };  // Shorter than any target latency
-    Duration retryAfterMaximum { 2s };    // A third of the time that the most patient callers have
-    double retryAfterShare { 0.5 };       // Of the target latency: a request that returns later is late even if it is served
-    double serviceTimeWeight { 0.05 }; // Weight of the newest run in the average
-    Duration announcementLapse { 5s }; // Silent for three announcement intervals: gone
+    double slotShare { 0.95 };           // Part of the slots that is used; some backend servers slow down beyond it
+    Duration retryAfterMinimum { 30ms }; // Shorter than any target latency
+    Duration retryAfterMaximum { 2s };   // A third of the time that the most patient callers have
+    double retryAfterShare { 0.5 };      // Of the target latency: a request that returns later is late even if it is served
+    double serviceTimeWeight { 0.05 };   // Weight of the newest run in the average
+    Duration announcementLapse { 5s };   // Silent for three announcement intervals: gone
 
     // Shedding at the root of a call graph
     Duration pressureTarget { 20ms };     // Wait at a service below that is no sign of overload; half of a short run
--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -53,7 +53,6 @@
     settings.keyStaleness = instance.keyStaleness;
     settings.retryShare = instance.retryShare;
     settings.retryAllowance = instance.retryAllowance;
-    settings.retryWindow = instance.retryWindow;
     settings.announcementLapse = instance.announcementInterval * 3 + shallot::fromSeconds(0.5);
     return settings;
 }
@@ -113,9 +112,7 @@
     shallot::Timer m_timer;
 };
 
-} // namespace
-
-int main(int argc, char** argv)
+int run(int argc, char** argv)
 {
     const auto flags = readFlags(argc, argv);
     const auto instance = shallot::platform::readInstanceSettings();
@@ -154,3 +151,15 @@
     g_main_loop_unref(loop);
     return status;
 }
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const std::exception& exception) {
+        std::cerr << "shallot-sidecar: " << exception.what() << "\n";
+        return 1;
+    }
+}
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -63,8 +63,8 @@
         return found->second;
     const auto& settings = m_parts.settings;
     const double members = static_cast<double>(std::max<size_t>(1, m_parts.beliefs.memberCount()));
-    const double saved = std::clamp(settings.retryMargin * settings.retryAllowance / members / 4, 1.0, 10.0);
-    return m_budgets.emplace(service, RetryBudget(settings.retryShare * settings.retryMargin / 10, saved)).first->second;
+    const double saved = std::clamp(settings.retryMargin * settings.retryAllowance / members, 1.0, 10.0);
+    return m_budgets.emplace(service, RetryBudget(settings.retryShare * settings.retryMargin, saved)).first->second;
 }
 
 // Arrival
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -116,9 +116,9 @@
     std::vector<RefPtr<PeerLink>> silent;
     for (auto& [link, watch] : m_watches) {
         const bool connecting = !link->isEstablished() && watch.created != TimePoint();
-        if (connecting && now - watch.created > connectTimeout)
-            dead.emplace_back(link);
-        else if (watch.asked != TimePoint() && now - watch.asked > answerTimeout)
+        const bool connectsTooLong = connecting && now - watch.created > connectTimeout;
+        const bool answersTooLate = watch.asked != TimePoint() && now - watch.asked > answerTimeout;
+        if (connectsTooLong || answersTooLate)
             dead.emplace_back(link);
         else if (!connecting && watch.outstanding && watch.asked == TimePoint() && now - watch.heard > silenceBeforeQuestion)
             silent.emplace_back(link);
