--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,11 @@
 # make faults  faults on real processes under load, a minute
 # make fuzz    long stateful fuzzing; FUZZ_SEED=n FUZZ_CASES=n
 
-.PHONY: setup all run test fuzz faults bench lint format clean
+# make soak    fault soak of the platform's daemon; SOAK_SEEDS="1 2 3" SOAK_SECONDS=n
+SOAK_SEEDS ?= 1 2
+SOAK_SECONDS ?= 8
+
+.PHONY: setup all run test fuzz faults soak bench lint format clean
 
 all: $(BUILD)/CMakeCache.txt
 	@cmake --build $(BUILD)
@@ -37,6 +41,9 @@
 faults: all
 	@SHALLOT_BIN=$(BUILD) scripts/run-faults.sh
 
+soak: all
+	@status=0; for seed in $(SOAK_SEEDS); do $(BUILD)/shallot-soak $(BUILD)/shallot-sidecar $$seed $(SOAK_SECONDS) || status=1; done; exit $$status
+
 bench: all
 	@SHALLOT_BIN=$(BUILD) scripts/run-bench.sh
 
--- a/Tests/StoreStandin.cpp
+++ b/Tests/StoreStandin.cpp
@@ -41,7 +41,7 @@
 
 void StoreStandin::put(const std::string& topic, const std::string& key, const std::string& value)
 {
-    m_topics[topic].records.emplace_back(key, value);
+    m_topics[topic].records.emplace_back(key, m_filter ? m_filter(topic, value) : value);
     wake(topic);
 }
 
--- a/Tests/StoreStandin.h
+++ b/Tests/StoreStandin.h
@@ -3,6 +3,7 @@
 #include "net/MainLoop.h"
 #include "net/StrictHTTPServer.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -24,6 +25,8 @@
     void put(const std::string& topic, const std::string& key, const std::string& value);
     // Drops all records before the end; the newest of each key stay known.
     void trim(const std::string& topic);
+    // Sees each appended value and may change it.
+    void setRecordFilter(std::function<std::string(const std::string& topic, std::string)> filter) { m_filter = std::move(filter); }
     void setMood(Mood mood) { m_mood = mood; }
     size_t callCount() const { return m_calls; }
 
@@ -48,6 +51,7 @@
     StrictHTTPServer m_server;
     std::map<std::string, Topic> m_topics;
     std::vector<std::unique_ptr<HeldRead>> m_held;
+    std::function<std::string(const std::string&, std::string)> m_filter;
     Mood m_mood { Mood::Serving };
     size_t m_calls { 0 };
 };
--- /dev/null
+++ b/Tests/soak/soak.cpp
@@ -0,0 +1,425 @@
+// Randomized soak: real shallot-sidecar processes, harmed from outside by signals and loopback proxies, against stand-ins of the
+// store, the backend servers and the callers in this process. Checks promises by what callers and backend servers see.
+//
+//   shallot-soak PROGRAM SEED SECONDS
+//
+// Prints one line and exits 0 if all held. With SHALLOT_SOAK_KEEP set the processes' logs are kept in that folder.
+
+#include "FaultProxy.h"
+#include "StoreStandin.h"
+#include "TestPorts.h"
+#include "core/Log.h"
+#include "core/JSON.h"
+#include "net/HTTPPool.h"
+#include "platform/Names.h"
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <glib.h>
+#include <iostream>
+#include <map>
+#include <random>
+#include <set>
+#include <sys/wait.h>
+#include <unistd.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace shallot {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr size_t daemonCount = 6;
+constexpr size_t zoneCount = 3;
+constexpr uint16_t portsPerDaemon = 14;
+constexpr auto requestInterval = 8ms;
+constexpr auto faultInterval = 700ms;
+constexpr auto longestFault = 2500ms;
+constexpr auto settleTime = 6s; // After the last fault; then all must be served again
+constexpr auto revokeLimit = 5s;
+
+enum Port : uint16_t { Callers, Ready, Control, Peers, Backend, PeerProxy, BackendProxy, StoreProxy };
+
+struct Attempt {
+    bool idempotent { true };
+    std::string key;
+    TimePoint sent {};
+    unsigned runs { 0 };
+    uint16_t status { 0 }; // 0: no answer yet or a broken connection
+};
+
+class Soak {
+public:
+    Soak(std::string program, unsigned seed, std::string folder)
+        : m_program(std::move(program))
+        , m_folder(std::move(folder))
+        , m_random(seed)
+        , m_basePort(nextBasePort())
+        , m_store({ "127.0.0.1", m_basePort })
+    {
+        m_store.setRecordFilter([this](const std::string& topic, std::string value) {
+            return topic == platform::store::memberTopic ? throughProxies(std::move(value)) : value;
+        });
+        configure(1, R"(["key-1","key-2"])");
+        for (size_t i = 0; i < daemonCount; ++i)
+            m_daemons.push_back(makeDaemon(i));
+    }
+
+    ~Soak()
+    {
+        for (auto& daemon : m_daemons)
+            end(*daemon, SIGKILL);
+    }
+
+    int run(Duration length)
+    {
+        const auto start = MonotonicClock::now();
+        const auto faultsEnd = start + length;
+        TimePoint nextFault = start + 2s;
+        TimePoint nextRequest = start + 1500ms;
+        TimePoint nextAnnouncement = start;
+        while (MonotonicClock::now() < faultsEnd + settleTime) {
+            const auto now = MonotonicClock::now();
+            if (now >= nextRequest) {
+                nextRequest = now + requestInterval;
+                sendRequest();
+            }
+            if (now >= nextAnnouncement) {
+                nextAnnouncement = now + 300ms;
+                for (auto& daemon : m_daemons)
+                    announce(*daemon);
+            }
+            if (now >= nextFault && now < faultsEnd - longestFault) {
+                nextFault = now + faultInterval;
+                injectFault(now);
+            }
+            if (!m_revoked && now > start + length / 2) {
+                m_revoked = true;
+                configure(2, R"(["key-1"])");
+                m_revokedAt = MonotonicClock::now();
+            }
+            mend(now);
+            Timer wake;
+            wake.startOnce(4ms, [] {});
+            g_main_context_iteration(nullptr, TRUE);
+        }
+        return report();
+    }
+
+private:
+    struct DaemonProcess {
+        size_t index { 0 };
+        pid_t pid { 0 };
+        std::unique_ptr<StrictHTTPServer> backend;
+        std::unique_ptr<FaultProxy> peerProxy;
+        std::unique_ptr<FaultProxy> backendProxy;
+        std::unique_ptr<FaultProxy> storeProxy;
+        HTTPPool callers;
+        HTTPPool control;
+        uint64_t sequence { 0 };
+    };
+
+    struct Mending {
+        TimePoint at {};
+        std::function<void()> mend;
+    };
+
+    SocketAddress address(size_t daemon, uint16_t port) const
+    {
+        return { "127.0.0.1", static_cast<uint16_t>(m_basePort + 1 + daemon * portsPerDaemon + port) };
+    }
+
+    // Members are told the proxy's address in place of the daemon's own.
+    std::string throughProxies(std::string value) const
+    {
+        for (size_t i = 0; i < daemonCount; ++i) {
+            const auto own = address(i, Peers).toString();
+            if (const auto at = value.find(own + "\""); at != std::string::npos)
+                value.replace(at, own.size(), address(i, PeerProxy).toString());
+        }
+        return value;
+    }
+
+    void configure(uint64_t version, const std::string& keys)
+    {
+        const auto route = [](const char* prefix, const char* kind) {
+            return std::string(R"({"name":")") + kind + R"(","path_prefix":")" + prefix + R"(","kind":")" + kind
+                + R"(","timeout_s":2,"target_latency_s":1,"priority":1,"service":"alpha","attempts":2,"anonymous":false})";
+        };
+        m_store.put(std::string(platform::store::operatorTopic), std::string(platform::store::configurationKey),
+            R"({"version":"r)" + std::to_string(version)
+                + R"(","services":[{"name":"alpha","health_path":"/health","max_connections":100}],)"
+                + R"("tenants":[{"name":"school","api_keys":)" + keys + R"(}],"virtual_hosts":[{"host":"app","paths":[)"
+                + route("/read/", "idempotent") + "," + route("/order/", "non_idempotent") + "]}]}");
+    }
+
+    std::unique_ptr<DaemonProcess> makeDaemon(size_t index)
+    {
+        auto daemon = std::make_unique<DaemonProcess>();
+        daemon->index = index;
+        daemon->peerProxy = std::make_unique<FaultProxy>(address(index, PeerProxy), address(index, Peers));
+        daemon->backendProxy = std::make_unique<FaultProxy>(address(index, BackendProxy), address(index, Backend));
+        daemon->storeProxy = std::make_unique<FaultProxy>(address(index, StoreProxy), SocketAddress { "127.0.0.1", m_basePort });
+        daemon->callers.setAddress(address(index, Callers));
+        daemon->control.setAddress(address(index, Control));
+        daemon->backend = std::make_unique<StrictHTTPServer>();
+        const auto started = daemon->backend->start(address(index, Backend), {},
+            { [this, index](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+                 serve(index, connection, request);
+             },
+                nullptr });
+        g_assert(started);
+        writeSettings(index);
+        start(*daemon);
+        return daemon;
+    }
+
+    std::string settingsPath(size_t index) const { return m_folder + "/settings-" + std::to_string(index); }
+
+    void writeSettings(size_t index) const
+    {
+        std::ofstream file(settingsPath(index));
+        file << "node=daemon-" << index << "\nzone=zone-" << index % zoneCount << "\nservice=alpha\n"
+             << "listen.outbound=" << address(index, Callers).toString() << "\nlisten.ready=" << address(index, Ready).toString()
+             << "\nlisten.control=" << address(index, Control).toString() << "\napp=" << address(index, BackendProxy).toString()
+             << "\ninternal_port_range=" << address(index, Peers).port << "," << address(index, Peers).port
+             << "\nplatform.addr=" << address(index, StoreProxy).toString() << "\nheartbeat_s=0.3\nbounds.grace_s=4\n"
+             << "bounds.revoke_s=" << toSeconds(revokeLimit) << "\n";
+    }
+
+    void start(DaemonProcess& daemon)
+    {
+        daemon.pid = fork();
+        if (daemon.pid)
+            return;
+        setenv("SHALLOTTRACK_CONFIG", settingsPath(daemon.index).c_str(), 1);
+        setenv("SHALLOT_PEER_SECRET", "a secret of the soak", 1);
+        const auto log = m_folder + "/log-" + std::to_string(daemon.index);
+        if (!std::freopen(log.c_str(), "a", stdout))
+            _exit(126);
+        execl(m_program.c_str(), m_program.c_str(), nullptr);
+        _exit(127);
+    }
+
+    static void end(DaemonProcess& daemon, int signal)
+    {
+        if (!daemon.pid)
+            return;
+        kill(daemon.pid, signal);
+        kill(daemon.pid, SIGCONT);
+        waitpid(daemon.pid, nullptr, 0);
+        daemon.pid = 0;
+    }
+
+    // Backend servers
+
+    void serve(size_t index, const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request)
+    {
+        const auto now = MonotonicClock::now();
+        const auto instance = "instance-" + std::to_string(index);
+        if (request.target == "/health") {
+            const HTTPHeaders headers { { std::string(platform::header::instance), instance },
+                { std::string(platform::header::load), "0,0,20" } };
+            connection->respond({ 200, headers, {} }, false, now);
+            return;
+        }
+        const std::string id(findHeader(request.headers, platform::header::attemptID));
+        const auto found = m_attempts.find(id);
+        if (found == m_attempts.end()) {
+            fail("a backend server got a request that nobody sent: " + id);
+            return;
+        }
+        auto& attempt = found->second;
+        ++attempt.runs;
+        if (!attempt.idempotent && attempt.runs > 1)
+            fail("ran twice: " + id);
+        if (attempt.status == 503 || attempt.status == 429)
+            fail("ran after it was said not to: " + id);
+        if (m_revoked && attempt.key == "key-2" && attempt.sent > m_revokedAt + revokeLimit)
+            fail("ran with a withdrawn key: " + id);
+        for (const auto& [name, value] : request.headers) {
+            if (value == attempt.key)
+                fail("a backend server saw a key: " + id);
+        }
+        const HTTPHeaders headers { { std::string(platform::header::attemptID), id },
+            { std::string(platform::header::seal), "seal" } };
+        connection->respond({ 200, headers, "answer to " + id }, false, now);
+    }
+
+    void announce(DaemonProcess& daemon)
+    {
+        const std::string body = R"({"service":"alpha","addr":"127.0.0.1:1","zone":"z","version":"v1","slots":20,"state":"ready",)"
+                                 R"("cold_left_s":0,"born":1000,"seq":)"
+            + std::to_string(++daemon.sequence) + "}";
+        daemon.control.send(m_nextID++,
+            { "POST", std::string(platform::path::announce) + "instance-" + std::to_string(daemon.index), { { "Host", "c" } }, body },
+            [](const Result<HTTPResponse>&) {});
+    }
+
+    // Callers
+
+    void sendRequest()
+    {
+        auto& daemon = *m_daemons[m_random() % daemonCount];
+        const std::string id = "attempt-" + std::to_string(m_nextID);
+        auto& attempt = m_attempts[id];
+        attempt.idempotent = m_random() % 3 != 0;
+        attempt.key = m_random() % 4 ? "key-1" : "key-2";
+        attempt.sent = MonotonicClock::now();
+        const HTTPRequest request { attempt.idempotent ? "GET" : "POST", attempt.idempotent ? "/read/" : "/order/",
+            { { "Host", "app" }, { std::string(platform::header::attemptID), id }, { std::string(platform::header::key), attempt.key },
+                { std::string(platform::header::deadline), "3000" } },
+            {} };
+        daemon.callers.send(m_nextID++, request, [this, id](const Result<HTTPResponse>& response) {
+            auto& attempt = m_attempts[id];
+            attempt.status = response ? response->status : 0;
+            const bool success = attempt.status >= 200 && attempt.status < 300;
+            if (success && response->body != "answer to " + id)
+                fail("a wrong answer: " + id);
+            if (success && !attempt.runs)
+                fail("an answer without a run: " + id);
+            if ((attempt.status == 503 || attempt.status == 429) && attempt.runs)
+                fail("said not to have run, though it had: " + id);
+        });
+    }
+
+    // Faults
+
+    void injectFault(TimePoint now)
+    {
+        auto& daemon = *m_daemons[m_random() % daemonCount];
+        const auto until = now + Duration(static_cast<int64_t>(m_random() % static_cast<uint64_t>(Duration(longestFault).count())));
+        const auto harm = static_cast<FaultProxy::Harm>(1 + m_random() % 4);
+        const auto harmProxy = [&](FaultProxy& proxy) {
+            proxy.setHarm(harm);
+            m_mendings.push_back({ until, [&proxy] { proxy.setHarm(FaultProxy::Harm::None); } });
+        };
+        ++m_faults;
+        switch (m_random() % 7) {
+        case 0:
+            harmProxy(*daemon.peerProxy);
+            break;
+        case 1:
+            harmProxy(*daemon.backendProxy);
+            break;
+        case 2:
+            harmProxy(*daemon.storeProxy);
+            break;
+        case 3:
+            m_store.setMood(m_random() % 2 ? StoreStandin::Mood::Refusing : StoreStandin::Mood::Silent);
+            m_mendings.push_back({ until, [this] { m_store.setMood(StoreStandin::Mood::Serving); } });
+            break;
+        case 4:
+            if (daemon.pid) {
+                kill(daemon.pid, SIGSTOP);
+                m_mendings.push_back({ until, [&daemon] {
+                                          if (daemon.pid)
+                                              kill(daemon.pid, SIGCONT);
+                                      } });
+            }
+            break;
+        case 5:
+            end(daemon, SIGKILL);
+            m_mendings.push_back({ until, [this, &daemon] {
+                                      if (!daemon.pid)
+                                          start(daemon);
+                                  } });
+            break;
+        case 6:
+            if (daemon.pid)
+                kill(daemon.pid, SIGTERM);
+            break;
+        }
+    }
+
+    void mend(TimePoint now)
+    {
+        for (size_t i = 0; i < m_mendings.size();) {
+            if (m_mendings[i].at > now) {
+                ++i;
+                continue;
+            }
+            const auto mending = std::move(m_mendings[i].mend);
+            m_mendings.erase(m_mendings.begin() + static_cast<ptrdiff_t>(i));
+            mending();
+        }
+        for (auto& daemon : m_daemons) {
+            int status = 0;
+            if (!daemon->pid || waitpid(daemon->pid, &status, WNOHANG) <= 0)
+                continue;
+            // A daemon that was asked to leave, or ended by itself, is started again.
+            if (!WIFEXITED(status) || WEXITSTATUS(status))
+                fail("daemon-" + std::to_string(daemon->index) + " ended by itself, status " + std::to_string(status));
+            start(*daemon);
+        }
+    }
+
+    // Result
+
+    void fail(const std::string& what)
+    {
+        if (m_failures.insert(what).second)
+            std::cerr << "FAILED " << what << "\n";
+    }
+
+    int report()
+    {
+        std::map<uint16_t, size_t> statuses;
+        size_t lately = 0;
+        size_t latelyServed = 0;
+        const auto now = MonotonicClock::now();
+        for (const auto& [id, attempt] : m_attempts) {
+            ++statuses[attempt.status];
+            if (attempt.key != "key-1" || now - attempt.sent > 2s || now - attempt.sent < 500ms)
+                continue;
+            ++lately;
+            latelyServed += attempt.status == 200 ? 1 : 0;
+        }
+        if (latelyServed < lately)
+            fail("not all are served after the last fault: " + std::to_string(latelyServed) + " of " + std::to_string(lately));
+        std::cout << "faults " << m_faults << " requests " << m_attempts.size() << " answered";
+        for (const auto& [status, count] : statuses)
+            std::cout << " " << status << ":" << count;
+        std::cout << " failures " << m_failures.size() << "\n";
+        return m_failures.empty() ? 0 : 1;
+    }
+
+    std::string m_program;
+    std::string m_folder;
+    std::mt19937 m_random;
+    uint16_t m_basePort;
+    StoreStandin m_store;
+    std::vector<std::unique_ptr<DaemonProcess>> m_daemons;
+    std::map<std::string, Attempt> m_attempts;
+    std::vector<Mending> m_mendings;
+    std::set<std::string> m_failures;
+    TimePoint m_revokedAt {};
+    uint64_t m_nextID { 1 };
+    size_t m_faults { 0 };
+    bool m_revoked { false };
+};
+
+} // namespace
+} // namespace shallot
+
+int main(int argc, char** argv)
+{
+    if (argc != 4) {
+        std::cerr << "usage: shallot-soak PROGRAM SEED SECONDS\n";
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT: seen by the write's result
+    const char* keep = std::getenv("SHALLOT_SOAK_KEEP");
+    char* folder = keep ? g_strdup(keep) : g_dir_make_tmp("shallot-soak-XXXXXX", nullptr);
+    const auto seed = static_cast<unsigned>(std::strtoul(argv[2], nullptr, 10));
+    std::cout << "seed " << seed << " " << std::flush;
+    int status = 0;
+    {
+        shallot::Soak soak(argv[1], seed, folder);
+        status = soak.run(std::chrono::seconds(std::strtoul(argv[3], nullptr, 10)));
+    }
+    g_free(folder);
+    return status;
+}
