Trust no connection that stood idle with a request that may run only once; send again on a fresh one after a dropped one

Cause: backend servers may forget idle connections without notice; what is sent next is reset, and a request that may run only once then ends with 502. Change: such requests take a connection used within 0.5 s or a new one; others are sent once more if a kept connection breaks within 20 ms. Bodies without a length count as whole after a clean end on the platform's path only: the product's own test for such answers stands.

--- a/Source/core/Error.h
+++ b/Source/core/Error.h
@@ -13,6 +13,7 @@
     ErrorKind kind { ErrorKind::Internal }; // Row of the error table
     std::string detail;                     // Names the item at fault; may be empty
     Duration retryAfter {};                 // Zero: the table's default
+    bool onReusedConnection { false };      // The connection had carried other exchanges before
 };
 
 template <typename T> using Result = tl::expected<T, Error>;
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -34,6 +34,8 @@
     Duration retryAfterMaximum { 2s };   // A third of the time that the most patient callers have
     double retryAfterShare { 0.5 };      // Of the target latency: a request that returns later is late even if it is served
     double serviceTimeWeight { 0.05 };   // Weight of the newest run in the average
+    Duration trustedIdle { 500ms };      // A request that may run only once goes on no connection that stood idle for longer
+    Duration staleConnection { 20ms };   // A connection that breaks so soon had been dropped before; shorter than any run
     Duration announcementLapse { 5s };   // Silent for three announcement intervals: gone
 
     // Shedding at the root of a call graph
--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -195,6 +195,7 @@
     }
     if (const auto lifetime = announcedIdleLifetime(m_response.headers); lifetime > Duration::zero())
         m_idleLifetime = lifetime;
+    m_used = true;
     const bool reusable = isOpen() && http_should_keep_alive(&m_parser);
     const auto completion = std::exchange(m_completion, nullptr);
     m_filter = nullptr;
@@ -209,7 +210,8 @@
         m_callbacks.onIdle(*this);
 }
 
-// A body without a length ends with its connection, and only a clean end makes it whole.
+// A body without a length ends with its connection and cannot be told from a truncated one, but by a clean end where the
+// server's protocol promises that.
 void HTTPConnection::onSocketClosed(StreamEnd end)
 {
     const RefPtr<HTTPConnection> protect(this);
@@ -217,7 +219,7 @@
         failExchange(ErrorKind::NoBackendServer, "the server does not accept connections");
         return;
     }
-    if (m_completion && m_answerStarted && end == StreamEnd::Clean) {
+    if (m_acceptsUnframed && m_completion && m_answerStarted && end == StreamEnd::Clean) {
         http_parser_execute(&m_parser, &parserSettings(), nullptr, 0);
         m_response.status = static_cast<uint16_t>(m_parser.status_code);
         if (m_complete && (!m_filter || m_filter(m_response))) {
@@ -236,7 +238,7 @@
     const RefPtr<HTTPConnection> protect(this);
     m_socket->close();
     if (const auto completion = std::exchange(m_completion, nullptr))
-        completion(fail(kind, std::move(detail)));
+        completion(tl::unexpected(Error { kind, std::move(detail), {}, m_used }));
     closeAndNotify();
 }
 
--- a/Source/net/HTTPConnection.h
+++ b/Source/net/HTTPConnection.h
@@ -30,6 +30,8 @@
 
     // Null when no socket can be made.
     static RefPtr<HTTPConnection> connect(const SocketAddress&, Callbacks);
+    // Whether a body without a length that ends with a cleanly closed connection counts as whole.
+    void setAcceptsUnframed(bool accepts) { m_acceptsUnframed = accepts; }
     explicit HTTPConnection(RefPtr<StreamSocket>, Callbacks);
     ~HTTPConnection();
 
@@ -64,6 +66,8 @@
     HTTPResponse m_response;
     bool m_connected { false };
     Duration m_idleLifetime { std::chrono::seconds(8) }; // Until a server says; below the usual 10 s of ours
+    bool m_acceptsUnframed { false };
+    bool m_used { false }; // Has carried a whole exchange
     bool m_answerStarted { false };
     bool m_headRequest { false };
     bool m_lastWasValue { true };
--- a/Source/net/HTTPPool.cpp
+++ b/Source/net/HTTPPool.cpp
@@ -18,9 +18,12 @@
     m_address = address;
 }
 
-RefPtr<HTTPConnection> HTTPPool::takeConnection(TimePoint now)
+RefPtr<HTTPConnection> HTTPPool::takeConnection(Duration maximumIdle, TimePoint now)
 {
     while (!m_idle.empty()) {
+        // The last one was used most recently; the others have stood idle for longer.
+        if (now - m_idle.back().since > maximumIdle)
+            break;
         auto [connection, since] = std::move(m_idle.back());
         m_idle.pop_back();
         if (!connection->isOpen())
@@ -29,14 +32,18 @@
             return connection;
         connection->abandon();
     }
-    return HTTPConnection::connect(m_address,
+    auto connection = HTTPConnection::connect(m_address,
         { [this](HTTPConnection& connection) { onIdle(connection); },
             [this](HTTPConnection& connection) { onClosed(connection); } });
+    if (connection)
+        connection->setAcceptsUnframed(m_acceptsUnframed);
+    return connection;
 }
 
-void HTTPPool::send(uint64_t id, const HTTPRequest& request, Completion completion, HTTPConnection::Filter filter)
+void HTTPPool::send(
+    uint64_t id, const HTTPRequest& request, Completion completion, HTTPConnection::Filter filter, Duration maximumIdle)
 {
-    auto connection = takeConnection(MonotonicClock::now());
+    auto connection = takeConnection(maximumIdle, MonotonicClock::now());
     if (!connection) {
         completion(fail(ErrorKind::NoBackendServer, "no socket could be made"));
         return;
--- a/Source/net/HTTPPool.h
+++ b/Source/net/HTTPPool.h
@@ -17,8 +17,11 @@
     ~HTTPPool();
 
     void setAddress(const SocketAddress&);
+    void setAcceptsUnframed(bool accepts) { m_acceptsUnframed = accepts; }
     // Starts the exchange under the caller's id.
-    void send(uint64_t id, const HTTPRequest&, Completion, HTTPConnection::Filter = nullptr);
+    // A connection that stood idle for longer than `maximumIdle` is not trusted with it.
+    void send(
+        uint64_t id, const HTTPRequest&, Completion, HTTPConnection::Filter = nullptr, Duration maximumIdle = Duration::max());
     // Gives up on an exchange; its completion is not called and its connection is closed.
     void abandon(uint64_t id);
     // Closes all connections; exchanges in progress complete with an error.
@@ -26,11 +29,12 @@
     size_t openConnections() const { return m_idle.size() + m_busy.size(); }
 
 private:
-    RefPtr<HTTPConnection> takeConnection(TimePoint now);
+    RefPtr<HTTPConnection> takeConnection(Duration maximumIdle, TimePoint now);
     void onIdle(HTTPConnection&);
     void onClosed(HTTPConnection&);
 
     SocketAddress m_address;
+    bool m_acceptsUnframed { false };
     struct IdleConnection {
         RefPtr<HTTPConnection> connection;
         TimePoint since;
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -1,7 +1,7 @@
 // Index of this file
 //   Announcements:  announce, announceLeave, verifyInstance, onProbe, isAvailable
 //   Admission:      submit, refusalFor, runNext, findParent, recordPressure
-//   Runs:           run, onResponse, finish, refuse, cancel, onDue
+//   Runs:           run, send, onResponse, finish, refuse, cancel, onDue
 
 #include "sidecar/EndpointExecutor.h"
 
@@ -27,6 +27,7 @@
     , m_deadlines([this](uint64_t id) { onDue(id); })
 {
     m_pool.setAddress(backendServer);
+    m_pool.setAcceptsUnframed(true);
     m_probes.setAddress(backendServer);
     m_announcement.service = service;
 }
@@ -246,17 +247,22 @@
     live.started = now;
     m_queue.recordStart();
     m_deadlines.set(live.item.id, live.deadline + deadlineGrace);
-    HTTPRequest request = std::move(live.call.request);
     m_running[live.attemptID] = live.item.id;
     m_guard.recordStart(live.call.context.route, live.call.context.priority);
-    platform::addDelivery(request, live.deadline - now, m_announcement.instance);
+    platform::addDelivery(live.call.request, live.deadline - now, m_announcement.instance);
+    send(live, live.call.context.idempotent ? Duration::max() : m_settings.trustedIdle);
+}
+
+void EndpointExecutor::send(LiveRun& live, Duration maximumIdle)
+{
     const auto id = live.item.id;
     m_pool.send(
-        id, request, [this, id](Result<HTTPResponse> response) { onResponse(id, std::move(response)); },
+        id, live.call.request, [this, id](Result<HTTPResponse> response) { onResponse(id, std::move(response)); },
         [attemptID = live.attemptID](const HTTPResponse& response) {
             const auto echoed = platform::attemptIDOf(response.headers);
             return echoed.empty() || echoed == attemptID;
-        });
+        },
+        maximumIdle);
 }
 
 void EndpointExecutor::onResponse(uint64_t id, Result<HTTPResponse> response)
@@ -267,6 +273,12 @@
     const auto live = found->second;
     const auto now = MonotonicClock::now();
     if (!response) {
+        const bool wasStale = response.error().kind == ErrorKind::BackendFailed && response.error().onReusedConnection
+            && now - live->started < m_settings.staleConnection;
+        if (wasStale && live->call.context.idempotent && !std::exchange(live->sentAgain, true)) {
+            send(*live, Duration::zero());
+            return;
+        }
         if (response.error().kind == ErrorKind::NoBackendServer) {
             m_unreachable = true;
             noteChange();
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -67,11 +67,13 @@
         TimePoint submitted {};
         TimePoint started {};
         bool running { false };
+        bool sentAgain { false }; // After a connection that had been dropped before
     };
 
     ErrorKind refusalFor(const MeshCall&, TimePoint now) const;
     void runNext(TimePoint now);
     void run(LiveRun&, TimePoint now);
+    void send(LiveRun&, Duration maximumIdle);
     void onResponse(uint64_t id, Result<HTTPResponse>);
     void finish(LiveRun&, Result<HTTPResponse>, bool arrived, TimePoint now);
     void refuse(LiveRun&, ErrorKind, TimePoint now);
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -29,6 +29,7 @@
 
     const std::vector<HTTPRequest>& requests() const { return m_requests; }
     size_t goneCount() const { return m_gone; }
+    size_t connectionCount() const { return m_server.connectionCount(); }
 
 private:
     StrictHTTPServer m_server;
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -119,11 +119,15 @@
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/alpha" });
     ASSERT_TRUE(mesh.waitUntilServing());
-    mesh.endpoint(0).setScript([](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) { connection->abort(); });
+    Timer runEnds;
+    const auto loseAnswer = [&runEnds](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) {
+        runEnds.startOnce(50ms, [connection] { connection->abort(); });
+    };
+    mesh.endpoint(0).setScript(loseAnswer);
     EXPECT_EQ(mesh.fetch(0, "/read/1").status(), 200);
     EXPECT_EQ(mesh.runs("/read/1"), 2U);
     mesh.runFor(600ms); // The failed backend server is avoided for a moment
-    mesh.endpoint(1).setScript([](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) { connection->abort(); });
+    mesh.endpoint(1).setScript(loseAnswer);
     EXPECT_EQ(mesh.wait(mesh.send(0, { "POST", "/order/1", {}, "tiles" })).status(), 502);
     EXPECT_EQ(mesh.runs("/order/1"), 1U);
 }
@@ -158,6 +162,27 @@
     EXPECT_EQ(answer.response->body, "own failure");
 }
 
+TEST(SidecarPath, AConnectionThatTheBackendServerHadDroppedCostsNoRequest)
+{
+    SidecarHarness mesh({ "zone-a/alpha" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    // The first request on the kept connection breaks it, as if it had been dropped before.
+    size_t broken = 0;
+    mesh.endpoint(0).setScript([&broken](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+        if (!broken++)
+            connection->abort();
+        else
+            EndpointStandin::answer(*connection, request);
+    });
+    EXPECT_EQ(mesh.fetch(0, "/read/1").status(), 200);
+    EXPECT_EQ(broken, 2U);
+    mesh.runFor(mesh.settings.trustedIdle + 100ms);
+    // A request that may run only once takes a new connection after a pause.
+    const auto connections = mesh.endpoint(0).connectionCount();
+    EXPECT_EQ(mesh.wait(mesh.send(0, { "POST", "/order/1", {}, {} })).status(), 200);
+    EXPECT_EQ(mesh.endpoint(0).connectionCount(), connections + 1);
+}
+
 TEST(SidecarPath, ACallerThatLeavesTakesItsRequestAlong)
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
--- a/Tests/StoreStandin.h
+++ b/Tests/StoreStandin.h
@@ -26,7 +26,10 @@
     // Drops all records before the end; the newest of each key stay known.
     void trim(const std::string& topic);
     // Sees each appended value and may change it.
-    void setRecordFilter(std::function<std::string(const std::string& topic, std::string)> filter) { m_filter = std::move(filter); }
+    void setRecordFilter(std::function<std::string(const std::string& topic, std::string)> filter)
+    {
+        m_filter = std::move(filter);
+    }
     void setMood(Mood mood) { m_mood = mood; }
     size_t callCount() const { return m_calls; }
 
--- a/Tests/soak/FaultProxy.cpp
+++ b/Tests/soak/FaultProxy.cpp
@@ -36,9 +36,13 @@
     auto* raw = pair.get();
     raw->caller = std::move(caller);
     raw->target = std::move(target);
-    raw->caller->start({ [this, raw](std::span<const uint8_t> bytes) { pass(*raw, true, { bytes.begin(), bytes.end() }); },
+    raw->caller->start({ [this, raw](std::span<const uint8_t> bytes) {
+                            pass(*raw, true, { bytes.begin(), bytes.end() });
+                        },
         nullptr, [raw](StreamEnd) { close(*raw); } });
-    raw->target->start({ [this, raw](std::span<const uint8_t> bytes) { pass(*raw, false, { bytes.begin(), bytes.end() }); },
+    raw->target->start({ [this, raw](std::span<const uint8_t> bytes) {
+                            pass(*raw, false, { bytes.begin(), bytes.end() });
+                        },
         nullptr, [raw](StreamEnd) { close(*raw); } });
     m_pairs.push_back(std::move(pair));
 }
--- a/Tests/soak/soak.cpp
+++ b/Tests/soak/soak.cpp
@@ -8,8 +8,8 @@
 #include "FaultProxy.h"
 #include "StoreStandin.h"
 #include "TestPorts.h"
-#include "core/Log.h"
 #include "core/JSON.h"
+#include "core/Log.h"
 #include "net/HTTPPool.h"
 #include "platform/Names.h"
 
@@ -250,11 +250,13 @@
 
     void announce(DaemonProcess& daemon)
     {
-        const std::string body = R"({"service":"alpha","addr":"127.0.0.1:1","zone":"z","version":"v1","slots":20,"state":"ready",)"
-                                 R"("cold_left_s":0,"born":1000,"seq":)"
+        const std::string body
+            = R"({"service":"alpha","addr":"127.0.0.1:1","zone":"z","version":"v1","slots":20,"state":"ready",)"
+              R"("cold_left_s":0,"born":1000,"seq":)"
             + std::to_string(++daemon.sequence) + "}";
         daemon.control.send(m_nextID++,
-            { "POST", std::string(platform::path::announce) + "instance-" + std::to_string(daemon.index), { { "Host", "c" } }, body },
+            { "POST", std::string(platform::path::announce) + "instance-" + std::to_string(daemon.index), { { "Host", "c" } },
+                body },
             [](const Result<HTTPResponse>&) {});
     }
 
@@ -269,8 +271,8 @@
         attempt.key = m_random() % 4 ? "key-1" : "key-2";
         attempt.sent = MonotonicClock::now();
         const HTTPRequest request { attempt.idempotent ? "GET" : "POST", attempt.idempotent ? "/read/" : "/order/",
-            { { "Host", "app" }, { std::string(platform::header::attemptID), id }, { std::string(platform::header::key), attempt.key },
-                { std::string(platform::header::deadline), "3000" } },
+            { { "Host", "app" }, { std::string(platform::header::attemptID), id },
+                { std::string(platform::header::key), attempt.key }, { std::string(platform::header::deadline), "3000" } },
             {} };
         daemon.callers.send(m_nextID++, request, [this, id](const Result<HTTPResponse>& response) {
             auto& attempt = m_attempts[id];
@@ -290,7 +292,8 @@
     void injectFault(TimePoint now)
     {
         auto& daemon = *m_daemons[m_random() % daemonCount];
-        const auto until = now + Duration(static_cast<int64_t>(m_random() % static_cast<uint64_t>(Duration(longestFault).count())));
+        const auto until
+            = now + Duration(static_cast<int64_t>(m_random() % static_cast<uint64_t>(Duration(longestFault).count())));
         const auto harm = static_cast<FaultProxy::Harm>(1 + m_random() % 4);
         const auto harmProxy = [&](FaultProxy& proxy) {
             proxy.setHarm(harm);
