A request refused for want of room goes to any zone

Cause: on the grown ctcs the busiest backend server of a service got 3.7 times the mean: a zone with few of them was asked three times over, and the request was refused while other zones had room.

--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -23,7 +23,7 @@
     Duration failurePenalty { 500ms };     // How long a backend server that failed a request is avoided
 
     // Rerouting and repeats
-    unsigned reroutes { 2 };      // Other members asked after refusals that reached no backend server
+    unsigned reroutes { 3 };      // Other members asked after refusals that reached no backend server
     double retryShare { 0.2 };    // Deployment: repeats a service may get, as a share of its requests
     double retryAllowance { 40 }; // Deployment: repeats beyond that share, over all daemons
     double retryMargin { 0.05 };  // Part of both that is used: a repeated run makes its calls again, and they count below it
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -66,7 +66,8 @@
     return best == Duration::max() ? m_settings.assumedServiceTime : best;
 }
 
-double RemoteEndpoints::expectedSeconds(const RemoteEndpoint& endpoint, Duration unknownServiceTime, TimePoint now) const
+double RemoteEndpoints::expectedSeconds(
+    const RemoteEndpoint& endpoint, Duration unknownServiceTime, bool anyZone, TimePoint now) const
 {
     const auto& report = endpoint.report;
     const bool reported = hasReport(endpoint, now);
@@ -77,15 +78,16 @@
     const double load = (std::max<double>(reportedLoad, endpoint.outstanding) + 1) / limit;
     double seconds = service;
     if (load > 1)
-        seconds += (load - 1) * service;
+        seconds += load * service; // A full one is worth going to another zone
     if (load > m_settings.loadKnee)
         seconds += (std::min(load, 1.0) - m_settings.loadKnee) * service;
-    if (endpoint.member.zone != m_ownZone)
+    if (endpoint.member.zone != m_ownZone && !anyZone)
         seconds += std::max(toSeconds(m_settings.zonePenalty), m_settings.zonePenaltyShare * service);
     return seconds;
 }
 
-RemoteEndpoint* RemoteEndpoints::choose(std::string_view service, TimePoint now, const std::vector<std::string>& tried)
+RemoteEndpoint* RemoteEndpoints::choose(
+    std::string_view service, TimePoint now, const std::vector<std::string>& tried, bool anyZone)
 {
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
@@ -99,7 +101,7 @@
         if (std::find(tried.begin(), tried.end(), endpoint->member.name) != tried.end())
             continue;
         const bool avoided = endpoint->avoidUntil > now;
-        const double cost = expectedSeconds(*endpoint, unknownServiceTime, now) * factor(m_random);
+        const double cost = expectedSeconds(*endpoint, unknownServiceTime, anyZone, now) * factor(m_random);
         if (best && (avoided != bestAvoided ? avoided : cost >= bestCost))
             continue;
         best = endpoint;
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -35,8 +35,9 @@
     void remove(const std::string& name);
     RemoteEndpoint* find(std::string_view name);
 
-    // The endpoint with the lowest expected time; null when all were tried or none is available.
-    RemoteEndpoint* choose(std::string_view service, TimePoint now, const std::vector<std::string>& tried);
+    // The endpoint with the lowest expected time; null when all were tried. `anyZone` leaves the cost of other zones out, for a
+    // request that was refused for want of room.
+    RemoteEndpoint* choose(std::string_view service, TimePoint now, const std::vector<std::string>& tried, bool anyZone = false);
 
     void recordSent(RemoteEndpoint&);
     void recordAnswered(std::string_view name);
@@ -52,7 +53,7 @@
     const std::map<std::string, RemoteEndpoint, std::less<>>& all() const { return m_endpoints; }
 
 private:
-    double expectedSeconds(const RemoteEndpoint&, Duration unknownServiceTime, TimePoint now) const;
+    double expectedSeconds(const RemoteEndpoint&, Duration unknownServiceTime, bool anyZone, TimePoint now) const;
     Duration typicalServiceTime(const std::vector<RemoteEndpoint*>&, TimePoint now) const;
     bool hasReport(const RemoteEndpoint&, TimePoint now) const;
 
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -157,7 +157,7 @@
 {
     const RefPtr<Visit> protect(&visit);
     while (true) {
-        auto* endpoint = m_parts.beliefs.endpoints().choose(visit.call.service, now, visit.tried);
+        auto* endpoint = m_parts.beliefs.endpoints().choose(visit.call.service, now, visit.tried, visit.reroutes > 0);
         if (!endpoint) {
             answer(visit,
                 visit.earlier ? *visit.earlier
--- a/Tests/MeshDecisionsTest.cpp
+++ b/Tests/MeshDecisionsTest.cpp
@@ -115,6 +115,16 @@
     EXPECT_EQ(choose(start), "b1");
 }
 
+TEST_F(Placing, ARequestRefusedForWantOfRoomGoesToAnyZone)
+{
+    endpoints.update({ "a2", "zone-a", "a2:1", "s" });
+    report("a1", 10, 10, 60ms, start);
+    report("a2", 9, 10, 60ms, start); // Nearly full
+    report("b1", 0, 10, 60ms, start);
+    EXPECT_EQ(choose(start), "a2");
+    EXPECT_EQ(endpoints.choose("s", start, { "a1" }, true)->member.name, "b1");
+}
+
 TEST_F(Placing, LeavesABackendServerThatHasBecomeMuchSlower)
 {
     report("a1", 1, 10, 400ms, start);
