--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -63,6 +63,8 @@
     Duration greetInterval { 250ms }; // How often each ledger hears of each member
     Duration ledgerMemory { 600ms };  // A member not heard of for two greetings uses its own part
     Duration ledgerSilence { 300ms }; // A ledger that nobody greeted for longer was replaced by another meanwhile
+    Duration memberMemory { 30s };    // A member unreachable for longer than any cut so far holds no part of a rate
+    unsigned ledgerTimeouts { 3 };    // In a row, after which a ledger counts as unreachable
     Duration ledgerTimeout { 60ms };  // Of a question to a ledger; tens of times the way between zones
 };
 
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -166,10 +166,28 @@
     if (!endpoint)
         return;
     const auto penalty = m_settings.linkPenalty * (1 << std::min(endpoint->linkFailures, 4U));
-    ++endpoint->linkFailures;
+    if (!endpoint->linkFailures++)
+        endpoint->unreachableSince = now;
     endpoint->avoidUntil = std::max(endpoint->avoidUntil, now + std::min(penalty, m_settings.linkPenaltyMaximum));
 }
 
+void RemoteEndpoints::recordUnreachableAt(std::string_view address, TimePoint now)
+{
+    for (const auto& [name, endpoint] : m_endpoints) {
+        if (endpoint.member.address == address) {
+            recordUnreachable(name, now);
+            return;
+        }
+    }
+}
+
+size_t RemoteEndpoints::countHolders(TimePoint now) const
+{
+    return static_cast<size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
+        return !item.second.linkFailures || now - item.second.unreachableSince < m_settings.memberMemory;
+    }));
+}
+
 void RemoteEndpoints::recordOldKnowledge(std::string_view name, TimePoint now)
 {
     if (auto* endpoint = find(name))
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -20,9 +20,10 @@
     TimePoint reportedAt {};    // Zero before the first report
     uint32_t outstanding { 0 }; // Own calls without an answer
     uint32_t sentSinceReport { 0 };
-    TimePoint avoidUntil {};     // Refusals and failures
-    unsigned linkFailures { 0 }; // In a row
-    TimePoint noReaderUntil {};  // Its knowledge of the configuration was old
+    TimePoint avoidUntil {};       // Refusals and failures
+    unsigned linkFailures { 0 };   // In a row
+    TimePoint unreachableSince {}; // The first of them
+    TimePoint noReaderUntil {};    // Its knowledge of the configuration was old
 };
 
 // Places calls: spreads load over a service's backend servers by their reports, and stays in the own availability zone
@@ -44,12 +45,17 @@
     void recordReport(std::string_view name, const EndpointReport&, TimePoint now);
     void recordFailure(std::string_view name, TimePoint now);
     void recordUnreachable(std::string_view name, TimePoint now);
+    // The member at that address, if there is one.
+    void recordUnreachableAt(std::string_view address, TimePoint now);
     void recordReachable(std::string_view name);
     void recordOldKnowledge(std::string_view name, TimePoint now);
 
     // Members of a zone that read the store for it: the first few reachable ones in an order that all members share.
     std::vector<const RemoteEndpoint*> readersOf(std::string_view zone, size_t count, TimePoint now) const;
 
+    // Members that may hold a part of a rate: all but those that have been unreachable for long.
+    size_t countHolders(TimePoint now) const;
+
     const std::map<std::string, RemoteEndpoint, std::less<>>& all() const { return m_endpoints; }
 
 private:
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -36,6 +36,7 @@
         return nullptr;
     auto& watch = m_watches[link.get()];
     if (watch.created == TimePoint()) {
+        watch.address = address;
         watch.created = MonotonicClock::now();
         watch.heard = watch.created;
         sendState(*link, true);
@@ -106,7 +107,10 @@
 
 void MeshLinks::onClosed(PeerLink& link)
 {
+    const auto address = m_watches[&link].address;
     m_watches.erase(&link);
+    if (!address.empty())
+        m_callbacks.onUnreachable(address);
     m_callbacks.onClosed(link);
 }
 
--- a/Source/sidecar/MeshLinks.h
+++ b/Source/sidecar/MeshLinks.h
@@ -17,6 +17,7 @@
     struct Callbacks {
         std::function<void(PeerLink&, wire::FrameT&)> onFrame; // All frames but those of the watch
         std::function<void(PeerLink&)> onClosed;
+        std::function<void(const std::string& address)> onUnreachable; // A link there broke or was never made
         std::function<void(const MeshMember&, const EndpointReport&)> onState;
         std::function<EndpointReport()> ownReport;
     };
@@ -39,6 +40,7 @@
 
 private:
     struct Watch {
+        std::string address; // Of an outgoing link
         TimePoint created {};
         TimePoint heard {};
         TimePoint asked {}; // When the unanswered question was sent; zero: none is open
--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -76,13 +76,15 @@
     const auto wanted = static_cast<unsigned>(waiting.asked.size());
     const auto* ledger = ledgerOf(ledgerNumber(organisation), now);
     if (!ledger) {
-        settle(organisation, waiting, m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.memberCount(), now), now);
+        settle(organisation, waiting,
+            m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.endpoints().countHolders(now), now), now);
         return;
     }
     if (ledger->member.name == m_ownName) {
         auto& own = m_ledgers[ledgerNumber(organisation)];
         own.hear(m_ownName, now);
-        settle(organisation, waiting, own.grant(organisation, wanted, waiting.plan, m_beliefs.memberCount(), now), now);
+        settle(organisation, waiting, own.grant(organisation, wanted, waiting.plan, m_beliefs.endpoints().countHolders(now), now),
+            now);
         return;
     }
     auto request = std::make_unique<wire::LoanRequestT>();
@@ -93,6 +95,7 @@
     requests.requests.push_back(std::move(request));
     wire::FrameT frame;
     frame.body.Set(std::move(requests));
+    waiting.ledger = ledger->member.name;
     waiting.timeout.startOnce(m_settings.ledgerTimeout, [this, organisation] { onTimeout(organisation); });
     if (const auto link = m_links.linkTo(ledger->member.address))
         link->send(frame);
@@ -113,9 +116,14 @@
 {
     auto& waiting = m_waiting[organisation];
     const auto now = MonotonicClock::now();
+    if (++waiting.timeouts >= m_settings.ledgerTimeouts) {
+        waiting.timeouts = 0;
+        m_beliefs.endpoints().recordUnreachable(waiting.ledger, now);
+    }
     const auto wanted = static_cast<unsigned>(waiting.asked.size());
-    const auto grant = m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.memberCount(), now);
-    EventLog::write("ledger-silent", { { "organisation", organisation }, { "waiting", wanted }, { "granted", grant.tokens } });
+    const auto grant = m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
+    EventLog::write("ledger-silent",
+        { { "organisation", organisation }, { "ledger", waiting.ledger }, { "waiting", wanted }, { "granted", grant.tokens } });
     settle(organisation, waiting, grant, now);
 }
 
@@ -182,7 +190,8 @@
         auto& ledger = m_ledgers[ledgerNumber(request->organisation)];
         ledger.hear(link.peer(), now);
         const auto plan = planOf(request->organisation);
-        const auto grant = ledger.grant(request->organisation, request->waiting, plan, m_beliefs.memberCount(), now);
+        const auto grant
+            = ledger.grant(request->organisation, request->waiting, plan, m_beliefs.endpoints().countHolders(now), now);
         auto loan = std::make_unique<wire::LoanT>();
         loan->organisation = request->organisation;
         loan->tokens = grant.tokens;
@@ -208,6 +217,7 @@
         const auto found = m_waiting.find(loan->organisation);
         if (found == m_waiting.end() || found->second.question != loans.sequence)
             continue; // Settled by the time-out
+        found->second.timeouts = 0;
         const RateGrant grant { static_cast<unsigned>(std::max(0.0, loan->tokens)),
             Duration(static_cast<int64_t>(loan->retry_after_us)) };
         settle(found->first, found->second, grant, now);
--- a/Source/sidecar/RateExchange.h
+++ b/Source/sidecar/RateExchange.h
@@ -44,6 +44,8 @@
         std::deque<Completion> asked;   // The ledger's answer decides these
         std::deque<Completion> pending; // Arrived since that question
         uint64_t question { 0 };        // Sequence of the open question; 0: none
+        std::string ledger;             // Member that was asked
+        unsigned timeouts { 0 };        // In a row
         RatePlan plan;
         Timer timeout;
     };
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -54,6 +54,7 @@
     , m_beliefs(settings, m_instance.zone)
     , m_links({ m_own.name, m_own.zone, std::move(peerSecret) }, m_own,
           { [this](PeerLink& link, wire::FrameT& frame) { onFrame(link, frame); }, [this](PeerLink& link) { onLinkClosed(link); },
+              [this](const std::string& address) { m_beliefs.endpoints().recordUnreachableAt(address, MonotonicClock::now()); },
               [this](const MeshMember& member, const EndpointReport& report) {
                   m_beliefs.takeMember(member);
                   m_beliefs.endpoints().recordReachable(member.name);
--- a/Tests/MeshDecisionsTest.cpp
+++ b/Tests/MeshDecisionsTest.cpp
@@ -161,6 +161,17 @@
     EXPECT_EQ(choose(start), "a1");
 }
 
+TEST_F(Placing, AMemberThatIsLostForLongHoldsNoPartOfARate)
+{
+    EXPECT_EQ(endpoints.countHolders(start), 2U);
+    endpoints.recordUnreachableAt("a1:1", start);
+    EXPECT_GT(endpoints.find("a1")->avoidUntil, start);
+    EXPECT_EQ(endpoints.countHolders(start + settings.memberMemory - 1ms), 2U); // It may be cut off and use its part
+    EXPECT_EQ(endpoints.countHolders(start + settings.memberMemory), 1U);
+    endpoints.recordReachable("a1");
+    EXPECT_EQ(endpoints.countHolders(start + settings.memberMemory), 2U);
+}
+
 TEST_F(Placing, AMemberOfAnotherServiceIsNotChosen)
 {
     endpoints.update({ "a1", "zone-a", "a1:1", "other" });
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -1,8 +1,10 @@
 // The platform's path over real sockets, against stand-ins for the store and the backend servers.
 
 #include "SidecarHarness.h"
+#include "TestPorts.h"
 #include "platform/Names.h"
 
+#include <glib.h>
 #include <gtest/gtest.h>
 
 namespace shallot {
@@ -280,5 +282,22 @@
         EXPECT_EQ(mesh.wait(mesh.send(2, { "POST", "/order/1", {}, {} })).status(), 200);
 }
 
+TEST(MeshLinks, ALinkThatIsNeverMadeMakesItsAddressUnreachable)
+{
+    const SocketAddress nobody { "127.0.0.1", static_cast<uint16_t>(nextBasePort() + 1) };
+    std::vector<std::string> unreachable;
+    MeshLinks links({ "m", "z", "a secret of the tests" }, { "m", "z", "127.0.0.1:1", "s" },
+        { [](PeerLink&, wire::FrameT&) {}, [](PeerLink&) {},
+            [&unreachable](const std::string& address) { unreachable.push_back(address); },
+            [](const MeshMember&, const EndpointReport&) {}, [] { return EndpointReport {}; } });
+    links.linkTo(nobody.toString());
+    for (int i = 0; i < 100 && unreachable.empty(); ++i) {
+        Timer wake;
+        wake.startOnce(10ms, [] {});
+        g_main_context_iteration(nullptr, TRUE);
+    }
+    EXPECT_EQ(unreachable, std::vector<std::string> { nobody.toString() });
+}
+
 } // namespace
 } // namespace shallot
--- a/Tests/soak/soak.cpp
+++ b/Tests/soak/soak.cpp
@@ -3,7 +3,8 @@
 //
 //   shallot-soak PROGRAM SEED SECONDS
 //
-// Prints one line and exits 0 if all held. With SHALLOT_SOAK_KEEP set the processes' logs are kept in that folder.
+// Prints one line and exits 0 if all held. With SHALLOT_SOAK_KEEP set the processes' logs are kept in that folder; with
+// SHALLOT_SOAK_SAFETY_ONLY set the recovery after the last fault is not judged.
 
 #include "FaultProxy.h"
 #include "StoreStandin.h"
@@ -380,7 +381,8 @@
             ++lately;
             latelyServed += attempt.status == 200 ? 1 : 0;
         }
-        if (latelyServed < lately)
+        // Left out where the machine's speed may not decide the verdict.
+        if (latelyServed < lately && !std::getenv("SHALLOT_SOAK_SAFETY_ONLY"))
             fail("not all are served after the last fault: " + std::to_string(latelyServed) + " of " + std::to_string(lately));
         std::cout << "faults " << m_faults << " requests " << m_attempts.size() << " answered";
         for (const auto& [status, count] : statuses)
