--- a/Source/core/EventLogReader.cpp
+++ b/Source/core/EventLogReader.cpp
@@ -19,6 +19,11 @@
 
 std::string fieldText(JsonNode* node)
 {
+    if (json_node_get_value_type(node) == G_TYPE_DOUBLE) {
+        std::array<char, 32> text {};
+        std::snprintf(text.data(), text.size(), "%.6g", json_node_get_double(node));
+        return text.data();
+    }
     const auto text = serializeJSON(node);
     return text.size() >= 2 && text.front() == '"' ? text.substr(1, text.size() - 2) : text;
 }
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -41,7 +41,8 @@
     const bool sameRun = m_announced && announcement.instance == m_announcement.instance && sameStart;
     const bool older = m_announced && !sameRun && announcement.startedAt <= m_announcement.startedAt;
     if (older || (sameRun && announcement.sequence <= m_announcement.sequence)) {
-        EventLog::write("announcement-stale", { { "instance", announcement.instance }, { "sequence", announcement.sequence } });
+        EventLog::write(
+            "announcement-stale", { { "backend_server", announcement.instance }, { "sequence", announcement.sequence } });
         return;
     }
     if (!sameRun) {
@@ -50,7 +51,8 @@
         m_left = false;
         m_pool.reset();
         EventLog::write("instance-new",
-            { { "instance", announcement.instance }, { "service", announcement.service }, { "slots", announcement.slots } });
+            { { "backend_server", announcement.instance }, { "service", announcement.service },
+                { "slots", announcement.slots } });
     }
     m_announcement = announcement;
     m_announced = true;
@@ -69,7 +71,7 @@
         m_left = true;
         m_announcement.instance = instance;
     }
-    EventLog::write("instance-leaves", { { "instance", instance } });
+    EventLog::write("instance-leaves", { { "backend_server", instance } });
     noteChange();
 }
 
@@ -112,7 +114,7 @@
     }
     m_verified = m_verified || (healthy && instance == m_announcement.instance);
     EventLog::write("instance-probed",
-        { { "instance", instance }, { "verified", m_verified },
+        { { "backend_server", instance }, { "verified", m_verified },
             { "reason", response ? std::to_string(response->status) : response.error().detail } });
     noteChange();
 }
@@ -130,7 +132,7 @@
         return;
     m_wasAvailable = available;
     EventLog::write("instance-availability",
-        { { "instance", m_announcement.instance }, { "available", available }, { "draining", m_announcement.draining },
+        { { "backend_server", m_announcement.instance }, { "available", available }, { "draining", m_announcement.draining },
             { "left", m_left }, { "unreachable", m_unreachable }, { "verified", m_verified } });
     if (m_onChange)
         m_onChange();
@@ -325,7 +327,7 @@
         EventLog::write("run-failed",
             { { "request", live.attemptID }, { "route", context.route }, { "priority", context.priority },
                 { "reason", errorAnswer(response.error().kind).name }, { "detail", response.error().detail },
-                { "arrived", arrived }, { "instance", m_announcement.instance }, { "running", m_queue.running() },
+                { "arrived", arrived }, { "backend_server", m_announcement.instance }, { "running", m_queue.running() },
                 { "queued", m_queue.queued() }, { "limit", m_queue.limit() },
                 { "service_time_ms", toSeconds(m_queue.serviceTime()) * 1000 },
                 { "pressure_ms", toSeconds(m_guard.pressure(context.route, context.priority, now)) * 1000 },
--- a/Source/sidecar/MeshBeliefs.h
+++ b/Source/sidecar/MeshBeliefs.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace shallot {
 
@@ -31,7 +32,8 @@
     void takeMember(const MeshMember&);
     // Daemons that hold a part of each organisation's rate, this one included.
     size_t memberCount() const { return m_endpoints.all().size(); }
-    void setMembersKnown() { m_membersKnown = true; }
+    // True for the first time.
+    bool setMembersKnown() { return !std::exchange(m_membersKnown, true); }
     bool isComplete() const { return m_routes && m_membersKnown; }
     RemoteEndpoints& endpoints() { return m_endpoints; }
 
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -77,14 +77,19 @@
               [this](TimePoint asked) { m_beliefs.proof().record(asked); } })
     , m_memberFollower(m_store, memberFollow(),
           { [this](const platform::KeyedRecord& record) {
-               if (const auto member = platform::decodeMember(record))
+               const auto member = platform::decodeMember(record);
+               if (record.key == m_own.name)
+                   m_membershipStored = record.value == platform::encodeMember(m_own).value;
+               else if (member)
                    m_beliefs.takeMember(*member);
            },
               [this](TimePoint) {
-                  const bool first = !m_beliefs.isComplete();
-                  m_beliefs.setMembersKnown();
-                  if (first)
-                      greetMembers();
+                  if (!m_beliefs.setMembersKnown())
+                      return;
+                  greetMembers();
+                  // A record that stands already would only wake every other daemon.
+                  if (!m_membershipStored)
+                      announceMembership();
               } })
 {
     m_beliefs.takeMember(m_own);
@@ -126,7 +131,6 @@
         return started;
     m_configurationFollower.start();
     m_memberFollower.start();
-    announceMembership();
     m_tick.startRepeating(tickInterval, [this] { tick(); });
     return {};
 }
@@ -165,7 +169,7 @@
 {
     m_instance.shutdownTime = instance.shutdownTime;
     m_store.setAddress(instance.store);
-    EventLog::write("reload", { { "instance", instance.instance } });
+    EventLog::write("reload", { { "store", instance.store.toString() } });
 }
 
 // Own servers
--- a/Tests/EventLogTest.cpp
+++ b/Tests/EventLogTest.cpp
@@ -12,7 +12,8 @@
 {
     std::istringstream logs(
         "12.0 host {\"time\":12.5,\"instance\":\"a\",\"event\":\"request\",\"request\":\"ab\",\"outcome\":\"timed-out\"}\n"
-        "{\"time\":12.1,\"instance\":\"b\",\"event\":\"run-failed\",\"request\":\"ab.cd\",\"queued\":7,\"arrived\":true}\n"
+        "{\"time\":12.1,\"instance\":\"b\",\"event\":\"run-failed\",\"request\":\"ab.cd\",\"queued\":7,\"arrived\":true,\"held_"
+        "ms\":0.125}\n"
         "{\"time\":12.0,\"instance\":\"b\",\"event\":\"request\",\"request\":\"abc\"}\n"
         "{\"time\":12.0,\"instance\":\"b\",\"event\":\"start\"}\n"
         "not a line of ours ab\n"
@@ -20,7 +21,7 @@
     const auto story = readRequestStory(logs, "ab");
     ASSERT_EQ(story.size(), 2U);
     EXPECT_EQ(story[0].request, "ab.cd");
-    EXPECT_EQ(story[0].fields, "queued=7 arrived=true");
+    EXPECT_EQ(story[0].fields, "queued=7 arrived=true held_ms=0.125");
     EXPECT_EQ(story[1].event, "request");
     EXPECT_NE(describeEvent(story[1], story[0].time).find("+0.400 s  a  request of ab  outcome=timed-out"), std::string::npos);
 }
