--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Arrival:   handle, identify, admit
+//   Arrival:   handle, admit, identify, authenticate
 //   Attempts:  place, send, endAttempt, withdrawAttempt
 //   Outcomes:  onAnswer, onLinkClosed, onOutcome, mayTryAgain
 //   Ends:      returnTime, answer, logEnd, onGone, onDue
@@ -119,16 +119,8 @@
         return fail(ErrorKind::RouteUnknown);
     auto& context = visit.call.context;
     if (!route->open) {
-        if (caller->key.empty())
-            return fail(ErrorKind::KeyMissing);
-        // An outdated configuration may neither honour a key nor call it unknown.
-        if (!beliefs.mayHonourKeys(now))
-            return tl::unexpected(Error { ErrorKind::ConfigurationStale, "the configuration may be outdated", startRetryAfter });
-        const auto* organisation = beliefs.routes()->findByKey(caller->key);
-        if (!organisation)
-            return fail(ErrorKind::KeyUnknown);
-        context.organisation = organisation->name;
-        visit.organisation = organisation;
+        if (auto authenticated = authenticate(visit, caller->key, now); !authenticated)
+            return authenticated;
     }
     context.route = route->name;
     context.idempotent = route->idempotent;
@@ -151,6 +143,20 @@
     return {};
 }
 
+Result<void> MeshIngress::authenticate(Visit& visit, const std::string& key, TimePoint now)
+{
+    if (key.empty())
+        return fail(ErrorKind::KeyMissing);
+    // An outdated configuration may neither honour a key nor call it unknown.
+    if (!m_parts.beliefs.mayHonourKeys(now))
+        return tl::unexpected(Error { ErrorKind::ConfigurationStale, "the configuration may be outdated", startRetryAfter });
+    visit.organisation = m_parts.beliefs.routes()->findByKey(key);
+    if (!visit.organisation)
+        return fail(ErrorKind::KeyUnknown);
+    visit.call.context.organisation = visit.organisation->name;
+    return {};
+}
+
 // Attempts
 
 void MeshIngress::place(Visit& visit, TimePoint now)
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -82,6 +82,7 @@
 
     void handle(const RefPtr<StrictHTTPConnection>&, HTTPRequest, TimePoint now);
     Result<void> identify(Visit&, HTTPRequest&, TimePoint now);
+    Result<void> authenticate(Visit&, const std::string& key, TimePoint now);
     void admit(const RefPtr<Visit>&, TimePoint now);
     void place(Visit&, TimePoint now);
     bool send(Visit&, RemoteEndpoint&, TimePoint now);
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -2,7 +2,8 @@
 //   Start and leave:  Sidecar, start, leave, finishLeaving, applySettings
 //   Own servers:      answerControl, answerReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, cancelCall
-//   Beliefs:          onConfiguration, announceMembership, greetMembers, renewProof, askSomeForProof, dropUnansweredQuestions,
+//   Beliefs:          onConfigurationRecord, onMemberRecord, onMembersRead, onBackendServerChange, onConfiguration,
+//                      announceMembership, greetMembers, renewProof, askSomeForProof, dropUnansweredQuestions,
 //   pushConfiguration, answerProof, takeProof Time:             tick
 
 #include "sidecar/Sidecar.h"
@@ -66,44 +67,14 @@
     , m_ingress({ settings, m_beliefs, m_links, m_executor, m_rates, m_metrics, m_own.name })
     , m_store(m_instance.store)
     , m_configurationFollower(m_store, configurationFollow(settings),
-          { [this](const platform::KeyedRecord& record) {
-               if (!platform::isConfigurationRecord(record))
-                   return;
-               const auto before = m_beliefs.version();
-               (void)m_beliefs.takeConfiguration(record.value, "store");
-               if (m_isReader && m_beliefs.version() > before)
-                   pushConfiguration();
-           },
-              [this](TimePoint asked) { m_beliefs.proof().record(asked); } })
+          { [this](const platform::KeyedRecord& record) { onConfigurationRecord(record); },
+              [this](TimePoint seenUntil) { m_beliefs.proof().record(seenUntil); } })
     , m_memberFollower(m_store, memberFollow(),
-          { [this](const platform::KeyedRecord& record) {
-               const auto member = platform::decodeMember(record);
-               if (record.key == m_own.name)
-                   m_membershipStored = record.value == platform::encodeMember(m_own).value;
-               else if (member)
-                   m_beliefs.takeMember(*member);
-           },
-              [this](TimePoint) {
-                  if (!m_beliefs.setMembersKnown())
-                      return;
-                  greetMembers();
-                  // A record that stands already would only wake every other daemon.
-                  if (!m_membershipStored)
-                      announceMembership();
-              } })
+          { [this](const platform::KeyedRecord& record) { onMemberRecord(record); }, [this](TimePoint) { onMembersRead(); } })
 {
     m_beliefs.takeMember(m_own);
     m_beliefs.setConfigurationHandler([this] { onConfiguration(); });
-    m_executor.setChangeHandler([this] {
-        m_beliefs.endpoints().recordReport(m_own.name, m_executor.report(MonotonicClock::now()), MonotonicClock::now());
-        if (!m_executor.service().empty() && m_executor.service() != m_own.service) {
-            m_own.service = m_executor.service();
-            m_links.setOwnService(m_own.service);
-            m_beliefs.takeMember(m_own);
-            announceMembership();
-        }
-        m_links.announceState();
-    });
+    m_executor.setChangeHandler([this] { onBackendServerChange(); });
 }
 
 // Start and leave
@@ -289,6 +260,47 @@
 
 // Beliefs
 
+void Sidecar::onConfigurationRecord(const platform::KeyedRecord& record)
+{
+    if (!platform::isConfigurationRecord(record))
+        return;
+    const auto before = m_beliefs.version();
+    (void)m_beliefs.takeConfiguration(record.value, "store"); // Logs what it cannot read
+    if (m_isReader && m_beliefs.version() > before)
+        pushConfiguration();
+}
+
+void Sidecar::onMemberRecord(const platform::KeyedRecord& record)
+{
+    if (record.key == m_own.name)
+        m_membershipStored = record.value == platform::encodeMember(m_own).value;
+    else if (const auto member = platform::decodeMember(record))
+        m_beliefs.takeMember(*member);
+}
+
+void Sidecar::onMembersRead()
+{
+    if (!m_beliefs.setMembersKnown())
+        return;
+    greetMembers();
+    // A record that stands already would only wake every other daemon.
+    if (!m_membershipStored)
+        announceMembership();
+}
+
+void Sidecar::onBackendServerChange()
+{
+    const auto now = MonotonicClock::now();
+    m_beliefs.endpoints().recordReport(m_own.name, m_executor.report(now), now);
+    if (!m_executor.service().empty() && m_executor.service() != m_own.service) {
+        m_own.service = m_executor.service();
+        m_links.setOwnService(m_own.service);
+        m_beliefs.takeMember(m_own);
+        announceMembership();
+    }
+    m_links.announceState();
+}
+
 void Sidecar::onConfiguration()
 {
     const auto& configuration = m_beliefs.routes()->configuration();
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -55,6 +55,10 @@
     void serveCall(PeerLink&, wire::CallT&);
     void cancelCall(PeerLink&, const wire::CancelT&);
 
+    void onConfigurationRecord(const platform::KeyedRecord&);
+    void onMemberRecord(const platform::KeyedRecord&);
+    void onMembersRead();
+    void onBackendServerChange();
     void onConfiguration();
     void announceMembership();
     void greetMembers();
