--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -2,9 +2,8 @@
 //   Start and leave:  Sidecar, start, leave, finishLeaving, applySettings
 //   Own servers:      answerControl, answerReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, cancelCall
-//   Beliefs:          onConfigurationRecord, onMemberRecord, onMembersRead, onBackendServerChange, onConfiguration,
-//                      announceMembership, greetMembers, renewProof, askSomeForProof, dropUnansweredQuestions,
-//   pushConfiguration, answerProof, takeProof Time:             tick
+//   Beliefs:          what the store and the backend server say; the member list; proofs
+//   Time:             tick
 
 #include "sidecar/Sidecar.h"
 
