--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr size_t maximumResponseBytes = 4 * 1024 * 1024;
-constexpr size_t maximumResponseHeaders = 200;
 
 std::string formatRequest(const HTTPRequest& request)
 {
@@ -87,8 +86,7 @@
     m_parser.data = this;
     m_response = {};
     m_complete = false;
-    m_trailersReached = false;
-    m_lastWasValue = true;
+    m_collector = {};
 }
 
 void HTTPConnection::onConnected()
@@ -103,28 +101,16 @@
         http_parser_settings_init(&result);
         result.on_header_field = [](http_parser* parser, const char* at, size_t length) {
             auto& connection = from(parser);
-            if (connection.m_trailersReached)
-                return 0;
-            auto& headers = connection.m_response.headers;
-            if (connection.m_lastWasValue) {
-                if (headers.size() >= maximumResponseHeaders)
-                    return 1;
-                headers.emplace_back();
-            }
-            connection.m_lastWasValue = false;
-            headers.back().first.append(at, length);
-            return 0;
+            return connection.m_collector.addName(connection.m_response.headers, { at, length }) ? 0 : 1;
         };
         result.on_header_value = [](http_parser* parser, const char* at, size_t length) {
             auto& connection = from(parser);
-            connection.m_lastWasValue = true;
-            if (!connection.m_trailersReached)
-                connection.m_response.headers.back().second.append(at, length);
+            connection.m_collector.addValue(connection.m_response.headers, { at, length });
             return 0;
         };
         result.on_headers_complete = [](http_parser* parser) {
             auto& connection = from(parser);
-            connection.m_trailersReached = true;
+            connection.m_collector.headersComplete = true;
             return connection.m_headRequest ? 1 : 0;
         };
         result.on_body = [](http_parser* parser, const char* at, size_t length) {
--- a/Source/net/HTTPConnection.h
+++ b/Source/net/HTTPConnection.h
@@ -4,6 +4,7 @@
 #include "core/RefCounted.h"
 #include "core/Time.h"
 #include "net/HTTPMessage.h"
+#include "net/HeaderCollector.h"
 
 #include <functional>
 #include <http_parser.h>
@@ -70,9 +71,8 @@
     bool m_used { false }; // Has carried a whole exchange
     bool m_answerStarted { false };
     bool m_headRequest { false };
-    bool m_lastWasValue { true };
     bool m_complete { false };
-    bool m_trailersReached { false };
+    HeaderCollector m_collector;
 };
 
 } // namespace shallot
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr size_t maximumHeaders = 200;
 constexpr size_t maximumPipelinedBytes = 256 * 1024;    // Sent ahead of an answer; more than this closes the connection
 constexpr auto lingerTimeout = std::chrono::seconds(2); // For the other side to close after the last answer
 
@@ -112,7 +111,7 @@
     const RefPtr<StrictHTTPConnection> protect(this);
     if (m_closing)
         return;
-    if (m_input.empty() && !m_serving && !m_headComplete)
+    if (m_input.empty() && !m_serving && !m_collector.headersComplete)
         m_since = MonotonicClock::now();
     m_input.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
     if (m_serving) {
@@ -125,7 +124,7 @@
 
 void StrictHTTPConnection::readRequests()
 {
-    if (!m_headComplete && !readHead())
+    if (!m_collector.headersComplete && !readHead())
         return;
     readBody();
 }
@@ -141,27 +140,15 @@
         };
         result.on_header_field = [](http_parser* parser, const char* at, size_t length) {
             auto& connection = from(parser);
-            if (connection.m_headComplete)
-                return 0; // Trailers are dropped
-            auto& headers = connection.m_request.headers;
-            if (connection.m_lastWasValue) {
-                if (headers.size() >= maximumHeaders)
-                    return 1;
-                headers.emplace_back();
-            }
-            connection.m_lastWasValue = false;
-            headers.back().first.append(at, length);
-            return 0;
+            return connection.m_collector.addName(connection.m_request.headers, { at, length }) ? 0 : 1;
         };
         result.on_header_value = [](http_parser* parser, const char* at, size_t length) {
             auto& connection = from(parser);
-            connection.m_lastWasValue = true;
-            if (!connection.m_headComplete)
-                connection.m_request.headers.back().second.append(at, length);
+            connection.m_collector.addValue(connection.m_request.headers, { at, length });
             return 0;
         };
         result.on_headers_complete = [](http_parser* parser) {
-            from(parser).m_headComplete = true;
+            from(parser).m_collector.headersComplete = true;
             return 0;
         };
         result.on_body = [](http_parser* parser, const char* at, size_t length) {
@@ -206,12 +193,12 @@
     m_parser.data = this;
     m_request = {};
     m_request.target.clear();
-    m_lastWasValue = true;
+    m_collector = {};
     m_messageComplete = false;
     const size_t parsed = http_parser_execute(&m_parser, &parserSettings(), head.data(), head.size());
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
-    if (!m_headComplete || (error != HPE_OK && error != HPE_PAUSED) || parsed + 1 < head.size()) {
-        m_headComplete = false;
+    if (!m_collector.headersComplete || (error != HPE_OK && error != HPE_PAUSED) || parsed + 1 < head.size()) {
+        m_collector.headersComplete = false;
         reject(400, "the head does not parse");
         return false;
     }
@@ -254,7 +241,7 @@
 
 void StrictHTTPConnection::deliver()
 {
-    m_headComplete = false;
+    m_collector.headersComplete = false;
     m_messageComplete = false;
     m_serving = true;
     m_callbacks.onRequest(*this, std::move(m_request));
@@ -302,7 +289,7 @@
 void StrictHTTPConnection::reject(uint16_t status, const char* reason)
 {
     m_input.clear();
-    m_headComplete = false;
+    m_collector.headersComplete = false;
     m_serving = true;
     m_keepAlive = false;
     respond({ status, { { "Content-Type", "text/plain" } }, std::string(reason) + "\n" }, true, MonotonicClock::now());
@@ -319,7 +306,7 @@
 void StrictHTTPConnection::closeWhenIdle()
 {
     m_closing = true;
-    if (!m_serving && !m_headComplete && m_input.empty())
+    if (!m_serving && !m_collector.headersComplete && m_input.empty())
         m_socket->finish();
 }
 
@@ -332,7 +319,7 @@
     if (m_closing) {
         if (age > lingerTimeout)
             abort();
-    } else if (m_headComplete) {
+    } else if (m_collector.headersComplete) {
         if (age > m_limits.bodyTimeout)
             reject(408, "the body did not arrive in time");
     } else if (!m_input.empty()) {
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -3,6 +3,7 @@
 #include "core/RefCounted.h"
 #include "core/Time.h"
 #include "net/HTTPMessage.h"
+#include "net/HeaderCollector.h"
 
 #include <functional>
 #include <http_parser.h>
@@ -67,8 +68,7 @@
     http_parser m_parser {};
     HTTPRequest m_request;
     TimePoint m_since {}; // When the present phase began
-    bool m_lastWasValue { true };
-    bool m_headComplete { false };
+    HeaderCollector m_collector;
     bool m_messageComplete { false };
     bool m_bodyTooLarge { false };
     bool m_serving { false };
