Ask a dead member for knowledge no more, and press a store that refuses less

Cause: each zone's reader of the store is the first member in an order that all share. While the store was down every daemon asked it four times a second. Ruled out: proofs that age past their bound without a fault (none before the first loss); the members' topic (a third of the calls). Change: a member whose link broke is no reader until a link to it stands again; an unanswered question goes to the next reader instead of the store; without any reader a daemon reads once a second; fresh knowledge makes a reader eligible at once.

--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -56,6 +56,7 @@
     Duration proofInterval { 450ms };  // How often the others ask
     Duration proofTimeout { 300ms };   // Of a question; tens of times the way within a zone
     Duration proofPatience { 1400ms }; // Oldest proof that a member is content with: hold, interval and the way
+    Duration ownReadInterval { 1s };   // How often a member without a fresh proof reads by itself; others may know sooner
     Duration readerPenalty { 3s };     // How long a member whose knowledge was older is not taken for a reader
 
     // Organisations' rates
--- a/Source/mesh/RateShares.cpp
+++ b/Source/mesh/RateShares.cpp
@@ -68,8 +68,7 @@
     return { taken, fromSeconds(std::max(1 - bucket.tokens.tokens, bucket.promised) / rate) };
 }
 
-void RateLedger::giveBack(
-    const std::string& organisation, unsigned tokens, const RatePlan& plan, size_t members, TimePoint now)
+void RateLedger::giveBack(const std::string& organisation, unsigned tokens, const RatePlan& plan, size_t members, TimePoint now)
 {
     if (plan.rate <= 0)
         return;
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -115,8 +115,8 @@
 {
     std::vector<std::pair<uint64_t, const RemoteEndpoint*>> order;
     for (const auto& [name, endpoint] : m_endpoints) {
-        const bool unreachable = endpoint.linkFailures && endpoint.avoidUntil > now;
-        if (endpoint.member.zone == zone && !unreachable && endpoint.noReaderUntil <= now)
+        // Whoever did not answer lately is asked for knowledge again once a link to it stands; a dead member never.
+        if (endpoint.member.zone == zone && !endpoint.linkFailures && endpoint.noReaderUntil <= now)
             order.emplace_back(stableHash(name), &endpoint);
     }
     std::sort(order.begin(), order.end());
@@ -194,6 +194,12 @@
         endpoint->noReaderUntil = now + m_settings.readerPenalty;
 }
 
+void RemoteEndpoints::recordFreshKnowledge(std::string_view name)
+{
+    if (auto* endpoint = find(name))
+        endpoint->noReaderUntil = {};
+}
+
 void RemoteEndpoints::recordReachable(std::string_view name)
 {
     auto* endpoint = find(name);
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -49,6 +49,7 @@
     void recordUnreachableAt(std::string_view address, TimePoint now);
     void recordReachable(std::string_view name);
     void recordOldKnowledge(std::string_view name, TimePoint now);
+    void recordFreshKnowledge(std::string_view name);
 
     // Members of a zone that read the store for it: the first few reachable ones in an order that all members share.
     std::vector<const RemoteEndpoint*> readersOf(std::string_view zone, size_t count, TimePoint now) const;
--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -124,8 +124,7 @@
         link->send(frame);
 }
 
-void RateExchange::settle(
-    const std::string& organisation, Waiting& waiting, const RateGrant& grant, bool byLedger, TimePoint now)
+void RateExchange::settle(const std::string& organisation, Waiting& waiting, const RateGrant& grant, bool byLedger, TimePoint now)
 {
     waiting.question = 0;
     waiting.timeout.stop();
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -22,11 +22,13 @@
 
 namespace {
 
-constexpr auto tickInterval = 250ms;  // Watches links and greets ledgers; MeshSettings::greetInterval
-constexpr uint64_t ticksPerFlush = 2; // Logs: each half second
-constexpr auto memberHold = 20s;      // News of members also comes over links, so a silent read costs little
-constexpr auto readTimeout = 700ms;   // Beyond the hold; the store answers within milliseconds
-constexpr auto memberPause = 400ms;   // A start of the whole fleet writes one record a member
+constexpr auto tickInterval = 250ms;       // Watches links and greets ledgers; MeshSettings::greetInterval
+constexpr uint64_t ticksPerFlush = 2;      // Logs: each half second
+constexpr auto memberHold = 20s;           // News of members also comes over links, so a silent read costs little
+constexpr auto readTimeout = 700ms;        // Beyond the hold; the store answers within milliseconds
+constexpr auto memberPause = 400ms;        // A start of the whole fleet writes one record a member
+constexpr auto configurationRetry = 800ms; // Keys are honoured again within two seconds of the store's return
+constexpr auto memberRetry = 5s;           // Known members stay, and new ones make themselves known over links
 constexpr auto appendTimeout = 1s;
 constexpr auto appendRetry = 700ms;
 constexpr auto readinessLag = 2600ms; // Two questions, one a second, and the way
@@ -37,12 +39,12 @@
 
 FollowSettings configurationFollow(const MeshSettings& settings)
 {
-    return { platform::StoreTopic::Configuration, settings.readHold, readTimeout, Duration::zero() };
+    return { platform::StoreTopic::Configuration, settings.readHold, readTimeout, Duration::zero(), configurationRetry };
 }
 
 FollowSettings memberFollow()
 {
-    return { platform::StoreTopic::Members, memberHold, readTimeout, memberPause };
+    return { platform::StoreTopic::Members, memberHold, readTimeout, memberPause, memberRetry };
 }
 
 } // namespace
@@ -67,7 +69,10 @@
     , m_store(m_instance.store)
     , m_configurationFollower(m_store, configurationFollow(settings),
           { [this](const platform::KeyedRecord& record) { onConfigurationRecord(record); },
-              [this](TimePoint seenUntil) { m_beliefs.proof().record(seenUntil); } })
+              [this](TimePoint seenUntil) {
+                  m_beliefs.proof().record(seenUntil);
+                  m_beliefs.endpoints().recordFreshKnowledge(m_own.name);
+              } })
     , m_memberFollower(m_store, memberFollow(),
           { [this](const platform::KeyedRecord& record) { onMemberRecord(record); }, [this](TimePoint) { onMembersRead(); } })
 {
@@ -339,14 +344,18 @@
     const bool isOld = now - m_beliefs.proof().provenAt > m_settings.proofPatience;
     if (isOld) {
         endpoints.recordOldKnowledge(m_own.name, now);
-        m_configurationFollower.readOnce();
         askSomeForProof(now);
+        if (now - m_lastOwnRead >= m_settings.ownReadInterval) {
+            m_lastOwnRead = now;
+            m_configurationFollower.readOnce();
+        }
     }
     const auto readers = endpoints.readersOf(m_own.zone, m_settings.readersPerZone, now);
     const auto isOwn = [this](const auto* reader) { return reader->member.name == m_own.name; };
-    m_isReader = !m_beliefs.isComplete() || readers.empty() || std::any_of(readers.begin(), readers.end(), isOwn);
+    // While nobody's knowledge is fresh, as when the store is down, each reads by itself once in a while (above).
+    m_isReader = !m_beliefs.isComplete() || std::any_of(readers.begin(), readers.end(), isOwn);
     m_configurationFollower.setPaused(!m_isReader);
-    if (!m_isReader && now - m_lastQuestion >= m_settings.proofInterval) {
+    if (!m_isReader && !readers.empty() && now - m_lastQuestion >= m_settings.proofInterval) {
         m_lastQuestion = now;
         askForProof(*readers[m_nextQuestion % readers.size()], now);
     }
@@ -370,7 +379,7 @@
         }
         m_beliefs.endpoints().recordOldKnowledge(it->second.member, now);
         it = m_proofQuestions.erase(it);
-        m_configurationFollower.readOnce();
+        m_lastQuestion = {}; // The next reader is asked at once
     }
 }
 
@@ -434,6 +443,8 @@
     const auto provenAt = asked - Duration(static_cast<int64_t>(std::min(proof.log_age_us, longestAge)));
     if (now - provenAt > m_settings.proofPatience)
         m_beliefs.endpoints().recordOldKnowledge(link.peer(), now);
+    else
+        m_beliefs.endpoints().recordFreshKnowledge(link.peer());
     if (proof.next_offset >= m_beliefs.version())
         m_beliefs.proof().record(provenAt);
 }
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -99,6 +99,7 @@
     std::unordered_map<uint64_t, ProofQuestion> m_proofQuestions; // Open ones, by sequence
     uint64_t m_nextQuestion { 1 };
     TimePoint m_lastQuestion {};
+    TimePoint m_lastOwnRead {}; // Of the configuration, while no reader has a fresh proof
     bool m_isReader { true };
     uint64_t m_ticks { 0 };
     bool m_membershipStored { false };
--- a/Source/sidecar/StoreFollower.cpp
+++ b/Source/sidecar/StoreFollower.cpp
@@ -12,9 +12,8 @@
 
 constexpr auto newestTimeout = 1500ms; // Several times the slowest answer of a store that is not in trouble
 constexpr auto firstRetry = 150ms;     // After a failed read; doubled each time
-constexpr auto longestRetry = 800ms;   // Entries are expected back two seconds after the store's return
-
-constexpr auto shortestPause = 20ms; // Between two reads that were answered at once
+constexpr auto startRetry = 800ms;     // Before the first answer nothing can be served
+constexpr auto shortestPause = 20ms;   // Between two reads that were answered at once
 
 const char* topicName(platform::StoreTopic topic)
 {
@@ -80,7 +79,8 @@
         }
         if (std::exchange(m_reachable, false))
             EventLog::write("store-lost", { { "topic", topicName(m_settings.topic) }, { "detail", read.error().detail } });
-        scheduleNext(std::min<Duration>(longestRetry, firstRetry * (1 << std::min(m_failures, 5U))));
+        const auto longest = m_offset ? m_settings.longestRetry : startRetry;
+        scheduleNext(std::min<Duration>(longest, firstRetry * (1 << std::min(m_failures, 5U))));
         ++m_failures;
         return;
     }
--- a/Source/sidecar/StoreFollower.h
+++ b/Source/sidecar/StoreFollower.h
@@ -14,6 +14,7 @@
     Duration hold {};    // How long a read waits for news; also the age of what a held read proves
     Duration timeout {}; // Beyond the hold: a read that says nothing for longer has lost its connection
     Duration pause {};   // Between two reads, so that a rush of records costs few calls
+    Duration longestRetry { std::chrono::seconds(1) }; // After failed reads
 };
 
 // Keeps up with one topic: the newest record of each key first, then held reads from there on.
--- a/Tests/MeshDecisionsTest.cpp
+++ b/Tests/MeshDecisionsTest.cpp
@@ -197,6 +197,10 @@
     one.recordUnreachable(first, start);
     EXPECT_EQ(one.readersOf("zone-a", 2, start)[0]->member.name, readers[1]->member.name);
     EXPECT_EQ(one.readersOf("zone-c", 2, start).size(), 0U);
+    // A member that is gone for good must not be waited for again each time that its back-off ends.
+    EXPECT_EQ(one.readersOf("zone-a", 2, start + 1h)[0]->member.name, readers[1]->member.name);
+    one.recordReachable(first);
+    EXPECT_EQ(one.readersOf("zone-a", 2, start + 1h)[0]->member.name, first);
 }
 
 TEST(EndpointQueue, RunsWaitsAndRefusesByTheTimeThatIsLeft)
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -72,6 +72,22 @@
     EXPECT_EQ(mesh.readiness(0), 200);
 }
 
+TEST(SidecarPath, AStoreThatRefusesIsNotPressed)
+{
+    SidecarHarness mesh({ "zone-a/alpha", "zone-a/alpha", "zone-a/alpha", "zone-a/alpha" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    mesh.store().setMood(StoreStandin::Mood::Refusing);
+    mesh.runFor(1s); // Held reads end
+    const auto before = mesh.store().callCount();
+    constexpr size_t seconds = 4;
+    mesh.runFor(std::chrono::seconds(seconds));
+    // Each daemon: its own read a second, the members' follower at its longest interval; one reader's follower.
+    constexpr size_t callsPerDaemonAndSecond = 3;
+    EXPECT_LE(mesh.store().callCount() - before, 4 * seconds * callsPerDaemonAndSecond);
+    mesh.store().setMood(StoreStandin::Mood::Serving);
+    EXPECT_TRUE(mesh.runUntil([&] { return mesh.fetch(0, "/read/again").status() == 200; }));
+}
+
 TEST(SidecarPath, ARestartOfTheStoresHistoryLosesNoChange)
 {
     SidecarHarness mesh({ "zone-a/alpha" });
