Read the member list once a zone, and pass its news on with the proofs

Change: only the zone's reader follows the list. A question for a proof tells how far the asker knows the list, the answer brings what came since; what the reader no longer holds is read from the store. Tests: MemberNews.*, SidecarPath.NewMembersAreLearnedFromTheZonesReader.

--- a/Source/mesh/MeshCall.h
+++ b/Source/mesh/MeshCall.h
@@ -23,7 +23,8 @@
 struct MeshOutcome {
     Result<HTTPResponse> response;
     EndpointReport report;
-    bool arrived { false }; // A failed call reached the backend server
+    bool arrived { false };    // A failed call reached the backend server
+    bool callFailed { false }; // A call that the run made failed
 };
 
 using MeshCompletion = std::function<void(MeshOutcome)>;
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/MeshFrames.h"
 
 #include "daemon/CallFrames.h"
+#include "net/SocketAddress.h"
 #include "platform/RequestCodec.h"
 #include "wire/FrameReader.h"
 #include "wire/Frames_generated.h"
@@ -44,6 +45,7 @@
     body->service_us = toMicroseconds(outcome.report.serviceTime);
     body->pressure_us = toMicroseconds(outcome.report.pressure);
     body->arrived = outcome.arrived;
+    body->call_failed = outcome.callFailed;
     return frame;
 }
 
@@ -63,7 +65,34 @@
     const EndpointReport report { !answer.unavailable, answer.in_flight, answer.queued, std::max(1U, answer.limit),
         fromMicroseconds(answer.service_us), fromMicroseconds(answer.pressure_us) };
     const bool arrived = answer.arrived;
-    return { readOutcome(answer).response, report, arrived };
+    const bool callFailed = answer.call_failed;
+    return { readOutcome(answer).response, report, arrived, callFailed };
+}
+
+void addMembers(wire::RecordsT& records, const std::optional<std::vector<MeshMember>>& members, uint64_t from, uint64_t next)
+{
+    records.members_from = members ? from : next;
+    records.members_next = next;
+    if (!members)
+        return;
+    for (const auto& member : *members) {
+        auto state = std::make_unique<wire::MemberStateT>();
+        state->member = member.name;
+        state->zone = member.zone;
+        state->address = member.address;
+        state->service = member.service;
+        records.members.push_back(std::move(state));
+    }
+}
+
+std::vector<MeshMember> readMembers(const wire::RecordsT& records)
+{
+    std::vector<MeshMember> members;
+    for (const auto& state : records.members) {
+        if (state && !state->member.empty() && parseSocketAddress(state->address))
+            members.push_back({ state->member, state->zone, state->address, state->service });
+    }
+    return members;
 }
 
 std::string meshFrameDictionary()
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -283,12 +283,18 @@
 {
     if (record.key == m_own.name)
         m_membershipStored = record.value == platform::encodeMember(m_own).value;
-    else if (const auto member = platform::decodeMember(record))
+    else if (const auto member = platform::decodeMember(record)) {
         m_beliefs.takeMember(*member);
+        m_membersOfRead.push_back(*member);
+    }
 }
 
 void Sidecar::onMembersRead()
 {
+    const auto next = m_memberFollower.offset();
+    // The first read tells the newest record of each member, which is not what the log holds between two offsets.
+    m_memberNews.record(m_membersKnownTo ? m_membersKnownTo : next, next, std::exchange(m_membersOfRead, {}));
+    m_membersKnownTo = next;
     if (!m_beliefs.setMembersKnown())
         return;
     greetMembers();
@@ -297,6 +303,23 @@
         announceMembership();
 }
 
+// News of the member list come with the proofs of the zone's reader; what it no longer knows is read from the store.
+void Sidecar::takeMemberNews(const wire::RecordsT& news)
+{
+    if (!m_membersKnownTo || news.members_next <= m_membersKnownTo)
+        return;
+    if (news.members_from > m_membersKnownTo) {
+        m_memberFollower.readOnce();
+        return;
+    }
+    const auto members = readMembers(news);
+    for (const auto& member : members)
+        m_beliefs.takeMember(member);
+    m_memberNews.record(m_membersKnownTo, news.members_next, members);
+    m_membersKnownTo = news.members_next;
+    m_memberFollower.advanceTo(news.members_next);
+}
+
 void Sidecar::onBackendServerChange()
 {
     const auto now = MonotonicClock::now();
@@ -360,6 +383,7 @@
     // While nobody's knowledge is fresh, as when the store is down, each reads by itself once in a while (above).
     m_isReader = !m_beliefs.isComplete() || std::any_of(readers.begin(), readers.end(), isOwn);
     m_configurationFollower.setPaused(!m_isReader);
+    m_memberFollower.setPaused(!m_isReader);
     if (!m_isReader && !readers.empty() && now - m_lastQuestion >= m_settings.proofInterval) {
         m_lastQuestion = now;
         askForProof(*readers[m_nextQuestion % readers.size()], now);
@@ -396,6 +420,7 @@
     wire::RecordsRequestT question;
     question.sequence = m_nextQuestion++;
     question.from = m_beliefs.version();
+    question.members_from = m_membersKnownTo;
     m_proofQuestions[question.sequence] = { endpoint.member.name, now };
     wire::FrameT frame;
     frame.body.Set(question);
@@ -429,6 +454,8 @@
     answer.log_age_us = static_cast<uint64_t>((now - m_beliefs.proof().provenAt).count());
     if (question.from < m_beliefs.version())
         answer.snapshot = m_beliefs.document();
+    if (question.members_from < m_membersKnownTo)
+        addMembers(answer, m_memberNews.since(question.members_from), question.members_from, m_membersKnownTo);
     wire::FrameT frame;
     frame.body.Set(std::move(answer));
     link.send(frame);
@@ -439,6 +466,7 @@
     const auto now = MonotonicClock::now();
     if (!proof.snapshot.empty() && proof.next_offset > m_beliefs.version())
         (void)m_beliefs.takeConfiguration(proof.snapshot, "peer");
+    takeMemberNews(proof);
     const auto found = m_proofQuestions.find(proof.sequence);
     if (found == m_proofQuestions.end())
         return;
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mesh/MemberNews.h"
 #include "mesh/MeshSettings.h"
 #include "net/MainLoop.h"
 #include "platform/InstanceSettings.h"
@@ -58,6 +59,7 @@
     void onConfigurationRecord(const platform::KeyedRecord&);
     void onMemberRecord(const platform::KeyedRecord&);
     void onMembersRead();
+    void takeMemberNews(const wire::RecordsT&);
     void onBackendServerChange();
     void onConfiguration();
     void announceMembership();
@@ -84,6 +86,9 @@
     platform::StoreClient m_store;
     StoreFollower m_configurationFollower;
     StoreFollower m_memberFollower;
+    MemberNews m_memberNews;
+    std::vector<MeshMember> m_membersOfRead; // By the read in progress
+    uint64_t m_membersKnownTo { 0 };         // Offset in the store's member list
     StrictHTTPServer m_control;
     StrictHTTPServer m_readiness;
     Timer m_tick;
--- a/Source/sidecar/StoreFollower.cpp
+++ b/Source/sidecar/StoreFollower.cpp
@@ -46,6 +46,12 @@
         readNext();
 }
 
+void StoreFollower::advanceTo(uint64_t offset)
+{
+    if (m_offset)
+        m_offset = std::max(*m_offset, offset);
+}
+
 void StoreFollower::readNewest()
 {
     m_reading = true;
@@ -88,7 +94,7 @@
         EventLog::write("store-regained", { { "topic", topicName(m_settings.topic) }, { "failures", m_failures } });
     m_failures = 0;
     const bool newest = !m_offset;
-    m_offset = read->nextOffset;
+    m_offset = std::max(offset(), read->nextOffset);
     for (const auto& record : read->records)
         m_callbacks.onRecord(record);
     // A read that was held to its end without news shows that there were none when it ended, which the store counts from the
--- a/Source/sidecar/StoreFollower.h
+++ b/Source/sidecar/StoreFollower.h
@@ -32,6 +32,10 @@
     void setPaused(bool);
     // One read without a wait, also while paused.
     void readOnce();
+    // How far this topic is known; 0 before the first answer.
+    uint64_t offset() const { return m_offset.value_or(0); }
+    // Everything before that offset was learned elsewhere.
+    void advanceTo(uint64_t offset);
     bool isReachable() const { return m_reachable; }
 
 private:
--- a/Source/wire/FrameCompressor.cpp
+++ b/Source/wire/FrameCompressor.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr int windowBits = 12;     // 4 KB, more than most frames and the dictionary together
-constexpr int memoryLevel = 5;     // Of zlib: 8 KB for its table, once for a process
-constexpr size_t firstGuess = 4;   // Expanded size as a multiple of the compressed one
+constexpr int windowBits = 12;      // 4 KB, more than most frames and the dictionary together
+constexpr int memoryLevel = 5;      // Of zlib: 8 KB for its table, once for a process
+constexpr size_t firstGuess = 4;    // Expanded size as a multiple of the compressed one
 constexpr size_t smallestOut = 512; // Bytes
 
 Bytef* toZlib(const uint8_t* bytes)
@@ -28,8 +28,7 @@
     bool canInflate { false };
 
     Streams()
-        : canDeflate(
-            deflateInit2(&deflater, Z_BEST_SPEED, Z_DEFLATED, windowBits, memoryLevel, Z_DEFAULT_STRATEGY) == Z_OK)
+        : canDeflate(deflateInit2(&deflater, Z_BEST_SPEED, Z_DEFLATED, windowBits, memoryLevel, Z_DEFAULT_STRATEGY) == Z_OK)
         , canInflate(inflateInit2(&inflater, windowBits) == Z_OK)
     {
     }
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -999,6 +999,7 @@
   bool unavailable = false;
   uint64_t pressure_us = 0;
   bool arrived = false;
+  bool call_failed = false;
   AnswerT() = default;
   AnswerT(const AnswerT &o);
   AnswerT(AnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1025,7 +1026,8 @@
     VT_SERVICE_US = 28,
     VT_UNAVAILABLE = 30,
     VT_PRESSURE_US = 32,
-    VT_ARRIVED = 34
+    VT_ARRIVED = 34,
+    VT_CALL_FAILED = 36
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1075,6 +1077,9 @@
   bool arrived() const {
     return GetField<uint8_t>(VT_ARRIVED, 0) != 0;
   }
+  bool call_failed() const {
+    return GetField<uint8_t>(VT_CALL_FAILED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1097,6 +1102,7 @@
            VerifyField<uint8_t>(verifier, VT_UNAVAILABLE, 1) &&
            VerifyField<uint64_t>(verifier, VT_PRESSURE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_ARRIVED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CALL_FAILED, 1) &&
            verifier.EndTable();
   }
   AnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1156,6 +1162,9 @@
   void add_arrived(bool arrived) {
     fbb_.AddElement<uint8_t>(Answer::VT_ARRIVED, static_cast<uint8_t>(arrived), 0);
   }
+  void add_call_failed(bool call_failed) {
+    fbb_.AddElement<uint8_t>(Answer::VT_CALL_FAILED, static_cast<uint8_t>(call_failed), 0);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1184,7 +1193,8 @@
     uint64_t service_us = 0,
     bool unavailable = false,
     uint64_t pressure_us = 0,
-    bool arrived = false) {
+    bool arrived = false,
+    bool call_failed = false) {
   AnswerBuilder builder_(_fbb);
   builder_.add_pressure_us(pressure_us);
   builder_.add_service_us(service_us);
@@ -1199,6 +1209,7 @@
   builder_.add_headers(headers);
   builder_.add_retry_tokens(retry_tokens);
   builder_.add_status(status);
+  builder_.add_call_failed(call_failed);
   builder_.add_arrived(arrived);
   builder_.add_unavailable(unavailable);
   builder_.add_error(error);
@@ -1227,7 +1238,8 @@
     uint64_t service_us = 0,
     bool unavailable = false,
     uint64_t pressure_us = 0,
-    bool arrived = false) {
+    bool arrived = false,
+    bool call_failed = false) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto detail__ = detail ? _fbb.CreateString(detail) : 0;
@@ -1248,7 +1260,8 @@
       service_us,
       unavailable,
       pressure_us,
-      arrived);
+      arrived,
+      call_failed);
 }
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1728,6 +1741,7 @@
   typedef RecordsRequest TableType;
   uint64_t sequence = 0;
   uint64_t from = 0;
+  uint64_t members_from = 0;
 };
 
 struct RecordsRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1736,7 +1750,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SEQUENCE = 4,
-    VT_FROM = 6
+    VT_FROM = 6,
+    VT_MEMBERS_FROM = 8
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1744,10 +1759,14 @@
   uint64_t from() const {
     return GetField<uint64_t>(VT_FROM, 0);
   }
+  uint64_t members_from() const {
+    return GetField<uint64_t>(VT_MEMBERS_FROM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MEMBERS_FROM, 8) &&
            verifier.EndTable();
   }
   RecordsRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1765,6 +1784,9 @@
   void add_from(uint64_t from) {
     fbb_.AddElement<uint64_t>(RecordsRequest::VT_FROM, from, 0);
   }
+  void add_members_from(uint64_t members_from) {
+    fbb_.AddElement<uint64_t>(RecordsRequest::VT_MEMBERS_FROM, members_from, 0);
+  }
   explicit RecordsRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1779,8 +1801,10 @@
 inline flatbuffers::Offset<RecordsRequest> CreateRecordsRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t sequence = 0,
-    uint64_t from = 0) {
+    uint64_t from = 0,
+    uint64_t members_from = 0) {
   RecordsRequestBuilder builder_(_fbb);
+  builder_.add_members_from(members_from);
   builder_.add_from(from);
   builder_.add_sequence(sequence);
   return builder_.Finish();
@@ -1895,6 +1919,9 @@
   std::string snapshot{};
   uint64_t next_offset = 0;
   uint64_t log_age_us = 0;
+  std::vector<std::unique_ptr<shallot::wire::MemberStateT>> members{};
+  uint64_t members_from = 0;
+  uint64_t members_next = 0;
   RecordsT() = default;
   RecordsT(const RecordsT &o);
   RecordsT(RecordsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1910,7 +1937,10 @@
     VT_RECORDS = 6,
     VT_SNAPSHOT = 8,
     VT_NEXT_OFFSET = 10,
-    VT_LOG_AGE_US = 12
+    VT_LOG_AGE_US = 12,
+    VT_MEMBERS = 14,
+    VT_MEMBERS_FROM = 16,
+    VT_MEMBERS_NEXT = 18
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1927,6 +1957,15 @@
   uint64_t log_age_us() const {
     return GetField<uint64_t>(VT_LOG_AGE_US, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<shallot::wire::MemberState>> *members() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<shallot::wire::MemberState>> *>(VT_MEMBERS);
+  }
+  uint64_t members_from() const {
+    return GetField<uint64_t>(VT_MEMBERS_FROM, 0);
+  }
+  uint64_t members_next() const {
+    return GetField<uint64_t>(VT_MEMBERS_NEXT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1937,6 +1976,11 @@
            verifier.VerifyString(snapshot()) &&
            VerifyField<uint64_t>(verifier, VT_NEXT_OFFSET, 8) &&
            VerifyField<uint64_t>(verifier, VT_LOG_AGE_US, 8) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
+           verifier.VerifyVectorOfTables(members()) &&
+           VerifyField<uint64_t>(verifier, VT_MEMBERS_FROM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MEMBERS_NEXT, 8) &&
            verifier.EndTable();
   }
   RecordsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1963,6 +2007,15 @@
   void add_log_age_us(uint64_t log_age_us) {
     fbb_.AddElement<uint64_t>(Records::VT_LOG_AGE_US, log_age_us, 0);
   }
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::MemberState>>> members) {
+    fbb_.AddOffset(Records::VT_MEMBERS, members);
+  }
+  void add_members_from(uint64_t members_from) {
+    fbb_.AddElement<uint64_t>(Records::VT_MEMBERS_FROM, members_from, 0);
+  }
+  void add_members_next(uint64_t members_next) {
+    fbb_.AddElement<uint64_t>(Records::VT_MEMBERS_NEXT, members_next, 0);
+  }
   explicit RecordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1980,11 +2033,17 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::Record>>> records = 0,
     flatbuffers::Offset<flatbuffers::String> snapshot = 0,
     uint64_t next_offset = 0,
-    uint64_t log_age_us = 0) {
+    uint64_t log_age_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::MemberState>>> members = 0,
+    uint64_t members_from = 0,
+    uint64_t members_next = 0) {
   RecordsBuilder builder_(_fbb);
+  builder_.add_members_next(members_next);
+  builder_.add_members_from(members_from);
   builder_.add_log_age_us(log_age_us);
   builder_.add_next_offset(next_offset);
   builder_.add_sequence(sequence);
+  builder_.add_members(members);
   builder_.add_snapshot(snapshot);
   builder_.add_records(records);
   return builder_.Finish();
@@ -2001,16 +2060,23 @@
     const std::vector<flatbuffers::Offset<shallot::wire::Record>> *records = nullptr,
     const char *snapshot = nullptr,
     uint64_t next_offset = 0,
-    uint64_t log_age_us = 0) {
+    uint64_t log_age_us = 0,
+    const std::vector<flatbuffers::Offset<shallot::wire::MemberState>> *members = nullptr,
+    uint64_t members_from = 0,
+    uint64_t members_next = 0) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Record>>(*records) : 0;
   auto snapshot__ = snapshot ? _fbb.CreateString(snapshot) : 0;
+  auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::MemberState>>(*members) : 0;
   return shallot::wire::CreateRecords(
       _fbb,
       sequence,
       records__,
       snapshot__,
       next_offset,
-      log_age_us);
+      log_age_us,
+      members__,
+      members_from,
+      members_next);
 }
 
 flatbuffers::Offset<Records> CreateRecords(flatbuffers::FlatBufferBuilder &_fbb, const RecordsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3204,7 +3270,8 @@
         service_us(o.service_us),
         unavailable(o.unavailable),
         pressure_us(o.pressure_us),
-        arrived(o.arrived) {
+        arrived(o.arrived),
+        call_failed(o.call_failed) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new shallot::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -3226,6 +3293,7 @@
   std::swap(unavailable, o.unavailable);
   std::swap(pressure_us, o.pressure_us);
   std::swap(arrived, o.arrived);
+  std::swap(call_failed, o.call_failed);
   return *this;
 }
 
@@ -3254,6 +3322,7 @@
   { auto _e = unavailable(); _o->unavailable = _e; }
   { auto _e = pressure_us(); _o->pressure_us = _e; }
   { auto _e = arrived(); _o->arrived = _e; }
+  { auto _e = call_failed(); _o->call_failed = _e; }
 }
 
 inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3280,6 +3349,7 @@
   auto _unavailable = _o->unavailable;
   auto _pressure_us = _o->pressure_us;
   auto _arrived = _o->arrived;
+  auto _call_failed = _o->call_failed;
   return shallot::wire::CreateAnswer(
       _fbb,
       _id,
@@ -3297,7 +3367,8 @@
       _service_us,
       _unavailable,
       _pressure_us,
-      _arrived);
+      _arrived,
+      _call_failed);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3490,6 +3561,7 @@
   (void)_resolver;
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = from(); _o->from = _e; }
+  { auto _e = members_from(); _o->members_from = _e; }
 }
 
 inline flatbuffers::Offset<RecordsRequest> RecordsRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordsRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3502,10 +3574,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RecordsRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _sequence = _o->sequence;
   auto _from = _o->from;
+  auto _members_from = _o->members_from;
   return shallot::wire::CreateRecordsRequest(
       _fbb,
       _sequence,
-      _from);
+      _from,
+      _members_from);
 }
 
 inline RecordT *Record::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3544,9 +3618,13 @@
       : sequence(o.sequence),
         snapshot(o.snapshot),
         next_offset(o.next_offset),
-        log_age_us(o.log_age_us) {
+        log_age_us(o.log_age_us),
+        members_from(o.members_from),
+        members_next(o.members_next) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new shallot::wire::RecordT(*records_) : nullptr); }
+  members.reserve(o.members.size());
+  for (const auto &members_ : o.members) { members.emplace_back((members_) ? new shallot::wire::MemberStateT(*members_) : nullptr); }
 }
 
 inline RecordsT &RecordsT::operator=(RecordsT o) FLATBUFFERS_NOEXCEPT {
@@ -3555,6 +3633,9 @@
   std::swap(snapshot, o.snapshot);
   std::swap(next_offset, o.next_offset);
   std::swap(log_age_us, o.log_age_us);
+  std::swap(members, o.members);
+  std::swap(members_from, o.members_from);
+  std::swap(members_next, o.members_next);
   return *this;
 }
 
@@ -3572,6 +3653,9 @@
   { auto _e = snapshot(); if (_e) _o->snapshot = _e->str(); }
   { auto _e = next_offset(); _o->next_offset = _e; }
   { auto _e = log_age_us(); _o->log_age_us = _e; }
+  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<shallot::wire::MemberStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = members_from(); _o->members_from = _e; }
+  { auto _e = members_next(); _o->members_next = _e; }
 }
 
 inline flatbuffers::Offset<Records> Records::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3587,13 +3671,19 @@
   auto _snapshot = _o->snapshot.empty() ? 0 : _fbb.CreateString(_o->snapshot);
   auto _next_offset = _o->next_offset;
   auto _log_age_us = _o->log_age_us;
+  auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::MemberState>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMemberState(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _members_from = _o->members_from;
+  auto _members_next = _o->members_next;
   return shallot::wire::CreateRecords(
       _fbb,
       _sequence,
       _records,
       _snapshot,
       _next_offset,
-      _log_age_us);
+      _log_age_us,
+      _members,
+      _members_from,
+      _members_next);
 }
 
 inline ReturnedLoanT *ReturnedLoan::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/MeshDecisionsTest.cpp
+++ b/Tests/MeshDecisionsTest.cpp
@@ -2,6 +2,7 @@
 
 #include "mesh/ConfigurationProof.h"
 #include "mesh/EndpointQueue.h"
+#include "mesh/MemberNews.h"
 #include "mesh/MeshCall.h"
 #include "mesh/MeshSettings.h"
 #include "mesh/RemoteEndpoints.h"
@@ -225,6 +226,30 @@
     EXPECT_EQ(one.readersOf("zone-a", 2, start + 1h)[0]->member.name, first);
 }
 
+TEST(MemberNews, TellsEverythingSinceAnOffsetOrThatItDoesNotKnow)
+{
+    const auto member = [](int i) { return MeshMember { "m" + std::to_string(i), "z", "1.1.1.1:1", "s" }; };
+    MemberNews news;
+    news.record(40, 40, {}); // The first read: everything before is known elsewhere
+    EXPECT_TRUE(news.since(40)->empty());
+    EXPECT_FALSE(news.since(39));
+    EXPECT_FALSE(news.since(41)); // The one who asks is ahead
+    news.record(40, 42, { member(1), member(2) });
+    news.record(42, 43, { member(3) });
+    EXPECT_EQ(news.since(40)->size(), 3U);
+    ASSERT_EQ(news.since(42)->size(), 1U);
+    EXPECT_EQ(news.since(42)->front().name, "m3");
+    news.record(40, 42, { member(1) }); // An old read that ends late
+    EXPECT_EQ(news.since(40)->size(), 3U);
+    news.record(50, 51, { member(9) }); // The log's history was dropped in between
+    EXPECT_FALSE(news.since(43));
+    EXPECT_EQ(news.since(50)->size(), 1U);
+    for (uint64_t i = 51; i < 6000; ++i)
+        news.record(i, i + 1, { member(1) });
+    EXPECT_FALSE(news.since(51)); // Bounded
+    EXPECT_EQ(news.since(5990)->size(), 10U);
+}
+
 TEST(EndpointQueue, RunsWaitsAndRefusesByTheTimeThatIsLeft)
 {
     const MeshSettings settings;
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -2,6 +2,7 @@
 
 #include "SidecarHarness.h"
 #include "TestPorts.h"
+#include "platform/MemberCodec.h"
 #include "platform/Names.h"
 
 #include <glib.h>
@@ -88,6 +89,31 @@
     EXPECT_TRUE(mesh.runUntil([&] { return mesh.fetch(0, "/read/again").status() == 200; }));
 }
 
+TEST(SidecarPath, NewMembersAreLearnedFromTheZonesReader)
+{
+    SidecarHarness mesh({ "zone-a/alpha", "zone-a/alpha", "zone-a/alpha", "zone-a/alpha" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    mesh.runFor(2500ms); // Only the reader goes on reading
+    const auto before = mesh.store().callCount();
+    constexpr size_t newMembers = 5;
+    for (size_t i = 0; i < newMembers; ++i) {
+        const auto name = "new-" + std::to_string(i);
+        const auto record = platform::encodeMember({ name, "zone-b", "127.0.0.1:" + std::to_string(i + 1), "beta" });
+        mesh.store().put("keyed.members", record.key, record.value);
+        mesh.runFor(500ms);
+    }
+    const auto knowsAll = [&] {
+        for (size_t i = 0; i < 4; ++i) {
+            if (mesh.daemon(i).memberCount() != 4 + newMembers)
+                return false;
+        }
+        return true;
+    };
+    EXPECT_TRUE(mesh.runUntil(knowsAll));
+    // One read a record by the reader, and its own of the configuration, two a second; not four a record.
+    EXPECT_LE(mesh.store().callCount() - before, newMembers + 3 * 4);
+}
+
 TEST(SidecarPath, ARestartOfTheStoresHistoryLosesNoChange)
 {
     SidecarHarness mesh({ "zone-a/alpha" });
