Spend the repeats where the fault is

Cause: all repeats of a service came from one hundredth of its requests, whatever made them, since a repeated run makes its calls again. Change: a run that failed with one of its calls is not repeated, the call itself is; calls may use a quarter of the allowance, requests at the root a tenth; each level's part adds up to less than the whole at the deepest service. Test: SidecarPath.ARunThatFailedWithItsCallIsNotRepeatedButTheCallIs.

--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -26,7 +26,10 @@
     unsigned reroutes { 3 };      // Other members asked after refusals that reached no backend server
     double retryShare { 0.2 };    // Deployment: repeats a service may get, as a share of its requests
     double retryAllowance { 40 }; // Deployment: repeats beyond that share, over all daemons
-    double retryMargin { 0.05 };  // Part of both that is used: a repeated run makes its calls again, and they count below it
+    // Parts of both that are used. A repeated run makes its calls again, and those count as repeats at the services below; with
+    // calls three deep these parts stay within the whole at the deepest one even if all levels use theirs up.
+    double retryMarginAtRoot { 0.1 };
+    double retryMarginOfCalls { 0.25 };
 
     // Queue beside the backend server
     double slotShare { 0.95 };           // Part of the slots that is used; some backend servers slow down beyond it
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -221,7 +221,7 @@
 {
     const auto toParent = [this](uint64_t id) {
         const auto& context = m_calls.at(id)->call.context;
-        return ParentRun { context.route, context.priority, context.hops };
+        return ParentRun { id, context.route, context.priority, context.hops };
     };
     if (const auto dot = attemptID.rfind('.'); dot != std::string_view::npos) {
         if (const auto found = m_running.find(std::string(attemptID.substr(0, dot))); found != m_running.end())
@@ -240,6 +240,12 @@
     m_guard.recordPressure(parent.route, parent.priority, wait, now);
 }
 
+void EndpointExecutor::recordFailedCall(const ParentRun& parent)
+{
+    if (const auto found = m_calls.find(parent.id); found != m_calls.end())
+        found->second->callFailed = true;
+}
+
 // Runs
 
 void EndpointExecutor::run(LiveRun& live, TimePoint now)
@@ -343,7 +349,7 @@
         auto ownReport = report(now);
         ownReport.pressure
             = std::max(m_queue.expectedWait(context.priority), m_guard.pressure(context.route, context.priority, now));
-        completion({ std::move(response), ownReport, arrived });
+        completion({ std::move(response), ownReport, arrived, live.callFailed });
     }
     runNext(now);
 }
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -20,6 +20,7 @@
 
 // The run that made a call.
 struct ParentRun {
+    uint64_t id { 0 }; // As submit() gave it
     std::string route;
     uint8_t priority { 0 };
     uint8_t hops { 0 };
@@ -40,6 +41,8 @@
     std::optional<ParentRun> findParent(std::string_view attemptID, Duration remaining, TimePoint now) const;
     // A call made by such a run met this wait.
     void recordPressure(const ParentRun&, Duration wait, TimePoint now);
+    // A call made by such a run failed.
+    void recordFailedCall(const ParentRun&);
 
     // The backend server's word. Stale announcements change nothing.
     void announce(const EndpointAnnouncement&, TimePoint now);
@@ -67,7 +70,8 @@
         TimePoint submitted {};
         TimePoint started {};
         bool running { false };
-        bool sentAgain { false }; // After a connection that had been dropped before
+        bool callFailed { false }; // One that the run made
+        bool sentAgain { false };  // After a connection that had been dropped before
     };
 
     ErrorKind refusalFor(const MeshCall&, TimePoint now) const;
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -56,15 +56,18 @@
     m_server.setLimits(m_limits);
 }
 
-RetryBudget& MeshIngress::budgetFor(const std::string& service)
+RetryBudget& MeshIngress::budgetFor(const Visit& visit)
 {
-    const auto found = m_budgets.find(service);
+    const bool isCall = visit.parent.has_value();
+    const auto key = std::make_pair(visit.call.service, isCall);
+    const auto found = m_budgets.find(key);
     if (found != m_budgets.end())
         return found->second;
     const auto& settings = m_parts.settings;
     const double members = static_cast<double>(std::max<size_t>(1, m_parts.beliefs.memberCount()));
-    const double saved = std::clamp(settings.retryMargin * settings.retryAllowance / members, 1.0, 10.0);
-    return m_budgets.emplace(service, RetryBudget(settings.retryShare * settings.retryMargin, saved)).first->second;
+    const double margin = isCall ? settings.retryMarginOfCalls : settings.retryMarginAtRoot;
+    const double saved = std::clamp(margin * settings.retryAllowance / members, 1.0, 10.0);
+    return m_budgets.emplace(key, RetryBudget(settings.retryShare * margin, saved)).first->second;
 }
 
 // Arrival
@@ -144,7 +147,7 @@
     }
     visit.maximumEndpoints = route->maximumEndpoints;
     visit.call.service = beliefs.routes()->nextService(*route);
-    budgetFor(visit.call.service).recordSuccess();
+    budgetFor(visit).recordSuccess();
     platform::addOrigin(request, context.organisation, m_parts.executor.service());
     return {};
 }
@@ -328,9 +331,10 @@
     } else if (outcome.response->status == 504) {
         return false;
     }
-    if (visit.arrivals >= visit.maximumEndpoints)
+    // A run that failed with one of its calls meets the same trouble again; the repeats are of more use to the calls.
+    if (visit.arrivals >= visit.maximumEndpoints || outcome.callFailed)
         return false;
-    return budgetFor(visit.call.service).tryTake();
+    return budgetFor(visit).tryTake();
 }
 
 // Ends
@@ -349,6 +353,8 @@
     const RefPtr<Visit> protect(&visit);
     if (!m_visits.erase(visit.id))
         return;
+    if (visit.parent && (!response || response->status >= 500))
+        m_parts.executor.recordFailedCall(*visit.parent);
     if (!response && isNotRun(response.error()))
         response.error().retryAfter = returnTime(visit, response.error().retryAfter);
     if (visit.hasToken && !response && isNotRun(response.error()) && !visit.wentOut)
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -308,6 +308,35 @@
     EXPECT_EQ(headerOf(mesh.endpoint(1).requests().back(), platform::header::organisation), "");
 }
 
+TEST(SidecarPath, ARunThatFailedWithItsCallIsNotRepeatedButTheCallIs)
+{
+    SidecarHarness mesh({ "zone-a/alpha", "zone-a/beta", "zone-b/alpha", "zone-b/beta" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    for (const size_t beta : { 1, 3 }) {
+        mesh.endpoint(beta).setScript([](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+            EndpointStandin::answer(*connection, request, 500);
+        });
+    }
+    RefPtr<StrictHTTPConnection> parentConnection;
+    HTTPRequest parent;
+    std::shared_ptr<SidecarHarness::Answer> inner;
+    for (const size_t alpha : { 0, 2 }) {
+        mesh.endpoint(alpha).setScript([&, alpha](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+            parentConnection = connection;
+            parent = request;
+            const HTTPHeaders headers { { std::string(attemptID), headerOf(request, attemptID) + ".1" } };
+            inner = mesh.send(alpha, { "GET", "/inner/7", headers, {} }, "");
+        });
+    }
+    const auto answer = mesh.send(1, { "GET", "/read/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([&] { return inner && inner->done; }));
+    EXPECT_EQ(inner->status(), 500);
+    EXPECT_EQ(mesh.runs("/inner/7"), 2U);
+    EndpointStandin::answer(*parentConnection, parent, 500);
+    EXPECT_EQ(mesh.wait(answer).status(), 500);
+    EXPECT_EQ(mesh.runs("/read/1"), 1U);
+}
+
 TEST(SidecarPath, ALeaveCutsNoRequestAndEndsConnectionsBeforeTheDaemon)
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
