--- a/Source/net/PeerLink.cpp
+++ b/Source/net/PeerLink.cpp
@@ -124,6 +124,7 @@
 
 bool PeerLink::send(const wire::FrameT& frame)
 {
+    const RefPtr<PeerLink> protect(this); // A write that fails ends the link, and its handler may drop the last reference
     if (!isOpen())
         return false;
     if (m_established) {
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -237,11 +237,12 @@
 {
     if (!visit.wentOut)
         return;
+    // The attempt ends first: a link that breaks with this frame must not find it among those to place elsewhere.
+    endAttempt(visit);
     if (visit.link)
         visit.link->send(makeCancelFrame(visit.attempt));
     else
         m_parts.executor.cancel(visit.executorID);
-    endAttempt(visit);
 }
 
 // Outcomes
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -2,8 +2,11 @@
 
 #include "SidecarHarness.h"
 #include "TestPorts.h"
+#include "daemon/CallFrames.h"
+#include "net/PeerLinks.h"
 #include "platform/MemberCodec.h"
 #include "platform/Names.h"
+#include "wire/Frames_generated.h"
 
 #include <glib.h>
 #include <gtest/gtest.h>
@@ -386,5 +389,25 @@
     EXPECT_EQ(unreachable, std::vector<std::string> { nobody.toString() });
 }
 
+TEST(PeerLink, OutlivesASendThatEndsIt)
+{
+    const SocketAddress address { "127.0.0.1", static_cast<uint16_t>(nextBasePort() + 1) };
+    PeerLinks there({ "there", "z", "a secret of the tests" }, { nullptr, nullptr });
+    ASSERT_TRUE(there.listen(address));
+    RefPtr<PeerLink> link;
+    PeerLinks here({ "here", "z", "a secret of the tests" }, { nullptr, [&link](PeerLink&) { link = nullptr; } });
+    link = here.linkTo(address.toString());
+    while (!link->isEstablished())
+        g_main_context_iteration(nullptr, TRUE);
+    there.closeAll();
+    auto* last = link.get();
+    // The other end is closed and this one has not noticed: some write fails, and the handler drops the last reference.
+    for (int i = 0; i < 1000 && link; ++i) {
+        last->send(makeCancelFrame(1));
+        g_usleep(1000);
+    }
+    EXPECT_FALSE(link);
+}
+
 } // namespace
 } // namespace shallot
