Let a late read of the store bring nothing older than what is known; name the plan in a refusal's log line

A follower's offset may now be moved on by a peer's news. A held read that ends after that could have put an older record of a member in force again; its records are dropped. A refusal for the rate logs the plan that decided it and who dealt it. Test: StoreFollower.AReadThatEndsLateBringsNothingOlderThanWhatIsKnown.

--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -18,6 +18,8 @@
 #include "sidecar/RateExchange.h"
 #include "wire/Frames_generated.h"
 
+#include <cmath>
+
 namespace shallot {
 
 namespace {
@@ -96,7 +98,8 @@
         place(*visit, now);
         return;
     }
-    m_parts.rates.request(*organisation, now, [this, visit](const RateExchange::Verdict& verdict) {
+    const RatePlan plan { organisation->rate, organisation->burst };
+    m_parts.rates.request(*organisation, now, [this, visit, plan](const RateExchange::Verdict& verdict) {
         const auto& name = visit->call.context.organisation;
         const bool hasToken = verdict.admitted && verdict.byLedger;
         if (!m_visits.contains(visit->id)) {
@@ -110,7 +113,9 @@
             place(*visit, now);
             return;
         }
-        answer(*visit, tl::unexpected(Error { ErrorKind::RateExceeded, name, verdict.retryAfter }), now);
+        auto detail = std::string(verdict.byLedger ? "ledger" : "own part") + " of a plan of "
+            + std::to_string(std::lround(plan.rate)) + "/s, burst " + std::to_string(std::lround(plan.burst));
+        answer(*visit, tl::unexpected(Error { ErrorKind::RateExceeded, std::move(detail), verdict.retryAfter }), now);
     });
 }
 
--- a/Source/sidecar/StoreFollower.cpp
+++ b/Source/sidecar/StoreFollower.cpp
@@ -94,9 +94,12 @@
         EventLog::write("store-regained", { { "topic", topicName(m_settings.topic) }, { "failures", m_failures } });
     m_failures = 0;
     const bool newest = !m_offset;
-    m_offset = std::max(offset(), read->nextOffset);
-    for (const auto& record : read->records)
-        m_callbacks.onRecord(record);
+    // An answer that comes late tells nothing new, and its records may be older than what was learned elsewhere.
+    if (newest || read->nextOffset > *m_offset) {
+        m_offset = read->nextOffset;
+        for (const auto& record : read->records)
+            m_callbacks.onRecord(record);
+    }
     // A read that was held to its end without news shows that there were none when it ended, which the store counts from the
     // question's arrival.
     const bool held = read->records.empty() && hold > Duration::zero() && MonotonicClock::now() - asked >= hold;
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -6,6 +6,7 @@
 #include "net/PeerLinks.h"
 #include "platform/MemberCodec.h"
 #include "platform/Names.h"
+#include "sidecar/StoreFollower.h"
 #include "wire/Frames_generated.h"
 
 #include <glib.h>
@@ -389,6 +390,35 @@
     EXPECT_EQ(unreachable, std::vector<std::string> { nobody.toString() });
 }
 
+TEST(StoreFollower, AReadThatEndsLateBringsNothingOlderThanWhatIsKnown)
+{
+    const SocketAddress address { "127.0.0.1", nextBasePort() };
+    StoreStandin store(address);
+    platform::StoreClient client(address);
+    std::vector<std::string> values;
+    size_t reads = 0;
+    StoreFollower follower(client, { platform::StoreTopic::Members, 5s, 1s, {}, {}, 1s },
+        { [&values](const platform::KeyedRecord& record) { values.push_back(record.value); }, [&reads](TimePoint) { ++reads; } });
+    const auto runUntilRead = [&](size_t count) {
+        for (int i = 0; i < 1000 && reads < count; ++i)
+            g_main_context_iteration(nullptr, TRUE);
+    };
+    store.put("keyed.members", "m", "first");
+    follower.start();
+    runUntilRead(1);
+    ASSERT_EQ(values.size(), 1U);
+    Timer wake;
+    bool woken = false;
+    wake.startOnce(100ms, [&woken] { woken = true; });
+    while (!woken) // Until the read is held
+        g_main_context_iteration(nullptr, TRUE);
+    follower.advanceTo(10);
+    store.put("keyed.members", "m", "older than what was learned elsewhere");
+    runUntilRead(2);
+    EXPECT_EQ(values.size(), 1U);
+    EXPECT_EQ(follower.offset(), 10U);
+}
+
 TEST(PeerLink, OutlivesASendThatEndsIt)
 {
     const SocketAddress address { "127.0.0.1", static_cast<uint16_t>(nextBasePort() + 1) };
