Forget repeats that were not used, so that the fleet's sum keeps to its allowance

Cause: each daemon kept at least one repeat for each service and origin. Ruled out: margins alone (a tenth for all still failed at 83 daemons). Change: RepeatAllowance, a decision of its own. What requests bring fades within 2.5 s, the share that needs no requests comes at a steady pace, and a daemon with a part of a repeat takes one with that probability. Calls use a fifth of the allowance.

--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -29,7 +29,8 @@
     // Parts of both that are used. A repeated run makes its calls again, and those count as repeats at the services below; with
     // calls three deep these parts stay within the whole at the deepest one even if all levels use theirs up.
     double retryMarginAtRoot { 0.1 };
-    double retryMarginOfCalls { 0.25 };
+    double retryMarginOfCalls { 0.2 };
+    Duration retryMemory { 2500ms }; // After it a repeat that was not used is forgotten; a quarter of the window that is counted
 
     // Queue beside the backend server
     double slotShare { 0.95 };           // Part of the slots that is used; some backend servers slow down beyond it
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -6,6 +6,7 @@
 
 #include "sidecar/MeshIngress.h"
 
+#include "core/Digest.h"
 #include "core/EventLog.h"
 #include "daemon/CallFrames.h"
 #include "mesh/MeshSettings.h"
@@ -58,18 +59,11 @@
     m_server.setLimits(m_limits);
 }
 
-RetryBudget& MeshIngress::budgetFor(const Visit& visit)
+RepeatAllowance& MeshIngress::allowanceFor(const Visit& visit)
 {
-    const bool isCall = visit.parent.has_value();
-    const auto key = std::make_pair(visit.call.service, isCall);
-    const auto found = m_budgets.find(key);
-    if (found != m_budgets.end())
-        return found->second;
-    const auto& settings = m_parts.settings;
-    const double members = static_cast<double>(std::max<size_t>(1, m_parts.beliefs.memberCount()));
-    const double margin = isCall ? settings.retryMarginOfCalls : settings.retryMarginAtRoot;
-    const double saved = std::clamp(margin * settings.retryAllowance / members, 1.0, 10.0);
-    return m_budgets.emplace(key, RetryBudget(settings.retryShare * margin, saved)).first->second;
+    const auto origin = visit.parent ? Origin::BackendServer : Origin::Caller;
+    const auto seed = stableHash(m_parts.ownName, m_allowances.size());
+    return m_allowances.try_emplace({ visit.call.service, origin }, m_parts.settings, origin, seed).first->second;
 }
 
 // Arrival
@@ -152,7 +146,7 @@
     }
     visit.maximumEndpoints = route->maximumEndpoints;
     visit.call.service = beliefs.routes()->nextService(*route);
-    budgetFor(visit).recordSuccess();
+    allowanceFor(visit).recordRequest(now);
     platform::addOrigin(request, context.organisation, m_parts.executor.service());
     return {};
 }
@@ -340,7 +334,7 @@
     // A run that failed with one of its calls meets the same trouble again; the repeats are of more use to the calls.
     if (visit.arrivals >= visit.maximumEndpoints || outcome.callFailed)
         return false;
-    return budgetFor(visit).tryTake();
+    return allowanceFor(visit).tryTake(m_parts.beliefs.memberCount(), now);
 }
 
 // Ends
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -4,10 +4,10 @@
 #include "mesh/MeshCall.h"
 #include "mesh/MeshConfiguration.h"
 #include "mesh/RemoteEndpoints.h"
+#include "mesh/RepeatAllowance.h"
 #include "mesh/ReturnList.h"
 #include "net/DeadlineQueue.h"
 #include "net/StrictHTTPServer.h"
-#include "policy/RetryBudget.h"
 #include "sidecar/EndpointExecutor.h"
 
 #include <map>
@@ -96,7 +96,7 @@
     void logEnd(const Visit&, const Result<HTTPResponse>&, TimePoint now) const;
     void onGone(StrictHTTPConnection&);
     void onDue(uint64_t id);
-    RetryBudget& budgetFor(const Visit&);
+    RepeatAllowance& allowanceFor(const Visit&);
 
     MeshIngressParts m_parts;
     StrictHTTPServer m_server;
@@ -104,7 +104,7 @@
     std::unordered_map<uint64_t, RefPtr<Visit>> m_visits;
     std::unordered_map<uint64_t, RefPtr<Visit>> m_attempts; // By attempt, as frames carry it
     std::unordered_map<StrictHTTPConnection*, uint64_t> m_byConnection;
-    std::map<std::pair<std::string, bool>, RetryBudget> m_budgets; // By service, and whether a backend server calls it
+    std::map<std::pair<std::string, Origin>, RepeatAllowance> m_allowances; // By service
     ReturnList m_returns;
     DeadlineQueue m_deadlines;
     uint64_t m_nextID { 1 };
--- /dev/null
+++ b/Tests/RepeatAllowanceFuzzTest.cpp
@@ -0,0 +1,117 @@
+// All daemons' repeats together stay within what the fleet may send to a service, whatever fails at whichever level of a call
+// graph, with the calls of repeated runs counted as repeats.
+
+#include "mesh/MeshSettings.h"
+#include "mesh/RepeatAllowance.h"
+
+#include <array>
+#include <deque>
+#include <gtest/gtest.h>
+#include <map>
+#include <random>
+#include <rapidcheck.h>
+
+namespace shallot {
+namespace {
+
+constexpr TimePoint start { 1000s };
+constexpr size_t levels = 4; // Services, each called by the one before
+constexpr auto window = 10s;
+
+// What a service is sent, judged as the deployments do: arrivals beyond the first of each request, over any window.
+class RepeatOracle {
+public:
+    explicit RepeatOracle(const MeshSettings& settings)
+        : m_settings(settings)
+    {
+    }
+
+    void arrive(bool isRepeat, TimePoint now)
+    {
+        m_arrivals.emplace_back(now, isRepeat);
+        (isRepeat ? m_repeats : m_requests) += 1;
+        while (now - m_arrivals.front().first > window) {
+            (m_arrivals.front().second ? m_repeats : m_requests) -= 1;
+            m_arrivals.pop_front();
+        }
+        const double allowed = m_settings.retryShare * m_requests + m_settings.retryAllowance;
+        RC_ASSERT(m_repeats <= allowed);
+    }
+
+private:
+    const MeshSettings& m_settings;
+    std::deque<std::pair<TimePoint, bool>> m_arrivals;
+    double m_requests { 0 };
+    double m_repeats { 0 };
+};
+
+struct GraphFleet {
+    GraphFleet(const MeshSettings& meshSettings, size_t memberCount, unsigned seed)
+        : settings(meshSettings)
+        , members(memberCount)
+        , random(seed)
+        , oracles(levels, RepeatOracle(meshSettings))
+    {
+    }
+
+    RepeatAllowance& allowance(size_t member, size_t level)
+    {
+        const auto origin = level ? Origin::BackendServer : Origin::Caller;
+        return allowances.try_emplace({ member, level }, settings, origin, random()).first->second;
+    }
+
+    bool chance(double probability) { return std::uniform_real_distribution<double>(0, 1)(random) < probability; }
+
+    // Whether the request ended well. `inRepeat`: it was made by a run that was a repeat.
+    bool request(size_t level, bool inRepeat, TimePoint now)
+    {
+        auto& own = allowance(random() % members, level);
+        own.recordRequest(now);
+        for (bool isFirst = true;; isFirst = false) {
+            const bool isRepeat = inRepeat || !isFirst;
+            oracles[level].arrive(isRepeat, now);
+            const bool failsItself = chance(failures[level]);
+            bool callFailed = false;
+            for (unsigned i = 0; level + 1 < levels && i < calls[level]; ++i)
+                callFailed = !request(level + 1, isRepeat, now) || callFailed;
+            if (!failsItself && !callFailed)
+                return true;
+            if (callFailed || !isFirst || !own.tryTake(members, now))
+                return false;
+        }
+    }
+
+    const MeshSettings& settings;
+    size_t members;
+    std::mt19937 random;
+    std::vector<RepeatOracle> oracles; // By level
+    std::array<double, levels> failures {};
+    std::array<unsigned, levels> calls {};
+    std::map<std::pair<size_t, size_t>, RepeatAllowance> allowances; // By member and level
+};
+
+TEST(RepeatAllowanceFuzz, StaysWithinTheFleetsAllowanceAtEveryLevel)
+{
+    EXPECT_TRUE(rc::check([] {
+        MeshSettings settings;
+        const size_t members = *rc::gen::element<size_t>(3, 13, 83);
+        settings.retryAllowance = members > 13 ? 113 : 48;
+        GraphFleet fleet(settings, members, *rc::gen::arbitrary<unsigned>());
+        // RapidCheck's ranges grow with its size, which CI keeps small.
+        for (auto& callsOfLevel : fleet.calls)
+            callsOfLevel = 1 + fleet.random() % 3;
+        const double rate = 5 + static_cast<double>(fleet.random() % 115); // Requests a second at the root
+        for (auto now = start; now < start + 25s; now += 100ms) {
+            if (now == start + 5s || fleet.chance(0.02)) { // Another mix of faults
+                for (auto& failure : fleet.failures)
+                    failure = fleet.chance(0.5) ? std::uniform_real_distribution<double>(0, 1)(fleet.random) : 0;
+            }
+            const auto arrivals = std::poisson_distribution<int>(rate * 0.1)(fleet.random);
+            for (int i = 0; i < arrivals; ++i)
+                fleet.request(0, false, now);
+        }
+    }));
+}
+
+} // namespace
+} // namespace shallot
