Log members that fall silent or cannot be reached; how topics are followed in a file of its own; a soak with drains, rates and callers that leave

The soak's backend servers now take up to 60 ms for a run, some callers leave meanwhile, one of eight faults is a drain with its acknowledgement checked, and an organisation that asks for more than its rate is held against the bound over any 5 s. The path's tests get an allowance of repeats that always suffices: with a fading one whether a single request is repeated depends on chance, which RepeatAllowanceFuzz judges.

--- /dev/null
+++ b/Source/sidecar/FollowSettings.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/Time.h"
+#include "platform/StoreClient.h"
+
+namespace shallot {
+
+struct MeshSettings;
+
+// How one topic of the store is followed.
+struct FollowSettings {
+    platform::StoreTopic topic { platform::StoreTopic::Configuration };
+    Duration hold {};             // How long a read waits for news; also the age of what a held read proves
+    Duration timeout {};          // Beyond the hold: a read that says nothing for longer has lost its connection
+    Duration pause {};            // Between two reads, so that a rush of records costs few calls
+    Duration pauseAfterNewest {}; // Once the newest records are known
+    Duration longestRetry { std::chrono::seconds(1) }; // After failed reads
+};
+
+FollowSettings followConfiguration(const MeshSettings&);
+FollowSettings followMembers();
+
+} // namespace shallot
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -22,15 +22,8 @@
 
 namespace {
 
-constexpr auto tickInterval = 250ms;       // Watches links and greets ledgers; MeshSettings::greetInterval
-constexpr uint64_t ticksPerFlush = 2;      // Logs: each half second
-constexpr auto memberHold = 20s;           // News of members also comes over links, so a silent read costs little
-constexpr auto readTimeout = 700ms;        // Beyond the hold; the store answers within milliseconds
-constexpr auto memberPause = 400ms;        // A start of the whole fleet writes one record a member
-constexpr auto readerElection = 600ms;     // After a start: two ticks, in which another member may turn out to be the reader
-constexpr auto memberStartPause = 1500ms;  // After a start: all members of a fleet that starts have written their records
-constexpr auto configurationRetry = 800ms; // Keys are honoured again within two seconds of the store's return
-constexpr auto memberRetry = 5s;           // Known members stay, and new ones make themselves known over links
+constexpr auto tickInterval = 250ms;  // Watches links and greets ledgers; MeshSettings::greetInterval
+constexpr uint64_t ticksPerFlush = 2; // Logs: each half second
 constexpr auto appendTimeout = 1s;
 constexpr auto appendRetry = 700ms;
 constexpr auto readinessLag = 2600ms; // Two questions, one a second, and the way
@@ -39,17 +32,6 @@
 constexpr size_t greetedMembers = 128; // After a start; in a larger fleet the others learn with their next call
 constexpr size_t questionsAtOnce = 3;  // To members at random, while no reader answers
 
-FollowSettings configurationFollow(const MeshSettings& settings)
-{
-    return { platform::StoreTopic::Configuration, settings.readHold, readTimeout, Duration::zero(), readerElection,
-        configurationRetry };
-}
-
-FollowSettings memberFollow()
-{
-    return { platform::StoreTopic::Members, memberHold, readTimeout, memberPause, memberStartPause, memberRetry };
-}
-
 } // namespace
 
 Sidecar::Sidecar(platform::InstanceSettings instance, const MeshSettings& settings, std::string peerSecret)
@@ -59,8 +41,14 @@
     , m_beliefs(settings, m_instance.zone)
     , m_links({ m_own.name, m_own.zone, std::move(peerSecret) }, m_own,
           { [this](PeerLink& link, wire::FrameT& frame) { onFrame(link, frame); }, [this](PeerLink& link) { onLinkClosed(link); },
-              [this](const std::string& address) { m_beliefs.endpoints().recordUnreachableAt(address, MonotonicClock::now()); },
-              [this](const std::string& member) { m_beliefs.endpoints().recordSilent(member, MonotonicClock::now()); },
+              [this](const std::string& address) {
+                  EventLog::write("member-unreachable", { { "address", address } });
+                  m_beliefs.endpoints().recordUnreachableAt(address, MonotonicClock::now());
+              },
+              [this](const std::string& member) {
+                  EventLog::write("member-silent", { { "member", member } });
+                  m_beliefs.endpoints().recordSilent(member, MonotonicClock::now());
+              },
               [this](const MeshMember& member, const EndpointReport& report) {
                   m_beliefs.takeMember(member);
                   m_beliefs.endpoints().recordReachable(member.name);
@@ -72,13 +60,13 @@
     , m_rates(settings, m_beliefs, m_links, m_own.name)
     , m_ingress({ settings, m_beliefs, m_links, m_executor, m_rates, m_metrics, m_own.name })
     , m_store(m_instance.store)
-    , m_configurationFollower(m_store, configurationFollow(settings),
+    , m_configurationFollower(m_store, followConfiguration(settings),
           { [this](const platform::KeyedRecord& record) { onConfigurationRecord(record); },
               [this](TimePoint seenUntil) {
                   m_beliefs.proof().record(seenUntil);
                   m_beliefs.endpoints().recordFreshKnowledge(m_own.name);
               } })
-    , m_memberFollower(m_store, memberFollow(),
+    , m_memberFollower(m_store, followMembers(),
           { [this](const platform::KeyedRecord& record) { onMemberRecord(record); }, [this](TimePoint) { onMembersRead(); } })
 {
     m_beliefs.takeMember(m_own);
@@ -292,7 +280,7 @@
 void Sidecar::onMembersRead()
 {
     const auto next = m_memberFollower.offset();
-    // The first read tells the newest record of each member, which is not what the log holds between two offsets.
+    // The first read tells the newest record of each member, not what the log holds between two offsets.
     m_memberNews.record(m_membersKnownTo ? m_membersKnownTo : next, next, std::exchange(m_membersOfRead, {}));
     m_membersKnownTo = next;
     if (!m_beliefs.setMembersKnown())
--- a/Source/sidecar/StoreFollower.h
+++ b/Source/sidecar/StoreFollower.h
@@ -2,22 +2,13 @@
 
 #include "net/MainLoop.h"
 #include "platform/StoreClient.h"
+#include "sidecar/FollowSettings.h"
 
 #include <functional>
 #include <optional>
 
 namespace shallot {
 
-// How one topic of the store is followed.
-struct FollowSettings {
-    platform::StoreTopic topic { platform::StoreTopic::Configuration };
-    Duration hold {};             // How long a read waits for news; also the age of what a held read proves
-    Duration timeout {};          // Beyond the hold: a read that says nothing for longer has lost its connection
-    Duration pause {};            // Between two reads, so that a rush of records costs few calls
-    Duration pauseAfterNewest {}; // Once the newest records are known
-    Duration longestRetry { std::chrono::seconds(1) }; // After failed reads
-};
-
 // Keeps up with one topic: the newest record of each key first, then held reads from there on.
 class StoreFollower {
 public:
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -77,6 +77,7 @@
 {
     settings.keyStaleness = 1800ms; // A store that is lost shows soon
     settings.keyStalenessMargin = 100ms;
+    settings.retryAllowance = 10'000; // Always enough for the few requests of a test; RepeatAllowanceFuzz judges the bounds
     for (size_t i = 0; i < places.size(); ++i) {
         const auto service = places[i].substr(places[i].find('/') + 1);
         m_endpoints.push_back(std::make_unique<EndpointStandin>(
--- a/Tests/soak/soak.cpp
+++ b/Tests/soak/soak.cpp
@@ -14,8 +14,10 @@
 #include "net/HTTPPool.h"
 #include "platform/Names.h"
 
+#include <array>
 #include <csignal>
 #include <cstdio>
+#include <deque>
 #include <fstream>
 #include <glib.h>
 #include <iostream>
@@ -40,6 +42,11 @@
 constexpr auto longestFault = 2500ms;
 constexpr auto settleTime = 6s; // After the last fault; then all must be served again
 constexpr auto revokeLimit = 5s;
+constexpr auto drainLimit = 2s; // From the acknowledgement of a drain to the last request
+constexpr auto longestRun = 60ms;
+constexpr auto rateWindow = 5s;
+constexpr double limitedRate = 20; // Requests a second of the organisation with key-3, which asks for more; also its burst
+constexpr double rateBound = (limitedRate * 5 + limitedRate) * 1.1 + 20; // Of any window
 
 enum Port : uint16_t { Callers, Ready, Control, Peers, Backend, PeerProxy, BackendProxy, StoreProxy };
 
@@ -47,6 +54,7 @@
     bool idempotent { true };
     std::string key;
     TimePoint sent {};
+    bool left { false }; // By its caller: no answer is owed
     unsigned runs { 0 };
     uint16_t status { 0 }; // 0: no answer yet or a broken connection
 };
@@ -102,6 +110,8 @@
                 m_revokedAt = MonotonicClock::now();
             }
             mend(now);
+            answerDue(now);
+            leaveDue(now);
             Timer wake;
             wake.startOnce(4ms, [] {});
             g_main_context_iteration(nullptr, TRUE);
@@ -120,6 +130,21 @@
         HTTPPool callers;
         HTTPPool control;
         uint64_t sequence { 0 };
+        bool draining { false };
+        TimePoint drainAcknowledged {}; // Zero: not yet
+    };
+
+    struct Run {
+        TimePoint due {};
+        RefPtr<StrictHTTPConnection> connection;
+        std::string attempt;
+    };
+
+    struct Leaving {
+        TimePoint at {};
+        HTTPPool* callers { nullptr };
+        uint64_t exchange { 0 };
+        std::string attempt;
     };
 
     struct Mending {
@@ -152,7 +177,8 @@
         m_store.put(std::string(platform::store::operatorTopic), std::string(platform::store::configurationKey),
             R"({"version":"r)" + std::to_string(version)
                 + R"(","services":[{"name":"alpha","health_path":"/health","max_connections":100}],)"
-                + R"("tenants":[{"name":"school","api_keys":)" + keys + R"(}],"virtual_hosts":[{"host":"app","paths":[)"
+                + R"("tenants":[{"name":"school","api_keys":)" + keys
+                + R"(},{"name":"limited","api_keys":["key-3"],"rate_per_s":20,"burst":20}],"virtual_hosts":[{"host":"app","paths":[)"
                 + route("/read/", "idempotent") + "," + route("/order/", "non_idempotent") + "]}]}");
     }
 
@@ -223,7 +249,8 @@
         if (request.target == "/health") {
             const HTTPHeaders headers { { std::string(platform::header::instance), instance },
                 { std::string(platform::header::load), "0,0,20" } };
-            connection->respond({ 200, headers, {} }, false, now);
+            const uint16_t status = m_daemons.size() > index && m_daemons[index]->draining ? 503 : 200;
+            connection->respond({ status, headers, {} }, false, now);
             return;
         }
         const std::string id(findHeader(request.headers, platform::header::attemptID));
@@ -240,25 +267,58 @@
             fail("ran after it was said not to: " + id);
         if (m_revoked && attempt.key == "key-2" && attempt.sent > m_revokedAt + revokeLimit)
             fail("ran with a withdrawn key: " + id);
+        checkDrain(*m_daemons[index], id, now);
+        if (attempt.key == "key-3")
+            countLimited(now);
         for (const auto& [name, value] : request.headers) {
             if (value == attempt.key)
                 fail("a backend server saw a key: " + id);
         }
-        const HTTPHeaders headers { { std::string(platform::header::attemptID), id },
-            { std::string(platform::header::seal), "seal" } };
-        connection->respond({ 200, headers, "answer to " + id }, false, now);
+        m_runs.push_back({ now + randomUpTo(longestRun), connection, id });
+    }
+
+    void answerDue(TimePoint now)
+    {
+        for (size_t i = 0; i < m_runs.size();) {
+            if (m_runs[i].due > now) {
+                ++i;
+                continue;
+            }
+            const auto run = m_runs[i];
+            m_runs.erase(m_runs.begin() + static_cast<ptrdiff_t>(i));
+            const HTTPHeaders headers { { std::string(platform::header::attemptID), run.attempt },
+                { std::string(platform::header::seal), "seal" } };
+            run.connection->respond({ 200, headers, "answer to " + run.attempt }, false, now);
+        }
+    }
+
+    void checkDrain(const DaemonProcess& daemon, const std::string& id, TimePoint now)
+    {
+        if (daemon.draining && daemon.drainAcknowledged != TimePoint() && now > daemon.drainAcknowledged + drainLimit)
+            fail("a draining backend server got " + id);
+    }
+
+    void countLimited(TimePoint now)
+    {
+        m_limitedRuns.push_back(now);
+        std::erase_if(m_limitedRuns, [now](TimePoint at) { return now - at > rateWindow; });
+        if (static_cast<double>(m_limitedRuns.size()) > rateBound)
+            fail("an organisation got more than its rate");
     }
 
     void announce(DaemonProcess& daemon)
     {
         const std::string body
-            = R"({"service":"alpha","addr":"127.0.0.1:1","zone":"z","version":"v1","slots":20,"state":"ready",)"
-              R"("cold_left_s":0,"born":1000,"seq":)"
-            + std::to_string(++daemon.sequence) + "}";
+            = R"({"service":"alpha","addr":"127.0.0.1:1","zone":"z","version":"v1","slots":20,"cold_left_s":0,"born":1000,"state":")"
+            + std::string(daemon.draining ? "draining" : "ready") + R"(","seq":)" + std::to_string(++daemon.sequence) + "}";
         daemon.control.send(m_nextID++,
             { "POST", std::string(platform::path::announce) + "instance-" + std::to_string(daemon.index), { { "Host", "c" } },
                 body },
-            [](const Result<HTTPResponse>&) {});
+            [&daemon, draining = daemon.draining](const Result<HTTPResponse>& response) {
+                const bool acknowledged = draining && daemon.draining && response && response->status == 200;
+                if (acknowledged && daemon.drainAcknowledged == TimePoint())
+                    daemon.drainAcknowledged = MonotonicClock::now();
+            });
     }
 
     // Callers
@@ -269,12 +329,15 @@
         const std::string id = "attempt-" + std::to_string(m_nextID);
         auto& attempt = m_attempts[id];
         attempt.idempotent = m_random() % 3 != 0;
-        attempt.key = m_random() % 4 ? "key-1" : "key-2";
+        constexpr std::array<const char*, 4> keys { "key-1", "key-1", "key-2", "key-3" };
+        attempt.key = keys[m_random() % keys.size()];
         attempt.sent = MonotonicClock::now();
         const HTTPRequest request { attempt.idempotent ? "GET" : "POST", attempt.idempotent ? "/read/" : "/order/",
             { { "Host", "app" }, { std::string(platform::header::attemptID), id },
                 { std::string(platform::header::key), attempt.key }, { std::string(platform::header::deadline), "3000" } },
             {} };
+        if (m_random() % 16 == 0)
+            m_leaving.push_back({ attempt.sent + randomUpTo(longestRun), &daemon.callers, m_nextID, id });
         daemon.callers.send(m_nextID++, request, [this, id](const Result<HTTPResponse>& response) {
             auto& attempt = m_attempts[id];
             attempt.status = response ? response->status : 0;
@@ -288,6 +351,28 @@
         });
     }
 
+    void leaveDue(TimePoint now)
+    {
+        for (size_t i = 0; i < m_leaving.size();) {
+            if (m_leaving[i].at > now) {
+                ++i;
+                continue;
+            }
+            const auto leaving = m_leaving[i];
+            m_leaving.erase(m_leaving.begin() + static_cast<ptrdiff_t>(i));
+            auto& attempt = m_attempts[leaving.attempt];
+            if (attempt.status)
+                continue;
+            attempt.left = true;
+            leaving.callers->abandon(leaving.exchange);
+        }
+    }
+
+    Duration randomUpTo(Duration longest)
+    {
+        return Duration(static_cast<int64_t>(m_random() % static_cast<uint64_t>(longest.count())));
+    }
+
     // Faults
 
     void injectFault(TimePoint now)
@@ -301,7 +386,7 @@
             m_mendings.push_back({ until, [&proxy] { proxy.setHarm(FaultProxy::Harm::None); } });
         };
         ++m_faults;
-        switch (m_random() % 7) {
+        switch (m_random() % 8) {
         case 0:
             harmProxy(*daemon.peerProxy);
             break;
@@ -335,6 +420,13 @@
             if (daemon.pid)
                 kill(daemon.pid, SIGTERM);
             break;
+        case 7:
+            daemon.draining = true;
+            m_mendings.push_back({ until + drainLimit, [&daemon] {
+                                      daemon.draining = false;
+                                      daemon.drainAcknowledged = {};
+                                  } });
+            break;
         }
     }
 
@@ -376,7 +468,7 @@
         const auto now = MonotonicClock::now();
         for (const auto& [id, attempt] : m_attempts) {
             ++statuses[attempt.status];
-            if (attempt.key != "key-1" || now - attempt.sent > 2s || now - attempt.sent < 500ms)
+            if (attempt.key != "key-1" || attempt.left || now - attempt.sent > 2s || now - attempt.sent < 500ms)
                 continue;
             ++lately;
             latelyServed += attempt.status == 200 ? 1 : 0;
@@ -399,6 +491,9 @@
     std::vector<std::unique_ptr<DaemonProcess>> m_daemons;
     std::map<std::string, Attempt> m_attempts;
     std::vector<Mending> m_mendings;
+    std::vector<Run> m_runs;
+    std::vector<Leaving> m_leaving;
+    std::deque<TimePoint> m_limitedRuns; // Within the window
     std::set<std::string> m_failures;
     TimePoint m_revokedAt {};
     uint64_t m_nextID { 1 };
