--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -55,13 +55,17 @@
     Duration keyStalenessMargin { 400ms }; // For the time between the check and the arrival at the backend server
 
     // Knowledge of the configuration: a change has to be in force everywhere within 2 s
-    size_t readersPerZone { 1 };       // Members that hold a read at the store; the others ask these
-    Duration readHold { 700ms };       // How long that read waits for news
-    Duration proofInterval { 450ms };  // How often the others ask
-    Duration proofTimeout { 300ms };   // Of a question; tens of times the way within a zone
-    Duration proofPatience { 1400ms }; // Oldest proof that a member is content with: hold, interval and the way
-    Duration ownReadInterval { 1s };   // How often a member without a fresh proof reads by itself; others may know sooner
-    Duration readerPenalty { 3s };     // How long a member whose knowledge was older is not taken for a reader
+    size_t readersPerZone { 1 };        // Members that hold a read at the store; the others ask these
+    Duration readHold { 700ms };        // How long that read waits for news
+    Duration proofInterval { 450ms };   // How often the others ask
+    Duration proofTimeout { 300ms };    // Of a question; tens of times the way within a zone
+    Duration proofPatience { 1400ms };  // Oldest proof that a member is content with: hold, interval and the way
+    Duration ownReadInterval { 1s };    // How often a member without a fresh proof reads by itself; others may know sooner
+    Duration readerPenalty { 3s };      // How long a member whose knowledge was older is not taken for a reader
+    size_t questionsAtRandom { 3 };     // Members asked at once while no reader's answer is fresh
+    Duration comparisonInterval { 2s }; // Between two comparisons of a reader's member list with another zone's
+    Duration tryAgainInterval { 1s };   // Between two questions to members of the zone that were lost
+    Duration repairInterval { 2s };     // Least time between two readings of the whole member list
 
     // Organisations' rates
     unsigned ledgers { 4 };           // Parts into which organisations are dealt; each part's ledger is kept by one member
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -161,10 +161,10 @@
         endpoint->avoidUntil = std::max(endpoint->avoidUntil, now + m_settings.failurePenalty);
 }
 
-void RemoteEndpoints::recordUnreachable(std::string_view name, TimePoint now)
+void RemoteEndpoints::recordUnreachable(std::string_view name, TimePoint since, TimePoint now)
 {
     auto* endpoint = find(name);
-    if (!endpoint)
+    if (!endpoint || endpoint->heardAt > since)
         return;
     const auto penalty = m_settings.linkPenalty * (1 << std::min(endpoint->linkFailures, 4U));
     if (!endpoint->linkFailures++)
@@ -178,11 +178,11 @@
         endpoint->suspectUntil = now + m_settings.linkPenalty;
 }
 
-void RemoteEndpoints::recordUnreachableAt(std::string_view address, TimePoint now)
+void RemoteEndpoints::recordUnreachableAt(std::string_view address, TimePoint since, TimePoint now)
 {
     for (const auto& [name, endpoint] : m_endpoints) {
         if (endpoint.member.address == address) {
-            recordUnreachable(name, now);
+            recordUnreachable(name, since, now);
             return;
         }
     }
@@ -207,10 +207,24 @@
         endpoint->noReaderUntil = {};
 }
 
-void RemoteEndpoints::recordReachable(std::string_view name)
+const RemoteEndpoint* RemoteEndpoints::nextToTryAgain(std::string_view zone, TimePoint now) const
+{
+    const RemoteEndpoint* next = nullptr;
+    for (const auto& [name, endpoint] : m_endpoints) {
+        const bool isDue = endpoint.member.zone == zone && endpoint.linkFailures && endpoint.avoidUntil <= now;
+        if (isDue && (!next || endpoint.avoidUntil < next->avoidUntil))
+            next = &endpoint;
+    }
+    return next;
+}
+
+void RemoteEndpoints::recordReachable(std::string_view name, TimePoint now)
 {
     auto* endpoint = find(name);
-    if (!endpoint || !endpoint->linkFailures)
+    if (!endpoint)
+        return;
+    endpoint->heardAt = now;
+    if (!endpoint->linkFailures)
         return;
     endpoint->linkFailures = 0;
     endpoint->avoidUntil = {};
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -24,6 +24,7 @@
     TimePoint suspectUntil {};     // Calls wait for it and its link is silent
     unsigned linkFailures { 0 };   // In a row
     TimePoint unreachableSince {}; // The first of them
+    TimePoint heardAt {};          // It last proved that it can be reached
     TimePoint noReaderUntil {};    // Its knowledge of the configuration was old
 };
 
@@ -45,18 +46,24 @@
     void recordAnswered(std::string_view name);
     void recordReport(std::string_view name, const EndpointReport&, TimePoint now);
     void recordFailure(std::string_view name, TimePoint now);
-    void recordUnreachable(std::string_view name, TimePoint now);
+    // No link to it stands or can be made. Nothing is recorded when it was heard of after `since`, the last sign of life on what
+    // failed: an old link may take longer to die than a member takes to start again.
+    void recordUnreachable(std::string_view name, TimePoint since, TimePoint now);
     // Its link is silent though calls wait for it: it gets no new ones until it speaks.
     void recordSilent(std::string_view name, TimePoint now);
     // The member at that address, if there is one.
-    void recordUnreachableAt(std::string_view address, TimePoint now);
-    void recordReachable(std::string_view name);
+    void recordUnreachableAt(std::string_view address, TimePoint since, TimePoint now);
+    void recordReachable(std::string_view name, TimePoint now);
     void recordOldKnowledge(std::string_view name, TimePoint now);
     void recordFreshKnowledge(std::string_view name);
 
     // Members of a zone that read the store for it: the first few reachable ones in an order that all members share.
     std::vector<const RemoteEndpoint*> readersOf(std::string_view zone, size_t count, TimePoint now) const;
 
+    // The unreachable member of a zone that is due to be tried again; null when there is none. Whoever was found unreachable may
+    // be back without a word to this daemon.
+    const RemoteEndpoint* nextToTryAgain(std::string_view zone, TimePoint now) const;
+
     // Members that may hold a part of a rate: all but those that have been unreachable for long.
     size_t countHolders(TimePoint now) const;
 
--- a/Source/sidecar/FollowSettings.cpp
+++ b/Source/sidecar/FollowSettings.cpp
@@ -12,7 +12,7 @@
 constexpr auto readTimeout = 700ms;        // Beyond the hold; the store answers within milliseconds
 constexpr auto memberPause = 400ms;        // A start of the whole fleet writes one record a member
 constexpr auto readerElection = 600ms;     // After a start: two ticks, in which another member may turn out to be the reader
-constexpr auto memberStartPause = 1500ms;  // After a start: all members of a fleet that starts have written their records
+constexpr auto memberStartPause = 800ms;   // After a start: all members of a fleet that starts have written their records
 constexpr auto configurationRetry = 800ms; // Keys are honoured again within two seconds of the store's return
 constexpr auto memberRetry = 5s;           // Known members stay, and new ones make themselves known over links
 
--- /dev/null
+++ b/Source/sidecar/KnowledgeExchange.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "mesh/FleetKnowledge.h"
+#include "net/MainLoop.h"
+#include "platform/StoreClient.h"
+#include "sidecar/StoreFollower.h"
+
+namespace shallot {
+
+namespace wire {
+struct RecordsRequestT;
+struct RecordsT;
+} // namespace wire
+
+class MeshBeliefs;
+class MeshLinks;
+class PeerLink;
+
+// Carries knowledge of the configuration and of the member list between the store, the other daemons and this one, as
+// FleetKnowledge decides.
+class KnowledgeExchange {
+public:
+    KnowledgeExchange(const MeshSettings&, MeshBeliefs&, MeshLinks&, platform::StoreClient&, const MeshMember& own);
+
+    void start();
+    void tick(TimePoint now);
+    // Writes the own record into the store when it is not there yet.
+    void setOwnService(const std::string&);
+
+    void onQuestion(PeerLink&, const wire::RecordsRequestT&, TimePoint now);
+    void onAnswer(PeerLink&, const wire::RecordsT&, TimePoint now);
+
+    const FleetKnowledge& knowledge() const { return m_knowledge; }
+
+private:
+    void onConfigurationRead(const FollowedRead&, TimePoint seenUntil);
+    void onMembersRead(const FollowedRead&);
+    void takeConfiguration(const std::string& document, const char* source);
+    void believe(const std::vector<MeshMember>&);
+    void repair(MemberRepair, const char* cause, const std::string& peer, const MemberListState& other);
+    void readAllMembers();
+    void noteMembersKnown();
+    void announceMembership();
+    void greetMembers();
+    void ask(const std::string& member, TimePoint now);
+    void pushConfiguration();
+
+    const MeshSettings& m_settings;
+    MeshBeliefs& m_beliefs;
+    MeshLinks& m_links;
+    platform::StoreClient& m_store;
+    MeshMember m_own;
+    FleetKnowledge m_knowledge;
+    StoreFollower m_configurationFollower;
+    StoreFollower m_memberFollower;
+    Timer m_membershipRetry;
+    bool m_membershipStored { false };
+    bool m_membershipAnnounced { false }; // Once; later only changes are written
+    bool m_readingAll { false };
+};
+
+} // namespace shallot
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/MeshFrames.h"
 
 #include "daemon/CallFrames.h"
+#include "mesh/MemberList.h"
 #include "net/SocketAddress.h"
 #include "platform/RequestCodec.h"
 #include "wire/FrameReader.h"
@@ -69,13 +70,14 @@
     return { readOutcome(answer).response, report, arrived, callFailed };
 }
 
-void addMembers(wire::RecordsT& records, const std::optional<std::vector<MeshMember>>& members, uint64_t from, uint64_t next)
+void addMemberUpdate(wire::RecordsT& records, const MemberUpdate& update)
 {
-    records.members_from = members ? from : next;
-    records.members_next = next;
-    if (!members)
-        return;
-    for (const auto& member : *members) {
+    records.members_known = update.state.isKnown;
+    records.members_from = update.from;
+    records.members_next = update.state.offset;
+    records.members_digest = update.state.digest;
+    records.members_whole = update.isWhole;
+    for (const auto& member : update.members) {
         auto state = std::make_unique<wire::MemberStateT>();
         state->member = member.name;
         state->zone = member.zone;
@@ -85,14 +87,17 @@
     }
 }
 
-std::vector<MeshMember> readMembers(const wire::RecordsT& records)
+MemberUpdate readMemberUpdate(const wire::RecordsT& records)
 {
-    std::vector<MeshMember> members;
+    MemberUpdate update;
+    update.state = { records.members_known, records.members_next, records.members_digest };
+    update.isWhole = records.members_whole;
+    update.from = records.members_from;
     for (const auto& state : records.members) {
         if (state && !state->member.empty() && parseSocketAddress(state->address))
-            members.push_back({ state->member, state->zone, state->address, state->service });
+            update.members.push_back({ state->member, state->zone, state->address, state->service });
     }
-    return members;
+    return update;
 }
 
 std::string meshFrameDictionary()
--- a/Source/sidecar/MeshFrames.h
+++ b/Source/sidecar/MeshFrames.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "mesh/MeshCall.h"
-#include "mesh/MeshMember.h"
 
-#include <optional>
-#include <vector>
+#include <string>
 
 namespace shallot {
 
+struct MemberUpdate;
+
 namespace wire {
 struct AnswerT;
 struct CallT;
@@ -22,9 +22,9 @@
 MeshCall readMeshCall(wire::CallT&);
 MeshOutcome readMeshOutcome(wire::AnswerT&);
 
-// News of the member list between two offsets; without members the receiver learns only that there are some.
-void addMembers(wire::RecordsT&, const std::optional<std::vector<MeshMember>>&, uint64_t from, uint64_t next);
-std::vector<MeshMember> readMembers(const wire::RecordsT&);
+// What is new in the member list, within a frame that carries records.
+void addMemberUpdate(wire::RecordsT&, const MemberUpdate&);
+MemberUpdate readMemberUpdate(const wire::RecordsT&);
 
 // What calls and answers have in common, for the compression of frames: both ends make the same.
 std::string meshFrameDictionary();
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -182,7 +182,7 @@
         visit.tried.push_back(endpoint->member.name);
         if (send(visit, *endpoint, now))
             return;
-        m_parts.beliefs.endpoints().recordUnreachable(endpoint->member.name, now);
+        m_parts.beliefs.endpoints().recordUnreachable(endpoint->member.name, now, now);
     }
 }
 
@@ -263,11 +263,8 @@
             lost.push_back(visit);
     }
     const auto now = MonotonicClock::now();
-    if (!link.peer().empty())
-        m_parts.beliefs.endpoints().recordUnreachable(link.peer(), now);
     for (const auto& visit : lost) {
         const bool left = link.isEstablished();
-        m_parts.beliefs.endpoints().recordUnreachable(visit->member, now);
         const auto kind = left ? ErrorKind::BackendFailed : ErrorKind::NoBackendServer;
         auto report = EndpointReport {};
         report.available = false;
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -108,10 +108,10 @@
 
 void MeshLinks::onClosed(PeerLink& link)
 {
-    const auto address = m_watches[&link].address;
+    const auto watch = m_watches[&link];
     m_watches.erase(&link);
-    if (!address.empty())
-        m_callbacks.onUnreachable(address);
+    if (!watch.address.empty())
+        m_callbacks.onUnreachable(watch.address, watch.heard);
     m_callbacks.onClosed(link);
 }
 
--- a/Source/sidecar/MeshLinks.h
+++ b/Source/sidecar/MeshLinks.h
@@ -17,8 +17,9 @@
     struct Callbacks {
         std::function<void(PeerLink&, wire::FrameT&)> onFrame; // All frames but those of the watch
         std::function<void(PeerLink&)> onClosed;
-        std::function<void(const std::string& address)> onUnreachable; // A link there broke or was never made
-        std::function<void(const std::string& member)> onSilent;       // Calls wait on a link that says nothing
+        // A link there broke or was never made; since the last sign of life on it.
+        std::function<void(const std::string& address, TimePoint since)> onUnreachable;
+        std::function<void(const std::string& member)> onSilent; // Calls wait on a link that says nothing
         std::function<void(const MeshMember&, const EndpointReport&)> onState;
         std::function<EndpointReport()> ownReport;
     };
--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -141,7 +141,8 @@
     const auto now = MonotonicClock::now();
     if (++waiting.timeouts >= m_settings.ledgerTimeouts) {
         waiting.timeouts = 0;
-        m_beliefs.endpoints().recordUnreachable(waiting.ledger, now);
+        const auto firstAsked = now - m_settings.ledgerTimeouts * m_settings.ledgerTimeout;
+        m_beliefs.endpoints().recordUnreachable(waiting.ledger, firstAsked, now);
     }
     const auto wanted = static_cast<unsigned>(waiting.asked.size());
     const auto grant = m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -2,7 +2,7 @@
 //   Start and leave:  Sidecar, start, leave, finishLeaving, applySettings
 //   Own servers:      answerControl, answerReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, cancelCall
-//   Beliefs:          what the store and the backend server say; the member list; proofs
+//   Changes:          onBackendServerChange, onConfiguration
 //   Time:             tick
 
 #include "sidecar/Sidecar.h"
@@ -11,7 +11,6 @@
 #include "core/Version.h"
 #include "daemon/CallFrames.h"
 #include "platform/AnnouncementCodec.h"
-#include "platform/MemberCodec.h"
 #include "platform/RequestCodec.h"
 #include "sidecar/MeshFrames.h"
 #include "wire/Frames_generated.h"
@@ -24,13 +23,9 @@
 
 constexpr auto tickInterval = 250ms;  // Watches links and greets ledgers; MeshSettings::greetInterval
 constexpr uint64_t ticksPerFlush = 2; // Logs: each half second
-constexpr auto appendTimeout = 1s;
-constexpr auto appendRetry = 700ms;
 constexpr auto readinessLag = 2600ms; // Two questions, one a second, and the way
 constexpr auto leaveCheck = 100ms;
-constexpr auto closeMargin = 700ms;    // Of the shutdown time; left for the last answers to go out
-constexpr size_t greetedMembers = 128; // After a start; in a larger fleet the others learn with their next call
-constexpr size_t questionsAtOnce = 3;  // To members at random, while no reader answers
+constexpr auto closeMargin = 700ms; // Of the shutdown time; left for the last answers to go out
 
 } // namespace
 
@@ -41,9 +36,10 @@
     , m_beliefs(settings, m_instance.zone)
     , m_links({ m_own.name, m_own.zone, std::move(peerSecret) }, m_own,
           { [this](PeerLink& link, wire::FrameT& frame) { onFrame(link, frame); }, [this](PeerLink& link) { onLinkClosed(link); },
-              [this](const std::string& address) {
-                  EventLog::write("member-unreachable", { { "address", address } });
-                  m_beliefs.endpoints().recordUnreachableAt(address, MonotonicClock::now());
+              [this](const std::string& address, TimePoint since) {
+                  const auto now = MonotonicClock::now();
+                  EventLog::write("member-unreachable", { { "address", address }, { "silent_s", toSeconds(now - since) } });
+                  m_beliefs.endpoints().recordUnreachableAt(address, since, now);
               },
               [this](const std::string& member) {
                   EventLog::write("member-silent", { { "member", member } });
@@ -51,7 +47,7 @@
               },
               [this](const MeshMember& member, const EndpointReport& report) {
                   m_beliefs.takeMember(member);
-                  m_beliefs.endpoints().recordReachable(member.name);
+                  m_beliefs.endpoints().recordReachable(member.name, MonotonicClock::now());
                   m_beliefs.endpoints().recordReport(member.name, report, MonotonicClock::now());
               },
               [this] { return m_executor.report(MonotonicClock::now()); } },
@@ -60,14 +56,7 @@
     , m_rates(settings, m_beliefs, m_links, m_own.name)
     , m_ingress({ settings, m_beliefs, m_links, m_executor, m_rates, m_metrics, m_own.name })
     , m_store(m_instance.store)
-    , m_configurationFollower(m_store, followConfiguration(settings),
-          { [this](const platform::KeyedRecord& record) { onConfigurationRecord(record); },
-              [this](TimePoint seenUntil) {
-                  m_beliefs.proof().record(seenUntil);
-                  m_beliefs.endpoints().recordFreshKnowledge(m_own.name);
-              } })
-    , m_memberFollower(m_store, followMembers(),
-          { [this](const platform::KeyedRecord& record) { onMemberRecord(record); }, [this](TimePoint) { onMembersRead(); } })
+    , m_knowledge(settings, m_beliefs, m_links, m_store, m_own)
 {
     m_beliefs.takeMember(m_own);
     m_beliefs.setConfigurationHandler([this] { onConfiguration(); });
@@ -97,8 +86,7 @@
                 nullptr });
         !started)
         return started;
-    m_configurationFollower.start();
-    m_memberFollower.start();
+    m_knowledge.start();
     m_tick.startRepeating(tickInterval, [this] { tick(); });
     return {};
 }
@@ -164,6 +152,10 @@
     if (request.target == "/metrics") {
         m_metrics.setGauge("shallot_links", static_cast<double>(m_links.linkCount()));
         m_metrics.setGauge("shallot_members", static_cast<double>(m_beliefs.memberCount()));
+        const auto& members = m_knowledge.knowledge().members();
+        m_metrics.setGauge("shallot_members_listed", static_cast<double>(members.size()));
+        m_metrics.setGauge("shallot_member_list_offset", static_cast<double>(members.state().offset));
+        m_metrics.setGauge("shallot_member_list_in_doubt", m_knowledge.knowledge().isListInDoubt() ? 1 : 0);
         m_metrics.setGauge("shallot_requests_open", static_cast<double>(m_ingress.inProgress()));
         m_metrics.setGauge("shallot_configuration_version", static_cast<double>(m_beliefs.version()));
         m_metrics.setGauge("shallot_configuration_age_seconds", toSeconds(now - m_beliefs.proof().provenAt));
@@ -205,9 +197,9 @@
     else if (const auto* grants = frame.body.AsLoans())
         m_rates.onGrants(*grants, now);
     else if (const auto* question = frame.body.AsRecordsRequest())
-        answerProof(link, *question);
+        m_knowledge.onQuestion(link, *question, now);
     else if (const auto* proof = frame.body.AsRecords())
-        takeProof(link, *proof);
+        m_knowledge.onAnswer(link, *proof, now);
 }
 
 void Sidecar::serveCall(PeerLink& link, wire::CallT& frame)
@@ -255,58 +247,7 @@
     m_ingress.onLinkClosed(link);
 }
 
-// Beliefs
-
-void Sidecar::onConfigurationRecord(const platform::KeyedRecord& record)
-{
-    if (!platform::isConfigurationRecord(record))
-        return;
-    const auto before = m_beliefs.version();
-    (void)m_beliefs.takeConfiguration(record.value, "store"); // Logs what it cannot read
-    if (m_isReader && m_beliefs.version() > before)
-        pushConfiguration();
-}
-
-void Sidecar::onMemberRecord(const platform::KeyedRecord& record)
-{
-    if (record.key == m_own.name)
-        m_membershipStored = record.value == platform::encodeMember(m_own).value;
-    else if (const auto member = platform::decodeMember(record)) {
-        m_beliefs.takeMember(*member);
-        m_membersOfRead.push_back(*member);
-    }
-}
-
-void Sidecar::onMembersRead()
-{
-    const auto next = m_memberFollower.offset();
-    // The first read tells the newest record of each member, not what the log holds between two offsets.
-    m_memberNews.record(m_membersKnownTo ? m_membersKnownTo : next, next, std::exchange(m_membersOfRead, {}));
-    m_membersKnownTo = next;
-    if (!m_beliefs.setMembersKnown())
-        return;
-    greetMembers();
-    // A record that stands already would only wake every other daemon.
-    if (!m_membershipStored)
-        announceMembership();
-}
-
-// News of the member list come with the proofs of the zone's reader; what it no longer knows is read from the store.
-void Sidecar::takeMemberNews(const wire::RecordsT& news)
-{
-    if (!m_membersKnownTo || news.members_next <= m_membersKnownTo)
-        return;
-    if (news.members_from > m_membersKnownTo) {
-        m_memberFollower.readOnce();
-        return;
-    }
-    const auto members = readMembers(news);
-    for (const auto& member : members)
-        m_beliefs.takeMember(member);
-    m_memberNews.record(m_membersKnownTo, news.members_next, members);
-    m_membersKnownTo = news.members_next;
-    m_memberFollower.advanceTo(news.members_next);
-}
+// Changes
 
 void Sidecar::onBackendServerChange()
 {
@@ -316,7 +257,7 @@
         m_own.service = m_executor.service();
         m_links.setOwnService(m_own.service);
         m_beliefs.takeMember(m_own);
-        announceMembership();
+        m_knowledge.setOwnService(m_own.service);
     }
     m_links.announceState();
 }
@@ -329,147 +270,6 @@
         m_executor.setHealthPath(service->healthPath, MonotonicClock::now());
 }
 
-void Sidecar::announceMembership()
-{
-    m_store.append(
-        platform::StoreTopic::Members, platform::encodeMember(m_own), appendTimeout, [this](const Result<void>& result) {
-            m_membershipStored = result.has_value();
-            if (m_membershipStored)
-                return;
-            EventLog::write("membership-not-stored", { { "detail", result.error().detail } });
-            m_membershipRetry.startOnce(appendRetry, [this] { announceMembership(); });
-        });
-}
-
-// After a start: those that found this daemon gone may use it again.
-void Sidecar::greetMembers()
-{
-    size_t greeted = 0;
-    for (const auto& [name, endpoint] : m_beliefs.endpoints().all()) {
-        if (name != m_own.name && greeted++ < greetedMembers)
-            m_links.linkTo(endpoint.member.address);
-    }
-}
-
-// A few members of each zone hold a read at the store; the others ask them. Whoever gets no fresh proof that way reads by
-// itself, and asks members at random, of which one may be in touch with the store.
-void Sidecar::renewProof(TimePoint now)
-{
-    dropUnansweredQuestions(now);
-    auto& endpoints = m_beliefs.endpoints();
-    const bool isOld = now - m_beliefs.proof().provenAt > m_settings.proofPatience;
-    if (isOld) {
-        endpoints.recordOldKnowledge(m_own.name, now);
-        askSomeForProof(now);
-        if (now - m_lastOwnRead >= m_settings.ownReadInterval) {
-            m_lastOwnRead = now;
-            m_configurationFollower.readOnce();
-        }
-    }
-    const auto readers = endpoints.readersOf(m_own.zone, m_settings.readersPerZone, now);
-    const auto isOwn = [this](const auto* reader) { return reader->member.name == m_own.name; };
-    // While nobody's knowledge is fresh, as when the store is down, each reads by itself once in a while (above).
-    m_isReader = !m_beliefs.isComplete() || std::any_of(readers.begin(), readers.end(), isOwn);
-    m_configurationFollower.setPaused(!m_isReader);
-    m_memberFollower.setPaused(!m_isReader);
-    if (!m_isReader && !readers.empty() && now - m_lastQuestion >= m_settings.proofInterval) {
-        m_lastQuestion = now;
-        askForProof(*readers[m_nextQuestion % readers.size()], now);
-    }
-}
-
-void Sidecar::askSomeForProof(TimePoint now)
-{
-    size_t index = m_ticks; // A different few each time
-    for (const auto& [name, endpoint] : m_beliefs.endpoints().all()) {
-        if (index++ % m_beliefs.memberCount() < questionsAtOnce && name != m_own.name)
-            askForProof(endpoint, now);
-    }
-}
-
-void Sidecar::dropUnansweredQuestions(TimePoint now)
-{
-    for (auto it = m_proofQuestions.begin(); it != m_proofQuestions.end();) {
-        if (now - it->second.asked < m_settings.proofTimeout) {
-            ++it;
-            continue;
-        }
-        m_beliefs.endpoints().recordOldKnowledge(it->second.member, now);
-        it = m_proofQuestions.erase(it);
-        m_lastQuestion = {}; // The next reader is asked at once
-    }
-}
-
-void Sidecar::askForProof(const RemoteEndpoint& endpoint, TimePoint now)
-{
-    const auto link = m_links.linkTo(endpoint.member.address);
-    if (!link)
-        return;
-    wire::RecordsRequestT question;
-    question.sequence = m_nextQuestion++;
-    question.from = m_beliefs.version();
-    question.members_from = m_membersKnownTo;
-    m_proofQuestions[question.sequence] = { endpoint.member.name, now };
-    wire::FrameT frame;
-    frame.body.Set(question);
-    link->send(frame);
-}
-
-// News travel at once; that nothing newer exists is proved by questions only, since a pushed frame may be held up on the way.
-void Sidecar::pushConfiguration()
-{
-    wire::RecordsT news;
-    news.next_offset = m_beliefs.version();
-    news.snapshot = m_beliefs.document();
-    wire::FrameT frame;
-    frame.body.Set(std::move(news));
-    for (const auto& [name, endpoint] : m_beliefs.endpoints().all()) {
-        if (name == m_own.name || endpoint.member.zone != m_own.zone)
-            continue;
-        if (const auto link = m_links.linkTo(endpoint.member.address))
-            link->send(frame);
-    }
-}
-
-void Sidecar::answerProof(PeerLink& link, const wire::RecordsRequestT& question)
-{
-    const auto now = MonotonicClock::now();
-    if (m_beliefs.proof().provenAt == TimePoint())
-        return;
-    wire::RecordsT answer;
-    answer.sequence = question.sequence;
-    answer.next_offset = m_beliefs.version();
-    answer.log_age_us = static_cast<uint64_t>((now - m_beliefs.proof().provenAt).count());
-    if (question.from < m_beliefs.version())
-        answer.snapshot = m_beliefs.document();
-    if (question.members_from < m_membersKnownTo)
-        addMembers(answer, m_memberNews.since(question.members_from), question.members_from, m_membersKnownTo);
-    wire::FrameT frame;
-    frame.body.Set(std::move(answer));
-    link.send(frame);
-}
-
-void Sidecar::takeProof(PeerLink& link, const wire::RecordsT& proof)
-{
-    const auto now = MonotonicClock::now();
-    if (!proof.snapshot.empty() && proof.next_offset > m_beliefs.version())
-        (void)m_beliefs.takeConfiguration(proof.snapshot, "peer");
-    takeMemberNews(proof);
-    const auto found = m_proofQuestions.find(proof.sequence);
-    if (found == m_proofQuestions.end())
-        return;
-    const auto asked = found->second.asked;
-    m_proofQuestions.erase(found);
-    constexpr uint64_t longestAge = 3'600'000'000;
-    const auto provenAt = asked - Duration(static_cast<int64_t>(std::min(proof.log_age_us, longestAge)));
-    if (now - provenAt > m_settings.proofPatience)
-        m_beliefs.endpoints().recordOldKnowledge(link.peer(), now);
-    else
-        m_beliefs.endpoints().recordFreshKnowledge(link.peer());
-    if (proof.next_offset >= m_beliefs.version())
-        m_beliefs.proof().record(provenAt);
-}
-
 // Time
 
 void Sidecar::tick()
@@ -477,7 +277,7 @@
     const auto now = MonotonicClock::now();
     m_links.tick(now);
     m_rates.greet(now);
-    renewProof(now);
+    m_knowledge.tick(now);
     if (++m_ticks % ticksPerFlush)
         return;
     m_executor.tick();
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -1,16 +1,15 @@
 #pragma once
 
-#include "mesh/MemberNews.h"
 #include "mesh/MeshSettings.h"
 #include "net/MainLoop.h"
 #include "platform/InstanceSettings.h"
 #include "sidecar/EndpointExecutor.h"
+#include "sidecar/KnowledgeExchange.h"
 #include "sidecar/MeshBeliefs.h"
 #include "sidecar/MeshIngress.h"
 #include "sidecar/MeshLinks.h"
 #include "sidecar/MeshMetrics.h"
 #include "sidecar/RateExchange.h"
-#include "sidecar/StoreFollower.h"
 
 #include <functional>
 #include <unordered_map>
@@ -20,8 +19,6 @@
 namespace wire {
 struct CallT;
 struct CancelT;
-struct RecordsRequestT;
-struct RecordsT;
 } // namespace wire
 
 // The daemon beside one backend server on the platform: puts the parts together and carries frames between them.
@@ -56,21 +53,8 @@
     void serveCall(PeerLink&, wire::CallT&);
     void cancelCall(PeerLink&, const wire::CancelT&);
 
-    void onConfigurationRecord(const platform::KeyedRecord&);
-    void onMemberRecord(const platform::KeyedRecord&);
-    void onMembersRead();
-    void takeMemberNews(const wire::RecordsT&);
     void onBackendServerChange();
     void onConfiguration();
-    void announceMembership();
-    void greetMembers();
-    void renewProof(TimePoint now);
-    void askSomeForProof(TimePoint now);
-    void askForProof(const RemoteEndpoint&, TimePoint now);
-    void pushConfiguration();
-    void answerProof(PeerLink&, const wire::RecordsRequestT&);
-    void takeProof(PeerLink&, const wire::RecordsT&);
-    void dropUnansweredQuestions(TimePoint now);
     void tick();
     void finishLeaving();
 
@@ -84,30 +68,14 @@
     MeshMetrics m_metrics;
     MeshIngress m_ingress;
     platform::StoreClient m_store;
-    StoreFollower m_configurationFollower;
-    StoreFollower m_memberFollower;
-    MemberNews m_memberNews;
-    std::vector<MeshMember> m_membersOfRead; // By the read in progress
-    uint64_t m_membersKnownTo { 0 };         // Offset in the store's member list
+    KnowledgeExchange m_knowledge;
     StrictHTTPServer m_control;
     StrictHTTPServer m_readiness;
     Timer m_tick;
     Timer m_leaveTimer;
-    Timer m_membershipRetry;
     std::unordered_map<uint64_t, ServedCall> m_served; // By the executor's id
     std::function<void()> m_onLeft;
-    struct ProofQuestion {
-        std::string member;
-        TimePoint asked {};
-    };
-
-    std::unordered_map<uint64_t, ProofQuestion> m_proofQuestions; // Open ones, by sequence
-    uint64_t m_nextQuestion { 1 };
-    TimePoint m_lastQuestion {};
-    TimePoint m_lastOwnRead {}; // Of the configuration, while no reader has a fresh proof
-    bool m_isReader { true };
     uint64_t m_ticks { 0 };
-    bool m_membershipStored { false };
     bool m_leaving { false };
     bool m_stoppedAccepting { false };
     bool m_wasReady { false };
--- a/Source/sidecar/StoreFollower.cpp
+++ b/Source/sidecar/StoreFollower.cpp
@@ -22,10 +22,10 @@
 
 } // namespace
 
-StoreFollower::StoreFollower(platform::StoreClient& client, FollowSettings settings, Callbacks callbacks)
+StoreFollower::StoreFollower(platform::StoreClient& client, FollowSettings settings, Callback callback)
     : m_client(client)
     , m_settings(settings)
-    , m_callbacks(std::move(callbacks))
+    , m_onRead(std::move(callback))
 {
 }
 
@@ -48,16 +48,15 @@
 
 void StoreFollower::advanceTo(uint64_t offset)
 {
-    if (m_offset)
-        m_offset = std::max(*m_offset, offset);
+    m_offset = std::max(m_offset.value_or(0), offset);
 }
 
 void StoreFollower::readNewest()
 {
     m_reading = true;
     const auto asked = MonotonicClock::now();
-    m_client.readNewest(
-        m_settings.topic, newestTimeout, [this, asked](Result<platform::StoreRead> read) { onRead(asked, {}, std::move(read)); });
+    m_client.readNewest(m_settings.topic, newestTimeout,
+        [this, asked](Result<platform::StoreRead> read) { onRead(asked, {}, true, std::move(read)); });
 }
 
 void StoreFollower::readNext()
@@ -71,10 +70,10 @@
     const auto hold = m_failures || m_paused ? Duration::zero() : m_settings.hold;
     m_reading = true;
     m_client.readFrom(m_settings.topic, *m_offset, hold, hold + m_settings.timeout,
-        [this, asked, hold](Result<platform::StoreRead> read) { onRead(asked, hold, std::move(read)); });
+        [this, asked, hold](Result<platform::StoreRead> read) { onRead(asked, hold, false, std::move(read)); });
 }
 
-void StoreFollower::onRead(TimePoint asked, Duration hold, Result<platform::StoreRead> read)
+void StoreFollower::onRead(TimePoint asked, Duration hold, bool wasNewest, Result<platform::StoreRead> read)
 {
     m_reading = false;
     if (!read) {
@@ -93,19 +92,17 @@
     if (!std::exchange(m_reachable, true))
         EventLog::write("store-regained", { { "topic", topicName(m_settings.topic) }, { "failures", m_failures } });
     m_failures = 0;
-    const bool newest = !m_offset;
     // An answer that comes late tells nothing new, and its records may be older than what was learned elsewhere.
-    if (newest || read->nextOffset > *m_offset) {
-        m_offset = read->nextOffset;
-        for (const auto& record : read->records)
-            m_callbacks.onRecord(record);
-    }
+    const uint64_t known = m_offset.value_or(0);
+    if (m_offset && !wasNewest && read->nextOffset <= known)
+        read->records.clear();
+    m_offset = std::max(known, read->nextOffset);
     // A read that was held to its end without news shows that there were none when it ended, which the store counts from the
     // question's arrival.
     const bool held = read->records.empty() && hold > Duration::zero() && MonotonicClock::now() - asked >= hold;
-    m_callbacks.onCurrent(held ? asked + hold : asked);
+    m_onRead({ read->records, known, read->nextOffset, wasNewest }, held ? asked + hold : asked);
     // A store that does not hold the read must not be asked without end.
-    const auto pause = newest ? m_settings.pauseAfterNewest : m_settings.pause;
+    const auto pause = wasNewest ? m_settings.pauseAfterNewest : m_settings.pause;
     scheduleNext(held ? Duration::zero() : std::max<Duration>(pause, shortestPause));
 }
 
--- a/Source/sidecar/StoreFollower.h
+++ b/Source/sidecar/StoreFollower.h
@@ -9,21 +9,27 @@
 
 namespace shallot {
 
+// What one answer of the store brought.
+struct FollowedRead {
+    const std::vector<platform::KeyedRecord>& records; // Oldest first; none that is known already
+    uint64_t from { 0 };
+    uint64_t next { 0 };     // Offset behind the last record
+    bool isNewest { false }; // The newest record of each key, in place of all records up to `next`
+};
+
 // Keeps up with one topic: the newest record of each key first, then held reads from there on.
 class StoreFollower {
 public:
-    struct Callbacks {
-        std::function<void(const platform::KeyedRecord&)> onRecord;
-        std::function<void(TimePoint)> onCurrent; // Everything written before that time was seen
-    };
+    // Everything written before that time was seen.
+    using Callback = std::function<void(const FollowedRead&, TimePoint seenUntil)>;
 
-    StoreFollower(platform::StoreClient&, FollowSettings, Callbacks);
+    StoreFollower(platform::StoreClient&, FollowSettings, Callback);
     void start() { readNewest(); }
     // A follower that is paused asks nothing; it goes on where it was.
     void setPaused(bool);
     // One read without a wait, also while paused.
     void readOnce();
-    // How far this topic is known; 0 before the first answer.
+    // Where the next read begins; 0 before the first answer.
     uint64_t offset() const { return m_offset.value_or(0); }
     // Everything before that offset was learned elsewhere.
     void advanceTo(uint64_t offset);
@@ -32,12 +38,12 @@
 private:
     void readNewest();
     void readNext();
-    void onRead(TimePoint asked, Duration hold, Result<platform::StoreRead>);
+    void onRead(TimePoint asked, Duration hold, bool wasNewest, Result<platform::StoreRead>);
     void scheduleNext(Duration);
 
     platform::StoreClient& m_client;
     FollowSettings m_settings;
-    Callbacks m_callbacks;
+    Callback m_onRead;
     Timer m_timer;
     std::optional<uint64_t> m_offset; // Where the next read begins; nothing: read the newest records first
     unsigned m_failures { 0 };        // In a row
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -1742,6 +1742,8 @@
   uint64_t sequence = 0;
   uint64_t from = 0;
   uint64_t members_from = 0;
+  uint64_t members_digest = 0;
+  bool members_known = false;
 };
 
 struct RecordsRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1751,7 +1753,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SEQUENCE = 4,
     VT_FROM = 6,
-    VT_MEMBERS_FROM = 8
+    VT_MEMBERS_FROM = 8,
+    VT_MEMBERS_DIGEST = 10,
+    VT_MEMBERS_KNOWN = 12
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1762,11 +1766,19 @@
   uint64_t members_from() const {
     return GetField<uint64_t>(VT_MEMBERS_FROM, 0);
   }
+  uint64_t members_digest() const {
+    return GetField<uint64_t>(VT_MEMBERS_DIGEST, 0);
+  }
+  bool members_known() const {
+    return GetField<uint8_t>(VT_MEMBERS_KNOWN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
            VerifyField<uint64_t>(verifier, VT_MEMBERS_FROM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_MEMBERS_KNOWN, 1) &&
            verifier.EndTable();
   }
   RecordsRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1787,6 +1799,12 @@
   void add_members_from(uint64_t members_from) {
     fbb_.AddElement<uint64_t>(RecordsRequest::VT_MEMBERS_FROM, members_from, 0);
   }
+  void add_members_digest(uint64_t members_digest) {
+    fbb_.AddElement<uint64_t>(RecordsRequest::VT_MEMBERS_DIGEST, members_digest, 0);
+  }
+  void add_members_known(bool members_known) {
+    fbb_.AddElement<uint8_t>(RecordsRequest::VT_MEMBERS_KNOWN, static_cast<uint8_t>(members_known), 0);
+  }
   explicit RecordsRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1802,11 +1820,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t sequence = 0,
     uint64_t from = 0,
-    uint64_t members_from = 0) {
+    uint64_t members_from = 0,
+    uint64_t members_digest = 0,
+    bool members_known = false) {
   RecordsRequestBuilder builder_(_fbb);
+  builder_.add_members_digest(members_digest);
   builder_.add_members_from(members_from);
   builder_.add_from(from);
   builder_.add_sequence(sequence);
+  builder_.add_members_known(members_known);
   return builder_.Finish();
 }
 
@@ -1922,6 +1944,9 @@
   std::vector<std::unique_ptr<shallot::wire::MemberStateT>> members{};
   uint64_t members_from = 0;
   uint64_t members_next = 0;
+  uint64_t members_digest = 0;
+  bool members_known = false;
+  bool members_whole = false;
   RecordsT() = default;
   RecordsT(const RecordsT &o);
   RecordsT(RecordsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1940,7 +1965,10 @@
     VT_LOG_AGE_US = 12,
     VT_MEMBERS = 14,
     VT_MEMBERS_FROM = 16,
-    VT_MEMBERS_NEXT = 18
+    VT_MEMBERS_NEXT = 18,
+    VT_MEMBERS_DIGEST = 20,
+    VT_MEMBERS_KNOWN = 22,
+    VT_MEMBERS_WHOLE = 24
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1966,6 +1994,15 @@
   uint64_t members_next() const {
     return GetField<uint64_t>(VT_MEMBERS_NEXT, 0);
   }
+  uint64_t members_digest() const {
+    return GetField<uint64_t>(VT_MEMBERS_DIGEST, 0);
+  }
+  bool members_known() const {
+    return GetField<uint8_t>(VT_MEMBERS_KNOWN, 0) != 0;
+  }
+  bool members_whole() const {
+    return GetField<uint8_t>(VT_MEMBERS_WHOLE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1981,6 +2018,9 @@
            verifier.VerifyVectorOfTables(members()) &&
            VerifyField<uint64_t>(verifier, VT_MEMBERS_FROM, 8) &&
            VerifyField<uint64_t>(verifier, VT_MEMBERS_NEXT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_MEMBERS_KNOWN, 1) &&
+           VerifyField<uint8_t>(verifier, VT_MEMBERS_WHOLE, 1) &&
            verifier.EndTable();
   }
   RecordsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2016,6 +2056,15 @@
   void add_members_next(uint64_t members_next) {
     fbb_.AddElement<uint64_t>(Records::VT_MEMBERS_NEXT, members_next, 0);
   }
+  void add_members_digest(uint64_t members_digest) {
+    fbb_.AddElement<uint64_t>(Records::VT_MEMBERS_DIGEST, members_digest, 0);
+  }
+  void add_members_known(bool members_known) {
+    fbb_.AddElement<uint8_t>(Records::VT_MEMBERS_KNOWN, static_cast<uint8_t>(members_known), 0);
+  }
+  void add_members_whole(bool members_whole) {
+    fbb_.AddElement<uint8_t>(Records::VT_MEMBERS_WHOLE, static_cast<uint8_t>(members_whole), 0);
+  }
   explicit RecordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2036,8 +2085,12 @@
     uint64_t log_age_us = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::MemberState>>> members = 0,
     uint64_t members_from = 0,
-    uint64_t members_next = 0) {
+    uint64_t members_next = 0,
+    uint64_t members_digest = 0,
+    bool members_known = false,
+    bool members_whole = false) {
   RecordsBuilder builder_(_fbb);
+  builder_.add_members_digest(members_digest);
   builder_.add_members_next(members_next);
   builder_.add_members_from(members_from);
   builder_.add_log_age_us(log_age_us);
@@ -2046,6 +2099,8 @@
   builder_.add_members(members);
   builder_.add_snapshot(snapshot);
   builder_.add_records(records);
+  builder_.add_members_whole(members_whole);
+  builder_.add_members_known(members_known);
   return builder_.Finish();
 }
 
@@ -2063,7 +2118,10 @@
     uint64_t log_age_us = 0,
     const std::vector<flatbuffers::Offset<shallot::wire::MemberState>> *members = nullptr,
     uint64_t members_from = 0,
-    uint64_t members_next = 0) {
+    uint64_t members_next = 0,
+    uint64_t members_digest = 0,
+    bool members_known = false,
+    bool members_whole = false) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Record>>(*records) : 0;
   auto snapshot__ = snapshot ? _fbb.CreateString(snapshot) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::MemberState>>(*members) : 0;
@@ -2076,7 +2134,10 @@
       log_age_us,
       members__,
       members_from,
-      members_next);
+      members_next,
+      members_digest,
+      members_known,
+      members_whole);
 }
 
 flatbuffers::Offset<Records> CreateRecords(flatbuffers::FlatBufferBuilder &_fbb, const RecordsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3562,6 +3623,8 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = from(); _o->from = _e; }
   { auto _e = members_from(); _o->members_from = _e; }
+  { auto _e = members_digest(); _o->members_digest = _e; }
+  { auto _e = members_known(); _o->members_known = _e; }
 }
 
 inline flatbuffers::Offset<RecordsRequest> RecordsRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordsRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3575,11 +3638,15 @@
   auto _sequence = _o->sequence;
   auto _from = _o->from;
   auto _members_from = _o->members_from;
+  auto _members_digest = _o->members_digest;
+  auto _members_known = _o->members_known;
   return shallot::wire::CreateRecordsRequest(
       _fbb,
       _sequence,
       _from,
-      _members_from);
+      _members_from,
+      _members_digest,
+      _members_known);
 }
 
 inline RecordT *Record::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3620,7 +3687,10 @@
         next_offset(o.next_offset),
         log_age_us(o.log_age_us),
         members_from(o.members_from),
-        members_next(o.members_next) {
+        members_next(o.members_next),
+        members_digest(o.members_digest),
+        members_known(o.members_known),
+        members_whole(o.members_whole) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new shallot::wire::RecordT(*records_) : nullptr); }
   members.reserve(o.members.size());
@@ -3636,6 +3706,9 @@
   std::swap(members, o.members);
   std::swap(members_from, o.members_from);
   std::swap(members_next, o.members_next);
+  std::swap(members_digest, o.members_digest);
+  std::swap(members_known, o.members_known);
+  std::swap(members_whole, o.members_whole);
   return *this;
 }
 
@@ -3656,6 +3729,9 @@
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<shallot::wire::MemberStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = members_from(); _o->members_from = _e; }
   { auto _e = members_next(); _o->members_next = _e; }
+  { auto _e = members_digest(); _o->members_digest = _e; }
+  { auto _e = members_known(); _o->members_known = _e; }
+  { auto _e = members_whole(); _o->members_whole = _e; }
 }
 
 inline flatbuffers::Offset<Records> Records::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3674,6 +3750,9 @@
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::MemberState>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMemberState(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _members_from = _o->members_from;
   auto _members_next = _o->members_next;
+  auto _members_digest = _o->members_digest;
+  auto _members_known = _o->members_known;
+  auto _members_whole = _o->members_whole;
   return shallot::wire::CreateRecords(
       _fbb,
       _sequence,
@@ -3683,7 +3762,10 @@
       _log_age_us,
       _members,
       _members_from,
-      _members_next);
+      _members_next,
+      _members_digest,
+      _members_known,
+      _members_whole);
 }
 
 inline ReturnedLoanT *ReturnedLoan::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- /dev/null
+++ b/Tests/FleetKnowledgeTest.cpp
@@ -0,0 +1,646 @@
+// What daemons know of the fleet, without a network: the member list by itself, and 95 daemons in five zones that start at
+// once, lose readers, are cut off, killed and replaced, while messages and the store take drawn times.
+
+#include "core/Digest.h"
+#include "mesh/ConfigurationProof.h"
+#include "mesh/FleetKnowledge.h"
+#include "mesh/MemberList.h"
+#include "mesh/MeshSettings.h"
+#include "mesh/RemoteEndpoints.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+
+namespace shallot {
+namespace {
+
+constexpr TimePoint start { 1000s };
+
+MeshMember memberNumber(size_t i)
+{
+    return { "m" + std::to_string(i), "z", "1.1.1.1:1", "s" };
+}
+
+MemberListState stateAt(uint64_t offset, uint64_t digest = 0)
+{
+    return { true, offset, digest };
+}
+
+TEST(MemberList, TellsEverythingSinceAnOffsetOrAllOfIt)
+{
+    MemberList list;
+    EXPECT_FALSE(list.updateFor({}).state.isKnown);
+    list.takeNewest(40, { memberNumber(0) });
+    EXPECT_TRUE(list.updateFor(stateAt(40)).members.empty());
+    EXPECT_TRUE(list.updateFor(stateAt(41)).members.empty()); // The one who asks is ahead
+    EXPECT_TRUE(list.updateFor(stateAt(39)).isWhole);         // What lies between is not known here
+    EXPECT_TRUE(list.updateFor({}).isWhole);
+    list.takeRecords(40, 42, { memberNumber(1), memberNumber(2) });
+    list.takeRecords(42, 43, { memberNumber(3) });
+    EXPECT_EQ(list.updateFor(stateAt(40)).members.size(), 3U);
+    EXPECT_FALSE(list.updateFor(stateAt(40)).isWhole);
+    ASSERT_EQ(list.updateFor(stateAt(42)).members.size(), 1U);
+    EXPECT_EQ(list.updateFor(stateAt(42)).members.front().name, "m3");
+    list.takeRecords(40, 42, { memberNumber(1) }); // An old read that ends late
+    EXPECT_EQ(list.updateFor(stateAt(40)).members.size(), 3U);
+    list.takeRecords(50, 51, { memberNumber(9) }); // Records in between are missing
+    EXPECT_EQ(list.state().offset, 43U);
+    list.takeNewest(51, { memberNumber(0), memberNumber(9) }); // The log's history was dropped in between
+    EXPECT_TRUE(list.updateFor(stateAt(43)).isWhole);
+    EXPECT_EQ(list.updateFor(stateAt(43)).members.size(), 2U);
+    for (uint64_t i = 51; i < 6000; ++i)
+        list.takeRecords(i, i + 1, { memberNumber(1) });
+    EXPECT_TRUE(list.updateFor(stateAt(51)).isWhole); // What is kept is bounded
+    EXPECT_EQ(list.updateFor(stateAt(5990)).members.size(), 10U);
+}
+
+TEST(MemberList, AnEmptyListIsKnownAndLearnsWhatFollows)
+{
+    MemberList reader;
+    MemberList follower;
+    reader.takeNewest(0, {});
+    follower.takeNewest(0, {});
+    reader.takeRecords(0, 2, { memberNumber(1), memberNumber(2) });
+    EXPECT_EQ(follower.take(reader.updateFor(follower.state())), MemberList::Verdict::Whole);
+    EXPECT_EQ(follower.size(), 2U);
+}
+
+TEST(MemberList, DigestsAgreeWhateverTheOrderAndDifferWhereAMemberIsMissing)
+{
+    MemberList one;
+    MemberList two;
+    one.takeNewest(3, { memberNumber(1), memberNumber(2), memberNumber(3) });
+    two.takeNewest(0, {});
+    two.takeRecords(0, 1, { memberNumber(3) });
+    two.takeRecords(1, 3, { memberNumber(2), memberNumber(1) });
+    EXPECT_EQ(one.state().digest, two.state().digest);
+    EXPECT_EQ(one.take(two.updateFor(stateAt(0))), MemberList::Verdict::Whole);
+    MemberList partial;
+    partial.takeNewest(3, { memberNumber(1), memberNumber(2) });
+    EXPECT_EQ(partial.take(one.updateFor(partial.state())), MemberList::Verdict::Different);
+    EXPECT_TRUE(one.differsFrom(partial.state()));
+    // A member that moved is listed once.
+    auto moved = memberNumber(1);
+    moved.address = "2.2.2.2:2";
+    one.takeRecords(3, 4, { moved });
+    EXPECT_EQ(one.size(), 3U);
+    partial.takeNewest(4, { memberNumber(3), memberNumber(2), moved });
+    EXPECT_EQ(one.state().digest, partial.state().digest);
+}
+
+TEST(MemberList, AGapIsNotTakenForNews)
+{
+    MemberList list;
+    list.takeNewest(5, { memberNumber(1) });
+    EXPECT_EQ(list.take({ stateAt(9, 7), false, 8, { memberNumber(2) } }), MemberList::Verdict::Gap);
+    EXPECT_EQ(list.state().offset, 5U);
+    EXPECT_EQ(list.take({ {}, false, 0, {} }), MemberList::Verdict::Whole); // A peer that knows nothing, or an older version
+    MemberList unknown;
+    EXPECT_EQ(unknown.take({ stateAt(9, 7), false, 8, { memberNumber(2) } }), MemberList::Verdict::Gap);
+    EXPECT_FALSE(unknown.state().isKnown);
+}
+
+// The store's member list and its configuration; its calls take drawn times.
+struct ModelStore {
+    std::vector<MeshMember> records;
+    uint64_t version { 1 };
+    size_t calls { 0 };
+    bool isDown { false };
+};
+
+// Daemons with their knowledge, their links to each other and their reads of the store, in simulated time.
+class KnowledgeFleet {
+public:
+    KnowledgeFleet(size_t members, size_t zones, unsigned seed)
+        : m_random(seed)
+        , m_zones(zones)
+    {
+        for (size_t i = 0; i < members; ++i)
+            add(start + drawn(0ms, 300ms));
+    }
+
+    void add(TimePoint startAt)
+    {
+        const auto index = m_daemons.size();
+        const MeshMember own { "member-" + std::to_string(index), "zone-" + std::to_string(index % m_zones),
+            "10.0.0.1:" + std::to_string(index), "s" };
+        m_daemons.push_back(std::make_unique<Daemon>());
+        m_daemons.back()->own = own;
+        at(startAt, [this, index] { boot(index); });
+    }
+
+    void kill(size_t index) { ++m_daemons[index]->life, m_daemons[index]->isUp = false; }
+    void restart(size_t index, TimePoint when)
+    {
+        at(when, [this, index] { boot(index); });
+    }
+    // Which daemons cannot reach each other nor, as the other side of the store, the store.
+    void cutZone(size_t zone) { m_cutZone = "zone-" + std::to_string(zone); }
+    void healCut() { m_cutZone.clear(); }
+    ModelStore& store() { return m_store; }
+    void publish(const MeshMember& member)
+    {
+        m_store.records.push_back(member);
+        wakeHeldReads();
+    }
+    // Drops one member from a daemon's list without a trace in the offsets.
+    void loseMember(size_t index)
+    {
+        auto& list = m_daemons[index]->knowledge->members();
+        std::vector<MeshMember> most(m_store.records.begin() + 1, m_store.records.end());
+        list.takeNewest(list.state().offset, most);
+    }
+
+    void runUntil(TimePoint end)
+    {
+        while (!m_events.empty() && m_events.top().at <= end) {
+            const auto event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            event.run();
+        }
+        m_now = end;
+    }
+
+    // Runs until all running daemons agree with the store; how long it took, or nothing within the limit.
+    std::optional<Duration> timeUntilWhole(Duration limit)
+    {
+        const auto begin = m_now;
+        while (!isWhole()) {
+            if (m_now - begin > limit)
+                return std::nullopt;
+            runUntil(m_now + 10ms);
+        }
+        return m_now - begin;
+    }
+
+    bool isWhole() const
+    {
+        MemberList truth;
+        truth.takeNewest(m_store.records.size(), m_store.records);
+        for (const auto& daemon : m_daemons) {
+            if (!daemon->isUp)
+                continue;
+            const auto& state = daemon->knowledge->members().state();
+            if (!state.isKnown || state.offset != truth.state().offset || state.digest != truth.state().digest
+                || daemon->version != m_store.version || m_now - daemon->proof.provenAt > settings.keyStaleness)
+                return false;
+            if (daemon->endpoints->all().size() < truth.size())
+                return false;
+        }
+        return true;
+    }
+
+    // Readers by zone; every daemon of a zone must name the same one, which holds reads itself.
+    std::map<std::string, std::set<std::string>> readers() const
+    {
+        std::map<std::string, std::set<std::string>> named;
+        for (const auto& daemon : m_daemons) {
+            if (!daemon->isUp)
+                continue;
+            for (const auto* reader : daemon->endpoints->readersOf(daemon->own.zone, 1, m_now))
+                named[daemon->own.zone].insert(reader->member.name);
+        }
+        return named;
+    }
+
+    // The member that each daemon takes for the keeper of one ledger.
+    std::set<std::string> keepers(size_t ledger) const
+    {
+        std::set<std::string> named;
+        for (const auto& daemon : m_daemons) {
+            std::string keeper;
+            uint64_t best = 0;
+            for (const auto& [name, endpoint] : daemon->endpoints->all()) {
+                const auto weight = stableHash(name, ledger + 1);
+                if (!endpoint.linkFailures && weight > best) {
+                    best = weight;
+                    keeper = name;
+                }
+            }
+            if (daemon->isUp)
+                named.insert(keeper);
+        }
+        return named;
+    }
+
+    size_t size() const { return m_daemons.size(); }
+    const std::string& nameOf(size_t index) const { return m_daemons[index]->own.name; }
+    size_t indexOf(const std::string& name) const
+    {
+        for (size_t i = 0; i < m_daemons.size(); ++i) {
+            if (m_daemons[i]->own.name == name)
+                return i;
+        }
+        return m_daemons.size();
+    }
+    TimePoint now() const { return m_now; }
+
+    MeshSettings settings;
+
+private:
+    struct Daemon {
+        MeshMember own;
+        std::unique_ptr<RemoteEndpoints> endpoints;
+        ConfigurationProof proof;
+        std::unique_ptr<FleetKnowledge> knowledge;
+        uint64_t version { 0 };
+        uint64_t life { 0 }; // Counts starts and kills: what was meant for an earlier one is dropped
+        bool isUp { false };
+        bool follows { false };
+        bool readsConfiguration { false };
+        bool readsMembers { false };
+        bool isAnnounced { false };
+    };
+
+    struct Event {
+        TimePoint at {};
+        uint64_t order { 0 };
+        std::function<void()> run;
+        bool operator<(const Event& other) const { return std::pair(at, order) > std::pair(other.at, other.order); }
+    };
+
+    void at(TimePoint when, std::function<void()> run) { m_events.push({ std::max(when, m_now), m_order++, std::move(run) }); }
+    Duration drawn(Duration from, Duration to)
+    {
+        return Duration(std::uniform_int_distribution<int64_t>(from.count(), to.count())(m_random));
+    }
+    // Runs for the same life of the daemon only.
+    void later(size_t index, Duration delay, std::function<void()> run)
+    {
+        at(m_now + delay, [this, index, life = m_daemons[index]->life, run = std::move(run)] {
+            if (m_daemons[index]->isUp && m_daemons[index]->life == life)
+                run();
+        });
+    }
+
+    bool isCutOff(const Daemon& daemon) const { return !m_cutZone.empty() && daemon.own.zone == m_cutZone; }
+    bool reachesStore(const Daemon& daemon) const { return !m_store.isDown && !isCutOff(daemon); }
+
+    void boot(size_t index)
+    {
+        auto& daemon = *m_daemons[index];
+        const auto own = daemon.own;
+        const auto life = daemon.life + 1;
+        daemon = Daemon {};
+        daemon.own = own;
+        daemon.life = life;
+        daemon.isUp = true;
+        daemon.endpoints = std::make_unique<RemoteEndpoints>(settings, own.zone);
+        daemon.endpoints->update(own);
+        daemon.knowledge = std::make_unique<FleetKnowledge>(settings, *daemon.endpoints, daemon.proof, own);
+        daemon.follows = true;
+        readMembers(index, true);
+        readConfiguration(index, false);
+        later(index, drawn(0ms, 250ms), [this, index] { tick(index); });
+    }
+
+    void tick(size_t index)
+    {
+        auto& daemon = *m_daemons[index];
+        const auto steps = daemon.knowledge->step(m_now);
+        const bool resumes = steps.followsStore && !daemon.follows;
+        daemon.follows = steps.followsStore;
+        if (steps.readsConfiguration || resumes)
+            readConfiguration(index, false);
+        if (resumes)
+            readMembers(index, false);
+        for (const auto& name : steps.asked) {
+            if (const auto to = indexOf(name); to < m_daemons.size())
+                ask(index, to);
+            else
+                loseTouch(index, name);
+        }
+        later(index, 250ms, [this, index] { tick(index); });
+    }
+
+    void loseTouch(size_t from, const std::string& name)
+    {
+        later(from, 600ms,
+            [this, from, name, since = m_now] { m_daemons[from]->endpoints->recordUnreachable(name, since, m_now); });
+    }
+
+    // Delivers to the other daemon unless it is gone or cut off; then the sender finds the link unreachable.
+    void send(size_t from, size_t to, std::function<void()> deliver)
+    {
+        auto& sender = *m_daemons[from];
+        auto& receiver = *m_daemons[to];
+        const bool isCut = isCutOff(sender) != isCutOff(receiver);
+        if (!receiver.isUp || isCut) {
+            loseTouch(from, receiver.own.name);
+            return;
+        }
+        const bool sameZone = sender.own.zone == receiver.own.zone;
+        later(to, sameZone ? drawn(200us, 2ms) : drawn(900us, 8ms), [this, from, to, deliver = std::move(deliver)] {
+            // A frame tells both ends of the link of each other.
+            for (const auto& [here, there] : { std::pair(from, to), std::pair(to, from) }) {
+                auto& endpoints = *m_daemons[here]->endpoints;
+                endpoints.update(m_daemons[there]->own);
+                endpoints.recordReachable(m_daemons[there]->own.name, m_now);
+            }
+            deliver();
+        });
+    }
+
+    void ask(size_t from, size_t to)
+    {
+        auto& daemon = *m_daemons[from];
+        const auto number = daemon.knowledge->recordQuestion(m_daemons[to]->own.name, m_now);
+        const auto state = daemon.knowledge->members().state();
+        send(from, to, [this, from, to, number, state] {
+            auto& asked = *m_daemons[to];
+            const auto update = asked.knowledge->members().updateFor(state);
+            repair(to, asked.knowledge->compareMembers(state, m_now));
+            const auto age = std::min<Duration>(1h, m_now - asked.proof.provenAt);
+            send(to, from, [this, from, to, number, update, age, version = asked.version] {
+                auto& asker = *m_daemons[from];
+                asker.version = std::max(asker.version, version);
+                const auto verdict = asker.knowledge->takeMembers(update, m_now);
+                believe(from, update.members);
+                repair(from, verdict);
+                asker.knowledge->recordAnswer(number, m_daemons[to]->own.name, age, version >= asker.version, m_now);
+            });
+        });
+    }
+
+    void believe(size_t index, const std::vector<MeshMember>& members)
+    {
+        auto& daemon = *m_daemons[index];
+        for (const auto& member : members)
+            daemon.endpoints->update(member);
+        if (!daemon.knowledge->members().state().isKnown || std::exchange(daemon.isAnnounced, true))
+            return;
+        for (const auto& [name, endpoint] : daemon.endpoints->all()) {
+            if (const auto to = indexOf(name); to < m_daemons.size() && to != index)
+                send(index, to, [] {});
+        }
+        if (!daemon.knowledge->members().contains(daemon.own.name))
+            announce(index);
+    }
+
+    void announce(size_t index)
+    {
+        auto& daemon = *m_daemons[index];
+        if (!reachesStore(daemon)) {
+            later(index, 700ms, [this, index] { announce(index); });
+            return;
+        }
+        ++m_store.calls;
+        later(index, drawn(4ms, 40ms), [this, index] {
+            publish(m_daemons[index]->own);
+        });
+    }
+
+    void repair(size_t index, MemberRepair repair)
+    {
+        if (repair != MemberRepair::None)
+            readMembers(index, repair == MemberRepair::ReadNewest);
+    }
+
+    void readMembers(size_t index, bool newest)
+    {
+        auto& daemon = *m_daemons[index];
+        if (!newest && std::exchange(daemon.readsMembers, true))
+            return;
+        if (!reachesStore(daemon)) {
+            later(index, drawn(500ms, 1500ms), [this, index, newest] {
+                m_daemons[index]->readsMembers = false;
+                if (m_daemons[index]->follows)
+                    readMembers(index, newest || !m_daemons[index]->knowledge->members().state().isKnown);
+            });
+            return;
+        }
+        ++m_store.calls;
+        const auto& list = daemon.knowledge->members();
+        if (!newest && list.state().isKnown && list.state().offset == m_store.records.size()) {
+            m_held.push_back({ index, daemon.life });
+            return;
+        }
+        later(index, drawn(4ms, 30ms), [this, index, newest, snapshot = m_store.records] {
+            auto& reader = *m_daemons[index];
+            auto& members = reader.knowledge->members();
+            const bool first = !members.state().isKnown;
+            if (newest || first)
+                members.takeNewest(snapshot.size(), snapshot);
+            else
+                members.takeRecords(members.state().offset, snapshot.size(),
+                    { snapshot.begin() + static_cast<ptrdiff_t>(std::min<uint64_t>(members.state().offset, snapshot.size())),
+                        snapshot.end() });
+            if (newest)
+                reader.knowledge->recordRepaired();
+            believe(index, snapshot);
+            reader.readsMembers = reader.readsMembers && newest && !first;
+            later(index, first ? Duration(800ms) : Duration(400ms), [this, index] {
+                if (m_daemons[index]->follows)
+                    readMembers(index, false);
+            });
+        });
+    }
+
+    void wakeHeldReads()
+    {
+        const auto held = std::exchange(m_held, {});
+        for (const auto& [index, life] : held) {
+            if (m_daemons[index]->life != life || !m_daemons[index]->isUp)
+                continue;
+            m_daemons[index]->readsMembers = false;
+            if (reachesStore(*m_daemons[index]))
+                readMembers(index, false);
+            else
+                later(index, 700ms, [this, i = index] { readMembers(i, false); });
+        }
+    }
+
+    void readConfiguration(size_t index, bool held)
+    {
+        auto& daemon = *m_daemons[index];
+        if (std::exchange(daemon.readsConfiguration, true))
+            return;
+        const auto hold = held ? settings.readHold : Duration::zero();
+        const bool reaches = reachesStore(daemon);
+        m_store.calls += reaches ? 1 : 0;
+        later(index, hold + (reaches ? drawn(4ms, 30ms) : Duration(700ms)), [this, index, hold, reaches, asked = m_now] {
+            auto& reader = *m_daemons[index];
+            reader.readsConfiguration = false;
+            if (reaches && reachesStore(reader)) {
+                reader.version = m_store.version;
+                reader.knowledge->recordStoreRead(asked + hold);
+            }
+            if (reader.follows)
+                readConfiguration(index, reaches);
+        });
+    }
+
+    std::mt19937 m_random;
+    size_t m_zones;
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    std::priority_queue<Event> m_events;
+    ModelStore m_store;
+    std::vector<std::pair<size_t, uint64_t>> m_held; // Reads of the member list: daemon and its life
+    std::string m_cutZone;
+    TimePoint m_now { start };
+    uint64_t m_order { 0 };
+};
+
+constexpr size_t fleetSize = 95;
+constexpr size_t fleetZones = 5;
+constexpr unsigned seeds = 12;
+constexpr auto wholeAfterStart = 2s; // The aim for a fleet of this size
+constexpr auto wholeAfterTrouble = 4s; // Time to catch up that the strictest deployment allows
+
+void expectOneReaderAZone(const KnowledgeFleet& fleet)
+{
+    const auto readers = fleet.readers();
+    for (const auto& [zone, named] : readers)
+        EXPECT_EQ(named.size(), 1U) << zone;
+    for (size_t ledger = 0; ledger < fleet.settings.ledgers; ++ledger)
+        EXPECT_EQ(fleet.keepers(ledger).size(), 1U) << "ledger " << ledger;
+}
+
+TEST(FleetKnowledge, AFleetThatStartsAtOnceIsWholeEverywhere)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        SCOPED_TRACE(seed);
+        KnowledgeFleet fleet(fleetSize, fleetZones, seed);
+        fleet.runUntil(start + 300ms);
+        const auto took = fleet.timeUntilWhole(10s);
+        ASSERT_TRUE(took);
+        EXPECT_LE(*took + 300ms, wholeAfterStart);
+        fleet.runUntil(start + 5s);
+        EXPECT_TRUE(fleet.isWhole());
+        expectOneReaderAZone(fleet);
+    }
+}
+
+TEST(FleetKnowledge, TheTimeToBeWholeGrowsLessThanTheFleet)
+{
+    const auto timeFor = [](size_t members) {
+        KnowledgeFleet fleet(members, fleetZones, 1);
+        fleet.runUntil(start + 300ms);
+        return fleet.timeUntilWhole(10s).value_or(1h);
+    };
+    EXPECT_LE(timeFor(300), timeFor(100) * 2);
+}
+
+TEST(FleetKnowledge, ReadersThatDieAreFollowedByOthersWithWholeLists)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        SCOPED_TRACE(seed);
+        KnowledgeFleet fleet(fleetSize, fleetZones, seed);
+        fleet.runUntil(start + 5s);
+        for (int round = 0; round < 3; ++round) {
+            for (const auto& [zone, named] : fleet.readers())
+                fleet.kill(fleet.indexOf(*named.begin()));
+            fleet.publish(memberNumber(static_cast<size_t>(round)));
+            ++fleet.store().version;
+            fleet.runUntil(fleet.now() + 100ms);
+            EXPECT_TRUE(fleet.timeUntilWhole(wholeAfterTrouble));
+            fleet.runUntil(fleet.now() + 4s);
+        }
+        expectOneReaderAZone(fleet);
+    }
+}
+
+TEST(FleetKnowledge, AFleetThatIsKilledAndStartsAgainIsWholeEverywhere)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        SCOPED_TRACE(seed);
+        KnowledgeFleet fleet(fleetSize, fleetZones, seed);
+        fleet.runUntil(start + 5s);
+        for (size_t i = 0; i < fleet.size(); ++i) {
+            fleet.kill(i);
+            fleet.restart(i, fleet.now() + 1s + std::chrono::milliseconds(i % 7 * 40));
+        }
+        fleet.runUntil(fleet.now() + 1300ms);
+        EXPECT_TRUE(fleet.timeUntilWhole(wholeAfterStart));
+        fleet.runUntil(fleet.now() + 5s);
+        EXPECT_TRUE(fleet.isWhole());
+        expectOneReaderAZone(fleet);
+    }
+}
+
+TEST(FleetKnowledge, AZoneThatWasCutOffLearnsWhatItMissed)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        SCOPED_TRACE(seed);
+        KnowledgeFleet fleet(fleetSize, fleetZones, seed);
+        fleet.runUntil(start + 5s);
+        fleet.cutZone(seed % fleetZones);
+        for (size_t i = 0; i < 10; ++i)
+            fleet.add(fleet.now() + std::chrono::milliseconds(500 * i));
+        ++fleet.store().version;
+        fleet.runUntil(fleet.now() + 8s);
+        fleet.healCut();
+        EXPECT_TRUE(fleet.timeUntilWhole(wholeAfterTrouble));
+    }
+}
+
+TEST(FleetKnowledge, MembersReplacedInTensAreLearnedEverywhere)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        SCOPED_TRACE(seed);
+        KnowledgeFleet fleet(fleetSize, fleetZones, seed);
+        fleet.runUntil(start + 4s);
+        for (size_t i = 0; i < 30; ++i) {
+            fleet.kill(i * 3);
+            fleet.add(fleet.now() + std::chrono::milliseconds(10 * i));
+        }
+        fleet.runUntil(fleet.now() + 1s);
+        EXPECT_TRUE(fleet.timeUntilWhole(wholeAfterTrouble));
+        fleet.runUntil(fleet.now() + 10s); // The readers' back-off ends
+        EXPECT_TRUE(fleet.isWhole());
+    }
+}
+
+// Daemons that start while the store is down learn from those that run.
+TEST(FleetKnowledge, ARestartWithoutTheStoreLearnsFromPeers)
+{
+    KnowledgeFleet fleet(fleetSize, fleetZones, 3);
+    fleet.runUntil(start + 5s);
+    fleet.store().isDown = true;
+    for (size_t i = 0; i < 10; ++i) {
+        fleet.kill(i * 9);
+        fleet.restart(i * 9, fleet.now() + 200ms);
+    }
+    fleet.runUntil(fleet.now() + 20s);
+    fleet.store().isDown = false;
+    EXPECT_TRUE(fleet.timeUntilWhole(wholeAfterTrouble));
+}
+
+// A hole that no offset shows, in a reader's list and in a follower's.
+TEST(FleetKnowledge, AListWithAHoleIsFoundAndReadAgain)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        SCOPED_TRACE(seed);
+        KnowledgeFleet fleet(fleetSize, fleetZones, seed);
+        fleet.runUntil(start + 5s);
+        ASSERT_TRUE(fleet.isWhole());
+        const auto reader = fleet.indexOf(*fleet.readers().begin()->second.begin());
+        fleet.loseMember(reader);
+        fleet.loseMember((reader + 1) % fleet.size());
+        EXPECT_FALSE(fleet.isWhole());
+        const auto calls = fleet.store().calls;
+        EXPECT_TRUE(fleet.timeUntilWhole(fleet.settings.comparisonInterval + wholeAfterTrouble));
+        // Each that doubts its list reads it once: those with holes, and those that heard of them.
+        EXPECT_LE(fleet.store().calls - calls, 2 * fleetSize);
+    }
+}
+
+TEST(FleetKnowledge, ACalmFleetCostsTheStoreNoMoreThanItsReaders)
+{
+    KnowledgeFleet fleet(fleetSize, fleetZones, 5);
+    fleet.runUntil(start + 6s);
+    const auto calls = fleet.store().calls;
+    constexpr size_t seconds = 20;
+    fleet.runUntil(start + 6s + std::chrono::seconds(seconds));
+    constexpr size_t readsPerReaderAndSecond = 2; // Held for 0.7 s each
+    EXPECT_LE(fleet.store().calls - calls, fleetZones * seconds * readsPerReaderAndSecond);
+}
+
+} // namespace
+} // namespace shallot
--- a/Tests/MeshDecisionsTest.cpp
+++ b/Tests/MeshDecisionsTest.cpp
@@ -2,7 +2,6 @@
 
 #include "mesh/ConfigurationProof.h"
 #include "mesh/EndpointQueue.h"
-#include "mesh/MemberNews.h"
 #include "mesh/MeshCall.h"
 #include "mesh/MeshSettings.h"
 #include "mesh/RemoteEndpoints.h"
@@ -150,11 +149,11 @@
 TEST_F(Placing, AvoidsTheUnreachableAndTheUnavailableUntilNothingElseIsLeft)
 {
     report("a1", 0, 10, 30ms, start);
-    endpoints.recordUnreachable("a1", start);
+    endpoints.recordUnreachable("a1", start, start);
     EXPECT_EQ(choose(start), "b1");
     EXPECT_EQ(choose(start, { "b1" }), "a1");
     EXPECT_EQ(choose(start, { "a1", "b1" }), "");
-    endpoints.recordReachable("a1");
+    endpoints.recordReachable("a1", start);
     EXPECT_EQ(choose(start), "a1");
     endpoints.recordReport("a1", { false, 0, 0, 10, 30ms, {} }, start);
     EXPECT_EQ(choose(start), "b1");
@@ -165,14 +164,27 @@
 TEST_F(Placing, AMemberThatIsLostForLongHoldsNoPartOfARate)
 {
     EXPECT_EQ(endpoints.countHolders(start), 2U);
-    endpoints.recordUnreachableAt("a1:1", start);
+    endpoints.recordUnreachableAt("a1:1", start, start);
     EXPECT_GT(endpoints.find("a1")->avoidUntil, start);
     EXPECT_EQ(endpoints.countHolders(start + settings.memberMemory - 1ms), 2U); // It may be cut off and use its part
     EXPECT_EQ(endpoints.countHolders(start + settings.memberMemory), 1U);
-    endpoints.recordReachable("a1");
+    endpoints.recordReachable("a1", start);
     EXPECT_EQ(endpoints.countHolders(start + settings.memberMemory), 2U);
 }
 
+TEST_F(Placing, ALinkThatDiesLateSaysNothingOfAMemberThatIsBack)
+{
+    endpoints.recordReachable("a1", start + 2s); // Started again and made itself known
+    endpoints.recordUnreachable("a1", start + 1s, start + 3s);
+    EXPECT_EQ(endpoints.find("a1")->linkFailures, 0U);
+    endpoints.recordUnreachable("a1", start + 2s, start + 3s);
+    EXPECT_EQ(endpoints.find("a1")->linkFailures, 1U);
+    EXPECT_EQ(endpoints.nextToTryAgain("zone-a", start + 3s), nullptr);
+    EXPECT_EQ(endpoints.nextToTryAgain("zone-b", start + 1h), nullptr);
+    ASSERT_NE(endpoints.nextToTryAgain("zone-a", start + 1h), nullptr);
+    EXPECT_EQ(endpoints.nextToTryAgain("zone-a", start + 1h)->member.name, "a1");
+}
+
 // A member dies under load. Its link breaks only after a second of silence; how many calls are lost with it?
 TEST_F(Placing, AMemberWhoseLinkFellSilentGetsNoNewCallsUntilItSpeaks)
 {
@@ -217,39 +229,15 @@
     ASSERT_EQ(readers.size(), 2U);
     EXPECT_EQ(two.readersOf("zone-a", 2, start)[0]->member.name, readers[0]->member.name);
     const auto first = readers[0]->member.name;
-    one.recordUnreachable(first, start);
+    one.recordUnreachable(first, start, start);
     EXPECT_EQ(one.readersOf("zone-a", 2, start)[0]->member.name, readers[1]->member.name);
     EXPECT_EQ(one.readersOf("zone-c", 2, start).size(), 0U);
     // A member that is gone for good must not be waited for again each time that its back-off ends.
     EXPECT_EQ(one.readersOf("zone-a", 2, start + 1h)[0]->member.name, readers[1]->member.name);
-    one.recordReachable(first);
+    one.recordReachable(first, start + 1h);
     EXPECT_EQ(one.readersOf("zone-a", 2, start + 1h)[0]->member.name, first);
 }
 
-TEST(MemberNews, TellsEverythingSinceAnOffsetOrThatItDoesNotKnow)
-{
-    const auto member = [](int i) { return MeshMember { "m" + std::to_string(i), "z", "1.1.1.1:1", "s" }; };
-    MemberNews news;
-    news.record(40, 40, {}); // The first read: everything before is known elsewhere
-    EXPECT_TRUE(news.since(40)->empty());
-    EXPECT_FALSE(news.since(39));
-    EXPECT_FALSE(news.since(41)); // The one who asks is ahead
-    news.record(40, 42, { member(1), member(2) });
-    news.record(42, 43, { member(3) });
-    EXPECT_EQ(news.since(40)->size(), 3U);
-    ASSERT_EQ(news.since(42)->size(), 1U);
-    EXPECT_EQ(news.since(42)->front().name, "m3");
-    news.record(40, 42, { member(1) }); // An old read that ends late
-    EXPECT_EQ(news.since(40)->size(), 3U);
-    news.record(50, 51, { member(9) }); // The log's history was dropped in between
-    EXPECT_FALSE(news.since(43));
-    EXPECT_EQ(news.since(50)->size(), 1U);
-    for (uint64_t i = 51; i < 6000; ++i)
-        news.record(i, i + 1, { member(1) });
-    EXPECT_FALSE(news.since(51)); // Bounded
-    EXPECT_EQ(news.since(5990)->size(), 10U);
-}
-
 TEST(EndpointQueue, RunsWaitsAndRefusesByTheTimeThatIsLeft)
 {
     const MeshSettings settings;
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -70,7 +70,7 @@
     connection.respond({ status, headers, body }, false, MonotonicClock::now());
 }
 
-SidecarHarness::SidecarHarness(const std::vector<std::string>& places)
+SidecarHarness::SidecarHarness(const std::vector<std::string>& places, const std::vector<size_t>& startedLater)
     : m_basePort(nextBasePort())
     , m_places(places)
     , m_store(std::make_unique<StoreStandin>(SocketAddress { "127.0.0.1", m_basePort }))
@@ -82,15 +82,22 @@
         const auto service = places[i].substr(places[i].find('/') + 1);
         m_endpoints.push_back(std::make_unique<EndpointStandin>(
             address(i, backendPort), address(i, controlPort), service, "instance-" + std::to_string(i)));
-        m_daemons.push_back(std::make_unique<Sidecar>(instanceSettings(i), settings, "a secret of the tests"));
-        const auto started = m_daemons.back()->start();
-        g_assert(started);
+        m_daemons.emplace_back();
+        if (std::find(startedLater.begin(), startedLater.end(), i) == startedLater.end())
+            start(i);
         m_callers.push_back(std::make_unique<HTTPPool>());
         m_callers.back()->setAddress(address(i, callersPort));
     }
     configure(1);
 }
 
+void SidecarHarness::start(size_t index)
+{
+    m_daemons[index] = std::make_unique<Sidecar>(instanceSettings(index), settings, "a secret of the tests");
+    const auto started = m_daemons[index]->start();
+    g_assert(started);
+}
+
 SidecarHarness::~SidecarHarness()
 {
     m_daemons.clear();
@@ -101,6 +108,16 @@
     return { "127.0.0.1", static_cast<uint16_t>(m_basePort + 10 + daemon * portsPerDaemon + offset) };
 }
 
+SocketAddress SidecarHarness::callersAddress(size_t daemon) const
+{
+    return address(daemon, callersPort);
+}
+
+SocketAddress SidecarHarness::backendAddress(size_t daemon) const
+{
+    return address(daemon, backendPort);
+}
+
 platform::InstanceSettings SidecarHarness::instanceSettings(size_t index) const
 {
     platform::InstanceSettings instance;
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -24,6 +24,8 @@
     // Sends any announcement body.
     void announceBody(const std::string& body);
     void leave();
+    // Frees the address for a stand-in that answers otherwise; announcements go on.
+    void stopServing() { m_server.startLeaving(); }
     // A whole, sealed answer.
     static void answer(StrictHTTPConnection&, const HTTPRequest&, uint16_t status = 200, const std::string& body = "done");
 
@@ -49,7 +51,7 @@
 // sockets. One daemon for each "zone/service".
 class SidecarHarness {
 public:
-    explicit SidecarHarness(const std::vector<std::string>& places);
+    explicit SidecarHarness(const std::vector<std::string>& places, const std::vector<size_t>& startedLater = {});
     ~SidecarHarness();
 
     struct Answer {
@@ -75,13 +77,17 @@
     Sidecar& daemon(size_t index) { return *m_daemons[index]; }
     EndpointStandin& endpoint(size_t index) { return *m_endpoints[index]; }
     StoreStandin& store() { return *m_store; }
+    // Starts a daemon that was stopped or is to be started later.
+    void start(size_t index);
     void stop(size_t index) { m_daemons[index].reset(); }
     size_t runs(std::string_view target) const;
-    SocketAddress address(size_t daemon, uint16_t offset) const;
+    SocketAddress callersAddress(size_t daemon) const;
+    SocketAddress backendAddress(size_t daemon) const;
 
     MeshSettings settings;
 
 private:
+    SocketAddress address(size_t daemon, uint16_t offset) const;
     platform::InstanceSettings instanceSettings(size_t index) const;
 
     uint16_t m_basePort;
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -2,6 +2,7 @@
 
 #include "SidecarHarness.h"
 #include "TestPorts.h"
+#include "core/Digest.h"
 #include "daemon/CallFrames.h"
 #include "net/PeerLinks.h"
 #include "platform/MemberCodec.h"
@@ -118,6 +119,32 @@
     EXPECT_LE(mesh.store().callCount() - before, newMembers + 3 * 4);
 }
 
+// Three daemons find an empty list; the zone's reader starts a moment later and makes itself known to them over links, so they
+// leave the reading to it before they have read anything.
+TEST(SidecarPath, DaemonsThatFoundAnEmptyListLearnAllMembersFromTheirReader)
+{
+    constexpr size_t daemons = 4;
+    size_t reader = 0;
+    for (size_t i = 1; i < daemons; ++i) {
+        if (stableHash("daemon-" + std::to_string(i)) < stableHash("daemon-" + std::to_string(reader)))
+            reader = i;
+    }
+    SidecarHarness mesh(std::vector<std::string>(daemons, "zone-a/alpha"), { reader });
+    mesh.runFor(300ms);
+    mesh.start(reader);
+    mesh.runFor(900ms);
+    const auto record = platform::encodeMember({ "new", "zone-b", "127.0.0.1:1", "beta" });
+    mesh.store().put("keyed.members", record.key, record.value);
+    const auto allKnowAll = [&] {
+        for (size_t i = 0; i < daemons; ++i) {
+            if (mesh.daemon(i).memberCount() != daemons + 1)
+                return false;
+        }
+        return true;
+    };
+    EXPECT_TRUE(mesh.runUntil(allKnowAll));
+}
+
 TEST(SidecarPath, ARestartOfTheStoresHistoryLosesNoChange)
 {
     SidecarHarness mesh({ "zone-a/alpha" });
@@ -379,7 +406,7 @@
     std::vector<std::string> unreachable;
     MeshLinks links({ "m", "z", "a secret of the tests" }, { "m", "z", "127.0.0.1:1", "s" },
         { [](PeerLink&, wire::FrameT&) {}, [](PeerLink&) {},
-            [&unreachable](const std::string& address) { unreachable.push_back(address); }, [](const std::string&) {},
+            [&unreachable](const std::string& address, TimePoint) { unreachable.push_back(address); }, [](const std::string&) {},
             [](const MeshMember&, const EndpointReport&) {}, [] { return EndpointReport {}; } });
     links.linkTo(nobody.toString());
     for (int i = 0; i < 100 && unreachable.empty(); ++i) {
@@ -397,8 +424,12 @@
     platform::StoreClient client(address);
     std::vector<std::string> values;
     size_t reads = 0;
-    StoreFollower follower(client, { platform::StoreTopic::Members, 5s, 1s, {}, {}, 1s },
-        { [&values](const platform::KeyedRecord& record) { values.push_back(record.value); }, [&reads](TimePoint) { ++reads; } });
+    StoreFollower follower(
+        client, { platform::StoreTopic::Members, 5s, 1s, {}, {}, 1s }, [&values, &reads](const FollowedRead& read, TimePoint) {
+            for (const auto& record : read.records)
+                values.push_back(record.value);
+            ++reads;
+        });
     const auto runUntilRead = [&](size_t count) {
         for (int i = 0; i < 1000 && reads < count; ++i)
             g_main_context_iteration(nullptr, TRUE);
