Trust no answer without its attempt's id on a used connection; bound answers without end

Causes, each shown by a test that failed first: an answer without an attempt's id was taken for the awaited one, so a late second copy on a connection in use again reached the next caller, and a late refusal made a request that ran be called not run. Bodies without end were bounded at 4 MB each but not together: 40 of them held 130 MB, most of the smallest instance's memory. Answers to other requests without end were read until the deadline.

Change: on a connection that carried an exchange before, an answer must name its attempt, or the exchange fails with 502. A pool's arriving bodies are bounded together (24 MB); nine foreign answers in one exchange end it.

Tests: EndpointAnswers.*, SpoiledAnswers.*, EndlessAnswers.* (each leg in heads, bodies, chunks, trailers), EndlessRequests.*. Two older tests' stand-in refused without the attempt's id, which the protocol asks for; it sends it now, the checks are the same.

--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-constexpr size_t maximumResponseBytes = 4 * 1024 * 1024;
+constexpr size_t maximumResponseBytes = 4 * 1024 * 1024; // Far above the longest answers of the deployments
+constexpr size_t longBodyBytes = 64 * 1024;              // From here on the connection asks whether it may hold more
+constexpr unsigned maximumForeignAnswers = 8;            // Late ones before the awaited one; more are a stream without end
 
 std::string formatRequest(const HTTPRequest& request)
 {
@@ -75,6 +77,8 @@
     m_filter = std::move(filter);
     m_headRequest = request.method == "HEAD";
     m_answerStarted = false;
+    m_refusal = nullptr;
+    m_foreignAnswers = 0;
     resetParser();
     // While the socket connects the bytes wait in its buffer; onConnected() marks when they leave.
     m_socket->write(formatRequest(request));
@@ -128,12 +132,29 @@
 
 bool HTTPConnection::appendBody(std::string_view bytes)
 {
-    if (m_response.body.size() + bytes.size() > maximumResponseBytes)
+    const auto size = m_response.body.size() + bytes.size();
+    if (size > maximumResponseBytes)
+        m_refusal = "the answer is too long";
+    else if (size > longBodyBytes && m_callbacks.mayHoldMore && !m_callbacks.mayHoldMore())
+        m_refusal = "the answers in progress are too long together";
+    if (m_refusal)
         return false;
     m_response.body.append(bytes);
     return true;
 }
 
+// A whole response stands in m_response.
+bool HTTPConnection::isOwn()
+{
+    m_response.status = static_cast<uint16_t>(m_parser.status_code);
+    const auto ownership = m_filter ? m_filter(m_response, m_used) : Ownership::Own;
+    if (ownership == Ownership::Unknown)
+        m_refusal = "the answer may be that of an earlier request";
+    else if (ownership == Ownership::Foreign && ++m_foreignAnswers > maximumForeignAnswers)
+        m_refusal = "answers of other requests without end";
+    return ownership == Ownership::Own;
+}
+
 // True once a whole response that belongs to the request stands in m_response.
 bool HTTPConnection::execute(std::string_view bytes, size_t& parsed)
 {
@@ -142,9 +163,10 @@
         parsed += http_parser_execute(&m_parser, &parserSettings(), bytes.data() + parsed, bytes.size() - parsed);
         if (!m_complete)
             return false;
-        m_response.status = static_cast<uint16_t>(m_parser.status_code);
-        if (!m_filter || m_filter(m_response))
+        if (isOwn())
             return true;
+        if (m_refusal)
+            return false;
         resetParser();
     }
     return false;
@@ -167,7 +189,9 @@
         completeResponse();
         return;
     }
-    if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK)
+    if (m_refusal)
+        failExchange(ErrorKind::BadAnswer, m_refusal);
+    else if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK)
         failExchange(
             ErrorKind::BadAnswer, std::string("the answer is malformed: ") + http_errno_name(HTTP_PARSER_ERRNO(&m_parser)));
 }
@@ -207,8 +231,7 @@
     }
     if (m_acceptsUnframed && m_completion && m_answerStarted && end == StreamEnd::Clean) {
         http_parser_execute(&m_parser, &parserSettings(), nullptr, 0);
-        m_response.status = static_cast<uint16_t>(m_parser.status_code);
-        if (m_complete && (!m_filter || m_filter(m_response))) {
+        if (m_complete && isOwn()) {
             completeResponse();
             return;
         }
--- a/Source/net/HTTPConnection.h
+++ b/Source/net/HTTPConnection.h
@@ -21,10 +21,17 @@
 public:
     // The response, or why there is none. NotRun kinds are given only when no byte of the request has left.
     using Completion = std::function<void(Result<HTTPResponse>)>;
-    // Whether a response belongs to the request; one that does not is dropped and the next one is awaited.
-    using Filter = std::function<bool(const HTTPResponse&)>;
+    // Whose response it is, as far as it tells.
+    enum class Ownership : uint8_t {
+        Own,
+        Foreign, // Of another request: it is dropped and the next one is awaited
+        Unknown, // It may be of another request: the exchange fails
+    };
+    // Judges each response. On a connection that carried other exchanges an answer to one of those may come late.
+    using Filter = std::function<Ownership(const HTTPResponse&, bool onReusedConnection)>;
 
     struct Callbacks {
+        std::function<bool()> mayHoldMore;             // Asked as a long body arrives; without one it may
         std::function<void(HTTPConnection&)> onIdle;   // May carry the next exchange
         std::function<void(HTTPConnection&)> onClosed; // After the completion, if one was due
     };
@@ -42,6 +49,8 @@
     // Ends the connection; an exchange in progress completes with BackendFailed.
     void terminate();
     bool isOpen() const;
+    // Of the response that is arriving.
+    size_t heldBytes() const { return m_response.body.size(); }
     // How long the connection may stand idle and still be trusted; shorter than what the server's last answer said.
     Duration idleLifetime() const { return m_idleLifetime; }
 
@@ -55,6 +64,7 @@
     void failExchange(ErrorKind, std::string detail);
     void closeAndNotify();
     bool appendBody(std::string_view);
+    bool isOwn();
 
     static const http_parser_settings& parserSettings();
     static HTTPConnection& from(http_parser* parser) { return *static_cast<HTTPConnection*>(parser->data); }
@@ -71,6 +81,8 @@
     bool m_used { false }; // Has carried a whole exchange
     bool m_answerStarted { false };
     bool m_headRequest { false };
+    const char* m_refusal { nullptr }; // Why the arriving response is not taken
+    unsigned m_foreignAnswers { 0 };   // Dropped in this exchange
     bool m_complete { false };
     HeaderCollector m_collector;
 };
--- a/Source/net/HTTPPool.cpp
+++ b/Source/net/HTTPPool.cpp
@@ -1,7 +1,15 @@
 #include "net/HTTPPool.h"
 
+#include <numeric>
+
 namespace shallot {
 
+namespace {
+
+constexpr size_t maximumHeldBytes = 24 * 1024 * 1024; // Of all answers that arrive; a sixth of the smallest instance's memory
+
+} // namespace
+
 HTTPPool::~HTTPPool()
 {
     const auto busy = std::exchange(m_busy, {});
@@ -33,13 +41,20 @@
         connection->abandon();
     }
     auto connection = HTTPConnection::connect(m_address,
-        { [this](HTTPConnection& connection) { onIdle(connection); },
+        { [this] { return mayHoldMore(); }, [this](HTTPConnection& connection) { onIdle(connection); },
             [this](HTTPConnection& connection) { onClosed(connection); } });
     if (connection)
         connection->setAcceptsUnframed(m_acceptsUnframed);
     return connection;
 }
 
+bool HTTPPool::mayHoldMore() const
+{
+    const auto held = std::accumulate(
+        m_busy.begin(), m_busy.end(), size_t { 0 }, [](size_t sum, const auto& item) { return sum + item.second->heldBytes(); });
+    return held < maximumHeldBytes;
+}
+
 void HTTPPool::send(
     uint64_t id, const HTTPRequest& request, Completion completion, HTTPConnection::Filter filter, Duration maximumIdle)
 {
--- a/Source/net/HTTPPool.h
+++ b/Source/net/HTTPPool.h
@@ -30,6 +30,7 @@
 
 private:
     RefPtr<HTTPConnection> takeConnection(Duration maximumIdle, TimePoint now);
+    bool mayHoldMore() const;
     void onIdle(HTTPConnection&);
     void onClosed(HTTPConnection&);
 
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -266,9 +266,13 @@
     const auto id = live.item.id;
     m_pool.send(
         id, live.call.request, [this, id](Result<HTTPResponse> response) { onResponse(id, std::move(response)); },
-        [attemptID = live.attemptID](const HTTPResponse& response) {
+        [attemptID = live.attemptID](const HTTPResponse& response, bool onReusedConnection) {
             const auto echoed = platform::attemptIDOf(response.headers);
-            return echoed.empty() || echoed == attemptID;
+            if (echoed == attemptID)
+                return HTTPConnection::Ownership::Own;
+            if (!echoed.empty())
+                return HTTPConnection::Ownership::Foreign;
+            return onReusedConnection ? HTTPConnection::Ownership::Unknown : HTTPConnection::Ownership::Own;
         },
         maximumIdle);
 }
--- /dev/null
+++ b/Tests/EndpointAnswersTest.cpp
@@ -0,0 +1,269 @@
+// What reaches callers when a backend server answers wrongly: late copies, answers that break off, bytes that are no answer and
+// come without end. Real sockets; the callers' daemon is another one than the backend server's.
+
+#include "RawEndpoint.h"
+#include "SidecarHarness.h"
+#include "TestPorts.h"
+#include "platform/Names.h"
+
+#include <fstream>
+#include <glib.h>
+#include <gtest/gtest.h>
+#include <map>
+
+namespace shallot {
+namespace {
+
+const std::string attemptHeader = std::string(platform::header::attemptID) + ": ";
+const std::string sealHeader = std::string(platform::header::seal) + ": seal\r\n";
+constexpr size_t mostGrowthMB = 48; // Less than a third of the smallest instance's memory
+
+size_t residentMB()
+{
+    std::ifstream statistics("/proc/self/statm");
+    size_t total = 0;
+    size_t resident = 0;
+    statistics >> total >> resident;
+    constexpr size_t pagesPerMB = 256;
+    return resident / pagesPerMB;
+}
+
+// A caller's daemon in one zone and a backend server that a test scripts in another.
+class EndpointAnswers : public testing::Test {
+protected:
+    EndpointAnswers()
+        : mesh({ "zone-a/alpha", "zone-b/beta" })
+    {
+    }
+
+    void SetUp() override
+    {
+        ASSERT_TRUE(mesh.waitUntilServing());
+        mesh.endpoint(0).stopServing();
+        raw = std::make_unique<RawEndpoint>(mesh.backendAddress(0), "instance-0",
+            [](StreamSocket& socket, const std::string& attempt) { socket.write(RawEndpoint::answerTo(attempt, "whole")); });
+        ASSERT_TRUE(mesh.runUntil([&] { return mesh.fetch(1, "/read/first").status() == 200; }));
+    }
+
+    uint16_t order(const std::string& target) { return mesh.wait(mesh.send(1, { "POST", target, {}, "tiles" })).status(); }
+
+    SidecarHarness mesh;
+    std::unique_ptr<RawEndpoint> raw;
+};
+
+TEST_F(EndpointAnswers, ASecondCopyOnAnIdleConnectionReachesNobody)
+{
+    raw->setScript([&](StreamSocket& socket, const std::string& attempt) {
+        const auto answer = RawEndpoint::answerTo(attempt, "to " + attempt);
+        socket.write(answer);
+        auto copy = std::make_shared<Timer>();
+        copy->startOnce(20ms, [copy, answer, connection = RefPtr<StreamSocket>(&socket)] { connection->write(answer); });
+    });
+    for (int i = 0; i < 5; ++i) {
+        const auto id = "copy-" + std::to_string(i);
+        const auto& answer = mesh.wait(mesh.send(1, { "GET", "/read/1", { { std::string(platform::header::attemptID), id } }, {} }));
+        ASSERT_EQ(answer.status(), 200);
+        EXPECT_EQ(answer.response->body, "to " + id);
+        mesh.runFor(i % 2 ? 60ms : 0ms);
+    }
+}
+
+TEST_F(EndpointAnswers, ASecondCopyInPlaceOfTheNextAnswerReachesNobody)
+{
+    for (const bool withAttempt : { true, false }) {
+        std::map<StreamSocket*, std::string> former; // By the connection that carried it
+        raw->setScript([&](StreamSocket& socket, const std::string& attempt) {
+            auto answer = RawEndpoint::answerTo(attempt, "to " + attempt);
+            socket.write(former[&socket] + answer);
+            if (!withAttempt)
+                answer.erase(answer.find(attemptHeader), attemptHeader.size() + attempt.size() + 2);
+            former[&socket] = answer;
+        });
+        for (int i = 0; i < 5; ++i) {
+            const auto id = "next-" + std::to_string(i);
+            const HTTPRequest request { "GET", "/read/1", { { std::string(platform::header::attemptID), id } }, {} };
+            const auto& answer = mesh.wait(mesh.send(1, request));
+            EXPECT_TRUE(answer.status() == 200 || answer.status() == 502);
+            EXPECT_TRUE(answer.status() == 502 || answer.response->body == "to " + id) << withAttempt;
+        }
+    }
+}
+
+// A refusal that came late must not be taken for the fate of the request that runs now.
+TEST_F(EndpointAnswers, ALateRefusalOfAnEarlierRequestDoesNotSayThatTheNextOneHasNotRun)
+{
+    bool first = true;
+    raw->setScript([&](StreamSocket& socket, const std::string& attempt) {
+        const std::string refusal
+            = "HTTP/1.1 503 Busy\r\n" + std::string(platform::header::notExecuted) + ": 1\r\nContent-Length: 0\r\n\r\n";
+        socket.write(std::exchange(first, false) ? RawEndpoint::answerTo(attempt, "whole") : refusal);
+    });
+    EXPECT_EQ(order("/order/1"), 200);
+    EXPECT_EQ(order("/order/2"), 502);
+}
+
+struct SpoiledAnswer {
+    const char* name;
+    std::string bytes; // After the attempt's own head lines where `sealed`
+    bool sealed;
+    bool closes;
+};
+
+std::ostream& operator<<(std::ostream& stream, const SpoiledAnswer& answer)
+{
+    return stream << answer.name;
+}
+
+class SpoiledAnswers : public EndpointAnswers, public testing::WithParamInterface<SpoiledAnswer> { };
+
+TEST_P(SpoiledAnswers, AreNoSuccessAndNoPromise)
+{
+    const auto& spoiled = GetParam();
+    raw->setScript([&](StreamSocket& socket, const std::string& attempt) {
+        const auto head = "HTTP/1.1 200 OK\r\n" + attemptHeader + attempt + "\r\n" + sealHeader;
+        socket.write((spoiled.sealed ? head : std::string()) + spoiled.bytes);
+        if (spoiled.closes)
+            socket.close();
+    });
+    const auto status = order("/order/1");
+    EXPECT_TRUE(status == 502 || status == 504) << status;
+    EXPECT_EQ(raw->requestCount(), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(SidecarPath, SpoiledAnswers,
+    testing::Values(SpoiledAnswer { "NoBytes", "", false, true }, SpoiledAnswer { "HalfAStatusLine", "HTTP/1.", false, true },
+        SpoiledAnswer { "HalfTheHead", "Content-Le", true, true },
+        SpoiledAnswer { "HalfTheBody", "Content-Length: 10\r\n\r\nhalf", true, true },
+        SpoiledAnswer { "HalfAChunk", "Transfer-Encoding: chunked\r\n\r\nff\r\nhalf", true, true },
+        SpoiledAnswer { "NoLastChunk", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", true, true },
+        SpoiledAnswer { "NotHTTP", "hello\r\n\r\n", false, false },
+        SpoiledAnswer { "TwoLengths", "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", true, false },
+        SpoiledAnswer { "Encoded", "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nab", true, false },
+        SpoiledAnswer { "NoSeal", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", false, false },
+        SpoiledAnswer { "NoAnswer", "", false, false }),
+    [](const auto& info) { return info.param.name; });
+
+struct EndlessAnswer {
+    const char* name;
+    std::string begins; // With the attempt's head lines where `sealed`
+    std::string goesOn;
+    bool sealed;
+};
+
+std::ostream& operator<<(std::ostream& stream, const EndlessAnswer& answer)
+{
+    return stream << answer.name;
+}
+
+class EndlessAnswers : public EndpointAnswers, public testing::WithParamInterface<EndlessAnswer> { };
+
+// The connection ends, memory stays bounded, and the caller gets a true answer at its time limit or before.
+TEST_P(EndlessAnswers, EndWithTheirConnectionAndATrueAnswer)
+{
+    const auto& endless = GetParam();
+    raw->setScript([&](StreamSocket& socket, const std::string& attempt) {
+        const auto head = "HTTP/1.1 200 OK\r\n" + attemptHeader + attempt + "\r\n" + sealHeader;
+        socket.write((endless.sealed ? head : std::string()) + endless.begins);
+        raw->flood(socket, endless.goesOn);
+    });
+    const auto before = residentMB();
+    const auto sent = MonotonicClock::now();
+    const auto status = order("/order/1");
+    EXPECT_TRUE(status == 502 || status == 504) << status;
+    EXPECT_LT(MonotonicClock::now() - sent, 1800ms); // The route's time limit is 1.5 s
+    EXPECT_LT(residentMB(), before + mostGrowthMB);
+    EXPECT_TRUE(mesh.runUntil([&] { return !raw->openConnections(); }));
+    // The path serves on.
+    raw->setScript([](StreamSocket& socket, const std::string& attempt) { socket.write(RawEndpoint::answerTo(attempt, "whole")); });
+    EXPECT_TRUE(mesh.runUntil([&] { return order("/order/2") == 200; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(SidecarPath, EndlessAnswers,
+    testing::Values(EndlessAnswer { "NotHTTP", "", "no answer at all ", false },
+        EndlessAnswer { "StatusLine", "HTTP/1.1 200 ", "very good ", false },
+        EndlessAnswer { "HeaderName", "X", "XXXXXXXXXXXXXXXX", true }, EndlessAnswer { "HeaderValue", "X: ", "more and more ", true },
+        EndlessAnswer { "Headers", "", "X-More: 1\r\n", true },
+        EndlessAnswer { "BodyWithoutLength", "\r\n", "more and more ", true },
+        EndlessAnswer { "BodyWithAHugeLength", "Content-Length: 99999999999\r\n\r\n", "more and more ", true },
+        EndlessAnswer { "Chunks", "Transfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n", true },
+        EndlessAnswer { "ChunkExtension", "Transfer-Encoding: chunked\r\n\r\n4;x=", "more and more ", true },
+        EndlessAnswer { "Trailers", "Transfer-Encoding: chunked\r\n\r\n4\r\nmore\r\n0\r\n", "X-More: 1\r\n", true },
+        EndlessAnswer { "InterimAnswers", "", "HTTP/1.1 102 Processing\r\n\r\n", false },
+        EndlessAnswer { "AnswersToOthers", "",
+            "HTTP/1.1 200 OK\r\n" + attemptHeader + "another\r\nContent-Length: 2\r\n\r\nab", false }),
+    [](const auto& info) { return info.param.name; });
+
+// Many at once: what one may hold is bounded, and what all hold together as well.
+TEST_F(EndpointAnswers, EndlessBodiesOfManyRequestsTogetherStayWithinBounds)
+{
+    raw->setScript([&](StreamSocket& socket, const std::string& attempt) {
+        socket.write("HTTP/1.1 200 OK\r\n" + attemptHeader + attempt + "\r\n" + sealHeader + "\r\n");
+        raw->flood(socket, std::string(16 * 1024, 'x'));
+    });
+    // More connections than slots of the stand-in would be refused beside it; straight to the pool, as many as slots of a large one.
+    HTTPPool pool;
+    pool.setAddress(mesh.backendAddress(0));
+    pool.setAcceptsUnframed(true);
+    constexpr size_t requests = 40;
+    size_t failed = 0;
+    const auto before = residentMB();
+    size_t most = 0;
+    for (size_t i = 0; i < requests; ++i) {
+        pool.send(i, { "GET", "/read/endless", { { "Host", "app" }, { std::string(platform::header::attemptID), "a" } }, {} },
+            [&failed](const Result<HTTPResponse>& response) { failed += response ? 0 : 1; });
+    }
+    EXPECT_TRUE(mesh.runUntil([&] {
+        most = std::max(most, residentMB());
+        return failed == requests;
+    }));
+    // The stand-in holds up to 256 KB for each connection itself.
+    EXPECT_LT(most, before + mostGrowthMB + requests / 4);
+}
+
+struct EndlessRequest {
+    const char* name;
+    std::string begins;
+    std::string goesOn;
+};
+
+class EndlessRequests : public testing::TestWithParam<EndlessRequest> { };
+
+// The same on the callers' leg.
+TEST_P(EndlessRequests, AreRefusedAndTheirConnectionEnds)
+{
+    SidecarHarness mesh({ "zone-a/alpha" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    auto socket = StreamSocket::connect(mesh.callersAddress(0));
+    std::string answer;
+    bool closed = false;
+    socket->start({ [&answer](std::span<const uint8_t> bytes) { answer.append(bytes.begin(), bytes.end()); }, nullptr,
+        [&closed](StreamEnd) { closed = true; } });
+    socket->write(GetParam().begins);
+    const auto before = residentMB();
+    Timer flood;
+    flood.startRepeating(1ms, [&] {
+        constexpr size_t bytesAhead = 256 * 1024;
+        while (socket->isOpen() && socket->pendingBytes() < bytesAhead && socket->write(GetParam().goesOn)) { }
+    });
+    EXPECT_TRUE(mesh.runUntil([&] { return closed; }));
+    EXPECT_LT(residentMB(), before + mostGrowthMB);
+    EXPECT_EQ(mesh.runs("/order/endless"), 0U);
+    EXPECT_EQ(mesh.fetch(0, "/read/1").status(), 200);
+    // A reset may overtake the answer.
+    EXPECT_TRUE(answer.empty() || answer.starts_with("HTTP/1.1 4")) << answer;
+}
+
+const std::string orderHead = "POST /order/endless HTTP/1.1\r\nHost: app\r\n" + attemptHeader + "endless\r\n";
+
+INSTANTIATE_TEST_SUITE_P(SidecarPath, EndlessRequests,
+    testing::Values(EndlessRequest { "NotHTTP", "", "no request at all " }, EndlessRequest { "Target", "GET /", "xxxxxxxxxxxxxxxx" },
+        EndlessRequest { "HeaderValue", orderHead + "X: ", "more and more " },
+        EndlessRequest { "Headers", orderHead, "X-More: 1\r\n" },
+        EndlessRequest { "Chunks", orderHead + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + std::string(1024, 'x') + "\r\n" },
+        EndlessRequest { "ChunkExtension", orderHead + "Transfer-Encoding: chunked\r\n\r\n4;x=", "more and more " },
+        EndlessRequest { "Trailers", orderHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: 1\r\n" },
+        EndlessRequest { "BodyLongerThanAllowed", orderHead + "Content-Length: 99999999999\r\n\r\n", "more and more " }),
+    [](const auto& info) { return info.param.name; });
+
+} // namespace
+} // namespace shallot
--- /dev/null
+++ b/Tests/RawEndpoint.cpp
@@ -0,0 +1,75 @@
+#include "RawEndpoint.h"
+
+#include "platform/Names.h"
+
+#include <algorithm>
+#include <glib.h>
+
+namespace shallot {
+
+using namespace std::chrono_literals;
+
+RawEndpoint::RawEndpoint(const SocketAddress& address, std::string instance, Script script)
+    : m_instance(std::move(instance))
+    , m_script(std::move(script))
+{
+    const auto started = m_listener.start(address, [this](RefPtr<StreamSocket> socket) {
+        auto buffer = std::make_shared<std::string>();
+        auto* raw = socket.get();
+        socket->start({ [this, raw, buffer](std::span<const uint8_t> bytes) {
+                           onBytes(*raw, *buffer, { reinterpret_cast<const char*>(bytes.data()), bytes.size() });
+                       },
+            nullptr, nullptr });
+        m_connections.push_back(std::move(socket));
+    });
+    g_assert(started);
+}
+
+RawEndpoint::~RawEndpoint()
+{
+    for (const auto& connection : m_connections)
+        connection->close();
+}
+
+void RawEndpoint::onBytes(StreamSocket& socket, std::string& buffer, std::string_view bytes)
+{
+    buffer.append(bytes);
+    const auto end = buffer.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return;
+    const auto head = buffer.substr(0, end + 4);
+    buffer.clear(); // Requests of these tests have short bodies, which come with the head
+    if (head.starts_with("GET /health")) {
+        socket.write("HTTP/1.1 200 OK\r\n" + std::string(platform::header::instance) + ": " + m_instance
+            + "\r\nContent-Length: 0\r\n\r\n");
+        return;
+    }
+    ++m_requests;
+    const auto name = std::string(platform::header::attemptID) + ": ";
+    const auto at = head.find(name) + name.size();
+    m_script(socket, head.substr(at, head.find("\r\n", at) - at));
+}
+
+void RawEndpoint::flood(StreamSocket& socket, const std::string& text)
+{
+    constexpr size_t bytesAhead = 256 * 1024; // Written before the other side has read them
+    auto timer = std::make_unique<Timer>();
+    timer->startRepeating(1ms, [connection = RefPtr<StreamSocket>(&socket), text] {
+        while (connection->isOpen() && connection->pendingBytes() < bytesAhead && connection->write(text)) { }
+    });
+    m_floods.push_back(std::move(timer));
+}
+
+std::string RawEndpoint::answerTo(const std::string& attempt, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\n" + std::string(platform::header::attemptID) + ": " + attempt + "\r\n"
+        + std::string(platform::header::seal) + ": seal\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+size_t RawEndpoint::openConnections() const
+{
+    return static_cast<size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(), [](const auto& connection) { return connection->isOpen(); }));
+}
+
+} // namespace shallot
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -70,6 +70,14 @@
     connection.respond({ status, headers, body }, false, MonotonicClock::now());
 }
 
+void EndpointStandin::refuse(const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request)
+{
+    const std::string attempt(findHeader(request.headers, platform::header::attemptID));
+    const HTTPHeaders headers { { std::string(platform::header::attemptID), attempt },
+        { std::string(platform::header::notExecuted), "1" } };
+    connection->respond({ 503, headers, {} }, false, MonotonicClock::now());
+}
+
 SidecarHarness::SidecarHarness(const std::vector<std::string>& places, const std::vector<size_t>& startedLater)
     : m_basePort(nextBasePort())
     , m_places(places)
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -29,6 +29,9 @@
     // A whole, sealed answer.
     static void answer(StrictHTTPConnection&, const HTTPRequest&, uint16_t status = 200, const std::string& body = "done");
 
+    // Says that the request has not run.
+    static void refuse(const RefPtr<StrictHTTPConnection>&, const HTTPRequest&);
+
     const std::vector<HTTPRequest>& requests() const { return m_requests; }
     size_t goneCount() const { return m_gone; }
     size_t connectionCount() const { return m_server.connectionCount(); }
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -211,13 +211,9 @@
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/alpha" });
     ASSERT_TRUE(mesh.waitUntilServing());
-    const auto shed = [](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) {
-        const HTTPResponse refused { 503, { { std::string(platform::header::notExecuted), "1" } }, {} };
-        connection->respond(refused, false, MonotonicClock::now());
-    };
-    mesh.endpoint(0).setScript(shed);
+    mesh.endpoint(0).setScript(EndpointStandin::refuse);
     EXPECT_EQ(mesh.wait(mesh.send(0, { "POST", "/order/1", {}, "tiles" })).status(), 200);
-    mesh.endpoint(1).setScript(shed);
+    mesh.endpoint(1).setScript(EndpointStandin::refuse);
     EXPECT_EQ(mesh.wait(mesh.send(1, { "POST", "/order/2", {}, "tiles" })).status(), 503);
 }
 
@@ -313,12 +309,8 @@
     ASSERT_TRUE(mesh.waitUntilServing());
     mesh.configure(2, R"(["key-1"])", 10);
     mesh.runFor(1500ms);
-    mesh.endpoint(0).setScript([](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) {
-        connection->respond({ 503, { { std::string(platform::header::notExecuted), "1" } }, {} }, false, MonotonicClock::now());
-    });
-    mesh.endpoint(1).setScript([](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) {
-        connection->respond({ 503, { { std::string(platform::header::notExecuted), "1" } }, {} }, false, MonotonicClock::now());
-    });
+    mesh.endpoint(0).setScript(EndpointStandin::refuse);
+    mesh.endpoint(1).setScript(EndpointStandin::refuse);
     for (size_t i = 0; i < 60; ++i)
         EXPECT_EQ(mesh.fetch(i % 2, "/read/refused").status(), 503);
 }
