A planned stop answers what the kernel has taken; bound callers' bodies together

Causes, each shown by a test that failed first: when the callers' server stopped, connections in the listener's queue and bytes that had arrived but were not read were dropped, and a request of which half had arrived was ignored until its connection was aborted two seconds later. The process then ended with connections open. Bodies of callers were bounded one by one only: 12 callers held 72 MB.

Change: the queue is accepted to its end, what the kernel holds is read, requests that have begun to arrive are read on and answered, and the process ends when all connections are closed or its time is over. Bodies of all callers together may take 32 MB; beyond it a request is refused with 503 before it is passed on.

Tests: PlannedStop.*.

--- a/Source/net/Listener.cpp
+++ b/Source/net/Listener.cpp
@@ -54,15 +54,27 @@
 
 void Listener::acceptWaiting()
 {
-    for (int i = 0; i < acceptsPerTurn && m_watcher.descriptor >= 0; ++i) {
-        const int descriptor = ::accept4(m_watcher.descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (descriptor < 0) {
-            if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ECONNABORTED)
-                SHALLOT_LOG(WARNING, "net") << "A connection was not accepted: " << std::strerror(errno) << ".";
-            return;
-        }
-        m_handler(makeRef<StreamSocket>(descriptor));
+    for (int i = 0; i < acceptsPerTurn && acceptOne(); ++i) { }
+}
+
+bool Listener::acceptOne()
+{
+    if (m_watcher.descriptor < 0)
+        return false;
+    const int descriptor = ::accept4(m_watcher.descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+        if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ECONNABORTED)
+            SHALLOT_LOG(WARNING, "net") << "A connection was not accepted: " << std::strerror(errno) << ".";
+        return false;
     }
+    m_handler(makeRef<StreamSocket>(descriptor));
+    return true;
+}
+
+void Listener::acceptRestAndStop()
+{
+    for (int i = 0; i < backlog && acceptOne(); ++i) { }
+    stop();
 }
 
 void Listener::stop()
--- a/Source/net/Listener.h
+++ b/Source/net/Listener.h
@@ -24,9 +24,12 @@
     // Internal with the system's text when the address cannot be bound.
     Result<void> start(const SocketAddress&, Handler);
     void stop();
+    // The same once every connection that the kernel has taken is handed to the handler.
+    void acceptRestAndStop();
 
 private:
     void acceptWaiting();
+    bool acceptOne();
 
     SocketWatcher m_watcher;
     Handler m_handler;
--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -130,6 +130,13 @@
         m_callbacks.onConnected();
 }
 
+void StreamSocket::readNow()
+{
+    const RefPtr<StreamSocket> protect(this);
+    if (isOpen() && m_started && !m_connecting)
+        readAvailable();
+}
+
 void StreamSocket::readAvailable()
 {
     static std::array<uint8_t, readChunkBytes> chunk; // One loop, one thread: every socket reads through it
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -41,6 +41,8 @@
     bool write(std::string_view);
     // Sends what is buffered, ends the own stream and drops what still arrives until the other side closes.
     void finish();
+    // Reads what the kernel holds without waiting for the loop.
+    void readNow();
     // Ends the connection; onClosed is not called.
     void close();
     // Unacknowledged bytes older than this end the connection.
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -15,8 +15,10 @@
 
 namespace {
 
-constexpr size_t maximumPipelinedBytes = 256 * 1024;    // Sent ahead of an answer; more than this closes the connection
-constexpr auto lingerTimeout = std::chrono::seconds(2); // For the other side to close after the last answer
+constexpr size_t maximumPipelinedBytes = 256 * 1024; // Sent ahead of an answer; more than this closes the connection
+constexpr size_t longBodyBytes = 64 * 1024;          // From here on the connection asks whether it may hold more
+constexpr auto firstRequestPatience = std::chrono::milliseconds(500); // Of a server that leaves; many times a caller's way
+constexpr auto lingerTimeout = std::chrono::seconds(2);               // For the other side to close after the last answer
 
 // The parser library takes a space before the colon as part of neither the name nor the value.
 bool haveProperNames(std::string_view head)
@@ -152,13 +154,7 @@
             return 0;
         };
         result.on_body = [](http_parser* parser, const char* at, size_t length) {
-            auto& connection = from(parser);
-            if (connection.m_request.body.size() + length > connection.m_limits.maximumBodyBytes) {
-                connection.m_bodyTooLarge = true;
-                return 1;
-            }
-            connection.m_request.body.append(at, length);
-            return 0;
+            return from(parser).appendBody({ at, length }) ? 0 : 1;
         };
         result.on_message_complete = [](http_parser* parser) {
             from(parser).m_messageComplete = true;
@@ -230,7 +226,7 @@
         const size_t parsed = http_parser_execute(&m_parser, &parserSettings(), m_input.data(), m_input.size());
         const auto error = HTTP_PARSER_ERRNO(&m_parser);
         if (error != HPE_OK && error != HPE_PAUSED) {
-            reject(m_bodyTooLarge ? 413 : 400, m_bodyTooLarge ? "the body is too large" : "the body does not parse");
+            reject(m_refusal ? m_refusalStatus : 400, m_refusal ? m_refusal : "the body does not parse");
             return;
         }
         m_input.erase(0, parsed);
@@ -239,8 +235,27 @@
         deliver();
 }
 
+bool StrictHTTPConnection::appendBody(std::string_view bytes)
+{
+    const auto size = m_request.body.size() + bytes.size();
+    if (size > m_limits.maximumBodyBytes) {
+        m_refusal = "the body is too large";
+        m_refusalStatus = 413;
+        return false;
+    }
+    if (size > longBodyBytes && m_callbacks.mayHoldMore && !m_callbacks.mayHoldMore()) {
+        m_refusal = "too many large bodies at once";
+        m_refusalStatus = 503;
+        return false;
+    }
+    m_request.body.append(bytes);
+    return true;
+}
+
 void StrictHTTPConnection::deliver()
 {
+    m_served = true;
+    m_servedBytes = m_request.body.size();
     m_collector.headersComplete = false;
     m_messageComplete = false;
     m_serving = true;
@@ -255,8 +270,9 @@
         return;
     const RefPtr<StrictHTTPConnection> protect(this);
     m_serving = false;
+    m_servedBytes = 0;
     m_since = now;
-    close = close || !m_keepAlive || m_closing;
+    close = close || !m_keepAlive || m_leaving;
     std::string text;
     text.reserve(256 + response.body.size());
     text += "HTTP/1.1 " + std::to_string(response.status) + " " + reasonPhrase(response.status) + "\r\n";
@@ -289,6 +305,7 @@
 void StrictHTTPConnection::reject(uint16_t status, const char* reason)
 {
     m_input.clear();
+    m_request = {};
     m_collector.headersComplete = false;
     m_serving = true;
     m_keepAlive = false;
@@ -305,9 +322,24 @@
 
 void StrictHTTPConnection::closeWhenIdle()
 {
+    const RefPtr<StrictHTTPConnection> protect(this);
+    m_leaving = true;
+    const auto now = MonotonicClock::now();
+    if (!m_served)
+        m_since = now;
+    // A request that the kernel has taken was sent to a server that still served.
+    m_socket->readNow();
+    if (m_served)
+        finishIfIdle(now);
+}
+
+void StrictHTTPConnection::finishIfIdle(TimePoint now)
+{
+    if (m_closing || m_serving || m_collector.headersComplete || !m_input.empty() || !m_socket->isOpen())
+        return;
     m_closing = true;
-    if (!m_serving && !m_collector.headersComplete && m_input.empty())
-        m_socket->finish();
+    m_since = now;
+    m_socket->finish();
 }
 
 void StrictHTTPConnection::enforceTimeouts(TimePoint now)
@@ -325,10 +357,8 @@
     } else if (!m_input.empty()) {
         if (age > m_limits.headerTimeout)
             reject(408, "the head did not arrive in time");
-    } else if (age > m_limits.idleTimeout) {
-        m_closing = true;
-        m_since = now;
-        m_socket->finish();
+    } else if (age > (m_leaving ? std::min<Duration>(firstRequestPatience, m_limits.idleTimeout) : m_limits.idleTimeout)) {
+        finishIfIdle(now);
     }
 }
 
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -32,6 +32,7 @@
         std::function<void(StrictHTTPConnection&, HTTPRequest)> onRequest;
         std::function<void(StrictHTTPConnection&)> onGone;   // While a request waits for its answer
         std::function<void(StrictHTTPConnection&)> onClosed; // Always the last call
+        std::function<bool()> mayHoldMore;                   // Asked as a long body arrives; without one it may
     };
 
     StrictHTTPConnection(RefPtr<StreamSocket>, const StrictHTTPLimits&, Callbacks);
@@ -44,9 +45,12 @@
     void abort();
     // Closes connections whose head, body or next request is overdue, or that have nothing more to say.
     void enforceTimeouts(TimePoint now);
-    // Closes once the request in progress is answered, at once if there is none.
+    // Closes once what has arrived so far is answered, at once if that is nothing. A connection that has not carried a request
+    // yet gets a moment to send one.
     void closeWhenIdle();
     bool isServing() const { return m_serving; }
+    // Of the request that arrives or is served, and of those behind it.
+    size_t heldBytes() const { return m_input.size() + m_request.body.size() + m_servedBytes; }
     const std::string& peerHost() const { return m_peerHost; }
 
 private:
@@ -57,6 +61,8 @@
     void readBody();
     void reject(uint16_t status, const char* reason);
     void deliver();
+    bool appendBody(std::string_view);
+    void finishIfIdle(TimePoint now);
     static const http_parser_settings& parserSettings();
     static StrictHTTPConnection& from(http_parser* parser) { return *static_cast<StrictHTTPConnection*>(parser->data); }
 
@@ -70,10 +76,14 @@
     TimePoint m_since {}; // When the present phase began
     HeaderCollector m_collector;
     bool m_messageComplete { false };
-    bool m_bodyTooLarge { false };
+    size_t m_servedBytes { 0 };        // Body of the request in progress
+    const char* m_refusal { nullptr }; // Why the body that arrives is not taken
+    uint16_t m_refusalStatus { 0 };
     bool m_serving { false };
     bool m_keepAlive { true };
-    bool m_closing { false };
+    bool m_served { false };  // Has carried a request
+    bool m_leaving { false }; // Ends with the next answer
+    bool m_closing { false }; // The last answer is on its way
 };
 
 } // namespace shallot
--- a/Source/net/StrictHTTPServer.cpp
+++ b/Source/net/StrictHTTPServer.cpp
@@ -2,6 +2,7 @@
 
 #include "net/StreamSocket.h"
 
+#include <numeric>
 #include <vector>
 
 namespace shallot {
@@ -9,7 +10,8 @@
 namespace {
 
 constexpr auto sweepInterval = std::chrono::milliseconds(500); // Lateness of a time-out, against time-outs of seconds
-constexpr size_t maximumConnections = 3000; // Below the 4,100 descriptors of the smallest instance, with room for peers
+constexpr size_t maximumHeldBytes = 32 * 1024 * 1024; // Of all callers' bodies; a fifth of the smallest instance's memory
+constexpr size_t maximumConnections = 3000;           // Below the 4,100 descriptors of the smallest instance, with room for peers
 
 } // namespace
 
@@ -48,12 +50,20 @@
                 if (m_connections.erase(&from))
                     intrusive_ptr_release(&from);
             },
+            [this] { return mayHoldMore(); },
         });
     intrusive_ptr_add_ref(connection.get());
     m_connections.insert(connection.get());
     connection->start(MonotonicClock::now());
 }
 
+bool StrictHTTPServer::mayHoldMore() const
+{
+    const auto held = std::accumulate(m_connections.begin(), m_connections.end(), size_t { 0 },
+        [](size_t sum, const auto* connection) { return sum + connection->heldBytes(); });
+    return held < maximumHeldBytes;
+}
+
 void StrictHTTPServer::sweep()
 {
     const auto now = MonotonicClock::now();
@@ -66,10 +76,12 @@
 
 void StrictHTTPServer::startLeaving()
 {
-    m_listener.stop();
+    m_listener.acceptRestAndStop();
     const std::vector<StrictHTTPConnection*> connections(m_connections.begin(), m_connections.end());
-    for (auto* connection : connections)
-        connection->closeWhenIdle();
+    for (auto* connection : connections) {
+        if (m_connections.contains(connection))
+            connection->closeWhenIdle();
+    }
 }
 
 } // namespace shallot
--- a/Source/net/StrictHTTPServer.h
+++ b/Source/net/StrictHTTPServer.h
@@ -24,13 +24,15 @@
 
     Result<void> start(const SocketAddress&, const StrictHTTPLimits&, Handlers);
     void setLimits(const StrictHTTPLimits& limits) { m_limits = limits; }
-    // Takes no new connections; each open one ends with its next answer.
+    // Takes no new connections. Requests that the kernel has taken are answered, and each connection ends with its next answer or
+    // when it is idle.
     void startLeaving();
     size_t connectionCount() const { return m_connections.size(); }
 
 private:
     void accept(RefPtr<StreamSocket>);
     void sweep();
+    bool mayHoldMore() const;
 
     Listener m_listener;
     StrictHTTPLimits m_limits;
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -54,6 +54,7 @@
     void onAnswer(PeerLink&, wire::AnswerT&);
     void onLinkClosed(PeerLink&);
     size_t inProgress() const { return m_visits.size(); }
+    size_t openConnections() const { return m_server.connectionCount(); }
 
 private:
     // One request between its arrival and its answer.
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -106,8 +106,9 @@
         const auto now = MonotonicClock::now();
         if (now >= earliest && !std::exchange(m_stoppedAccepting, true))
             m_ingress.stopAccepting();
-        const bool idle = !m_ingress.inProgress() && m_served.empty();
-        if ((idle && now >= earliest) || now >= closeBy)
+        // A connection that is still open may carry a request that is on its way, or the last bytes of an answer.
+        const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty();
+        if (idle || now >= closeBy)
             finishLeaving();
     });
 }
--- /dev/null
+++ b/Tests/PlannedStopTest.cpp
@@ -0,0 +1,203 @@
+// A planned stop under load, and callers that hold the server's memory: what had been accepted or was on its way when the stop
+// came is answered, and the bodies of all callers together are bounded.
+
+#include "TestPorts.h"
+#include "net/StreamSocket.h"
+#include "net/StrictHTTPServer.h"
+
+#include <array>
+#include <arpa/inet.h>
+#include <glib.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace shallot {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A caller whose bytes are with the server's kernel when send() returns, whatever the server's loop does.
+class KernelCaller {
+public:
+    explicit KernelCaller(const SocketAddress& address)
+        : m_descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(address.port);
+        inet_pton(AF_INET, address.host.c_str(), &target.sin_addr);
+        EXPECT_EQ(::connect(m_descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof target), 0);
+    }
+    ~KernelCaller() { ::close(m_descriptor); }
+    KernelCaller(const KernelCaller&) = delete;
+    KernelCaller& operator=(const KernelCaller&) = delete;
+
+    void send(std::string_view text) const { EXPECT_EQ(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL), text.size()); }
+    // What has come since the last call.
+    std::string receive()
+    {
+        std::array<char, 4096> bytes {};
+        const auto size = ::recv(m_descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        m_ended = m_ended || size == 0;
+        return size > 0 ? std::string(bytes.data(), static_cast<size_t>(size)) : std::string();
+    }
+    bool hasEnded() const { return m_ended; }
+
+private:
+    int m_descriptor;
+    bool m_ended { false };
+};
+
+class PlannedStop : public testing::Test {
+protected:
+    PlannedStop()
+        : address { "127.0.0.1", nextBasePort() }
+    {
+        const auto started = server.start(address, {},
+            { [this](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+                 ++requests;
+                 if (request.target == "/held")
+                     held = connection;
+                 else
+                     connection->respond({ 200, {}, request.body + "!" }, false, MonotonicClock::now());
+             },
+                nullptr });
+        EXPECT_TRUE(started.has_value());
+    }
+
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const auto end = MonotonicClock::now() + 4s;
+        while (!condition()) {
+            if (MonotonicClock::now() > end)
+                return false;
+            Timer wake;
+            wake.startOnce(5ms, [] {});
+            g_main_context_iteration(nullptr, TRUE);
+        }
+        return true;
+    }
+
+    std::string answerTo(KernelCaller& caller)
+    {
+        std::string answer;
+        runUntil([&] {
+            answer += caller.receive();
+            return caller.hasEnded() || answer.ends_with("!");
+        });
+        return answer;
+    }
+
+    SocketAddress address;
+    StrictHTTPServer server;
+    RefPtr<StrictHTTPConnection> held;
+    size_t requests { 0 };
+};
+
+const std::string get = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+
+TEST_F(PlannedStop, ARequestThatNobodyHasAcceptedYetIsAnswered)
+{
+    KernelCaller caller(address);
+    caller.send(get);
+    server.startLeaving();
+    EXPECT_TRUE(answerTo(caller).starts_with("HTTP/1.1 200"));
+    EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
+}
+
+TEST_F(PlannedStop, ARequestThatNobodyHasReadYetIsAnsweredAlsoOnAKeptConnection)
+{
+    KernelCaller fresh(address);
+    ASSERT_TRUE(runUntil([&] { return server.connectionCount() == 1; }));
+    KernelCaller kept(address);
+    kept.send(get);
+    EXPECT_TRUE(answerTo(kept).starts_with("HTTP/1.1 200"));
+    fresh.send(get);
+    kept.send(get);
+    server.startLeaving();
+    EXPECT_TRUE(answerTo(fresh).starts_with("HTTP/1.1 200"));
+    EXPECT_TRUE(answerTo(kept).starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(requests, 3U);
+}
+
+TEST_F(PlannedStop, ARequestOfWhichHalfHasArrivedIsAnswered)
+{
+    const std::string post = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf";
+    KernelCaller halfBody(address);
+    halfBody.send(post);
+    KernelCaller halfHead(address);
+    halfHead.send(get.substr(0, 10));
+    ASSERT_TRUE(runUntil([&] { return server.connectionCount() == 2; }));
+    runUntil([ticks = 0]() mutable { return ++ticks > 10; });
+    server.startLeaving();
+    runUntil([ticks = 0]() mutable { return ++ticks > 20; });
+    halfBody.send("-other");
+    halfHead.send(get.substr(10));
+    EXPECT_TRUE(answerTo(halfBody).ends_with("half-other!"));
+    EXPECT_TRUE(answerTo(halfHead).starts_with("HTTP/1.1 200"));
+    EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
+}
+
+TEST_F(PlannedStop, IdleConnectionsEndAndTheRequestInProgressIsAnswered)
+{
+    KernelCaller idle(address);
+    idle.send(get);
+    EXPECT_TRUE(answerTo(idle).ends_with("!"));
+    KernelCaller busy(address);
+    busy.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    server.startLeaving();
+    EXPECT_TRUE(runUntil([&] {
+        idle.receive();
+        return idle.hasEnded();
+    }));
+    held->respond({ 200, {}, "late!" }, false, MonotonicClock::now());
+    const auto answer = answerTo(busy);
+    EXPECT_TRUE(answer.ends_with("late!"));
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    // New connections are refused.
+    auto late = StreamSocket::connect(address);
+    bool refused = false;
+    late->start({ [](std::span<const uint8_t>) {}, nullptr, [&refused](StreamEnd) { refused = true; } });
+    EXPECT_TRUE(runUntil([&] { return refused; }));
+}
+
+TEST_F(PlannedStop, BodiesOfAllCallersTogetherAreBounded)
+{
+    constexpr size_t callers = 12;
+    constexpr size_t bodyBytes = 6 * 1024 * 1024; // Each within the limit of one
+    size_t refused = 0;
+    size_t answered = 0;
+    std::vector<RefPtr<StreamSocket>> sockets;
+    std::vector<std::string> answers(callers);
+    for (size_t i = 0; i < callers; ++i) {
+        auto socket = StreamSocket::connect(address);
+        socket->start({ [&answers, i](std::span<const uint8_t> bytes) { answers[i].append(bytes.begin(), bytes.end()); }, nullptr,
+            nullptr });
+        // All but the last bytes, so that each body is held.
+        socket->write("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+            + std::string(bodyBytes - 1, 'x'));
+        sockets.push_back(std::move(socket));
+    }
+    const auto count = [&] {
+        refused = answered = 0;
+        for (const auto& answer : answers) {
+            refused += answer.starts_with("HTTP/1.1 503") ? 1 : 0;
+            answered += answer.starts_with("HTTP/1.1 200") ? 1 : 0;
+        }
+        return refused + answered;
+    };
+    runUntil([&, ticks = 0]() mutable { return count() && ++ticks > 50; });
+    EXPECT_GE(refused, callers / 2); // 32 MB hold five of them
+    EXPECT_EQ(requests, 0U);
+    for (const auto& socket : sockets)
+        socket->write("x");
+    EXPECT_TRUE(runUntil([&] { return count() == callers; }));
+    EXPECT_GE(answered, 3U);
+    EXPECT_EQ(requests, answered);
+}
+
+} // namespace
+} // namespace shallot
