Keep a backend server that left out of use after a restart of its daemon

After a kill, a false health answer and a late announcement brought the backend server back.

Change: the own record in the member list names the last run that left; it is appended before the acknowledgement goes out, or 0.6 s later when the store does not answer. A daemon takes its backend server into use only when it knows that record, from the store or from a peer. A later run under the same name is another one by its start.

Test: SidecarPath.ABackendServerThatLeftStaysOutAfterARestartOfItsDaemon, with the store and without it.

--- a/Source/mesh/FleetKnowledge.cpp
+++ b/Source/mesh/FleetKnowledge.cpp
@@ -33,8 +33,8 @@
             m_lastOwnRead = now;
     }
     const auto readers = m_endpoints.readersOf(m_own.zone, m_settings.readersPerZone, now);
-    const bool isReader = std::any_of(
-        readers.begin(), readers.end(), [this](const auto* reader) { return reader->member.name == m_own.name; });
+    const bool isReader
+        = std::any_of(readers.begin(), readers.end(), [this](const auto* reader) { return reader->member.name == m_own.name; });
     // While nobody's knowledge is fresh, as when the store is down, each reads by itself once in a while (above).
     m_followsStore = steps.followsStore = isReader;
     if (!m_followsStore && !readers.empty() && now - m_lastQuestion >= m_settings.proofInterval) {
@@ -95,8 +95,7 @@
     return m_nextQuestion++;
 }
 
-void FleetKnowledge::recordAnswer(
-    uint64_t question, const std::string& member, Duration proofAge, bool isCurrent, TimePoint now)
+void FleetKnowledge::recordAnswer(uint64_t question, const std::string& member, Duration proofAge, bool isCurrent, TimePoint now)
 {
     const auto found = m_questions.find(question);
     if (found == m_questions.end())
--- a/Source/mesh/MemberList.cpp
+++ b/Source/mesh/MemberList.cpp
@@ -12,7 +12,8 @@
 
 uint64_t digestOf(const MeshMember& member)
 {
-    return stableHash(member.name + '\n' + member.zone + '\n' + member.address + '\n' + member.service);
+    const auto place = member.name + '\n' + member.zone + '\n' + member.address + '\n' + member.service;
+    return stableHash(place + '\n' + member.left.instance, member.left.startedBy);
 }
 
 } // namespace
--- a/Source/mesh/MeshMember.h
+++ b/Source/mesh/MeshMember.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "mesh/EndpointLeave.h"
+
 #include <string>
 
 namespace shallot {
@@ -10,6 +12,7 @@
     std::string zone;
     std::string address; // Peer links
     std::string service; // Of the backend server beside it
+    EndpointLeave left;  // Of the backend servers beside it
 };
 
 } // namespace shallot
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -17,6 +17,12 @@
 constexpr auto inheritedDeadlineTolerance = 3ms; // Deadlines travel in whole milliseconds
 constexpr auto probeTimeout = 1s; // Of the health question after a start; several times a probe's usual few milliseconds
 
+uint64_t wallClockMilliseconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
 } // namespace
 
 EndpointExecutor::EndpointExecutor(const MeshSettings& settings, const SocketAddress& backendServer, const std::string& service)
@@ -68,13 +74,28 @@
 void EndpointExecutor::announceLeave(const std::string& instance, TimePoint)
 {
     if (!m_announced || instance == m_announcement.instance) {
-        m_left = true;
+        if (!std::exchange(m_left, true))
+            m_leftAt = wallClockMilliseconds();
         m_announcement.instance = instance;
     }
     EventLog::write("instance-leaves", { { "backend_server", instance } });
     noteChange();
 }
 
+void EndpointExecutor::setFormerLeave(const EndpointLeave& leave)
+{
+    m_formerLeave = leave;
+    m_formerLeaveKnown = true;
+    noteChange();
+}
+
+EndpointLeave EndpointExecutor::currentLeave() const
+{
+    if (!m_left && !m_announcement.draining)
+        return {};
+    return { m_announcement.instance, m_announcement.startedAt ? m_announcement.startedAt : m_leftAt };
+}
+
 void EndpointExecutor::setHealthPath(const std::string& path, TimePoint)
 {
     m_healthPath = path;
@@ -121,7 +142,9 @@
 
 bool EndpointExecutor::isAvailable(TimePoint now) const
 {
-    return m_announced && m_verified && !m_announcement.draining && !m_left && !m_unreachable && !m_leaving
+    const bool hasLeft
+        = m_announcement.draining || m_left || m_formerLeave.covers(m_announcement.instance, m_announcement.startedAt);
+    return m_announced && m_verified && m_formerLeaveKnown && !hasLeft && !m_unreachable && !m_leaving
         && now - m_lastHeard < m_settings.announcementLapse;
 }
 
@@ -133,7 +156,8 @@
     m_wasAvailable = available;
     EventLog::write("instance-availability",
         { { "backend_server", m_announcement.instance }, { "available", available }, { "draining", m_announcement.draining },
-            { "left", m_left }, { "unreachable", m_unreachable }, { "verified", m_verified } });
+            { "left", m_left }, { "left_before_restart", m_formerLeave.instance }, { "unreachable", m_unreachable },
+            { "verified", m_verified } });
     if (m_onChange)
         m_onChange();
 }
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -2,6 +2,7 @@
 
 #include "core/RefCounted.h"
 #include "mesh/EndpointAnnouncement.h"
+#include "mesh/EndpointLeave.h"
 #include "mesh/EndpointQueue.h"
 #include "mesh/MeshCall.h"
 #include "mesh/RootGuard.h"
@@ -47,6 +48,11 @@
     // The backend server's word. Stale announcements change nothing.
     void announce(const EndpointAnnouncement&, TimePoint now);
     void announceLeave(const std::string& instance, TimePoint now);
+    // The last leave beside this daemon, as the member list holds it from before a restart. Nothing is available before this is
+    // known: the first announcement after a restart may be that of a backend server that had left.
+    void setFormerLeave(const EndpointLeave&);
+    // The backend server that says it leaves; empty when it does not.
+    EndpointLeave currentLeave() const;
     // Where the backend server answers whether it is healthy; the first word also makes up for announcements not heard yet.
     void setHealthPath(const std::string&, TimePoint now);
     // Refuses new calls; those at work go on.
@@ -105,7 +111,10 @@
     bool m_probing { false };
     Timer m_probeTimer;
     uint64_t m_probeID { 0 };
+    EndpointLeave m_formerLeave;
+    bool m_formerLeaveKnown { false };
     bool m_left { false };        // The instance said that it ends
+    uint64_t m_leftAt { 0 };      // When, in milliseconds since 1970; without an announcement its start is not known better
     bool m_unreachable { false }; // Refused a connection; until its next announcement
     bool m_leaving { false };
     bool m_wasAvailable { false };
--- a/Source/sidecar/KnowledgeExchange.cpp
+++ b/Source/sidecar/KnowledgeExchange.cpp
@@ -21,10 +21,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto appendTimeout = 1s;     // The store answers within milliseconds; a slow one is asked again
-constexpr auto appendRetry = 700ms;    // After an append that failed or whose answer was lost
-constexpr auto newestTimeout = 1500ms; // Several times the slowest answer of a store that is not in trouble
-constexpr size_t greetedMembers = 128; // After a start; in a larger fleet the others learn with their next call
+constexpr auto appendTimeout = 1s;                  // The store answers within milliseconds; a slow one is asked again
+constexpr auto leaveTimeout = 600ms;                // A backend server waits a second for its acknowledgement
+constexpr auto appendRetry = 700ms;                 // After an append that failed or whose answer was lost
+constexpr auto newestTimeout = 1500ms;              // Several times the slowest answer of a store that is not in trouble
+constexpr size_t greetedMembers = 128;              // After a start; in a larger fleet the others learn with their next call
 constexpr uint64_t longestProofAge = 3'600'000'000; // Microseconds: an hour proves as little as a day
 
 std::vector<MeshMember> decodeMembers(const std::vector<platform::KeyedRecord>& records)
@@ -82,10 +83,6 @@
 
 void KnowledgeExchange::onMembersRead(const FollowedRead& read)
 {
-    for (const auto& record : read.records) {
-        if (record.key == m_own.name)
-            m_membershipStored = record.value == platform::encodeMember(m_own).value;
-    }
     const auto members = decodeMembers(read.records);
     if (read.isNewest)
         m_knowledge.members().takeNewest(read.next, members);
@@ -100,9 +97,19 @@
     for (const auto& member : members) {
         if (member.name != m_own.name)
             m_beliefs.takeMember(member);
+        else
+            takeOwnRecord(member);
     }
 }
 
+// What this daemon wrote before a restart.
+void KnowledgeExchange::takeOwnRecord(const MeshMember& record)
+{
+    if (m_own.left.instance.empty())
+        m_own.left = record.left;
+    m_membershipStored = platform::encodeMember(record).value == platform::encodeMember(m_own).value;
+}
+
 void KnowledgeExchange::noteMembersKnown()
 {
     const auto& state = m_knowledge.members().state();
@@ -112,6 +119,8 @@
     if (!m_beliefs.setMembersKnown())
         return;
     EventLog::write("members-known", { { "members", m_knowledge.members().size() }, { "offset", state.offset } });
+    if (m_onListKnown)
+        m_onListKnown(m_own.left);
     greetMembers();
     // A record that stands already would only wake the readers.
     m_membershipAnnounced = true;
@@ -157,6 +166,19 @@
         });
 }
 
+void KnowledgeExchange::storeLeave(const EndpointLeave& leave, std::function<void()> done)
+{
+    m_own.left = leave;
+    m_store.append(platform::StoreTopic::Members, platform::encodeMember(m_own), leaveTimeout,
+        [this, done = std::move(done), instance = leave.instance](const Result<void>& result) {
+            if (!result) {
+                EventLog::write("leave-not-stored", { { "backend_server", instance }, { "detail", result.error().detail } });
+                m_membershipRetry.startOnce(appendRetry, [this] { announceMembership(); });
+            }
+            done();
+        });
+}
+
 // Peers
 
 void KnowledgeExchange::tick(TimePoint now)
@@ -251,16 +273,15 @@
 
 // Repair
 
-void KnowledgeExchange::repair(
-    MemberRepair repair, const char* cause, const std::string& peer, const MemberListState& other)
+void KnowledgeExchange::repair(MemberRepair repair, const char* cause, const std::string& peer, const MemberListState& other)
 {
     if (repair == MemberRepair::None)
         return;
     const auto& own = m_knowledge.members().state();
     EventLog::write("member-list-differs",
-        { { "peer", peer }, { "cause", cause }, { "whole_list_read", repair == MemberRepair::ReadNewest }, { "offset", own.offset },
-            { "digest", own.digest }, { "members", m_knowledge.members().size() }, { "peer_offset", other.offset },
-            { "peer_digest", other.digest } });
+        { { "peer", peer }, { "cause", cause }, { "whole_list_read", repair == MemberRepair::ReadNewest },
+            { "offset", own.offset }, { "digest", own.digest }, { "members", m_knowledge.members().size() },
+            { "peer_offset", other.offset }, { "peer_digest", other.digest } });
     if (repair == MemberRepair::ReadNewest)
         readAllMembers();
     else
--- a/Source/sidecar/KnowledgeExchange.h
+++ b/Source/sidecar/KnowledgeExchange.h
@@ -5,6 +5,10 @@
 #include "platform/StoreClient.h"
 #include "sidecar/StoreFollower.h"
 
+#include <functional>
+#include <string>
+#include <vector>
+
 namespace shallot {
 
 namespace wire {
@@ -22,11 +26,17 @@
 public:
     KnowledgeExchange(const MeshSettings&, MeshBeliefs&, MeshLinks&, platform::StoreClient&, const MeshMember& own);
 
+    // Once the member list is known: the last leave beside this daemon, from before its start.
+    void setListKnownHandler(std::function<void(const EndpointLeave&)> handler) { m_onListKnown = std::move(handler); }
     void start();
     void tick(TimePoint now);
     // Writes the own record into the store when it is not there yet.
     void setOwnService(const std::string&);
 
+    // Writes into the store that the backend server leaves; the handler is called once that stands there, or soon when it cannot.
+    void storeLeave(const EndpointLeave&, std::function<void()> done);
+    const EndpointLeave& storedLeave() const { return m_own.left; }
+
     void onQuestion(PeerLink&, const wire::RecordsRequestT&, TimePoint now);
     void onAnswer(PeerLink&, const wire::RecordsT&, TimePoint now);
 
@@ -41,6 +51,7 @@
     void readAllMembers();
     void noteMembersKnown();
     void announceMembership();
+    void takeOwnRecord(const MeshMember&);
     void greetMembers();
     void ask(const std::string& member, TimePoint now);
     void pushConfiguration();
@@ -53,6 +64,7 @@
     FleetKnowledge m_knowledge;
     StoreFollower m_configurationFollower;
     StoreFollower m_memberFollower;
+    std::function<void(const EndpointLeave&)> m_onListKnown;
     Timer m_membershipRetry;
     bool m_membershipStored { false };
     bool m_membershipAnnounced { false }; // Once; later only changes are written
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -83,6 +83,8 @@
         state->zone = member.zone;
         state->address = member.address;
         state->service = member.service;
+        state->left_instance = member.left.instance;
+        state->left_started_by = member.left.startedBy;
         records.members.push_back(std::move(state));
     }
 }
@@ -95,7 +97,8 @@
     update.from = records.members_from;
     for (const auto& state : records.members) {
         if (state && !state->member.empty() && parseSocketAddress(state->address))
-            update.members.push_back({ state->member, state->zone, state->address, state->service });
+            update.members.push_back(
+                { state->member, state->zone, state->address, state->service, { state->left_instance, state->left_started_by } });
     }
     return update;
 }
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -60,6 +60,7 @@
 {
     m_beliefs.takeMember(m_own);
     m_beliefs.setConfigurationHandler([this] { onConfiguration(); });
+    m_knowledge.setListKnownHandler([this](const EndpointLeave& former) { m_executor.setFormerLeave(former); });
     m_executor.setChangeHandler([this] { onBackendServerChange(); });
 }
 
@@ -144,7 +145,15 @@
         m_executor.announce(*announcement, now);
     else
         m_executor.announceLeave(std::get<platform::LeaveNotice>(*notice).instance, now);
-    connection->respond({ 200, { { "Content-Type", "application/json" } }, "{}" }, false, now);
+    const auto acknowledge = [connection] {
+        connection->respond({ 200, { { "Content-Type", "application/json" } }, "{}" }, false, MonotonicClock::now());
+    };
+    // The acknowledgement of a leave binds this daemon also after a restart, so the store has to know first.
+    const auto leave = m_executor.currentLeave();
+    if (leave.instance.empty() || m_knowledge.storedLeave().covers(leave.instance, leave.startedBy))
+        acknowledge();
+    else
+        m_knowledge.storeLeave(leave, acknowledge);
 }
 
 void Sidecar::answerReadiness(const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request)
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -1333,6 +1333,8 @@
   uint8_t state = 0;
   std::string service{};
   uint32_t slots = 0;
+  std::string left_instance{};
+  uint64_t left_started_by = 0;
 };
 
 struct MemberState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1346,7 +1348,9 @@
     VT_VERSION = 10,
     VT_STATE = 12,
     VT_SERVICE = 14,
-    VT_SLOTS = 16
+    VT_SLOTS = 16,
+    VT_LEFT_INSTANCE = 18,
+    VT_LEFT_STARTED_BY = 20
   };
   const flatbuffers::String *member() const {
     return GetPointer<const flatbuffers::String *>(VT_MEMBER);
@@ -1369,6 +1373,12 @@
   uint32_t slots() const {
     return GetField<uint32_t>(VT_SLOTS, 0);
   }
+  const flatbuffers::String *left_instance() const {
+    return GetPointer<const flatbuffers::String *>(VT_LEFT_INSTANCE);
+  }
+  uint64_t left_started_by() const {
+    return GetField<uint64_t>(VT_LEFT_STARTED_BY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_MEMBER) &&
@@ -1382,6 +1392,9 @@
            VerifyOffset(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyOffset(verifier, VT_LEFT_INSTANCE) &&
+           verifier.VerifyString(left_instance()) &&
+           VerifyField<uint64_t>(verifier, VT_LEFT_STARTED_BY, 8) &&
            verifier.EndTable();
   }
   MemberStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1414,6 +1427,12 @@
   void add_slots(uint32_t slots) {
     fbb_.AddElement<uint32_t>(MemberState::VT_SLOTS, slots, 0);
   }
+  void add_left_instance(flatbuffers::Offset<flatbuffers::String> left_instance) {
+    fbb_.AddOffset(MemberState::VT_LEFT_INSTANCE, left_instance);
+  }
+  void add_left_started_by(uint64_t left_started_by) {
+    fbb_.AddElement<uint64_t>(MemberState::VT_LEFT_STARTED_BY, left_started_by, 0);
+  }
   explicit MemberStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1434,9 +1453,13 @@
     uint64_t version = 0,
     uint8_t state = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
-    uint32_t slots = 0) {
+    uint32_t slots = 0,
+    flatbuffers::Offset<flatbuffers::String> left_instance = 0,
+    uint64_t left_started_by = 0) {
   MemberStateBuilder builder_(_fbb);
+  builder_.add_left_started_by(left_started_by);
   builder_.add_version(version);
+  builder_.add_left_instance(left_instance);
   builder_.add_slots(slots);
   builder_.add_service(service);
   builder_.add_address(address);
@@ -1459,11 +1482,14 @@
     uint64_t version = 0,
     uint8_t state = 0,
     const char *service = nullptr,
-    uint32_t slots = 0) {
+    uint32_t slots = 0,
+    const char *left_instance = nullptr,
+    uint64_t left_started_by = 0) {
   auto member__ = member ? _fbb.CreateString(member) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto left_instance__ = left_instance ? _fbb.CreateString(left_instance) : 0;
   return shallot::wire::CreateMemberState(
       _fbb,
       member__,
@@ -1472,7 +1498,9 @@
       version,
       state,
       service__,
-      slots);
+      slots,
+      left_instance__,
+      left_started_by);
 }
 
 flatbuffers::Offset<MemberState> CreateMemberState(flatbuffers::FlatBufferBuilder &_fbb, const MemberStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3474,6 +3502,8 @@
   { auto _e = state(); _o->state = _e; }
   { auto _e = service(); if (_e) _o->service = _e->str(); }
   { auto _e = slots(); _o->slots = _e; }
+  { auto _e = left_instance(); if (_e) _o->left_instance = _e->str(); }
+  { auto _e = left_started_by(); _o->left_started_by = _e; }
 }
 
 inline flatbuffers::Offset<MemberState> MemberState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3491,6 +3521,8 @@
   auto _state = _o->state;
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
   auto _slots = _o->slots;
+  auto _left_instance = _o->left_instance.empty() ? 0 : _fbb.CreateString(_o->left_instance);
+  auto _left_started_by = _o->left_started_by;
   return shallot::wire::CreateMemberState(
       _fbb,
       _member,
@@ -3499,7 +3531,9 @@
       _version,
       _state,
       _service,
-      _slots);
+      _slots,
+      _left_instance,
+      _left_started_by);
 }
 
 inline CrashReportT *CrashReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/FleetKnowledgeTest.cpp
+++ b/Tests/FleetKnowledgeTest.cpp
@@ -1,9 +1,9 @@
 // What daemons know of the fleet, without a network: the member list by itself, and 95 daemons in five zones that start at
 // once, lose readers, are cut off, killed and replaced, while messages and the store take drawn times.
 
+#include "mesh/FleetKnowledge.h"
 #include "core/Digest.h"
 #include "mesh/ConfigurationProof.h"
-#include "mesh/FleetKnowledge.h"
 #include "mesh/MemberList.h"
 #include "mesh/MeshSettings.h"
 #include "mesh/RemoteEndpoints.h"
@@ -391,9 +391,7 @@
             return;
         }
         ++m_store.calls;
-        later(index, drawn(4ms, 40ms), [this, index] {
-            publish(m_daemons[index]->own);
-        });
+        later(index, drawn(4ms, 40ms), [this, index] { publish(m_daemons[index]->own); });
     }
 
     void repair(size_t index, MemberRepair repair)
@@ -490,7 +488,7 @@
 constexpr size_t fleetSize = 95;
 constexpr size_t fleetZones = 5;
 constexpr unsigned seeds = 12;
-constexpr auto wholeAfterStart = 2s; // The aim for a fleet of this size
+constexpr auto wholeAfterStart = 2s;   // The aim for a fleet of this size
 constexpr auto wholeAfterTrouble = 4s; // Time to catch up that the strictest deployment allows
 
 void expectOneReaderAZone(const KnowledgeFleet& fleet)
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -172,6 +172,41 @@
     EXPECT_EQ(mesh.runs("/read/2"), 0U);
 }
 
+// The daemon is killed after it acknowledged the leave, and knows nothing afterwards; the backend server's health answer is false
+// and a late announcement calls it ready.
+TEST(SidecarPath, ABackendServerThatLeftStaysOutAfterARestartOfItsDaemon)
+{
+    for (const bool storeAnswers : { true, false }) {
+        SCOPED_TRACE(storeAnswers);
+        SidecarHarness mesh({ "zone-a/alpha", "zone-a/alpha" });
+        ASSERT_TRUE(mesh.waitUntilServing());
+        mesh.runFor(1500ms); // Both read the member list after their start
+        mesh.endpoint(0).leave();
+        mesh.runFor(1s);
+        mesh.stop(0);
+        if (!storeAnswers)
+            mesh.store().setMood(StoreStandin::Mood::Refusing);
+        mesh.start(0);
+        const auto before = mesh.endpoint(0).requests().size();
+        mesh.endpoint(0).announce();
+        mesh.runFor(500ms);
+        mesh.endpoint(0).announce();
+        for (int i = 0; i < 20; ++i) {
+            mesh.fetch(0, "/read/1");
+            mesh.fetch(1, "/read/1");
+        }
+        EXPECT_EQ(mesh.endpoint(0).requests().size(), before);
+        // The next run under the same name is another one.
+        mesh.store().setMood(StoreStandin::Mood::Serving);
+        mesh.endpoint(0).announceBody(
+            R"({"service":"alpha","addr":"127.0.0.1:1","zone":"z","slots":4,"state":"ready","seq":1,"born":2000})");
+        EXPECT_TRUE(mesh.runUntil([&] {
+            mesh.fetch(0, "/read/1");
+            return mesh.endpoint(0).requests().size() > before;
+        }));
+    }
+}
+
 TEST(SidecarPath, ForeignAnnouncementsNameNoBackendServer)
 {
     SidecarHarness mesh({ "zone-a/alpha" });
