Log a member as silent only while its question stays open; tests of uploads, silent connections, early answers, woken keepers

Its member is still passed over until the answer, a way there and back; a line is written from the next look on.

--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -125,13 +125,17 @@
         const bool answersTooLate = watch.asked != TimePoint() && now - watch.asked > answerTimeout;
         if (connectsTooLong || answersTooLate)
             dead.emplace_back(link);
-        else if (!connecting && watch.outstanding && watch.asked == TimePoint() && now - watch.heard > silenceBeforeQuestion)
+        else if (!connecting && watch.outstanding && now - watch.heard > silenceBeforeQuestion)
             silent.emplace_back(link);
     }
     for (const auto& link : silent) {
-        m_watches[link.get()].asked = now;
-        m_callbacks.onSilent(link->peer());
-        sendState(*link, true);
+        auto& watch = m_watches[link.get()];
+        const bool isFirst = watch.asked == TimePoint();
+        if (isFirst)
+            watch.asked = now;
+        m_callbacks.onSilent(link->peer(), now - watch.asked);
+        if (isFirst)
+            sendState(*link, true);
     }
     for (const auto& link : dead)
         link->close();
--- a/Source/sidecar/MeshLinks.h
+++ b/Source/sidecar/MeshLinks.h
@@ -19,7 +19,8 @@
         std::function<void(PeerLink&)> onClosed;
         // A link there broke or was never made; since the last sign of life on it.
         std::function<void(const std::string& address, TimePoint since)> onUnreachable;
-        std::function<void(const std::string& member)> onSilent; // Calls wait on a link that says nothing
+        // Calls wait on a link that says nothing; called again, with how long, while a question on it stays unanswered.
+        std::function<void(const std::string& member, Duration unanswered)> onSilent;
         std::function<void(const MeshMember&, const EndpointReport&)> onState;
         std::function<EndpointReport()> ownReport;
     };
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -41,8 +41,10 @@
                   EventLog::write("member-unreachable", { { "address", address }, { "silent_s", toSeconds(now - since) } });
                   m_beliefs.endpoints().recordUnreachableAt(address, since, now);
               },
-              [this](const std::string& member) {
-                  EventLog::write("member-silent", { { "member", member } });
+              [this](const std::string& member, Duration unanswered) {
+                  // Most links are silent for as long as a run takes; only one that leaves a question open is worth a line.
+                  if (unanswered > Duration::zero())
+                      EventLog::write("member-silent", { { "member", member }, { "unanswered_s", toSeconds(unanswered) } });
                   m_beliefs.endpoints().recordSilent(member, MonotonicClock::now());
               },
               [this](const MeshMember& member, const EndpointReport& report) {
--- a/Tests/EndpointAnswersTest.cpp
+++ b/Tests/EndpointAnswersTest.cpp
@@ -61,7 +61,8 @@
     });
     for (int i = 0; i < 5; ++i) {
         const auto id = "copy-" + std::to_string(i);
-        const auto& answer = mesh.wait(mesh.send(1, { "GET", "/read/1", { { std::string(platform::header::attemptID), id } }, {} }));
+        const auto& answer
+            = mesh.wait(mesh.send(1, { "GET", "/read/1", { { std::string(platform::header::attemptID), id } }, {} }));
         ASSERT_EQ(answer.status(), 200);
         EXPECT_EQ(answer.response->body, "to " + id);
         mesh.runFor(i % 2 ? 60ms : 0ms);
@@ -102,6 +103,37 @@
     EXPECT_EQ(order("/order/2"), 502);
 }
 
+// A backend server that cannot queue a request never answers it, nor anything else on that connection.
+TEST_F(EndpointAnswers, AConnectionThatFellSilentIsNotUsedAgain)
+{
+    StreamSocket* silent = nullptr;
+    raw->setScript([&](StreamSocket& socket, const std::string& attempt) {
+        silent = silent ? silent : &socket;
+        if (silent != &socket)
+            socket.write(RawEndpoint::answerTo(attempt, "whole"));
+    });
+    EXPECT_EQ(order("/order/1"), 504);
+    EXPECT_EQ(order("/order/2"), 200);
+    EXPECT_EQ(raw->requestCount(), 3U);
+}
+
+// A backend server may answer before it has read a long body and read on later: what follows must be the rest of that body.
+TEST_F(EndpointAnswers, ABodyIsSentToItsEndAfterAnEarlyAnswer)
+{
+    constexpr size_t bodyBytes = 6 * 1024 * 1024; // More than the kernel's buffers take at once
+    bool early = true;
+    raw->setScript([&](StreamSocket& socket, const std::string& attempt) {
+        socket.write(RawEndpoint::answerTo(attempt, "early"));
+        if (std::exchange(early, false))
+            raw->expectBody(socket, bodyBytes);
+    });
+    const HTTPRequest upload { "POST", "/upload/1", {}, std::string(bodyBytes, 'b') };
+    EXPECT_EQ(mesh.wait(mesh.send(1, upload)).status(), 200);
+    EXPECT_EQ(order("/order/2"), 200);
+    EXPECT_TRUE(mesh.runUntil([&] { return !raw->missingBytes(); }));
+    EXPECT_FALSE(raw->hasForeignBytes()); // In the place of the body
+}
+
 struct SpoiledAnswer {
     const char* name;
     std::string bytes; // After the attempt's own head lines where `sealed`
@@ -174,23 +206,24 @@
     EXPECT_LT(residentMB(), before + mostGrowthMB);
     EXPECT_TRUE(mesh.runUntil([&] { return !raw->openConnections(); }));
     // The path serves on.
-    raw->setScript([](StreamSocket& socket, const std::string& attempt) { socket.write(RawEndpoint::answerTo(attempt, "whole")); });
+    raw->setScript(
+        [](StreamSocket& socket, const std::string& attempt) { socket.write(RawEndpoint::answerTo(attempt, "whole")); });
     EXPECT_TRUE(mesh.runUntil([&] { return order("/order/2") == 200; }));
 }
 
 INSTANTIATE_TEST_SUITE_P(SidecarPath, EndlessAnswers,
     testing::Values(EndlessAnswer { "NotHTTP", "", "no answer at all ", false },
         EndlessAnswer { "StatusLine", "HTTP/1.1 200 ", "very good ", false },
-        EndlessAnswer { "HeaderName", "X", "XXXXXXXXXXXXXXXX", true }, EndlessAnswer { "HeaderValue", "X: ", "more and more ", true },
-        EndlessAnswer { "Headers", "", "X-More: 1\r\n", true },
+        EndlessAnswer { "HeaderName", "X", "XXXXXXXXXXXXXXXX", true },
+        EndlessAnswer { "HeaderValue", "X: ", "more and more ", true }, EndlessAnswer { "Headers", "", "X-More: 1\r\n", true },
         EndlessAnswer { "BodyWithoutLength", "\r\n", "more and more ", true },
         EndlessAnswer { "BodyWithAHugeLength", "Content-Length: 99999999999\r\n\r\n", "more and more ", true },
         EndlessAnswer { "Chunks", "Transfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n", true },
         EndlessAnswer { "ChunkExtension", "Transfer-Encoding: chunked\r\n\r\n4;x=", "more and more ", true },
         EndlessAnswer { "Trailers", "Transfer-Encoding: chunked\r\n\r\n4\r\nmore\r\n0\r\n", "X-More: 1\r\n", true },
         EndlessAnswer { "InterimAnswers", "", "HTTP/1.1 102 Processing\r\n\r\n", false },
-        EndlessAnswer { "AnswersToOthers", "",
-            "HTTP/1.1 200 OK\r\n" + attemptHeader + "another\r\nContent-Length: 2\r\n\r\nab", false }),
+        EndlessAnswer {
+            "AnswersToOthers", "", "HTTP/1.1 200 OK\r\n" + attemptHeader + "another\r\nContent-Length: 2\r\n\r\nab", false }),
     [](const auto& info) { return info.param.name; });
 
 // Many at once: what one may hold is bounded, and what all hold together as well.
@@ -200,7 +233,8 @@
         socket.write("HTTP/1.1 200 OK\r\n" + attemptHeader + attempt + "\r\n" + sealHeader + "\r\n");
         raw->flood(socket, std::string(16 * 1024, 'x'));
     });
-    // More connections than slots of the stand-in would be refused beside it; straight to the pool, as many as slots of a large one.
+    // More connections than slots of the stand-in would be refused beside it; straight to the pool, as many as slots of a large
+    // one.
     HTTPPool pool;
     pool.setAddress(mesh.backendAddress(0));
     pool.setAcceptsUnframed(true);
@@ -256,10 +290,12 @@
 const std::string orderHead = "POST /order/endless HTTP/1.1\r\nHost: app\r\n" + attemptHeader + "endless\r\n";
 
 INSTANTIATE_TEST_SUITE_P(SidecarPath, EndlessRequests,
-    testing::Values(EndlessRequest { "NotHTTP", "", "no request at all " }, EndlessRequest { "Target", "GET /", "xxxxxxxxxxxxxxxx" },
+    testing::Values(EndlessRequest { "NotHTTP", "", "no request at all " },
+        EndlessRequest { "Target", "GET /", "xxxxxxxxxxxxxxxx" },
         EndlessRequest { "HeaderValue", orderHead + "X: ", "more and more " },
         EndlessRequest { "Headers", orderHead, "X-More: 1\r\n" },
-        EndlessRequest { "Chunks", orderHead + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + std::string(1024, 'x') + "\r\n" },
+        EndlessRequest {
+            "Chunks", orderHead + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + std::string(1024, 'x') + "\r\n" },
         EndlessRequest { "ChunkExtension", orderHead + "Transfer-Encoding: chunked\r\n\r\n4;x=", "more and more " },
         EndlessRequest { "Trailers", orderHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: 1\r\n" },
         EndlessRequest { "BodyLongerThanAllowed", orderHead + "Content-Length: 99999999999\r\n\r\n", "more and more " }),
--- a/Tests/PlannedStopTest.cpp
+++ b/Tests/PlannedStopTest.cpp
@@ -5,8 +5,8 @@
 #include "net/StreamSocket.h"
 #include "net/StrictHTTPServer.h"
 
-#include <array>
 #include <arpa/inet.h>
+#include <array>
 #include <glib.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
@@ -34,7 +34,10 @@
     KernelCaller(const KernelCaller&) = delete;
     KernelCaller& operator=(const KernelCaller&) = delete;
 
-    void send(std::string_view text) const { EXPECT_EQ(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL), text.size()); }
+    void send(std::string_view text) const
+    {
+        EXPECT_EQ(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL), text.size());
+    }
     // What has come since the last call.
     std::string receive()
     {
--- a/Tests/RateSharesFuzzTest.cpp
+++ b/Tests/RateSharesFuzzTest.cpp
@@ -110,6 +110,29 @@
     std::deque<TimePoint> m_admitted;
 };
 
+// A keeper stands still while another one takes its ledger over, and wakes with questions from before in its buffers.
+TEST(RateShares, AKeeperThatWakesDealsNothingOfWhatItHeldBefore)
+{
+    const MeshSettings settings;
+    const RatePlan plan { 50, 40 };
+    RateLedger paused(settings);
+    RateLedger successor(settings);
+    const auto hearAll = [](RateLedger& ledger, TimePoint now) {
+        for (size_t i = 0; i < members; ++i)
+            ledger.hear(std::to_string(i), now);
+    };
+    auto now = start;
+    for (; now < start + 3s; now += 100ms)
+        hearAll(paused, now);
+    ASSERT_EQ(paused.grant("o", 1, plan, members, now).tokens, 1U); // A full bucket
+    const auto wakes = now + 4s;
+    for (; now < wakes; now += 100ms)
+        hearAll(successor, now);
+    EXPECT_GE(successor.grant("o", 40, plan, members, now).tokens, 39U);
+    paused.hear("1", now);
+    EXPECT_EQ(paused.grant("o", 40, plan, members, now).tokens, 0U);
+}
+
 TEST(RateSharesFuzz, NeverMoreThanThePlanOverAnyWindow)
 {
     EXPECT_TRUE(rc::check([] {
--- a/Tests/RawEndpoint.cpp
+++ b/Tests/RawEndpoint.cpp
@@ -33,12 +33,21 @@
 
 void RawEndpoint::onBytes(StreamSocket& socket, std::string& buffer, std::string_view bytes)
 {
+    if (m_missing && &socket == m_bodyFrom) {
+        const auto body = bytes.substr(0, m_missing);
+        m_foreign = m_foreign || body.find_first_not_of('b') != std::string_view::npos;
+        m_missing -= body.size();
+        bytes.remove_prefix(body.size());
+        if (bytes.empty())
+            return;
+    }
     buffer.append(bytes);
     const auto end = buffer.find("\r\n\r\n");
     if (end == std::string::npos)
         return;
     const auto head = buffer.substr(0, end + 4);
-    buffer.clear(); // Requests of these tests have short bodies, which come with the head
+    m_afterHead = buffer.size() - head.size();
+    buffer.clear(); // Other requests of these tests have short bodies, which come with the head
     if (head.starts_with("GET /health")) {
         socket.write("HTTP/1.1 200 OK\r\n" + std::string(platform::header::instance) + ": " + m_instance
             + "\r\nContent-Length: 0\r\n\r\n");
@@ -60,6 +69,12 @@
     m_floods.push_back(std::move(timer));
 }
 
+void RawEndpoint::expectBody(StreamSocket& socket, size_t bytes)
+{
+    m_bodyFrom = &socket;
+    m_missing = bytes - m_afterHead;
+}
+
 std::string RawEndpoint::answerTo(const std::string& attempt, const std::string& body)
 {
     return "HTTP/1.1 200 OK\r\n" + std::string(platform::header::attemptID) + ": " + attempt + "\r\n"
--- a/Tests/RawEndpoint.h
+++ b/Tests/RawEndpoint.h
@@ -23,6 +23,10 @@
     void setScript(Script script) { m_script = std::move(script); }
     // Sends the text again and again on that connection until the other side closes it.
     void flood(StreamSocket&, const std::string& text);
+    // The next bytes on that connection are a body of `b`s, beginning with what came after the head.
+    void expectBody(StreamSocket&, size_t bytes);
+    size_t missingBytes() const { return m_missing; }
+    bool hasForeignBytes() const { return m_foreign; }
     // A whole, sealed answer to that attempt.
     static std::string answerTo(const std::string& attempt, const std::string& body);
 
@@ -41,6 +45,10 @@
     std::vector<RefPtr<StreamSocket>> m_connections;
     std::vector<std::unique_ptr<Timer>> m_floods;
     size_t m_requests { 0 }; // Without health questions
+    StreamSocket* m_bodyFrom { nullptr };
+    size_t m_missing { 0 };   // Bytes of that body
+    size_t m_afterHead { 0 }; // Bytes that came with the head just read
+    bool m_foreign { false };
 };
 
 } // namespace shallot
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -153,7 +153,8 @@
         + R"({"name":"beta","health_path":"/health","max_connections":100}],"tenants":[{"name":"school","api_keys":)" + keys
         + R"(,"rate_per_s":)" + std::to_string(rate) + R"(,"burst":)" + std::to_string(rate)
         + R"(}],"virtual_hosts":[{"host":"app","paths":[)" + route("/read/", "alpha", "idempotent", false) + ","
-        + route("/order/", "alpha", "non_idempotent", false) + "," + route("/inner/", "beta", "idempotent", true) + "]}]}";
+        + route("/order/", "alpha", "non_idempotent", false) + "," + route("/upload/", "alpha", "upload", false) + ","
+        + route("/inner/", "beta", "idempotent", true) + "]}]}";
     m_store->put(std::string(platform::store::operatorTopic), std::string(platform::store::configurationKey), document);
 }
 
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -252,6 +252,19 @@
     EXPECT_EQ(mesh.wait(mesh.send(1, { "POST", "/order/2", {}, "tiles" })).status(), 503);
 }
 
+TEST(SidecarPath, AnUploadArrivesWholeAndRunsOnce)
+{
+    SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    const std::string footage(3 * 1024 * 1024, 'f');
+    EXPECT_EQ(mesh.wait(mesh.send(1, { "POST", "/upload/1", {}, footage })).status(), 200);
+    EXPECT_EQ(mesh.endpoint(0).requests().back().body, footage);
+    // Its answer is lost: it may have run, so it is not sent again, although the route would allow two backend servers.
+    mesh.endpoint(0).setScript([](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) { connection->abort(); });
+    EXPECT_EQ(mesh.wait(mesh.send(1, { "POST", "/upload/2", {}, footage })).status(), 502);
+    EXPECT_EQ(mesh.runs("/upload/2"), 1U);
+}
+
 TEST(SidecarPath, WhatIsNotTheBackendServersAnswerIsNoSuccess)
 {
     SidecarHarness mesh({ "zone-a/alpha" });
@@ -433,8 +446,9 @@
     std::vector<std::string> unreachable;
     MeshLinks links({ "m", "z", "a secret of the tests" }, { "m", "z", "127.0.0.1:1", "s" },
         { [](PeerLink&, wire::FrameT&) {}, [](PeerLink&) {},
-            [&unreachable](const std::string& address, TimePoint) { unreachable.push_back(address); }, [](const std::string&) {},
-            [](const MeshMember&, const EndpointReport&) {}, [] { return EndpointReport {}; } });
+            [&unreachable](const std::string& address, TimePoint) { unreachable.push_back(address); },
+            [](const std::string&, Duration) {}, [](const MeshMember&, const EndpointReport&) {},
+            [] { return EndpointReport {}; } });
     links.linkTo(nobody.toString());
     for (int i = 0; i < 100 && unreachable.empty(); ++i) {
         Timer wake;
