Ask the store again at once after news of the configuration

Cause, from a trial with a log line for each store call: a held read that brings news proves the store's state as of its question only, and the next held read proves nothing until it ends.

Change: the read after news is not held. Test: StoreFollower.AsksAgainAtOnceAfterNewsAndThenHoldsItsReads (failed before).

--- a/Source/sidecar/FollowSettings.cpp
+++ b/Source/sidecar/FollowSettings.cpp
@@ -25,6 +25,7 @@
     follow.timeout = readTimeout;
     follow.pauseAfterNewest = readerElection;
     follow.longestRetry = configurationRetry;
+    follow.asksAgainAfterNews = true;
     return follow;
 }
 
--- a/Source/sidecar/FollowSettings.h
+++ b/Source/sidecar/FollowSettings.h
@@ -15,6 +15,7 @@
     Duration pause {};            // Between two reads, so that a rush of records costs few calls
     Duration pauseAfterNewest {}; // Once the newest records are known
     Duration longestRetry { std::chrono::seconds(1) }; // After failed reads
+    bool asksAgainAfterNews { false }; // Without a hold, so that what is proved is not as old as the read that brought them
 };
 
 FollowSettings followConfiguration(const MeshSettings&);
--- a/Source/sidecar/StoreFollower.cpp
+++ b/Source/sidecar/StoreFollower.cpp
@@ -66,8 +66,11 @@
         return;
     }
     const auto asked = MonotonicClock::now();
-    // After a failure the store is asked for an answer at once, to learn as early as possible that it is back.
-    const auto hold = m_failures || m_paused ? Duration::zero() : m_settings.hold;
+    // After a failure the store is asked for an answer at once, to learn as early as possible that it is back. A read that
+    // brought news proves nothing about the time after its question; held as long as another one, it would leave the proof older
+    // than others are content with.
+    const bool asksAgain = m_hadNews && m_settings.asksAgainAfterNews;
+    const auto hold = m_failures || m_paused || asksAgain ? Duration::zero() : m_settings.hold;
     m_reading = true;
     m_client.readFrom(m_settings.topic, *m_offset, hold, hold + m_settings.timeout,
         [this, asked, hold](Result<platform::StoreRead> read) { onRead(asked, hold, false, std::move(read)); });
@@ -97,6 +100,7 @@
     if (m_offset && !wasNewest && read->nextOffset <= known)
         read->records.clear();
     m_offset = std::max(known, read->nextOffset);
+    m_hadNews = !wasNewest && !read->records.empty();
     // A read that was held to its end without news shows that there were none when it ended, which the store counts from the
     // question's arrival.
     const bool held = read->records.empty() && hold > Duration::zero() && MonotonicClock::now() - asked >= hold;
--- a/Source/sidecar/StoreFollower.h
+++ b/Source/sidecar/StoreFollower.h
@@ -48,6 +48,7 @@
     std::optional<uint64_t> m_offset; // Where the next read begins; nothing: read the newest records first
     unsigned m_failures { 0 };        // In a row
     bool m_reachable { true };
+    bool m_hadNews { false }; // The last read brought some
     bool m_paused { false };
     bool m_reading { false };
 };
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -7,6 +7,7 @@
 #include "net/PeerLinks.h"
 #include "platform/MemberCodec.h"
 #include "platform/Names.h"
+#include "sidecar/FollowSettings.h"
 #include "sidecar/StoreFollower.h"
 #include "wire/Frames_generated.h"
 
@@ -491,6 +492,30 @@
     EXPECT_EQ(follower.offset(), 10U);
 }
 
+// News end a held read early, and what it proves is as old as its question. The next one is not held, so the proof is renewed.
+TEST(StoreFollower, AsksAgainAtOnceAfterNewsAndThenHoldsItsReads)
+{
+    const SocketAddress address { "127.0.0.1", nextBasePort() };
+    StoreStandin store(address);
+    platform::StoreClient client(address);
+    const MeshSettings settings;
+    size_t records = 0;
+    StoreFollower follower(
+        client, followConfiguration(settings), [&](const FollowedRead& read, TimePoint) { records += read.records.size(); });
+    const auto runUntil = [](const std::function<bool()>& condition) {
+        while (!condition())
+            g_main_context_iteration(nullptr, TRUE);
+    };
+    follower.start();
+    runUntil([&] { return store.readWaits().size() == 1; }); // Held
+    store.put("keyed.op", "config", "a change");
+    runUntil([&] { return store.readWaits().size() == 3; });
+    EXPECT_EQ(records, 1U);
+    EXPECT_EQ(store.readWaits()[0], settings.readHold);
+    EXPECT_EQ(store.readWaits()[1], Duration::zero());
+    EXPECT_EQ(store.readWaits()[2], settings.readHold);
+}
+
 TEST(PeerLink, OutlivesASendThatEndsIt)
 {
     const SocketAddress address { "127.0.0.1", static_cast<uint16_t>(nextBasePort() + 1) };
--- a/Tests/StoreStandin.h
+++ b/Tests/StoreStandin.h
@@ -32,6 +32,8 @@
     }
     void setMood(Mood mood) { m_mood = mood; }
     size_t callCount() const { return m_calls; }
+    // How long each read from an offset on asked to be held.
+    const std::vector<Duration>& readWaits() const { return m_readWaits; }
 
 private:
     struct Topic {
@@ -57,6 +59,7 @@
     std::function<std::string(const std::string&, std::string)> m_filter;
     Mood m_mood { Mood::Serving };
     size_t m_calls { 0 };
+    std::vector<Duration> m_readWaits;
 };
 
 } // namespace shallot
