--- a/Source/sidecar/KnowledgeExchange.cpp
+++ b/Source/sidecar/KnowledgeExchange.cpp
@@ -44,8 +44,7 @@
 
 KnowledgeExchange::KnowledgeExchange(
     const MeshSettings& settings, MeshBeliefs& beliefs, MeshLinks& links, platform::StoreClient& store, const MeshMember& own)
-    : m_settings(settings)
-    , m_beliefs(beliefs)
+    : m_beliefs(beliefs)
     , m_links(links)
     , m_store(store)
     , m_own(own)
@@ -230,7 +229,7 @@
 
 void KnowledgeExchange::onAnswer(PeerLink& link, const wire::RecordsT& answer, TimePoint now)
 {
-    const auto peer = link.peer();
+    const auto& peer = link.peer();
     m_beliefs.endpoints().recordReachable(peer, now);
     if (!answer.snapshot.empty() && answer.next_offset > m_beliefs.version())
         takeConfiguration(answer.snapshot, "peer");
--- a/Source/sidecar/KnowledgeExchange.h
+++ b/Source/sidecar/KnowledgeExchange.h
@@ -56,7 +56,6 @@
     void ask(const std::string& member, TimePoint now);
     void pushConfiguration();
 
-    const MeshSettings& m_settings;
     MeshBeliefs& m_beliefs;
     MeshLinks& m_links;
     platform::StoreClient& m_store;
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -31,7 +31,6 @@
 
 Sidecar::Sidecar(platform::InstanceSettings instance, const MeshSettings& settings, std::string peerSecret)
     : m_instance(std::move(instance))
-    , m_settings(settings)
     , m_own { m_instance.instance, m_instance.zone, m_instance.peers.toString(), m_instance.service }
     , m_beliefs(settings, m_instance.zone)
     , m_links({ m_own.name, m_own.zone, std::move(peerSecret) }, m_own,
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -59,7 +59,6 @@
     void finishLeaving();
 
     platform::InstanceSettings m_instance;
-    const MeshSettings& m_settings;
     MeshMember m_own;
     MeshBeliefs m_beliefs;
     MeshLinks m_links;
--- a/Tests/FleetKnowledgeTest.cpp
+++ b/Tests/FleetKnowledgeTest.cpp
@@ -416,7 +416,7 @@
         ++m_store.calls;
         const auto& list = daemon.knowledge->members();
         if (!newest && list.state().isKnown && list.state().offset == m_store.records.size()) {
-            m_held.push_back({ index, daemon.life });
+            m_held.emplace_back(index, daemon.life);
             return;
         }
         later(index, drawn(4ms, 30ms), [this, index, newest, snapshot = m_store.records] {
--- a/Tests/StoreStandin.cpp
+++ b/Tests/StoreStandin.cpp
@@ -72,7 +72,7 @@
     }
     const auto from = std::strtoull(queryValue(request.target, "from").c_str(), nullptr, 10);
     const auto wait = std::strtoll(queryValue(request.target, "wait_ms").c_str(), nullptr, 10);
-    m_readWaits.push_back(std::chrono::milliseconds(wait));
+    m_readWaits.emplace_back(std::chrono::milliseconds(wait));
     if (!wait || from < m_topics[topic].records.size()) {
         answerRead(*connection, topic, from);
         return;
