Try: a request that its own zone may well answer late is placed in any zone

Tried: with less than twice the expected time left until the target, another zone costs 0.2 of a service time instead of one.

--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -171,7 +171,10 @@
 {
     const RefPtr<Visit> protect(&visit);
     while (true) {
-        auto* endpoint = m_parts.beliefs.endpoints().choose(visit.call.service, now, visit.tried, visit.reroutes > 0);
+        const bool hasTarget = visit.target != TimePoint();
+        const auto untilTarget = hasTarget ? std::max(Duration::zero(), visit.target - now) : Duration::max();
+        auto* endpoint
+            = m_parts.beliefs.endpoints().choose(visit.call.service, now, visit.tried, visit.reroutes > 0, untilTarget);
         if (!endpoint) {
             answer(visit,
                 visit.earlier ? *visit.earlier
