--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -12,14 +12,12 @@
 // Every knob of the decisions on the platform's path. Figures that a deployment sets replace those marked so.
 struct MeshSettings {
     // Placing
-    Duration zonePenalty { 40ms };         // Least advantage that makes another zone's backend server worth its traffic
-    double zonePenaltyShare { 1.0 };       // The same as a share of the service time
-    double lateRunFactor { 2.0 };          // A slow run takes this many times the expected time; one in ten does
-    double zonePenaltyShareIfLate { 0.2 }; // In place of both, for a request that its own zone may well answer late
-    Duration assumedServiceTime { 50ms };  // Of a backend server that has not answered yet
-    double loadKnee { 0.7 };               // Share of the slots above which a backend server counts as slower
-    Duration reportLifetime { 2s };        // After it a report says nothing about the load; two announcement intervals
-    Duration linkPenalty { 1s };           // How long an unreachable member is avoided, doubled at each failure
+    Duration zonePenalty { 40ms };        // Least advantage that makes another zone's backend server worth its traffic
+    double zonePenaltyShare { 1.0 };      // The same as a share of the service time
+    Duration assumedServiceTime { 50ms }; // Of a backend server that has not answered yet
+    double loadKnee { 0.7 };              // Share of the slots above which a backend server counts as slower
+    Duration reportLifetime { 2s };       // After it a report says nothing about the load; two announcement intervals
+    Duration linkPenalty { 1s };          // How long an unreachable member is avoided, doubled at each failure
     Duration linkPenaltyMaximum { 8s };
     Duration unavailablePenalty { 300ms }; // Before a member without a backend server is asked again
     Duration failurePenalty { 500ms };     // How long a backend server that failed a request is avoided
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -66,53 +66,28 @@
     return best == Duration::max() ? m_settings.assumedServiceTime : best;
 }
 
-double RemoteEndpoints::serviceSeconds(const RemoteEndpoint& endpoint, Duration unknownServiceTime, TimePoint now) const
-{
-    const bool measured = hasReport(endpoint, now) && endpoint.report.serviceTime > Duration::zero();
-    return toSeconds(measured ? endpoint.report.serviceTime : unknownServiceTime);
-}
-
-double RemoteEndpoints::expectedSeconds(const RemoteEndpoint& endpoint, Duration unknownServiceTime, TimePoint now) const
+double RemoteEndpoints::expectedSeconds(
+    const RemoteEndpoint& endpoint, Duration unknownServiceTime, bool anyZone, TimePoint now) const
 {
     const auto& report = endpoint.report;
-    const double service = serviceSeconds(endpoint, unknownServiceTime, now);
+    const bool reported = hasReport(endpoint, now);
+    const bool measured = reported && report.serviceTime > Duration::zero();
+    const double service = toSeconds(measured ? report.serviceTime : unknownServiceTime);
     const double limit = std::max(1U, report.limit);
-    const double reportedLoad = hasReport(endpoint, now) ? report.running + report.queued + endpoint.sentSinceReport : 0;
+    const double reportedLoad = reported ? report.running + report.queued + endpoint.sentSinceReport : 0;
     const double load = (std::max<double>(reportedLoad, endpoint.outstanding) + 1) / limit;
     double seconds = service;
     if (load > 1)
         seconds += load * service; // A full one is worth going to another zone
     if (load > m_settings.loadKnee)
         seconds += (std::min(load, 1.0) - m_settings.loadKnee) * service;
+    if (endpoint.member.zone != m_ownZone && !anyZone)
+        seconds += std::max(toSeconds(m_settings.zonePenalty), m_settings.zonePenaltyShare * service);
     return seconds;
 }
 
-double RemoteEndpoints::zonePenalty(
-    const RemoteEndpoint& endpoint, Duration unknownServiceTime, ZoneChoice choice, TimePoint now) const
-{
-    if (endpoint.member.zone == m_ownZone || choice == ZoneChoice::Any)
-        return 0;
-    const double service = serviceSeconds(endpoint, unknownServiceTime, now);
-    if (choice == ZoneChoice::PreferOwnLittle)
-        return m_settings.zonePenaltyShareIfLate * service;
-    return std::max(toSeconds(m_settings.zonePenalty), m_settings.zonePenaltyShare * service);
-}
-
-// Whether even the best of the own zone may well answer after the target. Bytes between zones are worth less than an answer in
-// time.
-bool RemoteEndpoints::isZoneLate(
-    const std::vector<RemoteEndpoint*>& endpoints, Duration unknownServiceTime, Duration untilTarget, TimePoint now) const
-{
-    if (untilTarget == Duration::max())
-        return false;
-    return std::none_of(endpoints.begin(), endpoints.end(), [&](const auto* endpoint) {
-        return endpoint->member.zone == m_ownZone
-            && expectedSeconds(*endpoint, unknownServiceTime, now) * m_settings.lateRunFactor <= toSeconds(untilTarget);
-    });
-}
-
 RemoteEndpoint* RemoteEndpoints::choose(
-    std::string_view service, TimePoint now, const std::vector<std::string>& tried, bool anyZone, Duration untilTarget)
+    std::string_view service, TimePoint now, const std::vector<std::string>& tried, bool anyZone)
 {
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
@@ -121,16 +96,12 @@
     double bestCost = 0;
     bool bestAvoided = true;
     const auto unknownServiceTime = typicalServiceTime(found->second, now);
-    const bool isLate = !anyZone && isZoneLate(found->second, unknownServiceTime, untilTarget, now);
-    const auto zoneChoice = anyZone ? ZoneChoice::Any : isLate ? ZoneChoice::PreferOwnLittle : ZoneChoice::PreferOwn;
     std::uniform_real_distribution<double> factor(1, 1 + spread);
     for (auto* endpoint : found->second) {
         if (std::find(tried.begin(), tried.end(), endpoint->member.name) != tried.end())
             continue;
         const bool avoided = std::max(endpoint->avoidUntil, endpoint->suspectUntil) > now;
-        const double seconds
-            = expectedSeconds(*endpoint, unknownServiceTime, now) + zonePenalty(*endpoint, unknownServiceTime, zoneChoice, now);
-        const double cost = seconds * factor(m_random);
+        const double cost = expectedSeconds(*endpoint, unknownServiceTime, anyZone, now) * factor(m_random);
         if (best && (avoided != bestAvoided ? avoided : cost >= bestCost))
             continue;
         best = endpoint;
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -38,10 +38,9 @@
     void remove(const std::string& name);
     RemoteEndpoint* find(std::string_view name);
 
-    // The endpoint with the lowest expected time; null when all were tried. `untilTarget`: left of the time until which an answer
-    // has its full worth.
-    RemoteEndpoint* choose(std::string_view service, TimePoint now, const std::vector<std::string>& tried, bool anyZone = false,
-        Duration untilTarget = Duration::max());
+    // The endpoint with the lowest expected time; null when all were tried. `anyZone` leaves the cost of other zones out, for a
+    // request that was refused for want of room.
+    RemoteEndpoint* choose(std::string_view service, TimePoint now, const std::vector<std::string>& tried, bool anyZone = false);
 
     void recordSent(RemoteEndpoint&);
     void recordAnswered(std::string_view name);
@@ -71,17 +70,7 @@
     const std::map<std::string, RemoteEndpoint, std::less<>>& all() const { return m_endpoints; }
 
 private:
-    // How much a request is drawn to its own zone.
-    enum class ZoneChoice : uint8_t {
-        PreferOwn,
-        PreferOwnLittle, // It would otherwise be late
-        Any,             // It was refused for want of room
-    };
-
-    double expectedSeconds(const RemoteEndpoint&, Duration unknownServiceTime, TimePoint now) const;
-    double zonePenalty(const RemoteEndpoint&, Duration unknownServiceTime, ZoneChoice, TimePoint now) const;
-    double serviceSeconds(const RemoteEndpoint&, Duration unknownServiceTime, TimePoint now) const;
-    bool isZoneLate(const std::vector<RemoteEndpoint*>&, Duration unknownServiceTime, Duration untilTarget, TimePoint now) const;
+    double expectedSeconds(const RemoteEndpoint&, Duration unknownServiceTime, bool anyZone, TimePoint now) const;
     Duration typicalServiceTime(const std::vector<RemoteEndpoint*>&, TimePoint now) const;
     bool hasReport(const RemoteEndpoint&, TimePoint now) const;
 
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -171,10 +171,7 @@
 {
     const RefPtr<Visit> protect(&visit);
     while (true) {
-        const bool hasTarget = visit.target != TimePoint();
-        const auto untilTarget = hasTarget ? std::max(Duration::zero(), visit.target - now) : Duration::max();
-        auto* endpoint
-            = m_parts.beliefs.endpoints().choose(visit.call.service, now, visit.tried, visit.reroutes > 0, untilTarget);
+        auto* endpoint = m_parts.beliefs.endpoints().choose(visit.call.service, now, visit.tried, visit.reroutes > 0);
         if (!endpoint) {
             answer(visit,
                 visit.earlier ? *visit.earlier
