Take a former leave into account also when a peer gave the member list without it; order of the exchange's file

Found on reading the diff: a daemon that got its list from a peer that was behind learned of its own record later and did not pass the leave on to its executor.

--- a/Source/mesh/FleetKnowledge.h
+++ b/Source/mesh/FleetKnowledge.h
@@ -32,13 +32,14 @@
 // Decides where a daemon gets its knowledge of the fleet from. One reader a zone holds reads at the store; the others ask it
 // and get, with one answer, the proof that a configuration is the newest, what is new in it, and the changes of the member
 // list. Whoever gets no fresh answer reads by itself and asks members at random, of which one may be in touch with the store.
-// Readers compare their member lists with another zone's, so no zone keeps a list with holes; members of the own zone that were
-// lost are tried again, so its daemons agree on a reader. The load it answers: hundreds of
-// daemons that start at once, a store with a price for each call, readers that die or fall behind.
+// Readers compare their member lists with another zone's, so no zone keeps a list with holes. Lost members of the own zone are
+// tried again, so its daemons agree on a reader. The load it answers: hundreds of daemons that start at once, a store with a
+// price for each call, readers that die or fall behind.
 class FleetKnowledge {
 public:
     FleetKnowledge(const MeshSettings&, RemoteEndpoints&, ConfigurationProof&, MeshMember own);
 
+    // Called at each tick; what it says is to be done at once.
     KnowledgeSteps step(TimePoint now);
     bool followsStore() const { return m_followsStore; }
 
--- a/Source/sidecar/KnowledgeExchange.cpp
+++ b/Source/sidecar/KnowledgeExchange.cpp
@@ -1,7 +1,8 @@
 // Index of this file
-//   Store:  start, onConfigurationRead, onMembersRead, readAllMembers, announceMembership
-//   Peers:  tick, ask, onQuestion, onAnswer, pushConfiguration, greetMembers
-//   Repair: repair
+//   Store:   start, onConfigurationRead, takeConfiguration, onMembersRead, believe, noteMembersKnown, readAllMembers
+//   Record:  takeOwnRecord, setOwnService, announceMembership, storeLeave
+//   Peers:   tick, ask, onQuestion, onAnswer, pushConfiguration, greetMembers
+//   Repair:  repair
 
 #include "sidecar/KnowledgeExchange.h"
 
@@ -101,14 +102,6 @@
     }
 }
 
-// What this daemon wrote before a restart.
-void KnowledgeExchange::takeOwnRecord(const MeshMember& record)
-{
-    if (m_own.left.instance.empty())
-        m_own.left = record.left;
-    m_membershipStored = platform::encodeMember(record).value == platform::encodeMember(m_own).value;
-}
-
 void KnowledgeExchange::noteMembersKnown()
 {
     const auto& state = m_knowledge.members().state();
@@ -146,6 +139,19 @@
     });
 }
 
+// Record
+
+// What this daemon wrote before a restart. A peer that gave the list first may not have known it.
+void KnowledgeExchange::takeOwnRecord(const MeshMember& record)
+{
+    if (m_own.left.instance.empty() && !record.left.instance.empty()) {
+        m_own.left = record.left;
+        if (m_membershipAnnounced && m_onListKnown)
+            m_onListKnown(m_own.left);
+    }
+    m_membershipStored = platform::encodeMember(record).value == platform::encodeMember(m_own).value;
+}
+
 void KnowledgeExchange::setOwnService(const std::string& service)
 {
     m_own.service = service;
--- a/Source/sidecar/KnowledgeExchange.h
+++ b/Source/sidecar/KnowledgeExchange.h
@@ -26,11 +26,12 @@
 public:
     KnowledgeExchange(const MeshSettings&, MeshBeliefs&, MeshLinks&, platform::StoreClient&, const MeshMember& own);
 
-    // Once the member list is known: the last leave beside this daemon, from before its start.
+    // Called once the member list is known, and when it turns out later: the last leave beside this daemon, from before its
+    // start.
     void setListKnownHandler(std::function<void(const EndpointLeave&)> handler) { m_onListKnown = std::move(handler); }
     void start();
     void tick(TimePoint now);
-    // Writes the own record into the store when it is not there yet.
+    // Writes the changed record into the store.
     void setOwnService(const std::string&);
 
     // Writes into the store that the backend server leaves; the handler is called once that stands there, or soon when it cannot.
@@ -50,8 +51,8 @@
     void repair(MemberRepair, const char* cause, const std::string& peer, const MemberListState& other);
     void readAllMembers();
     void noteMembersKnown();
-    void announceMembership();
     void takeOwnRecord(const MeshMember&);
+    void announceMembership();
     void greetMembers();
     void ask(const std::string& member, TimePoint now);
     void pushConfiguration();
