Move a member's account with a ledger out of the exchange, into the decisions

Cause: which answer belongs to which question, and what goes back to a ledger, was decided between timers and frames and could not be tested without a network.

--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -14,13 +14,13 @@
 
 namespace {
 
-std::unique_ptr<wire::LoanRequestT> makeRequest(const std::string& organisation, unsigned unusedTokens)
+std::unique_ptr<wire::LoanRequestT> makeRequest(const std::string& organisation, const RateAccount::Settlement& settlement)
 {
     auto request = std::make_unique<wire::LoanRequestT>();
     request->organisation = organisation;
-    if (unusedTokens) {
+    if (settlement.unused) {
         auto returned = std::make_unique<wire::ReturnedLoanT>();
-        returned->tokens = unusedTokens;
+        returned->tokens = settlement.unused;
         request->returned.push_back(std::move(returned));
     }
     return request;
@@ -89,7 +89,7 @@
     auto& waiting = m_waiting[organisation.name];
     waiting.plan = { organisation.rate, organisation.burst };
     waiting.pending.push_back(std::move(completion));
-    if (!waiting.question)
+    if (!waiting.account.isAsking())
         ask(organisation.name, waiting, now);
 }
 
@@ -107,14 +107,15 @@
         auto& own = m_ledgers[ledgerNumber(organisation)];
         const auto holders = m_beliefs.endpoints().countHolders(now);
         own.hear(m_ownName, now);
-        own.giveBack(organisation, std::exchange(waiting.unused, 0), waiting.plan, holders, now);
+        own.giveBack(organisation, waiting.account.settle().unused, waiting.plan, holders, now);
         settle(organisation, waiting, own.grant(organisation, wanted, waiting.plan, holders, now), true, now);
         return;
     }
-    auto request = makeRequest(organisation, std::exchange(waiting.unused, 0));
+    auto request = makeRequest(organisation, waiting.account.settle());
     request->waiting = wanted;
     wire::LoanRequestsT requests;
-    waiting.question = requests.sequence = m_nextQuestion++;
+    requests.sequence = m_nextQuestion++;
+    waiting.account.ask(requests.sequence);
     requests.requests.push_back(std::move(request));
     wire::FrameT frame;
     frame.body.Set(std::move(requests));
@@ -126,12 +127,11 @@
 
 void RateExchange::settle(const std::string& organisation, Waiting& waiting, const RateGrant& grant, bool byLedger, TimePoint now)
 {
-    waiting.question = 0;
     waiting.timeout.stop();
     auto settled = std::exchange(waiting.asked, {});
     for (size_t i = 0; i < settled.size(); ++i)
         settled[i]({ i < grant.tokens, byLedger, grant.retryAfter });
-    if (!waiting.pending.empty() && !waiting.question)
+    if (!waiting.pending.empty() && !waiting.account.isAsking())
         ask(organisation, waiting, now);
 }
 
@@ -148,6 +148,7 @@
     const auto grant = m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
     EventLog::write("ledger-silent",
         { { "organisation", organisation }, { "ledger", waiting.ledger }, { "waiting", wanted }, { "granted", grant.tokens } });
+    waiting.account.takeOwnPart(grant.tokens);
     settle(organisation, waiting, grant, false, now);
 }
 
@@ -168,8 +169,8 @@
         greetings[owner].requests.push_back(std::move(greeting));
     }
     for (auto& [organisation, waiting] : m_waiting) {
-        if (waiting.unused)
-            returnUnused(organisation, waiting, greetings, now);
+        if (waiting.account.hasSettlement())
+            settleAccount(organisation, waiting, greetings, now);
     }
     for (auto& [owner, greeting] : greetings) {
         wire::FrameT frame;
@@ -183,21 +184,21 @@
 {
     const auto found = m_waiting.find(organisation);
     if (found != m_waiting.end())
-        ++found->second.unused;
+        found->second.account.giveBack();
 }
 
 // Tokens of an organisation that asks nothing at the moment go out with the greeting of its ledger.
-void RateExchange::returnUnused(const std::string& organisation, Waiting& waiting, Greetings& greetings, TimePoint now)
+void RateExchange::settleAccount(const std::string& organisation, Waiting& waiting, Greetings& greetings, TimePoint now)
 {
     const auto number = ledgerNumber(organisation);
     const auto* owner = ledgerOf(number, now);
     if (!owner)
         return;
-    const auto unused = std::exchange(waiting.unused, 0);
+    const auto settlement = waiting.account.settle();
     if (owner->member.name == m_ownName)
-        m_ledgers[number].giveBack(organisation, unused, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
+        m_ledgers[number].giveBack(organisation, settlement.unused, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
     else
-        greetings[owner].requests.push_back(makeRequest(organisation, unused));
+        greetings[owner].requests.push_back(makeRequest(organisation, settlement));
 }
 
 void RateExchange::handOver(TimePoint now)
@@ -268,11 +269,13 @@
             continue;
         }
         const auto found = m_waiting.find(loan->organisation);
-        if (found == m_waiting.end() || found->second.question != loans.sequence)
-            continue; // Settled by the time-out
-        found->second.timeouts = 0;
+        if (found == m_waiting.end())
+            continue;
         const RateGrant grant { static_cast<unsigned>(std::max(0.0, loan->tokens)),
             Duration(static_cast<int64_t>(loan->retry_after_us)) };
+        if (!found->second.account.takeAnswer(loans.sequence, grant.tokens))
+            continue; // Settled by the time-out
+        found->second.timeouts = 0;
         settle(found->first, found->second, grant, true, now);
     }
 }
--- a/Source/sidecar/RateExchange.h
+++ b/Source/sidecar/RateExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mesh/RateAccount.h"
 #include "mesh/RateShares.h"
 #include "net/MainLoop.h"
 
@@ -51,10 +52,9 @@
     struct Waiting {
         std::deque<Completion> asked;   // The ledger's answer decides these
         std::deque<Completion> pending; // Arrived since that question
-        uint64_t question { 0 };        // Sequence of the open question; 0: none
-        std::string ledger;             // Member that was asked
-        unsigned timeouts { 0 };        // In a row
-        unsigned unused { 0 };          // Tokens to give back to the ledger
+        RateAccount account;
+        std::string ledger;      // Member that was asked
+        unsigned timeouts { 0 }; // In a row
         RatePlan plan;
         Timer timeout;
     };
@@ -66,7 +66,7 @@
     RatePlan planOf(const std::string& organisation);
     void ask(const std::string& organisation, Waiting&, TimePoint now);
     void settle(const std::string& organisation, Waiting&, const RateGrant&, bool byLedger, TimePoint now);
-    void returnUnused(const std::string& organisation, Waiting&, Greetings&, TimePoint now);
+    void settleAccount(const std::string& organisation, Waiting&, Greetings&, TimePoint now);
     void onTimeout(const std::string& organisation);
 
     const MeshSettings& m_settings;
