--- /dev/null
+++ b/Tests/RateKeepersTest.cpp
@@ -0,0 +1,237 @@
+// Members and the keepers of their ledgers with delays between them: what an organisation gets in all, whoever answers late.
+
+#include "mesh/MeshSettings.h"
+#include "mesh/RateAccount.h"
+#include "mesh/RateShares.h"
+
+#include <deque>
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace shallot {
+namespace {
+
+constexpr TimePoint start { 1000s };
+constexpr auto quotaWindow = 5s;
+constexpr auto warmUp = 2s; // Members greet their keepers before there is traffic
+
+// A fleet in simulated time. One organisation, `demand` requests a second in all; two keepers for its ledger.
+class KeeperModel {
+public:
+    KeeperModel(size_t members, const RatePlan& plan, Duration meanDelay, unsigned seed)
+        : m_plan(plan)
+        , m_meanDelay(meanDelay)
+        , m_random(seed)
+        , m_keepers { RateLedger(m_settings), RateLedger(m_settings) }
+    {
+        for (size_t i = 0; i < members; ++i)
+            m_members.push_back(std::make_unique<Member>(m_settings));
+    }
+
+    // Each member turns to the other keeper after this long, on average.
+    void setDwell(Duration dwell) { m_dwell = dwell; }
+
+    void play(double demand, Duration length)
+    {
+        m_demand = demand;
+        at(start, [this] { greet(); });
+        at(start + warmUp, [this] { arrive(); });
+        while (m_now < start + warmUp + length) {
+            const auto event = m_events.begin();
+            m_now = event->first;
+            const auto run = std::move(event->second);
+            m_events.erase(event);
+            run();
+        }
+    }
+
+    size_t asked() const { return m_asked; }
+    size_t granted() const { return m_granted; }
+    size_t mostInAWindow() const { return m_mostInAWindow; }
+
+private:
+    struct Member {
+        explicit Member(const MeshSettings& settings)
+            : parts(settings)
+        {
+        }
+
+        RateParts parts;
+        RateAccount account;
+        size_t keeper { 0 };
+        unsigned asked { 0 };
+        unsigned waiting { 0 };
+    };
+
+    void at(TimePoint time, std::function<void()> run) { m_events.emplace(time, std::move(run)); }
+
+    Duration drawn(Duration mean)
+    {
+        return fromSeconds(std::exponential_distribution<double>(1 / std::max(1e-6, toSeconds(mean)))(m_random));
+    }
+
+    std::string nameOf(size_t index) const { return std::to_string(index); }
+
+    void greet()
+    {
+        for (size_t i = 0; i < m_members.size(); ++i) {
+            auto& member = *m_members[i];
+            if (m_dwell > Duration::zero() && drawn(m_dwell) < m_settings.greetInterval)
+                member.keeper = 1 - member.keeper;
+            const auto settlement = member.account.settle();
+            at(m_now + drawn(m_meanDelay), [this, i, keeper = member.keeper, settlement] {
+                m_keepers[keeper].hear(nameOf(i), m_now);
+                settle(keeper, settlement);
+            });
+        }
+        at(m_now + m_settings.greetInterval, [this] { greet(); });
+    }
+
+    void settle(size_t keeper, const RateAccount::Settlement& settlement)
+    {
+        m_keepers[keeper].giveBack("o", settlement.unused, m_plan, m_members.size(), m_now);
+    }
+
+    void arrive()
+    {
+        const auto index = m_random() % m_members.size();
+        ++m_asked;
+        ++m_members[index]->waiting;
+        if (!m_members[index]->account.isAsking())
+            ask(index);
+        at(m_now + fromSeconds(std::exponential_distribution<double>(m_demand)(m_random)), [this] { arrive(); });
+    }
+
+    void ask(size_t index)
+    {
+        auto& member = *m_members[index];
+        member.asked = std::exchange(member.waiting, 0);
+        const auto sequence = ++m_sequence;
+        const auto keeper = member.keeper;
+        at(m_now + drawn(m_meanDelay), [this, index, sequence, keeper, wanted = member.asked, settled = member.account.settle()] {
+            m_keepers[keeper].hear(nameOf(index), m_now);
+            settle(keeper, settled);
+            const auto grant = m_keepers[keeper].grant("o", wanted, m_plan, m_members.size(), m_now);
+            at(m_now + drawn(m_meanDelay), [this, index, sequence, grant] { onAnswer(index, sequence, grant.tokens); });
+        });
+        member.account.ask(sequence);
+        m_openQuestions[index] = sequence;
+        at(m_now + m_settings.ledgerTimeout, [this, index, sequence] {
+            if (m_openQuestions[index] == sequence)
+                onTimeout(index);
+        });
+    }
+
+    void onAnswer(size_t index, uint64_t sequence, unsigned tokens)
+    {
+        if (m_members[index]->account.takeAnswer(sequence, tokens))
+            admit(index, tokens);
+    }
+
+    void onTimeout(size_t index)
+    {
+        auto& member = *m_members[index];
+        const auto tokens = member.parts.grant("o", member.asked, m_plan, m_members.size(), m_now).tokens;
+        member.account.takeOwnPart(tokens);
+        admit(index, tokens);
+    }
+
+    void admit(size_t index, unsigned tokens)
+    {
+        m_openQuestions[index] = 0;
+        m_granted += tokens;
+        m_admitted.insert(m_admitted.end(), tokens, m_now);
+        while (!m_admitted.empty() && m_now - m_admitted.front() > quotaWindow)
+            m_admitted.pop_front();
+        m_mostInAWindow = std::max(m_mostInAWindow, m_admitted.size());
+        if (m_members[index]->waiting)
+            ask(index);
+    }
+
+    MeshSettings m_settings;
+    RatePlan m_plan;
+    Duration m_meanDelay;
+    Duration m_dwell {};
+    double m_demand { 0 };
+    std::mt19937 m_random;
+    std::vector<std::unique_ptr<Member>> m_members;
+    std::array<RateLedger, 2> m_keepers;
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    std::map<size_t, uint64_t> m_openQuestions; // By member
+    std::deque<TimePoint> m_admitted;           // Within the last window
+    TimePoint m_now { start };
+    uint64_t m_sequence { 0 };
+    size_t m_asked { 0 };
+    size_t m_granted { 0 };
+    size_t m_mostInAWindow { 0 };
+};
+
+constexpr RatePlan plan { 100, 100 };
+
+// What the deployments allow in a window: a tenth and twenty requests above the plan.
+size_t allowedInAWindow()
+{
+    return static_cast<size_t>((plan.rate * toSeconds(quotaWindow) + plan.burst) * 1.1 + 20);
+}
+
+struct Delays {
+    size_t members;
+    Duration oneWay; // On average
+};
+
+constexpr Delays delaysOfSlowKeepers[] = { { 9, 1ms }, { 9, 30ms }, { 9, 50ms }, { 78, 1ms }, { 78, 30ms }, { 78, 50ms } };
+constexpr unsigned seeds = 5;
+constexpr auto length = 20s;
+constexpr double demand = 4 * plan.rate;
+
+std::string describe(const Delays& delays, unsigned seed)
+{
+    return std::to_string(delays.members) + " members, " + std::to_string(toSeconds(delays.oneWay)) + " s one way, seed "
+        + std::to_string(seed);
+}
+
+TEST(RateKeepers, ASlowKeeperAddsNothingToTheRateOfAnOrganisation)
+{
+    for (const auto& delays : delaysOfSlowKeepers) {
+        for (unsigned seed = 1; seed <= seeds; ++seed) {
+            KeeperModel model(delays.members, plan, delays.oneWay, seed);
+            model.play(demand, length);
+            EXPECT_LE(model.mostInAWindow(), allowedInAWindow()) << describe(delays, seed);
+        }
+    }
+}
+
+// An organisation that asks for more than its plan gets the plan; a tenth is left for what is under way.
+TEST(RateKeepers, ASlowKeeperLosesNothingOfTheRateOfAnOrganisation)
+{
+    for (const auto& delays : delaysOfSlowKeepers) {
+        for (unsigned seed = 1; seed <= seeds; ++seed) {
+            KeeperModel model(delays.members, plan, delays.oneWay, seed);
+            model.play(demand, length);
+            EXPECT_GE(static_cast<double>(model.granted()), plan.rate * toSeconds(length) * 0.9) << describe(delays, seed);
+        }
+    }
+}
+
+TEST(RateKeepers, MembersThatChangeTheirKeeperAddNothingToTheRateOfAnOrganisation)
+{
+    for (const auto dwell : { Duration(400ms), Duration(1s), Duration(3s) }) {
+        for (const size_t members : { 9, 78 }) {
+            for (unsigned seed = 1; seed <= seeds; ++seed) {
+                KeeperModel model(members, plan, 1ms, seed);
+                model.setDwell(dwell);
+                model.play(demand, length);
+                EXPECT_LE(model.mostInAWindow(), allowedInAWindow())
+                    << members << " members that stay " << toSeconds(dwell) << " s, seed " << seed;
+            }
+        }
+    }
+}
+
+} // namespace
+} // namespace shallot
