--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -273,8 +273,10 @@
             continue;
         const RateGrant grant { static_cast<unsigned>(std::max(0.0, loan->tokens)),
             Duration(static_cast<int64_t>(loan->retry_after_us)) };
-        if (!found->second.account.takeAnswer(loans.sequence, grant.tokens))
-            continue; // Settled by the time-out
+        if (!found->second.account.takeAnswer(loans.sequence, grant.tokens)) {
+            EventLog::write("ledger-late", { { "organisation", loan->organisation }, { "tokens", grant.tokens } });
+            continue;
+        }
         found->second.timeouts = 0;
         settle(found->first, found->second, grant, true, now);
     }
