Settle with the ledger what a member spent by itself, and give late tokens back

What callers saw: an organisation above its plan when the keeper of its ledger answered late, or, in a large fleet, 429 for half of what was inside its rate. Cause: two holders of one permission. A question that stayed open for 60 ms was settled from the member's own part while the ledger, which had heard the member, went on dealing that part; what it granted too late was thrown away. Evidence: RateKeepers.ASlowKeeperAddsNothing..., before: up to 742 requests in a window that allows 680; ...LosesNothing..., before: 894 to 1,333 granted of 2,000 (78 members, 30 and 50 ms one way). Why it works: whatever a member decides without the ledger is booked there with its next question or greeting, so the bucket sees every token once; late tokens come back to the bucket. A ledger that cannot be reached hears nothing and stops dealing the part after 0.6 s, as before.

--- a/Source/mesh/RateAccount.cpp
+++ b/Source/mesh/RateAccount.cpp
@@ -4,17 +4,20 @@
 
 namespace shallot {
 
-bool RateAccount::takeAnswer(uint64_t sequence, unsigned)
+bool RateAccount::takeAnswer(uint64_t sequence, unsigned tokens)
 {
-    if (!m_question || sequence != m_question)
+    if (!m_question || sequence != m_question) {
+        m_settlement.unused += tokens;
         return false;
+    }
     m_question = 0;
     return true;
 }
 
-void RateAccount::takeOwnPart(unsigned)
+void RateAccount::takeOwnPart(unsigned tokens)
 {
     m_question = 0;
+    m_settlement.spent += tokens;
 }
 
 RateAccount::Settlement RateAccount::settle()
--- a/Source/mesh/RateShares.cpp
+++ b/Source/mesh/RateShares.cpp
@@ -68,13 +68,17 @@
     return { taken, fromSeconds(std::max(1 - bucket.tokens.tokens, bucket.promised) / rate) };
 }
 
-void RateLedger::giveBack(const std::string& organisation, unsigned tokens, const RatePlan& plan, size_t members, TimePoint now)
+void RateLedger::settle(const std::string& organisation, const RateAccount::Settlement& settlement, const RatePlan& plan,
+    size_t members, TimePoint now)
 {
     if (plan.rate <= 0)
         return;
     auto& bucket = m_buckets[organisation].tokens;
     adapt(bucket, plan, heardPart(members, now), m_settings.ledgerMemory, m_activeSince, now);
-    bucket.tokens = std::min(bucket.burst, bucket.tokens + tokens);
+    bucket.tokens = std::min(bucket.burst, bucket.tokens + settlement.unused);
+    // A member that was not heard from for longer had no part in what was dealt here.
+    const double largestDebt = -bucket.rate * toSeconds(m_settings.ledgerMemory);
+    bucket.tokens = std::max(bucket.tokens - settlement.spent, std::min(bucket.tokens, largestDebt));
 }
 
 std::map<std::string, double> RateLedger::handOver(TimePoint now)
--- a/Source/mesh/RateShares.h
+++ b/Source/mesh/RateShares.h
@@ -2,6 +2,7 @@
 
 #include "core/Time.h"
 #include "limits/TokenBucket.h"
+#include "mesh/RateAccount.h"
 
 #include <map>
 #include <string>
@@ -36,8 +37,9 @@
 
     void hear(const std::string& member, TimePoint now);
     RateGrant grant(const std::string& organisation, unsigned wanted, const RatePlan&, size_t members, TimePoint now);
-    // Takes back tokens of requests that were refused and have not run; never more than the burst holds.
-    void giveBack(const std::string& organisation, unsigned tokens, const RatePlan&, size_t members, TimePoint now);
+    // Takes back tokens that no request used, never more than the burst holds, and books what a member spent of its own part
+    // while this ledger dealt that part as well.
+    void settle(const std::string& organisation, const RateAccount::Settlement&, const RatePlan&, size_t members, TimePoint now);
 
     // Ends this ledger: tokens by organisation, for the one that follows. It deals nothing until it is greeted again.
     std::map<std::string, double> handOver(TimePoint now);
--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr double mostTokens = 1e6; // In one frame; more than any burst
+
 std::unique_ptr<wire::LoanRequestT> makeRequest(const std::string& organisation, const RateAccount::Settlement& settlement)
 {
     auto request = std::make_unique<wire::LoanRequestT>();
@@ -23,16 +25,25 @@
         returned->tokens = settlement.unused;
         request->returned.push_back(std::move(returned));
     }
+    request->spent = settlement.spent;
     return request;
 }
 
 // A frame may hold any number; what is no count of tokens gives nothing back.
 unsigned tokensOf(const wire::ReturnedLoanT& returned)
 {
-    constexpr double mostTokens = 1e6; // More than any burst
     return returned.tokens > 0 && returned.tokens < mostTokens ? static_cast<unsigned>(returned.tokens) : 0;
 }
 
+RateAccount::Settlement readSettlement(const wire::LoanRequestT& request)
+{
+    RateAccount::Settlement settlement;
+    for (const auto& returned : request.returned)
+        settlement.unused += tokensOf(*returned);
+    settlement.spent = std::min(request.spent, static_cast<uint32_t>(mostTokens));
+    return settlement;
+}
+
 } // namespace
 
 RateExchange::RateExchange(const MeshSettings& settings, MeshBeliefs& beliefs, MeshLinks& links, std::string ownName)
@@ -107,7 +118,7 @@
         auto& own = m_ledgers[ledgerNumber(organisation)];
         const auto holders = m_beliefs.endpoints().countHolders(now);
         own.hear(m_ownName, now);
-        own.giveBack(organisation, waiting.account.settle().unused, waiting.plan, holders, now);
+        own.settle(organisation, waiting.account.settle(), waiting.plan, holders, now);
         settle(organisation, waiting, own.grant(organisation, wanted, waiting.plan, holders, now), true, now);
         return;
     }
@@ -196,7 +207,7 @@
         return;
     const auto settlement = waiting.account.settle();
     if (owner->member.name == m_ownName)
-        m_ledgers[number].giveBack(organisation, settlement.unused, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
+        m_ledgers[number].settle(organisation, settlement, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
     else
         greetings[owner].requests.push_back(makeRequest(organisation, settlement));
 }
@@ -241,8 +252,7 @@
         ledger.hear(link.peer(), now);
         const auto plan = planOf(request->organisation);
         const auto holders = m_beliefs.endpoints().countHolders(now);
-        for (const auto& returned : request->returned)
-            ledger.giveBack(request->organisation, tokensOf(*returned), plan, holders, now);
+        ledger.settle(request->organisation, readSettlement(*request), plan, holders, now);
         if (!request->waiting)
             continue;
         const auto grant = ledger.grant(request->organisation, request->waiting, plan, holders, now);
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -2245,6 +2245,7 @@
   std::vector<std::unique_ptr<shallot::wire::ReturnedLoanT>> returned{};
   double demand = 0.0;
   uint32_t waiting = 0;
+  uint32_t spent = 0;
   LoanRequestT() = default;
   LoanRequestT(const LoanRequestT &o);
   LoanRequestT(LoanRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2259,7 +2260,8 @@
     VT_ORGANISATION = 4,
     VT_RETURNED = 6,
     VT_DEMAND = 8,
-    VT_WAITING = 10
+    VT_WAITING = 10,
+    VT_SPENT = 12
   };
   const flatbuffers::String *organisation() const {
     return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
@@ -2273,6 +2275,9 @@
   uint32_t waiting() const {
     return GetField<uint32_t>(VT_WAITING, 0);
   }
+  uint32_t spent() const {
+    return GetField<uint32_t>(VT_SPENT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ORGANISATION) &&
@@ -2282,6 +2287,7 @@
            verifier.VerifyVectorOfTables(returned()) &&
            VerifyField<double>(verifier, VT_DEMAND, 8) &&
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SPENT, 4) &&
            verifier.EndTable();
   }
   LoanRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2305,6 +2311,9 @@
   void add_waiting(uint32_t waiting) {
     fbb_.AddElement<uint32_t>(LoanRequest::VT_WAITING, waiting, 0);
   }
+  void add_spent(uint32_t spent) {
+    fbb_.AddElement<uint32_t>(LoanRequest::VT_SPENT, spent, 0);
+  }
   explicit LoanRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2322,9 +2331,11 @@
     flatbuffers::Offset<flatbuffers::String> organisation = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::ReturnedLoan>>> returned = 0,
     double demand = 0.0,
-    uint32_t waiting = 0) {
+    uint32_t waiting = 0,
+    uint32_t spent = 0) {
   LoanRequestBuilder builder_(_fbb);
   builder_.add_demand(demand);
+  builder_.add_spent(spent);
   builder_.add_waiting(waiting);
   builder_.add_returned(returned);
   builder_.add_organisation(organisation);
@@ -2341,7 +2352,8 @@
     const char *organisation = nullptr,
     const std::vector<flatbuffers::Offset<shallot::wire::ReturnedLoan>> *returned = nullptr,
     double demand = 0.0,
-    uint32_t waiting = 0) {
+    uint32_t waiting = 0,
+    uint32_t spent = 0) {
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   auto returned__ = returned ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::ReturnedLoan>>(*returned) : 0;
   return shallot::wire::CreateLoanRequest(
@@ -2349,7 +2361,8 @@
       organisation__,
       returned__,
       demand,
-      waiting);
+      waiting,
+      spent);
 }
 
 flatbuffers::Offset<LoanRequest> CreateLoanRequest(flatbuffers::FlatBufferBuilder &_fbb, const LoanRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3834,7 +3847,8 @@
 inline LoanRequestT::LoanRequestT(const LoanRequestT &o)
       : organisation(o.organisation),
         demand(o.demand),
-        waiting(o.waiting) {
+        waiting(o.waiting),
+        spent(o.spent) {
   returned.reserve(o.returned.size());
   for (const auto &returned_ : o.returned) { returned.emplace_back((returned_) ? new shallot::wire::ReturnedLoanT(*returned_) : nullptr); }
 }
@@ -3844,6 +3858,7 @@
   std::swap(returned, o.returned);
   std::swap(demand, o.demand);
   std::swap(waiting, o.waiting);
+  std::swap(spent, o.spent);
   return *this;
 }
 
@@ -3860,6 +3875,7 @@
   { auto _e = returned(); if (_e) { _o->returned.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->returned[_i] = std::unique_ptr<shallot::wire::ReturnedLoanT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = demand(); _o->demand = _e; }
   { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = spent(); _o->spent = _e; }
 }
 
 inline flatbuffers::Offset<LoanRequest> LoanRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoanRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3874,12 +3890,14 @@
   auto _returned = _o->returned.size() ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::ReturnedLoan>> (_o->returned.size(), [](size_t i, _VectorArgs *__va) { return CreateReturnedLoan(*__va->__fbb, __va->__o->returned[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _demand = _o->demand;
   auto _waiting = _o->waiting;
+  auto _spent = _o->spent;
   return shallot::wire::CreateLoanRequest(
       _fbb,
       _organisation,
       _returned,
       _demand,
-      _waiting);
+      _waiting,
+      _spent);
 }
 
 inline LoanRequestsT::LoanRequestsT(const LoanRequestsT &o)
--- a/Tests/RateKeepersTest.cpp
+++ b/Tests/RateKeepersTest.cpp
@@ -94,7 +94,7 @@
 
     void settle(size_t keeper, const RateAccount::Settlement& settlement)
     {
-        m_keepers[keeper].giveBack("o", settlement.unused, m_plan, m_members.size(), m_now);
+        m_keepers[keeper].settle("o", settlement, m_plan, m_members.size(), m_now);
     }
 
     void arrive()
--- a/Tests/RateSharesFuzzTest.cpp
+++ b/Tests/RateSharesFuzzTest.cpp
@@ -72,7 +72,7 @@
     void giveBack(size_t index, TimePoint now)
     {
         if (auto* ledger = fleet[index]->deaf ? nullptr : ledgerFor(index))
-            ledger->giveBack("o", 1, plan, members, now);
+            ledger->settle("o", { .unused = 1 }, plan, members, now);
     }
 
     void restart(size_t index)
@@ -224,9 +224,9 @@
         ledger.grant("o", full < start + 1s ? 1 : 0, plan, 1, full);
     }
     EXPECT_EQ(ledger.grant("o", 20, plan, 1, full).tokens, 10U);
-    ledger.giveBack("o", 4, plan, 1, full);
+    ledger.settle("o", { .unused = 4 }, plan, 1, full);
     EXPECT_EQ(ledger.grant("o", 20, plan, 1, full).tokens, 4U);
-    ledger.giveBack("o", 1000, plan, 1, full);
+    ledger.settle("o", { .unused = 1000 }, plan, 1, full);
     EXPECT_EQ(ledger.grant("o", 20, plan, 1, full).tokens, 10U);
 }
 
@@ -256,7 +256,7 @@
             for (int i = 0; i < full; ++i) {
                 if (ledger.grant("o", 1, plan, 1, now).tokens && random() % 4) {
                     if (m_givesBack)
-                        ledger.giveBack("o", 1, plan, 1, now);
+                        ledger.settle("o", { .unused = 1 }, plan, 1, now);
                     if (i < fresh)
                         returns.push_back(now + 500ms);
                 }
