Ask again for a request inside its rate while its keeper is slow, and use tokens that come late

What callers saw: 429 although their organisation was inside its rate, whenever the keeper of its ledger took more than 60 ms to answer. Cause: silence was taken for a no. After one time-out the member's own part decided, which holds next to nothing in a large fleet: a 1/78 of a rate of 100/s is a token in 0.8 s. Why it works: nothing but the ledger's word says that an organisation is above its rate. A request that finds nothing in the own part is asked for again, at most as often as makes the ledger count as unreachable (180 ms), then of the next keeper; tokens of a late answer go to whoever waits by then. RateAccount holds the queue, so that this is decided without a network.

--- a/Source/mesh/RateAccount.cpp
+++ b/Source/mesh/RateAccount.cpp
@@ -1,26 +1,77 @@
 #include "mesh/RateAccount.h"
 
+#include "mesh/MeshSettings.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace shallot {
 
-bool RateAccount::takeAnswer(uint64_t sequence, unsigned tokens)
+unsigned RateAccount::ask(uint64_t sequence)
+{
+    m_question = sequence;
+    m_asked = m_waiting.size();
+    return static_cast<unsigned>(m_asked);
+}
+
+// Admits the requests that wait longest, and returns how many.
+unsigned RateAccount::admit(unsigned tokens, bool byLedger, Decisions& decisions)
+{
+    const auto count = std::min<size_t>(tokens, m_waiting.size());
+    for (size_t i = 0; i < count; ++i) {
+        decisions.push_back({ m_waiting.front().request, true, byLedger, {} });
+        m_waiting.pop_front();
+    }
+    m_asked -= std::min(m_asked, count);
+    return static_cast<unsigned>(count);
+}
+
+// Refuses what is left of the open question.
+void RateAccount::refuse(Duration retryAfter, bool byLedger, Decisions& decisions)
 {
-    if (!m_question || sequence != m_question) {
-        m_settlement.unused += tokens;
-        return false;
+    for (; m_asked; --m_asked) {
+        decisions.push_back({ m_waiting.front().request, false, byLedger, retryAfter });
+        m_waiting.pop_front();
     }
+}
+
+RateAccount::Decisions RateAccount::takeAnswer(uint64_t sequence, const RateGrant& grant)
+{
+    Decisions decisions;
+    m_settlement.unused += grant.tokens - admit(grant.tokens, true, decisions);
+    if (!m_question || sequence != m_question)
+        return decisions;
+    refuse(grant.retryAfter, true, decisions);
+    m_question = 0;
+    return decisions;
+}
+
+RateAccount::Decisions RateAccount::takeOwnPart(const RateGrant& grant)
+{
+    Decisions decisions;
+    m_settlement.spent += admit(grant.tokens, false, decisions);
+    for (size_t i = 0; i < m_asked; ++i)
+        ++m_waiting[i].timeouts;
+    // Requests wait in the order of their arrival, so those that were asked for most often stand first.
+    const auto givenUp = std::count_if(m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t>(m_asked),
+        [&](const Waiting& waiting) { return waiting.timeouts >= m_settings.ledgerTimeouts; });
+    m_asked = static_cast<size_t>(givenUp);
+    refuse(grant.retryAfter, false, decisions);
     m_question = 0;
-    return true;
+    return decisions;
 }
 
-void RateAccount::takeOwnPart(unsigned tokens)
+RateAccount::Decisions RateAccount::takeOwnPartAlone(const RateGrant& grant)
 {
+    Decisions decisions;
+    m_asked = m_waiting.size();
+    admit(grant.tokens, false, decisions);
+    refuse(grant.retryAfter, false, decisions);
     m_question = 0;
-    m_settlement.spent += tokens;
+    return decisions;
 }
 
-RateAccount::Settlement RateAccount::settle()
+RateSettlement RateAccount::settle()
 {
     return std::exchange(m_settlement, {});
 }
--- a/Source/mesh/RateShares.cpp
+++ b/Source/mesh/RateShares.cpp
@@ -81,8 +81,8 @@
     return { taken, fromSeconds(std::max(1 - bucket.tokens.tokens, bucket.promised) / rate) };
 }
 
-void RateLedger::settle(const std::string& organisation, const RateAccount::Settlement& settlement, const RatePlan& plan,
-    size_t members, TimePoint now)
+void RateLedger::settle(
+    const std::string& organisation, const RateSettlement& settlement, const RatePlan& plan, size_t members, TimePoint now)
 {
     const double part = heardPart(members, now);
     if (plan.rate <= 0 || part <= 0)
--- a/Source/mesh/RateShares.h
+++ b/Source/mesh/RateShares.h
@@ -2,7 +2,7 @@
 
 #include "core/Time.h"
 #include "limits/TokenBucket.h"
-#include "mesh/RateAccount.h"
+#include "mesh/RatePlan.h"
 
 #include <map>
 #include <string>
@@ -11,18 +11,6 @@
 
 struct MeshSettings;
 
-// An organisation's plan: requests a second, and how many above that at once. A rate of 0 has no limit.
-struct RatePlan {
-    double rate { 0 };
-    double burst { 0 };
-};
-
-// Tokens that a ledger gives, one for each request.
-struct RateGrant {
-    unsigned tokens { 0 };
-    Duration retryAfter {}; // For the requests that got none: when there is room for them
-};
-
 // The buckets of some organisations, kept by one member for all that can reach it. Every member owns an equal part of each
 // rate by birth, which it uses by itself while it reaches no ledger; a ledger deals only the parts of the members that it
 // heard from lately. So both sides of a cut together stay within the rate without a word between them. Whoever takes over a
@@ -40,7 +28,7 @@
     RateGrant grant(const std::string& organisation, unsigned wanted, const RatePlan&, size_t members, TimePoint now);
     // Takes back tokens that no request used, never more than the burst holds, and books what a member spent of its own part
     // while this ledger dealt that part as well.
-    void settle(const std::string& organisation, const RateAccount::Settlement&, const RatePlan&, size_t members, TimePoint now);
+    void settle(const std::string& organisation, const RateSettlement&, const RatePlan&, size_t members, TimePoint now);
 
     // Ends this ledger: tokens by organisation, for the one that follows. It deals nothing until it is greeted again.
     std::map<std::string, double> handOver(TimePoint now);
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -93,7 +93,7 @@
         return;
     }
     const RatePlan plan { organisation->rate, organisation->burst };
-    m_parts.rates.request(*organisation, now, [this, visit, plan](const RateExchange::Verdict& verdict) {
+    m_parts.rates.request(*organisation, now, [this, visit, plan](const RateAccount::Decision& verdict) {
         const auto& name = visit->call.context.organisation;
         const bool hasToken = verdict.admitted && verdict.byLedger;
         if (!m_visits.contains(visit->id)) {
--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -16,7 +16,7 @@
 
 constexpr double mostTokens = 1e6; // In one frame; more than any burst
 
-std::unique_ptr<wire::LoanRequestT> makeRequest(const std::string& organisation, const RateAccount::Settlement& settlement)
+std::unique_ptr<wire::LoanRequestT> makeRequest(const std::string& organisation, const RateSettlement& settlement)
 {
     auto request = std::make_unique<wire::LoanRequestT>();
     request->organisation = organisation;
@@ -35,9 +35,9 @@
     return returned.tokens > 0 && returned.tokens < mostTokens ? static_cast<unsigned>(returned.tokens) : 0;
 }
 
-RateAccount::Settlement readSettlement(const wire::LoanRequestT& request)
+RateSettlement readSettlement(const wire::LoanRequestT& request)
 {
-    RateAccount::Settlement settlement;
+    RateSettlement settlement;
     for (const auto& returned : request.returned)
         settlement.unused += tokensOf(*returned);
     settlement.spent = std::min(request.spent, static_cast<uint32_t>(mostTokens));
@@ -94,24 +94,26 @@
 void RateExchange::request(const MeshOrganisation& organisation, TimePoint now, Completion completion)
 {
     if (organisation.rate <= 0) {
-        completion({ true, false, {} });
+        completion({ 0, true, false, {} });
         return;
     }
-    auto& waiting = m_waiting[organisation.name];
+    auto& waiting = m_waiting.try_emplace(organisation.name, m_settings).first->second;
     waiting.plan = { organisation.rate, organisation.burst };
-    waiting.pending.push_back(std::move(completion));
+    const auto id = m_nextRequest++;
+    m_completions[id] = std::move(completion);
+    waiting.account.add(id);
     if (!waiting.account.isAsking())
         ask(organisation.name, waiting, now);
 }
 
 void RateExchange::ask(const std::string& organisation, Waiting& waiting, TimePoint now)
 {
-    waiting.asked = std::exchange(waiting.pending, {});
-    const auto wanted = static_cast<unsigned>(waiting.asked.size());
+    const auto sequence = m_nextQuestion++;
+    const auto wanted = waiting.account.ask(sequence);
     const auto* ledger = ledgerOf(ledgerNumber(organisation), now);
     if (!ledger) {
-        settle(organisation, waiting,
-            m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.endpoints().countHolders(now), now), false, now);
+        const auto grant = m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
+        complete(organisation, waiting, waiting.account.takeOwnPartAlone(grant), now);
         return;
     }
     if (ledger->member.name == m_ownName) {
@@ -119,14 +121,14 @@
         const auto holders = m_beliefs.endpoints().countHolders(now);
         own.hear(m_ownName, now);
         own.settle(organisation, waiting.account.settle(), waiting.plan, holders, now);
-        settle(organisation, waiting, own.grant(organisation, wanted, waiting.plan, holders, now), true, now);
+        const auto grant = own.grant(organisation, wanted, waiting.plan, holders, now);
+        complete(organisation, waiting, waiting.account.takeAnswer(sequence, grant), now);
         return;
     }
     auto request = makeRequest(organisation, waiting.account.settle());
     request->waiting = wanted;
     wire::LoanRequestsT requests;
-    requests.sequence = m_nextQuestion++;
-    waiting.account.ask(requests.sequence);
+    requests.sequence = sequence;
     requests.requests.push_back(std::move(request));
     wire::FrameT frame;
     frame.body.Set(std::move(requests));
@@ -136,31 +138,35 @@
         link->send(frame);
 }
 
-void RateExchange::settle(const std::string& organisation, Waiting& waiting, const RateGrant& grant, bool byLedger, TimePoint now)
+void RateExchange::complete(
+    const std::string& organisation, Waiting& waiting, const RateAccount::Decisions& decisions, TimePoint now)
 {
-    waiting.timeout.stop();
-    auto settled = std::exchange(waiting.asked, {});
-    for (size_t i = 0; i < settled.size(); ++i)
-        settled[i]({ i < grant.tokens, byLedger, grant.retryAfter });
-    if (!waiting.pending.empty() && !waiting.account.isAsking())
+    if (!waiting.account.isAsking())
+        waiting.timeout.stop();
+    for (const auto& decision : decisions) {
+        const auto found = m_completions.find(decision.request);
+        const auto completion = std::move(found->second);
+        m_completions.erase(found);
+        completion(decision);
+    }
+    if (waiting.account.hasWaiting() && !waiting.account.isAsking())
         ask(organisation, waiting, now);
 }
 
 void RateExchange::onTimeout(const std::string& organisation)
 {
-    auto& waiting = m_waiting[organisation];
+    auto& waiting = m_waiting.at(organisation);
     const auto now = MonotonicClock::now();
     if (++waiting.timeouts >= m_settings.ledgerTimeouts) {
         waiting.timeouts = 0;
         const auto firstAsked = now - m_settings.ledgerTimeouts * m_settings.ledgerTimeout;
         m_beliefs.endpoints().recordUnreachable(waiting.ledger, firstAsked, now);
     }
-    const auto wanted = static_cast<unsigned>(waiting.asked.size());
+    const auto wanted = waiting.account.askedCount();
     const auto grant = m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
     EventLog::write("ledger-silent",
         { { "organisation", organisation }, { "ledger", waiting.ledger }, { "waiting", wanted }, { "granted", grant.tokens } });
-    waiting.account.takeOwnPart(grant.tokens);
-    settle(organisation, waiting, grant, false, now);
+    complete(organisation, waiting, waiting.account.takeOwnPart(grant), now);
 }
 
 void RateExchange::greet(TimePoint now)
@@ -283,12 +289,12 @@
             continue;
         const RateGrant grant { static_cast<unsigned>(std::max(0.0, loan->tokens)),
             Duration(static_cast<int64_t>(loan->retry_after_us)) };
-        if (!found->second.account.takeAnswer(loans.sequence, grant.tokens)) {
+        auto& waiting = found->second;
+        if (waiting.account.question() == loans.sequence)
+            waiting.timeouts = 0;
+        else
             EventLog::write("ledger-late", { { "organisation", loan->organisation }, { "tokens", grant.tokens } });
-            continue;
-        }
-        found->second.timeouts = 0;
-        settle(found->first, found->second, grant, true, now);
+        complete(found->first, waiting, waiting.account.takeAnswer(loans.sequence, grant), now);
     }
 }
 
--- a/Source/sidecar/RateExchange.h
+++ b/Source/sidecar/RateExchange.h
@@ -4,10 +4,10 @@
 #include "mesh/RateShares.h"
 #include "net/MainLoop.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace shallot {
@@ -27,17 +27,11 @@
 // organisation that wait together are asked for together, so a busy organisation costs few messages.
 class RateExchange {
 public:
-    // Whether a request has a token.
-    struct Verdict {
-        bool admitted { false };
-        bool byLedger { false }; // The token came from a ledger, which takes it back if the request does not run
-        Duration retryAfter {};  // For a request without a token: when there is room for it
-    };
-    using Completion = std::function<void(const Verdict&)>;
+    using Completion = std::function<void(const RateAccount::Decision&)>;
 
     RateExchange(const MeshSettings&, MeshBeliefs&, MeshLinks&, std::string ownName);
 
-    // The completion is called once, perhaps before this returns, and within MeshSettings::ledgerTimeout.
+    // The completion is called once, perhaps before this returns, and within MeshSettings::ledgerTimeouts of ledgerTimeout.
     void request(const MeshOrganisation&, TimePoint now, Completion);
     // Gives the token of a request back that was refused and has not run. It goes out with the next question or greeting.
     void giveBack(const std::string& organisation);
@@ -50,8 +44,11 @@
 
 private:
     struct Waiting {
-        std::deque<Completion> asked;   // The ledger's answer decides these
-        std::deque<Completion> pending; // Arrived since that question
+        explicit Waiting(const MeshSettings& settings)
+            : account(settings)
+        {
+        }
+
         RateAccount account;
         std::string ledger;      // Member that was asked
         unsigned timeouts { 0 }; // In a row
@@ -65,7 +62,7 @@
     size_t ledgerNumber(const std::string& organisation) const;
     RatePlan planOf(const std::string& organisation);
     void ask(const std::string& organisation, Waiting&, TimePoint now);
-    void settle(const std::string& organisation, Waiting&, const RateGrant&, bool byLedger, TimePoint now);
+    void complete(const std::string& organisation, Waiting&, const RateAccount::Decisions&, TimePoint now);
     void settleAccount(const std::string& organisation, Waiting&, Greetings&, TimePoint now);
     void onTimeout(const std::string& organisation);
 
@@ -74,8 +71,10 @@
     MeshLinks& m_links;
     std::string m_ownName;
     RateParts m_parts;
-    std::vector<RateLedger> m_ledgers;        // By number; those that others keep stand idle
-    std::map<std::string, Waiting> m_waiting; // By organisation
+    std::vector<RateLedger> m_ledgers;                      // By number; those that others keep stand idle
+    std::map<std::string, Waiting> m_waiting;               // By organisation
+    std::unordered_map<uint64_t, Completion> m_completions; // By request
+    uint64_t m_nextRequest { 1 };
     uint64_t m_nextQuestion { 1 };
     bool m_leaving { false };
 };
--- a/Tests/RateKeepersTest.cpp
+++ b/Tests/RateKeepersTest.cpp
@@ -58,14 +58,13 @@
     struct Member {
         explicit Member(const MeshSettings& settings)
             : parts(settings)
+            , account(settings)
         {
         }
 
         RateParts parts;
         RateAccount account;
         size_t keeper { 0 };
-        unsigned asked { 0 };
-        unsigned waiting { 0 };
     };
 
     void at(TimePoint time, std::function<void()> run) { m_events.emplace(time, std::move(run)); }
@@ -92,7 +91,7 @@
         at(m_now + m_settings.greetInterval, [this] { greet(); });
     }
 
-    void settle(size_t keeper, const RateAccount::Settlement& settlement)
+    void settle(size_t keeper, const RateSettlement& settlement)
     {
         m_keepers[keeper].settle("o", settlement, m_plan, m_members.size(), m_now);
     }
@@ -101,7 +100,7 @@
     {
         const auto index = m_random() % m_members.size();
         ++m_asked;
-        ++m_members[index]->waiting;
+        m_members[index]->account.add(m_asked);
         if (!m_members[index]->account.isAsking())
             ask(index);
         at(m_now + fromSeconds(std::exponential_distribution<double>(m_demand)(m_random)), [this] { arrive(); });
@@ -110,46 +109,45 @@
     void ask(size_t index)
     {
         auto& member = *m_members[index];
-        member.asked = std::exchange(member.waiting, 0);
         const auto sequence = ++m_sequence;
+        const auto wanted = member.account.ask(sequence);
         const auto keeper = member.keeper;
-        at(m_now + drawn(m_meanDelay), [this, index, sequence, keeper, wanted = member.asked, settled = member.account.settle()] {
+        at(m_now + drawn(m_meanDelay), [this, index, sequence, keeper, wanted, settled = member.account.settle()] {
             m_keepers[keeper].hear(nameOf(index), m_now);
             settle(keeper, settled);
             const auto grant = m_keepers[keeper].grant("o", wanted, m_plan, m_members.size(), m_now);
-            at(m_now + drawn(m_meanDelay), [this, index, sequence, grant] { onAnswer(index, sequence, grant.tokens); });
+            at(m_now + drawn(m_meanDelay), [this, index, sequence, grant] { onAnswer(index, sequence, grant); });
         });
-        member.account.ask(sequence);
-        m_openQuestions[index] = sequence;
         at(m_now + m_settings.ledgerTimeout, [this, index, sequence] {
-            if (m_openQuestions[index] == sequence)
+            if (m_members[index]->account.question() == sequence)
                 onTimeout(index);
         });
     }
 
-    void onAnswer(size_t index, uint64_t sequence, unsigned tokens)
+    void onAnswer(size_t index, uint64_t sequence, const RateGrant& grant)
     {
-        if (m_members[index]->account.takeAnswer(sequence, tokens))
-            admit(index, tokens);
+        complete(index, m_members[index]->account.takeAnswer(sequence, grant));
     }
 
     void onTimeout(size_t index)
     {
         auto& member = *m_members[index];
-        const auto tokens = member.parts.grant("o", member.asked, m_plan, m_members.size(), m_now).tokens;
-        member.account.takeOwnPart(tokens);
-        admit(index, tokens);
+        const auto wanted = member.account.askedCount();
+        complete(index, member.account.takeOwnPart(member.parts.grant("o", wanted, m_plan, m_members.size(), m_now)));
     }
 
-    void admit(size_t index, unsigned tokens)
+    void complete(size_t index, const RateAccount::Decisions& decisions)
     {
-        m_openQuestions[index] = 0;
-        m_granted += tokens;
-        m_admitted.insert(m_admitted.end(), tokens, m_now);
+        for (const auto& decision : decisions) {
+            if (!decision.admitted)
+                continue;
+            ++m_granted;
+            m_admitted.push_back(m_now);
+        }
         while (!m_admitted.empty() && m_now - m_admitted.front() > quotaWindow)
             m_admitted.pop_front();
         m_mostInAWindow = std::max(m_mostInAWindow, m_admitted.size());
-        if (m_members[index]->waiting)
+        if (m_members[index]->account.hasWaiting() && !m_members[index]->account.isAsking())
             ask(index);
     }
 
@@ -162,8 +160,7 @@
     std::vector<std::unique_ptr<Member>> m_members;
     std::array<RateLedger, 2> m_keepers;
     std::multimap<TimePoint, std::function<void()>> m_events;
-    std::map<size_t, uint64_t> m_openQuestions; // By member
-    std::deque<TimePoint> m_admitted;           // Within the last window
+    std::deque<TimePoint> m_admitted; // Within the last window
     TimePoint m_now { start };
     uint64_t m_sequence { 0 };
     size_t m_asked { 0 };
@@ -218,6 +215,18 @@
     }
 }
 
+// Few enough requests that all of them have a place in the plan.
+TEST(RateKeepers, RequestsInsideTheRateAreNotRefusedBecauseTheKeeperIsSlow)
+{
+    for (const auto& delays : delaysOfSlowKeepers) {
+        for (unsigned seed = 1; seed <= seeds; ++seed) {
+            KeeperModel model(delays.members, plan, delays.oneWay, seed);
+            model.play(0.7 * plan.rate, length);
+            EXPECT_GE(static_cast<double>(model.granted()), static_cast<double>(model.asked()) * 0.9) << describe(delays, seed);
+        }
+    }
+}
+
 TEST(RateKeepers, MembersThatChangeTheirKeeperAddNothingToTheRateOfAnOrganisation)
 {
     for (const auto dwell : { Duration(400ms), Duration(1s), Duration(3s) }) {
