Ask a leaving keeper no more, and hand its ledgers over before the members hear of the leave

What callers saw: 429 inside their organisation's rate for more than a second after each planned stop of an instance that keeps a ledger, and again when its process ended. Cause: the leaving keeper passed its ledgers on, but only it knew: all others went on asking it until its links closed, 2.6 s later. It answered with an empty ledger that waited out a takeover, and the next keeper waited once more. Evidence: SidecarPath.APlannedStopOfALedgersKeeperRefusesNothingInsideTheRate, before: 429 to each of 20 requests of a rate of 100/s when the keeper leaves; it holds now. Why it works: a member that is stopped says so on its links; it is no keeper for those who hear it, and its successor, which holds the tokens already, counts their parts at once. The flag ends with the link, so that a restarted process is a keeper again.

--- a/Source/mesh/EndpointReport.h
+++ b/Source/mesh/EndpointReport.h
@@ -14,6 +14,7 @@
     uint32_t limit { 1 };    // Requests that may run at once
     Duration serviceTime {}; // Average of a run; 0 before the first
     Duration pressure {};    // Longest wait that the call it answers meets, here or at the services called on its behalf
+    bool leaving { false };  // The daemon is being stopped; in its own word only, not with answers
 };
 
 } // namespace shallot
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -164,7 +164,10 @@
 void RemoteEndpoints::recordUnreachable(std::string_view name, TimePoint since, TimePoint now)
 {
     auto* endpoint = find(name);
-    if (!endpoint || endpoint->heardAt > since)
+    if (!endpoint)
+        return;
+    endpoint->leaving = false; // Its process has ended
+    if (endpoint->heardAt > since)
         return;
     const auto penalty = m_settings.linkPenalty * (1 << std::min(endpoint->linkFailures, 4U));
     if (!endpoint->linkFailures++)
@@ -188,6 +191,30 @@
     }
 }
 
+void RemoteEndpoints::recordLeaving(std::string_view name, bool leaving)
+{
+    if (auto* endpoint = find(name))
+        endpoint->leaving = leaving;
+}
+
+// Rendezvous hashing over the members that can be reached.
+const RemoteEndpoint* RemoteEndpoints::keeperOf(size_t ledger, TimePoint now) const
+{
+    const RemoteEndpoint* keeper = nullptr;
+    uint64_t best = 0;
+    for (const auto& [name, endpoint] : m_endpoints) {
+        const bool unreachable = endpoint.linkFailures && endpoint.avoidUntil > now;
+        if (unreachable || endpoint.leaving)
+            continue;
+        const auto weight = stableHash(name, ledger + 1);
+        if (!keeper || weight > best) {
+            keeper = &endpoint;
+            best = weight;
+        }
+    }
+    return keeper;
+}
+
 size_t RemoteEndpoints::countHolders(TimePoint now) const
 {
     return static_cast<size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -25,6 +25,7 @@
     unsigned linkFailures { 0 };   // In a row
     TimePoint unreachableSince {}; // The first of them
     TimePoint heardAt {};          // It last proved that it can be reached
+    bool leaving { false };        // It told that it is being stopped
     TimePoint noReaderUntil {};    // Its knowledge of the configuration was old
 };
 
@@ -64,6 +65,10 @@
     // be back without a word to this daemon.
     const RemoteEndpoint* nextToTryAgain(std::string_view zone, TimePoint now) const;
 
+    void recordLeaving(std::string_view name, bool leaving);
+    // The member that keeps a ledger; null when none can be reached. Members that see different ones ask different keepers.
+    const RemoteEndpoint* keeperOf(size_t ledger, TimePoint now) const;
+
     // Members that may hold a part of a rate: all but those that have been unreachable for long.
     size_t countHolders(TimePoint now) const;
 
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -148,11 +148,18 @@
         && now - m_lastHeard < m_settings.announcementLapse;
 }
 
-void EndpointExecutor::noteChange()
+EndpointReport EndpointExecutor::report(TimePoint now) const
+{
+    auto report = m_queue.report(isAvailable(now));
+    report.leaving = m_leaving;
+    return report;
+}
+
+bool EndpointExecutor::noteChange()
 {
     const bool available = isAvailable(MonotonicClock::now());
     if (available == m_wasAvailable)
-        return;
+        return false;
     m_wasAvailable = available;
     EventLog::write("instance-availability",
         { { "backend_server", m_announcement.instance }, { "available", available }, { "draining", m_announcement.draining },
@@ -160,12 +167,15 @@
             { "verified", m_verified } });
     if (m_onChange)
         m_onChange();
+    return true;
 }
 
 void EndpointExecutor::startLeaving()
 {
     m_leaving = true;
-    noteChange();
+    // Members have to know of the leave also where no backend server was in use.
+    if (!noteChange() && m_onChange)
+        m_onChange();
 }
 
 // Admission
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -61,7 +61,7 @@
     void tick() { noteChange(); }
 
     bool isAvailable(TimePoint now) const;
-    EndpointReport report(TimePoint now) const { return m_queue.report(isAvailable(now)); }
+    EndpointReport report(TimePoint now) const;
     const std::string& service() const { return m_announcement.service; }
     size_t inProgress() const { return m_calls.size(); }
     void setChangeHandler(std::function<void()> handler) { m_onChange = std::move(handler); }
@@ -89,7 +89,7 @@
     void refuse(LiveRun&, ErrorKind, TimePoint now);
     void verifyInstance();
     void onProbe(const Result<HTTPResponse>&);
-    void noteChange();
+    bool noteChange(); // Whether there was one
     void onDue(uint64_t id);
 
     const MeshSettings& m_settings;
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -10,6 +10,13 @@
 
 using namespace std::chrono_literals;
 
+// Of a member, as it says of itself; any other value is taken as unavailable.
+enum class State : uint8_t {
+    Available = 0,
+    Unavailable = 1, // Its backend server takes no new work
+    Leaving = 2,     // The daemon is being stopped
+};
+
 constexpr auto connectTimeout = 600ms;        // To connect and prove each other; hundreds of times the way between two zones
 constexpr auto silenceBeforeQuestion = 300ms; // Of a link with calls in progress; shorter than most runs are long
 constexpr auto answerTimeout = 700ms;         // Of that question
@@ -68,7 +75,9 @@
     state->address = m_own.address;
     state->service = m_own.service;
     state->slots = report.limit;
-    state->state = report.available ? 0 : 1;
+    state->state = static_cast<uint8_t>(report.leaving ? State::Leaving
+            : report.available                         ? State::Available
+                                                       : State::Unavailable);
     wire::GossipT gossip;
     gossip.wants_table = wantsAnswer;
     gossip.members.push_back(std::move(state));
@@ -98,7 +107,8 @@
     }
     for (const auto& state : gossip->members) {
         EndpointReport report;
-        report.available = state->state == 0;
+        report.available = state->state == static_cast<uint8_t>(State::Available);
+        report.leaving = state->state == static_cast<uint8_t>(State::Leaving);
         report.limit = std::max(1U, state->slots);
         m_callbacks.onState({ state->member, state->zone, state->address, state->service }, report);
     }
--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -61,25 +61,6 @@
     return stableHash(organisation) % m_settings.ledgers;
 }
 
-// Rendezvous hashing over the members that can be reached. Members that see different ones ask different ledgers; each
-// deals only the parts of those that ask it, so the sum stays within the rate.
-const RemoteEndpoint* RateExchange::ledgerOf(size_t ledger, TimePoint now)
-{
-    const RemoteEndpoint* owner = nullptr;
-    uint64_t best = 0;
-    for (const auto& [name, endpoint] : m_beliefs.endpoints().all()) {
-        const bool unreachable = endpoint.linkFailures && endpoint.avoidUntil > now;
-        if (unreachable || (m_leaving && name == m_ownName))
-            continue;
-        const auto weight = stableHash(name, ledger + 1);
-        if (!owner || weight > best) {
-            owner = &endpoint;
-            best = weight;
-        }
-    }
-    return owner;
-}
-
 RatePlan RateExchange::planOf(const std::string& organisation)
 {
     if (!m_beliefs.routes())
@@ -110,7 +91,7 @@
 {
     const auto sequence = m_nextQuestion++;
     const auto wanted = waiting.account.ask(sequence);
-    const auto* ledger = ledgerOf(ledgerNumber(organisation), now);
+    const auto* ledger = m_beliefs.endpoints().keeperOf(ledgerNumber(organisation), now);
     if (!ledger) {
         const auto grant = m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
         complete(organisation, waiting, waiting.account.takeOwnPartAlone(grant), now);
@@ -173,7 +154,7 @@
 {
     Greetings greetings;
     for (size_t ledger = 0; ledger < m_ledgers.size(); ++ledger) {
-        const auto* owner = ledgerOf(ledger, now);
+        const auto* owner = m_beliefs.endpoints().keeperOf(ledger, now);
         if (!owner)
             continue;
         if (owner->member.name == m_ownName) {
@@ -208,7 +189,7 @@
 void RateExchange::settleAccount(const std::string& organisation, Waiting& waiting, Greetings& greetings, TimePoint now)
 {
     const auto number = ledgerNumber(organisation);
-    const auto* owner = ledgerOf(number, now);
+    const auto* owner = m_beliefs.endpoints().keeperOf(number, now);
     if (!owner)
         return;
     const auto settlement = waiting.account.settle();
@@ -220,10 +201,10 @@
 
 void RateExchange::handOver(TimePoint now)
 {
-    m_leaving = true;
+    m_beliefs.endpoints().recordLeaving(m_ownName, true);
     for (size_t ledger = 0; ledger < m_ledgers.size(); ++ledger) {
         const auto tokens = m_ledgers[ledger].handOver(now);
-        const auto* next = ledgerOf(ledger, now);
+        const auto* next = m_beliefs.endpoints().keeperOf(ledger, now);
         if (tokens.empty() || !next)
             continue;
         wire::LoansT loans;
--- a/Source/sidecar/RateExchange.h
+++ b/Source/sidecar/RateExchange.h
@@ -58,7 +58,6 @@
 
     using Greetings = std::map<const RemoteEndpoint*, wire::LoanRequestsT>; // By the ledgers' keepers
 
-    const RemoteEndpoint* ledgerOf(size_t ledger, TimePoint now);
     size_t ledgerNumber(const std::string& organisation) const;
     RatePlan planOf(const std::string& organisation);
     void ask(const std::string& organisation, Waiting&, TimePoint now);
@@ -76,7 +75,6 @@
     std::unordered_map<uint64_t, Completion> m_completions; // By request
     uint64_t m_nextRequest { 1 };
     uint64_t m_nextQuestion { 1 };
-    bool m_leaving { false };
 };
 
 } // namespace shallot
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -50,6 +50,7 @@
                   m_beliefs.takeMember(member);
                   m_beliefs.endpoints().recordReachable(member.name, MonotonicClock::now());
                   m_beliefs.endpoints().recordReport(member.name, report, MonotonicClock::now());
+                  m_beliefs.endpoints().recordLeaving(member.name, report.leaving);
               },
               [this] { return m_executor.report(MonotonicClock::now()); } },
           meshFrameDictionary())
@@ -98,9 +99,10 @@
     if (std::exchange(m_leaving, true))
         return;
     EventLog::write("leave", { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() } });
+    // The next keepers hear of their ledgers before the members hear that this one leaves.
+    m_rates.handOver(MonotonicClock::now());
     m_executor.startLeaving();
     m_ingress.startLeaving();
-    m_rates.handOver(MonotonicClock::now());
     const auto closeBy = MonotonicClock::now() + m_instance.shutdownTime - closeMargin;
     // Callers learn of the leave by the readiness question; until then they are served.
     const auto earliest = MonotonicClock::now() + readinessLag;
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -352,6 +352,23 @@
     EXPECT_EQ(mesh.runs("/read/rate"), served);
 }
 
+TEST(SidecarPath, APlannedStopOfALedgersKeeperRefusesNothingInsideTheRate)
+{
+    const size_t daemons = 3;
+    for (size_t leaving = 0; leaving < daemons; ++leaving) { // One of them keeps the ledger
+        SidecarHarness mesh({ "zone-a/alpha", "zone-a/alpha", "zone-a/alpha" });
+        ASSERT_TRUE(mesh.waitUntilServing());
+        mesh.configure(2, R"(["key-1"])", 100);
+        mesh.runFor(1500ms);
+        const auto other = (leaving + 1) % daemons;
+        EXPECT_EQ(mesh.fetch(other, "/read/before").status(), 200);
+        mesh.daemon(leaving).leave();
+        mesh.runFor(100ms);
+        for (size_t i = 0; i < 20; ++i)
+            EXPECT_EQ(mesh.fetch(other, "/read/after").status(), 200) << "daemon " << leaving << " leaves, request " << i;
+    }
+}
+
 TEST(SidecarPath, ARefusedRequestUsesNothingOfItsOrganisationsRate)
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/alpha" });
