End a peer link neither in its constructor nor while its watch is looked up

Cause: a link began its handshake in its constructor. Where the peer had been reset before the connection was accepted, the first write failed and the link was destroyed before it was ever stored; what was stored afterwards pointed to freed memory. Evidence: PeerLink.IsNotUsedAfterAPeerThatWasResetBeforeItWasAccepted kept one dead link before and then crashed; MeshLinks.ALinkThatEndsWhileAnotherIsFoundSilent... before: heap-use-after-free under the sanitizers. Why it works: a link is stored and referenced before it may end, and watches are made for open links only.

--- a/Source/net/PeerLink.cpp
+++ b/Source/net/PeerLink.cpp
@@ -27,7 +27,6 @@
     , m_nonce(toHex(makeRandomRequestID()))
     , m_initiator(initiator)
 {
-    start();
 }
 
 PeerLink::~PeerLink()
--- a/Source/net/PeerLink.h
+++ b/Source/net/PeerLink.h
@@ -38,6 +38,8 @@
     PeerLink(RefPtr<StreamSocket>, const PeerIdentity&, bool initiator, Callbacks, FrameCompressor* = nullptr);
     ~PeerLink();
 
+    // Begins the handshake. May end the link before it returns, so the caller holds a reference and has stored the link.
+    void start();
     // False once the link is closed.
     bool send(const wire::FrameT&);
     void close();
@@ -48,7 +50,6 @@
     uint64_t bytesSent() const { return m_bytesSent; }
 
 private:
-    void start();
     void onData(std::span<const uint8_t>);
     bool onHandshakeFrame(const wire::FrameT&);
     bool onHello(const wire::HelloT&);
--- a/Source/net/PeerLinks.cpp
+++ b/Source/net/PeerLinks.cpp
@@ -30,7 +30,9 @@
     return m_listener.start(address, [this](RefPtr<StreamSocket> socket) {
         if (m_accepted.size() >= maximumAcceptedLinks)
             return;
-        m_accepted.insert(makeLink(std::move(socket), false));
+        const auto link = makeLink(std::move(socket), false);
+        m_accepted.insert(link);
+        link->start();
     });
 }
 
@@ -54,7 +56,8 @@
         return nullptr;
     auto link = makeLink(std::move(socket), true);
     m_outgoing[address] = link;
-    return link;
+    link->start();
+    return link->isOpen() ? link : nullptr;
 }
 
 void PeerLinks::onFrame(PeerLink& link, wire::FrameT& frame)
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -54,9 +54,9 @@
 
 void MeshLinks::addOutstanding(PeerLink& link)
 {
-    auto& watch = m_watches[&link];
-    if (!watch.outstanding++)
-        watch.heard = std::max(watch.heard, MonotonicClock::now());
+    const auto found = m_watches.find(&link);
+    if (found != m_watches.end() && !found->second.outstanding++)
+        found->second.heard = std::max(found->second.heard, MonotonicClock::now());
 }
 
 void MeshLinks::removeOutstanding(PeerLink& link)
@@ -139,7 +139,10 @@
             silent.emplace_back(link);
     }
     for (const auto& link : silent) {
-        auto& watch = m_watches[link.get()];
+        const auto found = m_watches.find(link.get());
+        if (found == m_watches.end())
+            continue; // Ended with one before it
+        auto& watch = found->second;
         const bool isFirst = watch.asked == TimePoint();
         if (isFirst)
             watch.asked = now;
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -13,6 +13,9 @@
 
 #include <glib.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace shallot {
 namespace {
@@ -476,6 +479,35 @@
     EXPECT_EQ(unreachable, std::vector<std::string> { nobody.toString() });
 }
 
+TEST(MeshLinks, ALinkThatEndsWhileAnotherIsFoundSilentIsNotWatchedOn)
+{
+    const auto base = nextBasePort();
+    const SocketAddress addresses[] { { "127.0.0.1", static_cast<uint16_t>(base + 1) },
+        { "127.0.0.1", static_cast<uint16_t>(base + 2) } };
+    PeerLinks first({ "first", "z", "a secret of the tests" }, { nullptr, nullptr });
+    PeerLinks second({ "second", "z", "a secret of the tests" }, { nullptr, nullptr });
+    ASSERT_TRUE(first.listen(addresses[0]));
+    ASSERT_TRUE(second.listen(addresses[1]));
+    MeshLinks* mesh = nullptr;
+    MeshLinks links({ "m", "z", "a secret of the tests" }, { "m", "z", "127.0.0.1:1", "s" },
+        { [](PeerLink&, wire::FrameT&) {}, [](PeerLink&) {}, [](const std::string&, TimePoint) {},
+            [&mesh](const std::string&, Duration) { mesh->closeAll(); }, [](const MeshMember&, const EndpointReport&) {},
+            [] { return EndpointReport {}; } });
+    mesh = &links;
+    for (const auto& address : addresses) {
+        const auto link = links.linkTo(address.toString());
+        ASSERT_TRUE(link);
+        while (!link->isEstablished())
+            g_main_context_iteration(nullptr, TRUE);
+        links.addOutstanding(*link);
+    }
+    const auto now = MonotonicClock::now();
+    links.tick(now + 1s);
+    links.announceState();
+    links.tick(now + 3s);
+    EXPECT_EQ(links.linkCount(), 0U);
+}
+
 TEST(StoreFollower, AReadThatEndsLateBringsNothingOlderThanWhatIsKnown)
 {
     const SocketAddress address { "127.0.0.1", nextBasePort() };
@@ -533,6 +565,26 @@
     EXPECT_EQ(store.readWaits()[2], settings.readHold);
 }
 
+TEST(PeerLink, IsNotUsedAfterAPeerThatWasResetBeforeItWasAccepted)
+{
+    const SocketAddress address { "127.0.0.1", static_cast<uint16_t>(nextBasePort() + 1) };
+    int closed = 0;
+    PeerLinks there({ "there", "z", "a secret of the tests" }, { nullptr, [&closed](PeerLink&) { ++closed; } });
+    ASSERT_TRUE(there.listen(address));
+    sockaddr_in native {};
+    native.sin_family = AF_INET;
+    native.sin_port = htons(address.port);
+    native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ(::connect(descriptor, reinterpret_cast<const sockaddr*>(&native), sizeof native), 0);
+    const linger resetOnClose { 1, 0 };
+    ASSERT_EQ(::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose), 0);
+    ::close(descriptor);
+    while (!closed)
+        g_main_context_iteration(nullptr, TRUE);
+    EXPECT_EQ(there.linkCount(), 0U);
+}
+
 TEST(PeerLink, OutlivesASendThatEndsIt)
 {
     const SocketAddress address { "127.0.0.1", static_cast<uint16_t>(nextBasePort() + 1) };
