Try a lost keeper again by a probe, not by the requests of its organisations

A lost keeper was asked again as soon as its penalty ended, with the requests that waited. If it was still lost they waited for three time-outs, and the keeper in use, not greeted meanwhile, took itself for replaced: its members' parts waited 0.6 s, after 1, 2, 4 and 8 s of each outage. Why it works: whoever was lost keeps nothing until its answer to a probe; until then the keeper in use is asked without a gap. The model of the fleet's knowledge had this rule already and now calls the decision itself.

--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -198,13 +198,12 @@
 }
 
 // Rendezvous hashing over the members that can be reached.
-const RemoteEndpoint* RemoteEndpoints::keeperOf(size_t ledger, TimePoint now) const
+const RemoteEndpoint* RemoteEndpoints::keeperOf(size_t ledger) const
 {
     const RemoteEndpoint* keeper = nullptr;
     uint64_t best = 0;
     for (const auto& [name, endpoint] : m_endpoints) {
-        const bool unreachable = endpoint.linkFailures && endpoint.avoidUntil > now;
-        if (unreachable || endpoint.leaving)
+        if (endpoint.linkFailures || endpoint.leaving)
             continue;
         const auto weight = stableHash(name, ledger + 1);
         if (!keeper || weight > best) {
@@ -215,6 +214,19 @@
     return keeper;
 }
 
+const RemoteEndpoint* RemoteEndpoints::keeperToTryAgain(size_t ledger, TimePoint now) const
+{
+    const auto* keeper = keeperOf(ledger);
+    const auto least = keeper ? stableHash(keeper->member.name, ledger + 1) : 0;
+    const RemoteEndpoint* next = nullptr;
+    for (const auto& [name, endpoint] : m_endpoints) {
+        const bool isDue = endpoint.linkFailures && endpoint.avoidUntil <= now && stableHash(name, ledger + 1) > least;
+        if (isDue && (!next || endpoint.avoidUntil < next->avoidUntil))
+            next = &endpoint;
+    }
+    return next;
+}
+
 size_t RemoteEndpoints::countHolders(TimePoint now) const
 {
     return static_cast<size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -66,8 +66,11 @@
     const RemoteEndpoint* nextToTryAgain(std::string_view zone, TimePoint now) const;
 
     void recordLeaving(std::string_view name, bool leaving);
-    // The member that keeps a ledger; null when none can be reached. Members that see different ones ask different keepers.
-    const RemoteEndpoint* keeperOf(size_t ledger, TimePoint now) const;
+    // The member that keeps a ledger; null when none can be reached. Members that see different ones ask different keepers. A
+    // lost member keeps none until it was heard of again: requests are no probes.
+    const RemoteEndpoint* keeperOf(size_t ledger) const;
+    // A lost member that would keep the ledger and is due to be tried again; null when there is none.
+    const RemoteEndpoint* keeperToTryAgain(size_t ledger, TimePoint now) const;
 
     // Members that may hold a part of a rate: all but those that have been unreachable for long.
     size_t countHolders(TimePoint now) const;
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -37,21 +37,34 @@
     return m_links.listen(address);
 }
 
-RefPtr<PeerLink> MeshLinks::linkTo(const std::string& address)
+// A new link asks its peer for its state.
+RefPtr<PeerLink> MeshLinks::linkTo(const std::string& address, bool asksInAnyCase)
 {
     auto link = m_links.linkTo(address);
     if (!link)
         return nullptr;
     auto& watch = m_watches[link.get()];
-    if (watch.created == TimePoint()) {
+    const bool isNew = watch.created == TimePoint();
+    if (isNew) {
         watch.address = address;
         watch.created = MonotonicClock::now();
         watch.heard = watch.created;
-        sendState(*link, true);
     }
+    if (isNew || asksInAnyCase)
+        sendState(*link, true);
     return link;
 }
 
+RefPtr<PeerLink> MeshLinks::linkTo(const std::string& address)
+{
+    return linkTo(address, false);
+}
+
+void MeshLinks::probe(const std::string& address)
+{
+    linkTo(address, true);
+}
+
 void MeshLinks::addOutstanding(PeerLink& link)
 {
     const auto found = m_watches.find(&link);
--- a/Source/sidecar/MeshLinks.h
+++ b/Source/sidecar/MeshLinks.h
@@ -30,6 +30,8 @@
     Result<void> listen(const SocketAddress&);
     // The link to that daemon, new if need be; null when none can be made.
     RefPtr<PeerLink> linkTo(const std::string& address);
+    // Asks the daemon there for its state; its answer, or the end of the link, tells whether it can be reached.
+    void probe(const std::string& address);
     // Calls in progress on a link; only such links are watched closely.
     void addOutstanding(PeerLink&);
     void removeOutstanding(PeerLink&);
@@ -50,6 +52,7 @@
         uint32_t outstanding { 0 };
     };
 
+    RefPtr<PeerLink> linkTo(const std::string& address, bool asksInAnyCase);
     void onFrame(PeerLink&, wire::FrameT&);
     void onClosed(PeerLink&);
     void sendState(PeerLink&, bool wantsAnswer);
--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -91,7 +91,7 @@
 {
     const auto sequence = m_nextQuestion++;
     const auto wanted = waiting.account.ask(sequence);
-    const auto* ledger = m_beliefs.endpoints().keeperOf(ledgerNumber(organisation), now);
+    const auto* ledger = m_beliefs.endpoints().keeperOf(ledgerNumber(organisation));
     if (!ledger) {
         const auto grant = m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
         complete(organisation, waiting, waiting.account.takeOwnPartAlone(grant), now);
@@ -154,7 +154,9 @@
 {
     Greetings greetings;
     for (size_t ledger = 0; ledger < m_ledgers.size(); ++ledger) {
-        const auto* owner = m_beliefs.endpoints().keeperOf(ledger, now);
+        if (const auto* lost = m_beliefs.endpoints().keeperToTryAgain(ledger, now))
+            m_links.probe(lost->member.address);
+        const auto* owner = m_beliefs.endpoints().keeperOf(ledger);
         if (!owner)
             continue;
         if (owner->member.name == m_ownName) {
@@ -189,7 +191,7 @@
 void RateExchange::settleAccount(const std::string& organisation, Waiting& waiting, Greetings& greetings, TimePoint now)
 {
     const auto number = ledgerNumber(organisation);
-    const auto* owner = m_beliefs.endpoints().keeperOf(number, now);
+    const auto* owner = m_beliefs.endpoints().keeperOf(number);
     if (!owner)
         return;
     const auto settlement = waiting.account.settle();
@@ -204,7 +206,7 @@
     m_beliefs.endpoints().recordLeaving(m_ownName, true);
     for (size_t ledger = 0; ledger < m_ledgers.size(); ++ledger) {
         const auto tokens = m_ledgers[ledger].handOver(now);
-        const auto* next = m_beliefs.endpoints().keeperOf(ledger, now);
+        const auto* next = m_beliefs.endpoints().keeperOf(ledger);
         if (tokens.empty() || !next)
             continue;
         wire::LoansT loans;
--- a/Tests/FleetKnowledgeTest.cpp
+++ b/Tests/FleetKnowledgeTest.cpp
@@ -214,17 +214,9 @@
     {
         std::set<std::string> named;
         for (const auto& daemon : m_daemons) {
-            std::string keeper;
-            uint64_t best = 0;
-            for (const auto& [name, endpoint] : daemon->endpoints->all()) {
-                const auto weight = stableHash(name, ledger + 1);
-                if (!endpoint.linkFailures && weight > best) {
-                    best = weight;
-                    keeper = name;
-                }
-            }
+            const auto* keeper = daemon->endpoints->keeperOf(ledger);
             if (daemon->isUp)
-                named.insert(keeper);
+                named.insert(keeper ? keeper->member.name : "");
         }
         return named;
     }
--- a/Tests/MeshDecisionsTest.cpp
+++ b/Tests/MeshDecisionsTest.cpp
@@ -185,6 +185,32 @@
     EXPECT_EQ(endpoints.nextToTryAgain("zone-a", start + 1h)->member.name, "a1");
 }
 
+TEST_F(Placing, ALostKeeperIsTriedAgainByAProbeAndAskedOnlyOnceItWasHeardOf)
+{
+    constexpr size_t ledger = 0;
+    const auto keeper = endpoints.keeperOf(ledger)->member.name;
+    endpoints.recordUnreachable(keeper, start, start);
+    const auto later = start + settings.linkPenaltyMaximum;
+    EXPECT_NE(endpoints.keeperOf(ledger)->member.name, keeper);
+    EXPECT_EQ(endpoints.keeperToTryAgain(ledger, start), nullptr);
+    ASSERT_NE(endpoints.keeperToTryAgain(ledger, later), nullptr);
+    EXPECT_EQ(endpoints.keeperToTryAgain(ledger, later)->member.name, keeper);
+    endpoints.recordReachable(keeper, later);
+    EXPECT_EQ(endpoints.keeperOf(ledger)->member.name, keeper);
+    EXPECT_EQ(endpoints.keeperToTryAgain(ledger, later), nullptr);
+}
+
+TEST_F(Placing, ALeavingKeeperIsAskedNoMoreUntilItsProcessHasEnded)
+{
+    constexpr size_t ledger = 0;
+    const auto keeper = endpoints.keeperOf(ledger)->member.name;
+    endpoints.recordLeaving(keeper, true);
+    EXPECT_NE(endpoints.keeperOf(ledger)->member.name, keeper);
+    endpoints.recordUnreachable(keeper, start, start);
+    endpoints.recordReachable(keeper, start + 1s); // Started again
+    EXPECT_EQ(endpoints.keeperOf(ledger)->member.name, keeper);
+}
+
 // A member dies under load. Its link breaks only after a second of silence; how many calls are lost with it?
 TEST_F(Placing, AMemberWhoseLinkFellSilentGetsNoNewCallsUntilItSpeaks)
 {
