Let a member say when it last asked another ledger, in place of a wait for everyone that turns up

Cause: a ledger counted each member's part only after 0.6 s of its words, also after a start of all, when no other ledger had dealt it; and a daemon that knew a part of the members greeted keepers that were none a moment later, which began the wait again. Why it works: only a member that moved waits, as its word tells for how long yet; a keeper that starts or takes over still waits for its bucket. Whoever does not know all members greets nobody. RateKeepers.* and RateSharesFuzz (4,000 cases) hold with the members' word played.

--- /dev/null
+++ b/Source/mesh/KeeperVisits.cpp
@@ -0,0 +1,15 @@
+#include "mesh/KeeperVisits.h"
+
+namespace shallot {
+
+Duration KeeperVisits::note(std::string_view keeper, TimePoint now)
+{
+    if (m_keeper != keeper) {
+        m_leftOther = m_lastWord;
+        m_keeper = keeper;
+    }
+    m_lastWord = now;
+    return m_leftOther == TimePoint() ? Duration::zero() : now - m_leftOther;
+}
+
+} // namespace shallot
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -70,7 +70,6 @@
     // Organisations' rates
     unsigned ledgers { 4 };           // Parts into which organisations are dealt; each part's ledger is kept by one member
     Duration greetInterval { 250ms }; // How often each ledger hears of each member
-    Duration greetGap { 375ms };      // After a longer one a member may have asked another ledger; one and a half greetings
     Duration ledgerMemory { 600ms };  // A member not heard of for two greetings uses its own part
     Duration ledgerSilence { 300ms }; // A ledger that nobody greeted for longer was replaced by another meanwhile
     Duration memberMemory { 30s };    // A member unreachable for longer than any cut so far holds no part of a rate
--- a/Source/mesh/RateShares.cpp
+++ b/Source/mesh/RateShares.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-void RateLedger::hear(const std::string& member, TimePoint now)
+void RateLedger::hear(const std::string& member, Duration movedAgo, TimePoint now)
 {
     // Members greet the ledgers that they ask. After a silence this one takes over from another.
     if (now - m_lastHeard > m_settings.ledgerSilence) {
@@ -46,18 +46,15 @@
         m_activeSince = now;
     }
     m_lastHeard = now;
-    auto& hearing = m_heard[member];
-    // The ledger that the member asked before may deal its part for a while yet.
-    if (now - hearing.last > m_settings.greetGap)
-        hearing.since = now - m_takenOverAt > m_settings.ledgerMemory ? now : m_takenOverAt - m_settings.ledgerMemory;
-    hearing.last = now;
+    const bool cameWithLedger = now - m_takenOverAt <= m_settings.ledgerMemory;
+    m_heard[member] = { movedAgo > Duration::zero() && !cameWithLedger ? now - movedAgo : TimePoint(), now };
 }
 
 double RateLedger::heardPart(size_t members, TimePoint now)
 {
     std::erase_if(m_heard, [&](const auto& item) { return now - item.second.last > m_settings.ledgerMemory; });
     const auto held = std::count_if(
-        m_heard.begin(), m_heard.end(), [&](const auto& item) { return now - item.second.since >= m_settings.ledgerMemory; });
+        m_heard.begin(), m_heard.end(), [&](const auto& item) { return now - item.second.movedAt >= m_settings.ledgerMemory; });
     return static_cast<double>(held) / static_cast<double>(std::max({ members, m_heard.size(), size_t { 1 } }));
 }
 
@@ -118,7 +115,7 @@
     m_lastHeard = now;
     m_takenOverAt = now;
     for (auto& [member, hearing] : m_heard)
-        hearing.since = std::min(hearing.since, now - m_settings.ledgerMemory);
+        hearing.movedAt = {};
 }
 
 RateGrant RateParts::grant(const std::string& organisation, unsigned wanted, const RatePlan& plan, size_t members, TimePoint now)
--- a/Source/mesh/RateShares.h
+++ b/Source/mesh/RateShares.h
@@ -24,7 +24,8 @@
     {
     }
 
-    void hear(const std::string& member, TimePoint now);
+    // `movedAgo`: since the member last asked another ledger, by KeeperVisits; zero when it did not.
+    void hear(const std::string& member, Duration movedAgo, TimePoint now);
     RateGrant grant(const std::string& organisation, unsigned wanted, const RatePlan&, size_t members, TimePoint now);
     // Takes back tokens that no request used, never more than the burst holds, and books what a member spent of its own part
     // while this ledger dealt that part as well.
@@ -44,7 +45,7 @@
 
     // A member that asks this ledger.
     struct Hearing {
-        TimePoint since {}; // Without a gap
+        TimePoint movedAt {}; // It last asked another ledger
         TimePoint last {};
     };
 
--- a/Source/sidecar/RateExchange.cpp
+++ b/Source/sidecar/RateExchange.cpp
@@ -35,6 +35,12 @@
     return returned.tokens > 0 && returned.tokens < mostTokens ? static_cast<unsigned>(returned.tokens) : 0;
 }
 
+Duration readMovedAgo(const wire::LoanRequestT& request)
+{
+    constexpr uint64_t longest = 3'600'000'000; // An hour; far longer than any ledger remembers
+    return Duration(static_cast<int64_t>(std::min(request.moved_ago_us, longest)));
+}
+
 RateSettlement readSettlement(const wire::LoanRequestT& request)
 {
     RateSettlement settlement;
@@ -53,6 +59,7 @@
     , m_ownName(std::move(ownName))
     , m_parts(settings)
     , m_ledgers(settings.ledgers, RateLedger(settings))
+    , m_visits(settings.ledgers)
 {
 }
 
@@ -91,16 +98,18 @@
 {
     const auto sequence = m_nextQuestion++;
     const auto wanted = waiting.account.ask(sequence);
-    const auto* ledger = m_beliefs.endpoints().keeperOf(ledgerNumber(organisation));
+    const auto number = ledgerNumber(organisation);
+    const auto* ledger = m_beliefs.endpoints().keeperOf(number);
     if (!ledger) {
         const auto grant = m_parts.grant(organisation, wanted, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
         complete(organisation, waiting, waiting.account.takeOwnPartAlone(grant), now);
         return;
     }
+    const auto movedAgo = m_visits[number].note(ledger->member.name, now);
     if (ledger->member.name == m_ownName) {
-        auto& own = m_ledgers[ledgerNumber(organisation)];
+        auto& own = m_ledgers[number];
         const auto holders = m_beliefs.endpoints().countHolders(now);
-        own.hear(m_ownName, now);
+        own.hear(m_ownName, movedAgo, now);
         own.settle(organisation, waiting.account.settle(), waiting.plan, holders, now);
         const auto grant = own.grant(organisation, wanted, waiting.plan, holders, now);
         complete(organisation, waiting, waiting.account.takeAnswer(sequence, grant), now);
@@ -108,6 +117,7 @@
     }
     auto request = makeRequest(organisation, waiting.account.settle());
     request->waiting = wanted;
+    request->moved_ago_us = static_cast<uint64_t>(movedAgo.count());
     wire::LoanRequestsT requests;
     requests.sequence = sequence;
     requests.requests.push_back(std::move(request));
@@ -152,6 +162,9 @@
 
 void RateExchange::greet(TimePoint now)
 {
+    // Who knows a part of the members would take the wrong ones for keepers.
+    if (!m_beliefs.isComplete())
+        return;
     Greetings greetings;
     for (size_t ledger = 0; ledger < m_ledgers.size(); ++ledger) {
         if (const auto* lost = m_beliefs.endpoints().keeperToTryAgain(ledger, now))
@@ -159,13 +172,15 @@
         const auto* owner = m_beliefs.endpoints().keeperOf(ledger);
         if (!owner)
             continue;
+        const auto movedAgo = m_visits[ledger].note(owner->member.name, now);
         if (owner->member.name == m_ownName) {
-            m_ledgers[ledger].hear(m_ownName, now);
+            m_ledgers[ledger].hear(m_ownName, movedAgo, now);
             continue;
         }
         // Without an organisation the request is a greeting to the ledger of that number.
         auto greeting = std::make_unique<wire::LoanRequestT>();
         greeting->waiting = static_cast<uint32_t>(ledger);
+        greeting->moved_ago_us = static_cast<uint64_t>(movedAgo.count());
         greetings[owner].requests.push_back(std::move(greeting));
     }
     for (auto& [organisation, waiting] : m_waiting) {
@@ -195,10 +210,13 @@
     if (!owner)
         return;
     const auto settlement = waiting.account.settle();
-    if (owner->member.name == m_ownName)
+    if (owner->member.name == m_ownName) {
         m_ledgers[number].settle(organisation, settlement, waiting.plan, m_beliefs.endpoints().countHolders(now), now);
-    else
-        greetings[owner].requests.push_back(makeRequest(organisation, settlement));
+        return;
+    }
+    auto request = makeRequest(organisation, settlement);
+    request->moved_ago_us = static_cast<uint64_t>(m_visits[number].note(owner->member.name, now).count());
+    greetings[owner].requests.push_back(std::move(request));
 }
 
 void RateExchange::handOver(TimePoint now)
@@ -234,11 +252,11 @@
             continue;
         if (request->organisation.empty()) {
             if (request->waiting < m_ledgers.size())
-                m_ledgers[request->waiting].hear(link.peer(), now);
+                m_ledgers[request->waiting].hear(link.peer(), readMovedAgo(*request), now);
             continue;
         }
         auto& ledger = m_ledgers[ledgerNumber(request->organisation)];
-        ledger.hear(link.peer(), now);
+        ledger.hear(link.peer(), readMovedAgo(*request), now);
         const auto plan = planOf(request->organisation);
         const auto holders = m_beliefs.endpoints().countHolders(now);
         ledger.settle(request->organisation, readSettlement(*request), plan, holders, now);
--- a/Source/sidecar/RateExchange.h
+++ b/Source/sidecar/RateExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mesh/KeeperVisits.h"
 #include "mesh/RateAccount.h"
 #include "mesh/RateShares.h"
 #include "net/MainLoop.h"
@@ -71,6 +72,7 @@
     std::string m_ownName;
     RateParts m_parts;
     std::vector<RateLedger> m_ledgers;                      // By number; those that others keep stand idle
+    std::vector<KeeperVisits> m_visits;                     // By ledger
     std::map<std::string, Waiting> m_waiting;               // By organisation
     std::unordered_map<uint64_t, Completion> m_completions; // By request
     uint64_t m_nextRequest { 1 };
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -2246,6 +2246,7 @@
   double demand = 0.0;
   uint32_t waiting = 0;
   uint32_t spent = 0;
+  uint64_t moved_ago_us = 0;
   LoanRequestT() = default;
   LoanRequestT(const LoanRequestT &o);
   LoanRequestT(LoanRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2261,7 +2262,8 @@
     VT_RETURNED = 6,
     VT_DEMAND = 8,
     VT_WAITING = 10,
-    VT_SPENT = 12
+    VT_SPENT = 12,
+    VT_MOVED_AGO_US = 14
   };
   const flatbuffers::String *organisation() const {
     return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
@@ -2278,6 +2280,9 @@
   uint32_t spent() const {
     return GetField<uint32_t>(VT_SPENT, 0);
   }
+  uint64_t moved_ago_us() const {
+    return GetField<uint64_t>(VT_MOVED_AGO_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ORGANISATION) &&
@@ -2288,6 +2293,7 @@
            VerifyField<double>(verifier, VT_DEMAND, 8) &&
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            VerifyField<uint32_t>(verifier, VT_SPENT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_MOVED_AGO_US, 8) &&
            verifier.EndTable();
   }
   LoanRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2314,6 +2320,9 @@
   void add_spent(uint32_t spent) {
     fbb_.AddElement<uint32_t>(LoanRequest::VT_SPENT, spent, 0);
   }
+  void add_moved_ago_us(uint64_t moved_ago_us) {
+    fbb_.AddElement<uint64_t>(LoanRequest::VT_MOVED_AGO_US, moved_ago_us, 0);
+  }
   explicit LoanRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2332,8 +2341,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::ReturnedLoan>>> returned = 0,
     double demand = 0.0,
     uint32_t waiting = 0,
-    uint32_t spent = 0) {
+    uint32_t spent = 0,
+    uint64_t moved_ago_us = 0) {
   LoanRequestBuilder builder_(_fbb);
+  builder_.add_moved_ago_us(moved_ago_us);
   builder_.add_demand(demand);
   builder_.add_spent(spent);
   builder_.add_waiting(waiting);
@@ -2353,7 +2364,8 @@
     const std::vector<flatbuffers::Offset<shallot::wire::ReturnedLoan>> *returned = nullptr,
     double demand = 0.0,
     uint32_t waiting = 0,
-    uint32_t spent = 0) {
+    uint32_t spent = 0,
+    uint64_t moved_ago_us = 0) {
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   auto returned__ = returned ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::ReturnedLoan>>(*returned) : 0;
   return shallot::wire::CreateLoanRequest(
@@ -2362,7 +2374,8 @@
       returned__,
       demand,
       waiting,
-      spent);
+      spent,
+      moved_ago_us);
 }
 
 flatbuffers::Offset<LoanRequest> CreateLoanRequest(flatbuffers::FlatBufferBuilder &_fbb, const LoanRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3848,7 +3861,8 @@
       : organisation(o.organisation),
         demand(o.demand),
         waiting(o.waiting),
-        spent(o.spent) {
+        spent(o.spent),
+        moved_ago_us(o.moved_ago_us) {
   returned.reserve(o.returned.size());
   for (const auto &returned_ : o.returned) { returned.emplace_back((returned_) ? new shallot::wire::ReturnedLoanT(*returned_) : nullptr); }
 }
@@ -3859,6 +3873,7 @@
   std::swap(demand, o.demand);
   std::swap(waiting, o.waiting);
   std::swap(spent, o.spent);
+  std::swap(moved_ago_us, o.moved_ago_us);
   return *this;
 }
 
@@ -3876,6 +3891,7 @@
   { auto _e = demand(); _o->demand = _e; }
   { auto _e = waiting(); _o->waiting = _e; }
   { auto _e = spent(); _o->spent = _e; }
+  { auto _e = moved_ago_us(); _o->moved_ago_us = _e; }
 }
 
 inline flatbuffers::Offset<LoanRequest> LoanRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoanRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3891,13 +3907,15 @@
   auto _demand = _o->demand;
   auto _waiting = _o->waiting;
   auto _spent = _o->spent;
+  auto _moved_ago_us = _o->moved_ago_us;
   return shallot::wire::CreateLoanRequest(
       _fbb,
       _organisation,
       _returned,
       _demand,
       _waiting,
-      _spent);
+      _spent,
+      _moved_ago_us);
 }
 
 inline LoanRequestsT::LoanRequestsT(const LoanRequestsT &o)
--- a/Tests/RateKeepersTest.cpp
+++ b/Tests/RateKeepersTest.cpp
@@ -1,5 +1,6 @@
 // Members and the keepers of their ledgers with delays between them: what an organisation gets in all, whoever answers late.
 
+#include "mesh/KeeperVisits.h"
 #include "mesh/MeshSettings.h"
 #include "mesh/RateAccount.h"
 #include "mesh/RateShares.h"
@@ -64,6 +65,7 @@
 
         RateParts parts;
         RateAccount account;
+        KeeperVisits visits;
         size_t keeper { 0 };
     };
 
@@ -83,8 +85,9 @@
             if (m_dwell > Duration::zero() && drawn(m_dwell) < m_settings.greetInterval)
                 member.keeper = 1 - member.keeper;
             const auto settlement = member.account.settle();
-            at(m_now + drawn(m_meanDelay), [this, i, keeper = member.keeper, settlement] {
-                m_keepers[keeper].hear(nameOf(i), m_now);
+            const auto movedAgo = member.visits.note(nameOf(member.keeper), m_now);
+            at(m_now + drawn(m_meanDelay), [this, i, keeper = member.keeper, settlement, movedAgo] {
+                m_keepers[keeper].hear(nameOf(i), movedAgo, m_now);
                 settle(keeper, settlement);
             });
         }
@@ -112,8 +115,9 @@
         const auto sequence = ++m_sequence;
         const auto wanted = member.account.ask(sequence);
         const auto keeper = member.keeper;
-        at(m_now + drawn(m_meanDelay), [this, index, sequence, keeper, wanted, settled = member.account.settle()] {
-            m_keepers[keeper].hear(nameOf(index), m_now);
+        const auto movedAgo = member.visits.note(nameOf(keeper), m_now);
+        at(m_now + drawn(m_meanDelay), [this, index, sequence, keeper, wanted, movedAgo, settled = member.account.settle()] {
+            m_keepers[keeper].hear(nameOf(index), movedAgo, m_now);
             settle(keeper, settled);
             const auto grant = m_keepers[keeper].grant("o", wanted, m_plan, m_members.size(), m_now);
             at(m_now + drawn(m_meanDelay), [this, index, sequence, grant] { onAnswer(index, sequence, grant); });
--- a/Tests/RateSharesFuzzTest.cpp
+++ b/Tests/RateSharesFuzzTest.cpp
@@ -1,6 +1,7 @@
 // No organisation gets more than its plan over all members together, whatever is cut, killed or started again; and nearly all
 // that is inside the plan is granted while nothing fails.
 
+#include "mesh/KeeperVisits.h"
 #include "mesh/MeshSettings.h"
 #include "mesh/RateShares.h"
 
@@ -22,6 +23,7 @@
     struct Member {
         RateParts parts;
         RateLedger ledger;
+        KeeperVisits visits;
         bool deaf { false }; // Reaches no ledger
         size_t side { 0 };
 
@@ -49,12 +51,20 @@
         return nullptr;
     }
 
+    void hear(RateLedger& ledger, size_t index, TimePoint now)
+    {
+        for (size_t keeper = 0; keeper < members; ++keeper) {
+            if (&fleet[keeper]->ledger == &ledger)
+                ledger.hear(std::to_string(index), fleet[index]->visits.note(std::to_string(keeper), now), now);
+        }
+    }
+
     void greet(TimePoint now)
     {
         for (size_t i = 0; i < members; ++i) {
             auto* ledger = fleet[i]->deaf ? nullptr : ledgerFor(i);
             if (ledger)
-                ledger->hear(std::to_string(i), now);
+                hear(*ledger, i, now);
         }
     }
 
@@ -62,7 +72,7 @@
     {
         auto* ledger = fleet[index]->deaf ? nullptr : ledgerFor(index);
         if (ledger) {
-            ledger->hear(std::to_string(index), now);
+            hear(*ledger, index, now);
             return ledger->grant("o", 1, plan, members, now).tokens == 1;
         }
         return fleet[index]->parts.grant("o", 1, plan, members, now).tokens == 1;
@@ -119,7 +129,7 @@
     RateLedger successor(settings);
     const auto hearAll = [](RateLedger& ledger, TimePoint now) {
         for (size_t i = 0; i < members; ++i)
-            ledger.hear(std::to_string(i), now);
+            ledger.hear(std::to_string(i), {}, now);
     };
     auto now = start;
     for (; now < start + 3s; now += 100ms)
@@ -129,7 +139,7 @@
     for (; now < wakes; now += 100ms)
         hearAll(successor, now);
     EXPECT_GE(successor.grant("o", 40, plan, members, now).tokens, 39U);
-    paused.hear("1", now);
+    paused.hear("1", {}, now);
     EXPECT_EQ(paused.grant("o", 40, plan, members, now).tokens, 0U);
 }
 
@@ -205,7 +215,7 @@
     const MeshSettings settings;
     RateLedger ledger(settings);
     const RatePlan plan { 10, 10 };
-    ledger.hear("a", start);
+    ledger.hear("a", {}, start);
     EXPECT_EQ(ledger.grant("o", 100, plan, 1, start).tokens, 0U); // Its former holder may still deal the part
     const auto first = ledger.grant("o", 1, plan, 1, start).retryAfter;
     const auto second = ledger.grant("o", 1, plan, 1, start).retryAfter;
@@ -220,7 +230,7 @@
     const RatePlan plan { 10, 10 };
     auto full = start;
     for (; full < start + 5s; full += 100ms) {
-        ledger.hear("a", full);
+        ledger.hear("a", {}, full);
         ledger.grant("o", full < start + 1s ? 1 : 0, plan, 1, full);
     }
     EXPECT_EQ(ledger.grant("o", 20, plan, 1, full).tokens, 10U);
@@ -248,7 +258,7 @@
         int asked = 0;
         int served = 0;
         for (auto now = start; now < start + 30s; now += 10ms) {
-            ledger.hear("a", now);
+            ledger.hear("a", {}, now);
             int full = random() % 100 < 80 ? 1 : 0; // 80 new requests a second; then those that come back
             const int fresh = full;
             for (; !returns.empty() && returns.front() <= now; returns.pop_front())
@@ -287,13 +297,13 @@
     RateLedger second(settings);
     const auto later = start + 10s;
     for (auto now = start; now <= later + 2s; now += 250ms)
-        first.hear("a", now);
+        first.hear("a", {}, now);
     const auto before = first.grant("o", 1000, plan, 1, later + 2s).tokens;
     EXPECT_EQ(before, 100U); // The burst
     const auto tokens = first.handOver(later + 2s + 500ms);
     ASSERT_TRUE(tokens.contains("o"));
     second.takeOver("o", tokens.at("o"), later + 2s + 500ms);
-    second.hear("a", later + 2s + 510ms);
+    second.hear("a", {}, later + 2s + 510ms);
     EXPECT_GE(second.grant("o", 1000, plan, 1, later + 2s + 510ms).tokens, 49U);
     EXPECT_EQ(first.handOver(later + 2s + 510ms).size(), 0U);
 }
