--- a/Source/sidecar/RateExchange.h
+++ b/Source/sidecar/RateExchange.h
@@ -32,8 +32,8 @@
 
     RateExchange(const MeshSettings&, MeshBeliefs&, MeshLinks&, std::string ownName);
 
-    // The completion is called once, perhaps before this returns, and within MeshSettings::ledgerTimeout for each of ledgerTimeouts
-    // questions and for the one that is open already.
+    // The completion is called once, perhaps before this returns, and within MeshSettings::ledgerTimeout for each of
+    // ledgerTimeouts questions and for the one that is open already.
     void request(const MeshOrganisation&, TimePoint now, Completion);
     // Gives the token of a request back that was refused and has not run. It goes out with the next question or greeting.
     void giveBack(const std::string& organisation);
