--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../run-case" 6
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 mkdir -p bin
 for source in [1-9]/case.cpp; do
     [ -e "$source" ] || continue
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread -Istandins -o "bin/case-${source%%/*}" "$source"
+    g++ -std=c++20 -Wno-psabi -O1 -Wall -Wextra -pthread -Istandins -o "bin/case-${source%%/*}" "$source"
 done
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -433,6 +433,7 @@
     std::string target;
     std::string attempt;
     std::string caller; // Shallottrack-Caller-Service
+    std::string tenant; // Shallottrack-Tenant
 };
 
 // The application endpoint of a machine, at the address `app` of its settings. Work time and size of an answer come from the query:
@@ -550,7 +551,8 @@
             return sendAll(descriptor,
                 formatResponse(421, { { "Shallottrack-Attempt-Id", attempt }, { "Shallottrack-Instance-Id", own.id } }, ""));
         }
-        const Run run { now(), own.id, own.service, target, attempt, request.header("shallottrack-caller-service") };
+        const Run run { now(), own.id, own.service, target, attempt, request.header("shallottrack-caller-service"),
+            request.header("shallottrack-tenant") };
         {
             const std::lock_guard lock(m_mutex);
             m_runs.push_back(run);
@@ -766,11 +768,13 @@
     bool ended { false };
 };
 
-inline std::string formatRequest(
-    const std::string& method, const std::string& target, const std::string& attempt, int deadlineMs, const std::string& body = {})
+inline std::string formatRequest(const std::string& method, const std::string& target, const std::string& attempt, int deadlineMs,
+    const std::string& body = {}, const std::string& key = {})
 {
     std::string text = method + " " + target + " HTTP/1.1\r\nHost: app.example\r\nShallottrack-Attempt-Id: " + attempt
         + "\r\nShallottrack-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n";
+    if (!key.empty())
+        text += "Shallottrack-Credential: " + key + "\r\n";
     if (method != "GET")
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     return text + "\r\n" + body;
@@ -800,9 +804,12 @@
     std::string prefix;
     std::string service;
     std::string kind;
+    bool anonymous { true };
 };
 
-inline std::string configuration(unsigned version, const std::vector<std::string>& services, const std::vector<Route>& routes)
+// `tenants`: the members of the list, as JSON.
+inline std::string configuration(
+    unsigned version, const std::vector<std::string>& services, const std::vector<Route>& routes, const std::string& tenants = {})
 {
     std::string text = "{\"version\":\"r" + std::to_string(version) + "\",\"services\":[";
     for (const auto& service : services) {
@@ -810,12 +817,13 @@
         text += "{\"name\":\"" + service + "\",\"health_path\":\"/health\",\"max_connections\":340,\"protocol\":\"h1\",\"tls\":false}";
     }
     text += "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout_s\":3,\"idle_timeout_s\":15},"
-            "\"tenants\":[],\"virtual_hosts\":[{\"host\":\"app.example\",\"paths\":[";
+            "\"tenants\":["
+        + tenants + "],\"virtual_hosts\":[{\"host\":\"app.example\",\"paths\":[";
     for (const auto& route : routes) {
         text += text.back() == '[' ? "" : ",";
         text += "{\"name\":\"r" + route.prefix.substr(1, route.prefix.size() - 2) + "\",\"path_prefix\":\"" + route.prefix + "\",\"kind\":\"" + route.kind
             + "\",\"timeout_s\":5,\"target_latency_s\":1.5,\"priority\":1,\"service\":\"" + route.service
-            + "\",\"attempts\":2,\"anonymous\":true}";
+            + "\",\"attempts\":2,\"anonymous\":" + (route.anonymous ? "true}" : "false}");
     }
     return text + "]}]}";
 }
