--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -10,7 +10,7 @@
     const bool trouble = begin();
     Store store("127.0.1.1");
     store.put("keyed.op", "config",
-        configuration(3, { "alpha", "beta" }, { { "/alpha/", "alpha", "idempotent" }, { "/beta/", "beta", "idempotent" } }));
+        configuration(3, { "alpha", "beta" }, { { "/alpha/", "alpha", "idempotent" }, { "/orders/", "alpha", "non_idempotent" }, { "/beta/", "beta", "idempotent" } }));
     Machine first("machine-1", "127.0.1.11", "north", "alpha", store.address());
     Machine second("machine-2", "127.0.1.12", "north", "beta", store.address());
     Endpoint endpoint(first.app, first.control, "north", { "i-alpha-1", "alpha", 4, wallMilliseconds() });
@@ -37,7 +37,10 @@
     for (int i = 0; i < 24; ++i) {
         sleepUntil(silentAt + 0.1 * i);
         clients.emplace_back(
-            [&, i] { exchange(second.outbound, "GET", "/alpha/read?ms=100", "read-" + std::to_string(i), 5000); });
+            [&, i] {
+                const auto id = (i % 2 ? "order-" : "read-") + std::to_string(i);
+                exchange(second.outbound, i % 2 ? "POST" : "GET", i % 2 ? "/orders/put?ms=100" : "/alpha/read?ms=100", id, 5000);
+            });
     }
     sleepUntil(silentAt + 2.6);
     if (trouble) {
@@ -48,8 +51,8 @@
         client.join();
     int wrong = 0;
     for (const auto& run : endpoint.runs())
-        wrong += run.service != "alpha" && run.target.rfind("/alpha/", 0) == 0;
-    RECORD("requests of route /alpha/ that an endpoint of service beta ran: %d", wrong);
+        wrong += run.service != "alpha" && run.target.rfind("/beta/", 0) != 0;
+    RECORD("requests of routes /alpha/ and /orders/ that an endpoint of service beta ran: %d", wrong);
     printf("requests that ran at the wrong service: %d\n", wrong);
     finish(wrong ? 1 : 0);
 }
--- a/review/6/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case" 6
