--- a/review/5/case.cpp
+++ b/review/5/case.cc
@@ -1,7 +1,7 @@
 // A heartbeat of another writer, with a service that nobody named, reaches a daemon.
 // Rule UNASKED: Shallottrack-Caller-Service is the service of the machine where the request began.
 
-#include "standins.h"
+#include "standins.hh"
 
 using namespace review;
 
@@ -22,8 +22,10 @@
     sleepFor(2);
     int served = 0;
     for (int i = 0; i < 10; ++i) {
-        served += exchange(first.outbound, "GET", "/beta/warm?ms=20", "warm-b-" + std::to_string(i), 5000).response.status() == 200;
-        served += exchange(second.outbound, "POST", "/alpha/warm?ms=20", "warm-a-" + std::to_string(i), 5000).response.status() == 200;
+        served
+            += exchange(first.outbound, "GET", "/beta/warm?ms=20", "warm-b-" + std::to_string(i), 5000).response.status() == 200;
+        served += exchange(second.outbound, "POST", "/alpha/warm?ms=20", "warm-a-" + std::to_string(i), 5000).response.status()
+            == 200;
     }
     if (served < 18) {
         RECORD("only %d of 20 requests were served before the disruption", served);
@@ -36,7 +38,8 @@
     sleepFor(0.3);
     if (trouble) {
         const int status = alpha.sendNotice("/shallottrack/Instances.Heartbeat/i-4f0c77aa",
-            "{\"service\":\"zulu9\",\"addr\":\"127.0.3.99:8080\",\"zone\":\"north\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\","
+            "{\"service\":\"zulu9\",\"addr\":\"127.0.3.99:8080\",\"zone\":\"north\",\"version\":\"v1\",\"slots\":4,\"state\":"
+            "\"ready\","
             "\"cold_left_s\":0,\"born\":"
                 + std::to_string(wallMilliseconds()) + ",\"seq\":1}");
         RECORD("another writer: heartbeat of i-4f0c77aa with service zulu9, answered %d", status);
@@ -58,7 +61,8 @@
     for (const auto& attempt : attempts)
         refused += attempt.target.rfind("/alpha/", 0) == 0 && attempt.response.status() != 200;
     RECORD("runs at beta with another Shallottrack-Caller-Service than alpha: %d", wrong);
-    RECORD("besides: the order that was running got status %d; %d of 10 later orders were not served", running.response.status(), refused);
+    RECORD("besides: the order that was running got status %d; %d of 10 later orders were not served", running.response.status(),
+        refused);
     printf("runs with a wrong caller service: %d; later orders not served: %d of 10\n", wrong, refused);
     finish(wrong ? 1 : 0);
 }
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-for source in [1-9]/case.cpp; do
+for source in [1-9]/case.cc; do
     [ -e "$source" ] || continue
     g++ -std=c++20 -Wno-psabi -O1 -Wall -Wextra -pthread -Istandins -o "bin/case-${source%%/*}" "$source"
 done
