--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -7,7 +7,8 @@
 
 int main()
 {
-    const bool trouble = begin();
+    const bool trouble = environment("TROUBLE") != "0"; // TROUBLE=0: without the disruption
+    begin(trouble);
     Store store("127.0.3.1");
     store.put("keyed.op", "config",
         configuration(3, { "alpha", "beta" }, { { "/alpha/", "alpha", "non_idempotent" }, { "/beta/", "beta", "idempotent" } }));
--- a/review/standins/standins.hh
+++ b/review/standins/standins.hh
@@ -23,6 +23,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -486,6 +487,12 @@
         const std::lock_guard lock(m_mutex);
         return m_runs;
     }
+    // Attempts to which the whole answer was sent.
+    std::set<std::string> answered()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_answered;
+    }
     // Sends a notice to the control address, as an endpoint or another writer would; returns the status, 0 without an answer.
     int sendNotice(const std::string& path, const std::string& body)
     {
@@ -596,6 +603,7 @@
     std::atomic<bool> m_silent { false };
     std::atomic<int> m_running { 0 };
     std::vector<Run> m_runs;
+    std::set<std::string> m_answered;
 };
 
 // Where a case runs; set by review/run-case.
@@ -660,6 +668,7 @@
         const auto root = environment("REVIEW_ROOT");
         const pid_t pid = fork();
         if (!pid) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // Also if the case is killed
             const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(output, 1);
             dup2(output, 2);
@@ -839,7 +848,7 @@
 }
 
 // Common start of each case's main(): arms the time limit and opens the record.
-inline bool begin()
+inline void begin(bool trouble)
 {
     startTime();
     std::signal(SIGPIPE, SIG_IGN);
@@ -852,10 +861,7 @@
         std::signal(number, onEnd);
     alarm(115);
     Record::shared().open(environment("REVIEW_RECORD"));
-    const char* trouble = getenv("TROUBLE");
-    const bool enabled = !trouble || std::string(trouble) != "0";
-    RECORD("%s the disruption", enabled ? "with" : "without");
-    return enabled;
+    RECORD("%s the disruption", trouble ? "with" : "without");
 }
 
 } // namespace review
