--- a/review/standins/standins.hh
+++ b/review/standins/standins.hh
@@ -590,6 +590,10 @@
                 body));
         RECORD("endpoint %s has answered %s attempt=%s with %zu bytes%s", own.id.c_str(), target.c_str(), attempt.c_str(),
             body.size(), sent ? "" : ", but the connection was closed");
+        if (sent) {
+            const std::lock_guard lock(m_mutex);
+            m_answered.insert(attempt);
+        }
         return sent;
     }
 
