--- a/review/standins/standins.hh
+++ b/review/standins/standins.hh
@@ -857,8 +857,10 @@
     startTime();
     std::signal(SIGPIPE, SIG_IGN);
     const auto onEnd = [](int) {
-        for (const auto pid : children())
+        for (const auto pid : children()) {
             kill(pid, SIGKILL);
+            waitpid(pid, nullptr, 0);
+        }
         _exit(2);
     };
     for (const int number : { SIGALRM, SIGTERM, SIGINT, SIGHUP })
