Log the crash of a backend server with the runs that it interrupted

Hypotheses 1 and 2 of docs/incidents/crashing-requests.md could not be told apart after the fact: no line connected the end of a backend server with its runs. backend-server-crashed names them; a run is dropped from the candidates once one that started later is answered. No decision depends on it.

--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -2,12 +2,16 @@
 //   Announcements:  recordAnnouncement, recordLeave, verifyInstance, onProbe, isAvailable
 //   Admission:      submit, checkAdmission, runNext, findParent, recordPressure
 //   Runs:           run, send, onResponse, finish, refuse, cancel, onDeadline
+//   Crashes:        recordUnanswered, recordAnswered, recordCrash
 
 #include "sidecar/EndpointExecutor.h"
 
 #include "core/EventLog.h"
 #include "mesh/MeshSettings.h"
 #include "platform/RequestCodec.h"
+#include "policy/CrashFingerprints.h"
+
+#include <algorithm>
 
 namespace shallot {
 
@@ -16,6 +20,8 @@
 constexpr auto responseGrace = 20ms; // The backend server stops at the deadline by itself; its response gets this much longer
 constexpr auto inheritedDeadlineTolerance = 3ms; // Deadlines are transmitted in whole milliseconds
 constexpr auto probeTimeout = 1s;                // Of the health probe after a start, which usually takes a few milliseconds
+constexpr size_t maximumUnansweredRuns = 1024;   // Several times the slots of the largest backend server
+constexpr size_t maximumLoggedAttempts = 8;      // Of the runs that a crash interrupted
 
 uint64_t wallClockMilliseconds()
 {
@@ -52,10 +58,13 @@
         return;
     }
     if (!sameRun) {
+        const bool crashed = m_announced && currentLeave().instance.empty();
         // A run that follows one seen by this process is newer by its start time; only the first announcement can be stale.
         m_verified = m_announced;
         m_leaveAnnounced = false;
         m_pool.reset();
+        if (crashed)
+            recordCrash("replaced");
         EventLog::write("instance-new",
             { { "backend_server", announcement.instance }, { "service", announcement.service },
                 { "slots", announcement.slots } });
@@ -323,10 +332,15 @@
         const bool wasStale = response.error().kind == ErrorKind::BackendFailed && response.error().onReusedConnection
             && now - live->started < m_settings.staleConnectionWindow;
         if (wasStale && live->call.context.idempotent && !std::exchange(live->resent, true)) {
+            recordUnanswered(*live, now);
             send(*live, Duration::zero());
             return;
         }
+        if (response.error().kind == ErrorKind::BackendFailed)
+            recordUnanswered(*live, now);
         if (response.error().kind == ErrorKind::NoBackendServer) {
+            if (!m_unreachable && currentLeave().instance.empty())
+                recordCrash("refuses connections");
             m_unreachable = true;
             updateAvailability();
         }
@@ -336,6 +350,7 @@
     switch (platform::classifyResponse(*response)) {
     case platform::ResponseClass::Valid:
         m_lastContact = now;
+        recordAnswered(*live);
         m_queue.recordServiceTime(now - live->started);
         platform::removeInternalHeaders(*response);
         finish(*live, std::move(response), true, now);
@@ -399,10 +414,13 @@
     if (found == m_calls.end())
         return;
     const auto live = found->second;
+    const auto now = MonotonicClock::now();
     live->completion = nullptr;
-    if (live->running)
+    if (live->running) {
+        recordUnanswered(*live, now);
         m_pool.abandon(id);
-    finish(*live, fail(ErrorKind::Cancelled), true, MonotonicClock::now());
+    }
+    finish(*live, fail(ErrorKind::Cancelled), true, now);
 }
 
 void EndpointExecutor::onDeadline(uint64_t id)
@@ -416,8 +434,38 @@
         refuse(*live, ErrorKind::ExpiredInQueue, now);
         return;
     }
+    recordUnanswered(*live, now);
     m_pool.abandon(id);
     finish(*live, fail(ErrorKind::TimedOut, "the backend server did not respond by the deadline"), true, now);
 }
 
+// Crashes
+
+void EndpointExecutor::recordUnanswered(const LiveRun& live, TimePoint now)
+{
+    if (m_unanswered.size() >= maximumUnansweredRuns)
+        m_unanswered.erase(m_unanswered.begin());
+    const auto& request = live.call.request;
+    m_unanswered.push_back(
+        { requestFingerprint(live.call.context.organisation, request.method, request.target, request.body), live.attemptID, now });
+}
+
+// A run that started later and was answered shows that the earlier ones did not crash the backend server.
+void EndpointExecutor::recordAnswered(const LiveRun& live)
+{
+    std::erase_if(m_unanswered,
+        [&live](const auto& run) { return run.endedAt < live.started || run.attemptID == live.attemptID; });
+}
+
+void EndpointExecutor::recordCrash(const char* evidence)
+{
+    const auto runs = std::exchange(m_unanswered, {});
+    std::string attempts;
+    for (size_t i = 0; i < std::min(runs.size(), maximumLoggedAttempts); ++i)
+        attempts += (i ? " " : "") + runs[i].attemptID;
+    EventLog::write("backend-server-crashed",
+        { { "backend_server", m_announcement.instance }, { "evidence", evidence }, { "runs", runs.size() },
+            { "requests", attempts } });
+}
+
 } // namespace shallot
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace shallot {
 
@@ -80,12 +81,22 @@
         bool resent { false };           // After a stale keep-alive connection
     };
 
+    // A run that ended without a response; if the backend server turns out to have crashed, the run may be the cause.
+    struct UnansweredRun {
+        uint64_t fingerprint { 0 }; // See requestFingerprint()
+        std::string attemptID;
+        TimePoint endedAt {};
+    };
+
     ErrorKind checkAdmission(const MeshCall&, TimePoint now) const;
     void runNext(TimePoint now);
     void run(LiveRun&, TimePoint now);
     void send(LiveRun&, Duration maximumIdle);
     void onResponse(uint64_t id, Result<HTTPResponse>);
     void finish(LiveRun&, Result<HTTPResponse>, bool reachedBackend, TimePoint now);
+    void recordUnanswered(const LiveRun&, TimePoint now);
+    void recordAnswered(const LiveRun&);
+    void recordCrash(const char* evidence);
     void refuse(LiveRun&, ErrorKind, TimePoint now);
     void verifyInstance();
     void onProbe(const Result<HTTPResponse>&);
@@ -101,6 +112,7 @@
     std::unordered_map<uint64_t, RefPtr<LiveRun>> m_calls;
     std::unordered_map<std::string, uint64_t> m_running; // By attempt, while at the backend server
     DeadlineQueue m_deadlines;
+    std::vector<UnansweredRun> m_unanswered; // Since the backend server last showed that it was running
     EndpointAnnouncement m_announcement;
     std::string m_healthPath;
     std::function<void()> m_onChange;
