--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -22,12 +22,19 @@
 
 EndpointStandin::EndpointStandin(
     const SocketAddress& own, const SocketAddress& control, std::string service, std::string instance)
-    : m_script([](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) { respond(*connection, request); })
+    : m_address(own)
+    , m_script([](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) { respond(*connection, request); })
     , m_service(std::move(service))
     , m_instance(std::move(instance))
 {
     m_control.setAddress(control);
-    const auto started = m_server.start(own, {},
+    start();
+}
+
+void EndpointStandin::start()
+{
+    m_server = std::make_unique<StrictHTTPServer>();
+    const auto started = m_server->start(m_address, {},
         { [this](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
              if (request.target == "/health") {
                  const HTTPResponse healthy { 200, { { std::string(platform::header::instance), m_instance } }, {} };
@@ -39,13 +46,31 @@
          },
             [this](StrictHTTPConnection&) { ++m_disconnects; } });
     g_assert(started);
+    m_running = true;
     m_announceTimer.startRepeating(200ms, [this] { announce(); });
 }
 
+void EndpointStandin::crash(Duration downtime)
+{
+    if (!std::exchange(m_running, false))
+        return;
+    m_announceTimer.stop();
+    // From the main loop: the script that calls this runs within a callback of the server.
+    m_crashTimer.startOnce(1ms, [this, downtime] {
+        m_server.reset();
+        m_crashTimer.startOnce(downtime, [this] {
+            m_instance += "+";
+            m_startedAt += 1000;
+            start();
+            announce();
+        });
+    });
+}
+
 void EndpointStandin::announce()
 {
     sendAnnouncement(R"({"service":")" + m_service + R"(","addr":"127.0.0.1:1","zone":"z","version":"v1","slots":4,"state":")"
-        + (m_draining ? "draining" : "ready") + R"(","cold_left_s":0,"born":1000,"seq":)" + std::to_string(++m_sequence) + "}");
+        + (m_draining ? "draining" : "ready") + R"(","cold_left_s":0,"born":)" + std::to_string(m_startedAt) + R"(,"seq":)" + std::to_string(++m_sequence) + "}");
 }
 
 void EndpointStandin::sendAnnouncement(const std::string& body)
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -24,8 +24,11 @@
     // Sends an announcement with any body.
     void sendAnnouncement(const std::string& body);
     void leave();
+    // Closes all connections without a response and the address; a new instance announces itself after that time.
+    void crash(Duration downtime);
+    bool isRunning() const { return m_running; }
     // Frees the address for another stand-in with different behaviour; announcements continue.
-    void stopServing() { m_server.startDraining(); }
+    void stopServing() { m_server->startDraining(); }
     // Sends a complete response with a seal.
     static void respond(StrictHTTPConnection&, const HTTPRequest&, uint16_t status = 200, const std::string& body = "done");
 
@@ -34,20 +37,26 @@
 
     const std::vector<HTTPRequest>& requests() const { return m_requests; }
     size_t disconnectCount() const { return m_disconnects; }
-    size_t connectionCount() const { return m_server.connectionCount(); }
+    size_t connectionCount() const { return m_server->connectionCount(); }
 
 private:
-    StrictHTTPServer m_server;
+    void start();
+
+    SocketAddress m_address;
+    std::unique_ptr<StrictHTTPServer> m_server;
     HTTPPool m_control;
     Timer m_announceTimer;
+    Timer m_crashTimer;
     Script m_script;
     std::string m_service;
     std::string m_instance;
+    uint64_t m_startedAt { 1000 };
     std::vector<HTTPRequest> m_requests; // Without health probes
     uint64_t m_sequence { 0 };
     uint64_t m_nextID { 1 };
     size_t m_disconnects { 0 };
     bool m_draining { false };
+    bool m_running { false };
 };
 
 // Several daemons, their backend servers and a store in this process and on this main loop, over real sockets. One daemon for
