Refuse a request that has crashed three backend servers in a row

Callers saw: a request under which backend servers end takes down one after the other, for all organisations.

Cause: nothing on the platform's path connected the end of a backend server with the runs in progress there, so each resend was new. The daemon's own retry doubled it. Class: evidence that one daemon has and no other one learns of.

Change: the daemon beside a backend server takes the runs without a response since the last sign of life as candidates once connections are refused or another instance appears without a leave. The records travel in the member list: they reach every daemon within the time of a configuration change and survive a restart of all daemons. A lost run of a request under suspicion is not retried.

--- a/Source/core/Time.h
+++ b/Source/core/Time.h
@@ -24,6 +24,14 @@
     }
 };
 
+// Time of day, for records that outlive the process or are read by others. Clocks of instances differ and may be stepped.
+struct WallClock {
+    static std::chrono::sys_seconds now() noexcept
+    {
+        return std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
+    }
+};
+
 using Duration = MonotonicClock::duration;
 using TimePoint = MonotonicClock::time_point;
 
--- /dev/null
+++ b/Source/mesh/CrashSuspects.cpp
@@ -0,0 +1,162 @@
+#include "mesh/CrashSuspects.h"
+
+#include "mesh/MeshSettings.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace shallot {
+
+namespace {
+
+constexpr size_t maximumSuspects = 20'000; // A few MB
+
+uint32_t uncleared(const CrashSuspect& suspect)
+{
+    return suspect.crashes > suspect.cleared ? suspect.crashes - suspect.cleared : 0;
+}
+
+} // namespace
+
+CrashSuspects::CrashSuspects(const MeshSettings& settings)
+    : m_settings(settings)
+{
+}
+
+bool CrashSuspects::isExpired(const CrashSuspect& suspect, std::chrono::sys_seconds now) const
+{
+    return now - suspect.recordedAt >= m_settings.crashSuspectLifetime;
+}
+
+CrashSuspects::Entry* CrashSuspects::findOrAdd(uint64_t fingerprint, std::chrono::sys_seconds now)
+{
+    if (const auto found = m_suspects.find(fingerprint); found != m_suspects.end()) {
+        if (isExpired(found->second.suspect, now))
+            found->second = { { fingerprint }, false };
+        return &found->second;
+    }
+    if (m_suspects.size() >= maximumSuspects)
+        std::erase_if(m_suspects, [&](const auto& item) { return isExpired(item.second.suspect, now); });
+    if (m_suspects.size() >= maximumSuspects)
+        return nullptr;
+    return &m_suspects.emplace(fingerprint, Entry { { fingerprint }, false }).first->second;
+}
+
+// A crash counts once for all runs that started before it was known. So a popular request that runs at several backend servers
+// when all of them crash at once gets one count, while a caller that resends the culprit adds one with each crash.
+void CrashSuspects::recordCrash(std::span<const InterruptedRun> runs, std::chrono::sys_seconds now)
+{
+    for (const auto& run : runs) {
+        auto* entry = findOrAdd(run.fingerprint, now);
+        if (!entry)
+            continue;
+        entry->suspect.crashes = std::max(entry->suspect.crashes, run.knownCrashes + 1);
+        entry->suspect.recordedAt = now;
+        entry->own = true;
+        ++m_revision;
+    }
+}
+
+bool CrashSuspects::recordAnswer(uint64_t fingerprint, std::chrono::sys_seconds now)
+{
+    const auto found = m_suspects.find(fingerprint);
+    // A single crash is no reason to publish: most requests that it interrupted are innocent.
+    if (found == m_suspects.end() || suspicion(fingerprint, now) + 1 < m_settings.crashThreshold)
+        return false;
+    found->second.suspect.cleared = found->second.suspect.crashes;
+    found->second.suspect.recordedAt = now;
+    found->second.own = true;
+    ++m_revision;
+    return true;
+}
+
+void CrashSuspects::recordRefusal(uint64_t fingerprint, std::chrono::sys_seconds now)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end() || now - found->second.suspect.recordedAt < m_settings.crashSuspectLifetime / 2)
+        return;
+    found->second.suspect.recordedAt = now;
+    found->second.own = true;
+    ++m_revision;
+}
+
+void CrashSuspects::mergeOne(const CrashSuspect& other, bool own, std::chrono::sys_seconds now)
+{
+    if (!other.crashes || isExpired(other, now))
+        return;
+    auto* entry = findOrAdd(other.fingerprint, now);
+    if (!entry)
+        return;
+    auto& suspect = entry->suspect;
+    const bool isNews
+        = other.crashes > suspect.crashes || other.cleared > suspect.cleared || other.recordedAt > suspect.recordedAt;
+    if (!isNews)
+        return;
+    const bool knowsMore = suspect.crashes > other.crashes || suspect.cleared > other.cleared;
+    suspect.crashes = std::max(suspect.crashes, other.crashes);
+    suspect.cleared = std::max(suspect.cleared, other.cleared);
+    suspect.recordedAt = std::max(suspect.recordedAt, std::min(other.recordedAt, now)); // The other clock may be ahead
+    // A daemon that restarts learns only what is published, so what this daemon alone knows stays in its own records.
+    entry->own = own || (entry->own && knowsMore);
+    if (own)
+        ++m_revision;
+}
+
+void CrashSuspects::merge(std::span<const CrashSuspect> suspects, std::chrono::sys_seconds now)
+{
+    for (const auto& suspect : suspects)
+        mergeOne(suspect, false, now);
+}
+
+void CrashSuspects::restore(std::span<const CrashSuspect> suspects, std::chrono::sys_seconds now)
+{
+    for (const auto& suspect : suspects)
+        mergeOne(suspect, true, now);
+}
+
+std::vector<CrashSuspect> CrashSuspects::ownRecords(std::chrono::sys_seconds now) const
+{
+    std::vector<CrashSuspect> records;
+    for (const auto& [fingerprint, entry] : m_suspects) {
+        if (entry.own && !isExpired(entry.suspect, now))
+            records.push_back(entry.suspect);
+    }
+    std::sort(records.begin(), records.end(), [](const auto& a, const auto& b) {
+        return std::tuple(b.crashes, b.recordedAt, b.fingerprint) < std::tuple(a.crashes, a.recordedAt, a.fingerprint);
+    });
+    if (records.size() > m_settings.maximumPublishedSuspects)
+        records.resize(m_settings.maximumPublishedSuspects);
+    return records;
+}
+
+uint32_t CrashSuspects::crashesOf(uint64_t fingerprint, std::chrono::sys_seconds now) const
+{
+    const auto found = m_suspects.find(fingerprint);
+    return found == m_suspects.end() || isExpired(found->second.suspect, now) ? 0 : found->second.suspect.crashes;
+}
+
+uint32_t CrashSuspects::suspicion(uint64_t fingerprint, std::chrono::sys_seconds now) const
+{
+    const auto found = m_suspects.find(fingerprint);
+    return found == m_suspects.end() || isExpired(found->second.suspect, now) ? 0 : uncleared(found->second.suspect);
+}
+
+bool CrashSuspects::isRefused(uint64_t fingerprint, std::chrono::sys_seconds now) const
+{
+    return suspicion(fingerprint, now) >= m_settings.crashThreshold;
+}
+
+bool CrashSuspects::isIsolated(uint64_t fingerprint, std::chrono::sys_seconds now) const
+{
+    return suspicion(fingerprint, now) + 1 == m_settings.crashThreshold;
+}
+
+Duration CrashSuspects::refusedFor(uint64_t fingerprint, std::chrono::sys_seconds now) const
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end())
+        return {};
+    return std::max(Duration::zero(), Duration(found->second.suspect.recordedAt + m_settings.crashSuspectLifetime - now));
+}
+
+} // namespace shallot
--- a/Source/mesh/MemberList.cpp
+++ b/Source/mesh/MemberList.cpp
@@ -13,7 +13,13 @@
 uint64_t digestOf(const MeshMember& member)
 {
     const auto fields = member.name + '\n' + member.zone + '\n' + member.address + '\n' + member.service;
-    return stableHash(fields + '\n' + member.lastLeave.instance, member.lastLeave.latestStart);
+    auto digest = stableHash(fields + '\n' + member.lastLeave.instance, member.lastLeave.latestStart);
+    for (const auto& suspect : member.crashSuspects) {
+        const auto recordedAt = static_cast<uint64_t>(suspect.recordedAt.time_since_epoch().count());
+        for (const auto value : { suspect.fingerprint, uint64_t { suspect.crashes }, uint64_t { suspect.cleared }, recordedAt })
+            digest = stableHash(std::to_string(value), digest);
+    }
+    return digest;
 }
 
 } // namespace
--- a/Source/mesh/MeshMember.h
+++ b/Source/mesh/MeshMember.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "mesh/CrashSuspect.h"
 #include "mesh/EndpointLeave.h"
 
 #include <string>
+#include <vector>
 
 namespace shallot {
 
@@ -10,9 +12,10 @@
 struct MeshMember {
     std::string name;
     std::string zone;
-    std::string address;     // IP:port for links from other daemons
-    std::string service;     // Service of its backend server
-    EndpointLeave lastLeave; // Last announced departure of a backend server of this daemon
+    std::string address;                     // IP:port for links from other daemons
+    std::string service;                     // Service of its backend server
+    EndpointLeave lastLeave;                 // Last announced departure of a backend server of this daemon
+    std::vector<CrashSuspect> crashSuspects; // Requests suspected of crashing backend servers, by this daemon's evidence
 };
 
 } // namespace shallot
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -46,6 +46,11 @@
     // Without an announcement for this long, three announcement intervals, a backend server counts as unavailable.
     Duration announcementTimeout { 5s };
 
+    // Requests that crash backend servers
+    unsigned crashThreshold { 3 };           // Successive crashes without an answer, after which a request is refused
+    Duration crashSuspectLifetime { 600s };  // How long after its last change a record counts
+    size_t maximumPublishedSuspects { 256 }; // In one daemon's member record; about 10 KB
+
     // Load shedding at the root of a call graph
     Duration pressureTarget { 20ms };     // Wait at a service below that does not indicate overload; half of a short run
     Duration pressureWindow { 200ms };    // Between two changes of a limit; about half the duration of a call graph
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -1,6 +1,6 @@
 // Index of this file
 //   Announcements:  recordAnnouncement, recordLeave, verifyInstance, onProbe, isAvailable
-//   Admission:      submit, checkAdmission, runNext, findParent, recordPressure
+//   Admission:      submit, checkAdmission, checkCrashSuspicion, runNext, findParent, recordPressure
 //   Runs:           run, send, onResponse, finish, refuse, cancel, onDeadline
 //   Crashes:        recordUnanswered, recordAnswered, recordCrash
 
@@ -31,8 +31,10 @@
 
 } // namespace
 
-EndpointExecutor::EndpointExecutor(const MeshSettings& settings, const SocketAddress& backendServer, const std::string& service)
+EndpointExecutor::EndpointExecutor(
+    const MeshSettings& settings, const SocketAddress& backendServer, const std::string& service, CrashSuspects& crashSuspects)
     : m_settings(settings)
+    , m_crashSuspects(crashSuspects)
     , m_host(backendServer.toString())
     , m_queue(settings)
     , m_loadShedder(settings)
@@ -189,17 +191,44 @@
 
 // Admission
 
-ErrorKind EndpointExecutor::checkAdmission(const MeshCall& call, TimePoint now) const
+ErrorKind EndpointExecutor::checkAdmission(LiveRun& live, TimePoint now)
 {
+    const auto& call = live.call;
     if (!m_announced || call.service != m_announcement.service)
         return ErrorKind::NoBackendServer;
     if (!isAvailable(now))
         return ErrorKind::Draining;
     if (call.context.remaining <= Duration::zero())
         return ErrorKind::ExpiredInQueue;
+    return checkCrashSuspicion(live);
+}
+
+ErrorKind EndpointExecutor::checkCrashSuspicion(LiveRun& live)
+{
+    if (m_crashSuspects.isEmpty())
+        return ErrorKind::None;
+    const auto now = WallClock::now();
+    const auto fingerprint = fingerprintOf(live);
+    if (m_crashSuspects.isRefused(fingerprint, now))
+        return ErrorKind::CrashSuspect;
+    // With two of them at one backend server, its crash would not show which one is the culprit.
+    if (!live.isolated && m_crashSuspects.isIsolated(fingerprint, now)) {
+        if (m_isolatedCalls)
+            return ErrorKind::Overloaded;
+        live.isolated = true;
+        ++m_isolatedCalls;
+    }
     return ErrorKind::None;
 }
 
+uint64_t EndpointExecutor::fingerprintOf(LiveRun& live) const
+{
+    const auto& request = live.call.request;
+    if (!live.fingerprint)
+        live.fingerprint = requestFingerprint(live.call.context.organisation, request.method, request.target, request.body);
+    return live.fingerprint;
+}
+
 uint64_t EndpointExecutor::submit(MeshCall call, TimePoint now, MeshCompletion completion)
 {
     auto live = makeRef<LiveRun>();
@@ -213,7 +242,7 @@
     live->completion = std::move(completion);
     const auto id = live->item.id;
     m_calls[id] = live;
-    if (const auto refusal = checkAdmission(live->call, now); refusal != ErrorKind::None) {
+    if (const auto refusal = checkAdmission(*live, now); refusal != ErrorKind::None) {
         refuse(*live, refusal, now);
         return id;
     }
@@ -255,6 +284,10 @@
             refuse(*live, ErrorKind::ExpiredInQueue, now);
             continue;
         }
+        if (const auto refusal = checkCrashSuspicion(*live); refusal != ErrorKind::None) {
+            refuse(*live, refusal, now);
+            continue;
+        }
         run(*live, now);
     }
 }
@@ -297,6 +330,8 @@
     const RefPtr<LiveRun> protect(&live);
     live.running = true;
     live.started = now;
+    if (!m_crashSuspects.isEmpty())
+        live.knownCrashes = m_crashSuspects.crashesOf(fingerprintOf(live), WallClock::now());
     m_queue.recordStart();
     m_deadlines.set(live.item.id, live.deadline + responseGrace);
     m_running[live.attemptID] = live.item.id;
@@ -350,7 +385,7 @@
     switch (platform::classifyResponse(*response)) {
     case platform::ResponseClass::Valid:
         m_lastContact = now;
-        recordAnswered(*live);
+        recordAnswered(*live, response->status);
         m_queue.recordServiceTime(now - live->started);
         platform::removeInternalHeaders(*response);
         finish(*live, std::move(response), true, now);
@@ -383,6 +418,8 @@
     m_queue.remove(live.item);
     m_calls.erase(live.item.id);
     m_deadlines.remove(live.item.id);
+    if (std::exchange(live.isolated, false))
+        --m_isolatedCalls;
     const auto& context = live.call.context;
     if (!response && live.completion) {
         EventLog::write("run-failed",
@@ -441,31 +478,40 @@
 
 // Crashes
 
-void EndpointExecutor::recordUnanswered(const LiveRun& live, TimePoint now)
+void EndpointExecutor::recordUnanswered(LiveRun& live, TimePoint now)
 {
     if (m_unanswered.size() >= maximumUnansweredRuns)
         m_unanswered.erase(m_unanswered.begin());
-    const auto& request = live.call.request;
-    m_unanswered.push_back(
-        { requestFingerprint(live.call.context.organisation, request.method, request.target, request.body), live.attemptID, now });
+    m_unanswered.push_back({ { fingerprintOf(live), live.knownCrashes }, live.attemptID, now });
 }
 
 // A run that started later and was answered shows that the earlier ones did not crash the backend server.
-void EndpointExecutor::recordAnswered(const LiveRun& live)
+void EndpointExecutor::recordAnswered(LiveRun& live, uint16_t status)
 {
-    std::erase_if(m_unanswered,
-        [&live](const auto& run) { return run.endedAt < live.started || run.attemptID == live.attemptID; });
+    std::erase_if(
+        m_unanswered, [&live](const auto& run) { return run.endedAt < live.started || run.attemptID == live.attemptID; });
+    // An answer with a server error may have been made without running the request.
+    if (m_crashSuspects.isEmpty() || status >= 500 || !m_crashSuspects.recordAnswer(fingerprintOf(live), WallClock::now()))
+        return;
+    EventLog::write("crash-suspect-cleared", { { "request", live.attemptID }, { "route", live.call.context.route } });
 }
 
 void EndpointExecutor::recordCrash(const char* evidence)
 {
     const auto runs = std::exchange(m_unanswered, {});
+    std::vector<CrashSuspects::InterruptedRun> interrupted;
+    uint32_t knownCrashes = 0;
+    for (const auto& ended : runs) {
+        interrupted.push_back(ended.run);
+        knownCrashes = std::max(knownCrashes, ended.run.knownCrashes);
+    }
     std::string attempts;
     for (size_t i = 0; i < std::min(runs.size(), maximumLoggedAttempts); ++i)
         attempts += (i ? " " : "") + runs[i].attemptID;
     EventLog::write("backend-server-crashed",
         { { "backend_server", m_announcement.instance }, { "evidence", evidence }, { "runs", runs.size() },
-            { "requests", attempts } });
+            { "requests", attempts }, { "crashes_before", knownCrashes } });
+    m_crashSuspects.recordCrash(interrupted, WallClock::now());
 }
 
 } // namespace shallot
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/RefCounted.h"
+#include "mesh/CrashSuspects.h"
 #include "mesh/EndpointAnnouncement.h"
 #include "mesh/EndpointLeave.h"
 #include "mesh/EndpointQueue.h"
@@ -33,7 +34,7 @@
 class EndpointExecutor {
 public:
     // `service` is the configured service of the instance; announcements override it.
-    EndpointExecutor(const MeshSettings&, const SocketAddress& backendServer, const std::string& service);
+    EndpointExecutor(const MeshSettings&, const SocketAddress& backendServer, const std::string& service, CrashSuspects&);
 
     // Calls the completion exactly once unless the call is cancelled. Returns the call's id.
     uint64_t submit(MeshCall, TimePoint now, MeshCompletion);
@@ -73,6 +74,9 @@
         MeshCall call;
         MeshCompletion completion;
         std::string attemptID;
+        uint64_t fingerprint { 0 };  // See requestFingerprint(); computed only when needed
+        uint32_t knownCrashes { 0 }; // Of this request, when the run started
+        bool isolated { false };     // Runs without another such request, see CrashSuspects::isIsolated()
         TimePoint deadline {};
         TimePoint submitted {};
         TimePoint started {};
@@ -83,19 +87,21 @@
 
     // A run that ended without a response; if the backend server turns out to have crashed, the run may be the cause.
     struct UnansweredRun {
-        uint64_t fingerprint { 0 }; // See requestFingerprint()
+        CrashSuspects::InterruptedRun run;
         std::string attemptID;
         TimePoint endedAt {};
     };
 
-    ErrorKind checkAdmission(const MeshCall&, TimePoint now) const;
+    ErrorKind checkAdmission(LiveRun&, TimePoint now);
+    ErrorKind checkCrashSuspicion(LiveRun&);
+    uint64_t fingerprintOf(LiveRun&) const;
     void runNext(TimePoint now);
     void run(LiveRun&, TimePoint now);
     void send(LiveRun&, Duration maximumIdle);
     void onResponse(uint64_t id, Result<HTTPResponse>);
     void finish(LiveRun&, Result<HTTPResponse>, bool reachedBackend, TimePoint now);
-    void recordUnanswered(const LiveRun&, TimePoint now);
-    void recordAnswered(const LiveRun&);
+    void recordUnanswered(LiveRun&, TimePoint now);
+    void recordAnswered(LiveRun&, uint16_t status);
     void recordCrash(const char* evidence);
     void refuse(LiveRun&, ErrorKind, TimePoint now);
     void verifyInstance();
@@ -104,6 +110,7 @@
     void onDeadline(uint64_t id);
 
     const MeshSettings& m_settings;
+    CrashSuspects& m_crashSuspects;
     std::string m_host;
     HTTPPool m_pool;
     HTTPPool m_probePool;
@@ -115,6 +122,7 @@
     std::vector<UnansweredRun> m_unanswered; // Since the backend server last showed that it was running
     EndpointAnnouncement m_announcement;
     std::string m_healthPath;
+    size_t m_isolatedCalls { 0 }; // Queued or running
     std::function<void()> m_onChange;
     TimePoint m_lastContact {};
     uint64_t m_nextID { 1 };
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -85,6 +85,14 @@
         state->service = member.service;
         state->left_instance = member.lastLeave.instance;
         state->left_started_by = member.lastLeave.latestStart;
+        for (const auto& suspect : member.crashSuspects) {
+            auto item = std::make_unique<wire::CrashSuspectT>();
+            item->fingerprint = suspect.fingerprint;
+            item->crashes = suspect.crashes;
+            item->cleared = suspect.cleared;
+            item->recorded_s = suspect.recordedAt.time_since_epoch().count();
+            state->crash_suspects.push_back(std::move(item));
+        }
         records.members.push_back(std::move(state));
     }
 }
@@ -96,9 +104,15 @@
     update.isSnapshot = records.members_whole;
     update.from = records.members_from;
     for (const auto& state : records.members) {
-        if (state && !state->member.empty() && parseSocketAddress(state->address))
-            update.members.push_back(
-                { state->member, state->zone, state->address, state->service, { state->left_instance, state->left_started_by } });
+        if (!state || state->member.empty() || !parseSocketAddress(state->address))
+            continue;
+        update.members.push_back(
+            { state->member, state->zone, state->address, state->service, { state->left_instance, state->left_started_by }, {} });
+        for (const auto& item : state->crash_suspects) {
+            if (item)
+                update.members.back().crashSuspects.push_back({ item->fingerprint, item->crashes, item->cleared,
+                    std::chrono::sys_seconds(std::chrono::seconds(item->recorded_s)) });
+        }
     }
     return update;
 }
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Arrival:    handle, admit, checkRequest, authenticate
+//   Arrival:    handle, admit, checkRequest, checkCrashSuspicion, authenticate
 //   Attempts:   dispatch, send, endAttempt, cancelAttempt
 //   Outcomes:   onResponse, onLinkClosed, onOutcome, mayRetry
 //   Responses:  retryAfterFor, respond, logCompletion, onDisconnect, onDeadline
@@ -9,6 +9,7 @@
 #include "core/Digest.h"
 #include "core/EventLog.h"
 #include "daemon/CallFrames.h"
+#include "mesh/CrashSuspects.h"
 #include "mesh/MeshSettings.h"
 #include "platform/RequestCodec.h"
 #include "policy/CrashFingerprints.h"
@@ -142,9 +143,10 @@
     context.hops = pending.parent ? static_cast<uint8_t>(pending.parent->hops + 1) : 0;
     if (!pending.parent) {
         pending.targetTime = now + std::min(route->targetLatency, timeLimit);
-        pending.fingerprint = requestFingerprint(context.organisation, request.method, request.target, request.body);
-        pending.call.scheduledRetry = m_scheduledRetries.consume(pending.fingerprint, now);
+        pending.call.scheduledRetry = m_scheduledRetries.consume(fingerprintOf(pending, request), now);
     }
+    if (auto checked = checkCrashSuspicion(pending, request); !checked)
+        return checked;
     pending.maximumEndpoints = route->maximumEndpoints;
     pending.call.service = view.routes()->nextService(*route);
     retryBudgetFor(pending).recordRequest(now);
@@ -152,6 +154,27 @@
     return {};
 }
 
+Result<void> MeshIngress::checkCrashSuspicion(PendingRequest& pending, const HTTPRequest& request)
+{
+    auto& suspects = m_dependencies.crashSuspects;
+    if (suspects.isEmpty())
+        return {};
+    const auto now = WallClock::now();
+    const auto fingerprint = fingerprintOf(pending, request);
+    if (!suspects.isRefused(fingerprint, now))
+        return {};
+    suspects.recordRefusal(fingerprint, now);
+    return tl::unexpected(Error {
+        ErrorKind::CrashSuspect, "backend servers crashed while they ran this request", suspects.refusedFor(fingerprint, now) });
+}
+
+uint64_t MeshIngress::fingerprintOf(PendingRequest& pending, const HTTPRequest& request) const
+{
+    if (!pending.fingerprint)
+        pending.fingerprint = requestFingerprint(pending.call.context.organisation, request.method, request.target, request.body);
+    return pending.fingerprint;
+}
+
 Result<void> MeshIngress::authenticate(PendingRequest& pending, const std::string& key, TimePoint now)
 {
     if (key.empty())
@@ -319,7 +342,8 @@
         return false;
     if (!outcome.response) {
         const auto kind = outcome.response.error().kind;
-        if (kind == ErrorKind::TimedOut || kind == ErrorKind::Cancelled || kind == ErrorKind::ExpiredInQueue)
+        if (kind == ErrorKind::TimedOut || kind == ErrorKind::Cancelled || kind == ErrorKind::ExpiredInQueue
+            || kind == ErrorKind::CrashSuspect)
             return false;
         if (!outcome.reachedBackend) {
             // If a downstream service is overloaded, other backend servers of this service would refuse as well.
@@ -329,6 +353,9 @@
             ++pending.reroutes;
             return true;
         }
+        auto& suspects = m_dependencies.crashSuspects;
+        if (!suspects.isEmpty() && suspects.isSuspected(fingerprintOf(pending, pending.call.request), WallClock::now()))
+            return false; // A retry may crash another backend server
     } else if (outcome.response->status == 504) {
         return false;
     }
@@ -358,7 +385,8 @@
         return;
     if (pending.parent && (!response || response->status >= 500))
         m_dependencies.executor.recordFailedNestedCall(*pending.parent);
-    if (!response && isNotExecuted(response.error()))
+    const bool crashSuspect = !response && response.error().kind == ErrorKind::CrashSuspect;
+    if (!response && isNotExecuted(response.error()) && !crashSuspect)
         response.error().retryAfter = retryAfterFor(pending, response.error().retryAfter);
     if (pending.hasToken && !response && isNotExecuted(response.error()) && !pending.attemptInProgress)
         m_dependencies.rateLimiter.returnToken(pending.call.context.organisation);
@@ -368,7 +396,7 @@
     const auto& context = pending.call.context;
     const auto kind = response ? ErrorKind::None : response.error().kind;
     m_dependencies.metrics.record(context.route, kind, now - pending.arrivedAt);
-    if (!response && response.error().retryAfter > Duration::zero() && pending.fingerprint)
+    if (!response && response.error().retryAfter > Duration::zero() && !pending.parent && pending.fingerprint && !crashSuspect)
         m_scheduledRetries.add(pending.fingerprint, response.error().retryAfter, now);
     logCompletion(pending, response, now);
     const auto connection = std::exchange(pending.connection, nullptr);
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -20,6 +20,7 @@
 struct AnswerT;
 }
 
+class CrashSuspects;
 class MeshView;
 class MeshLinks;
 class MeshMetrics;
@@ -35,6 +36,7 @@
     EndpointExecutor& executor;
     DistributedRateLimiter& rateLimiter;
     MeshMetrics& metrics;
+    CrashSuspects& crashSuspects;
     std::string ownName;
 };
 
@@ -65,7 +67,7 @@
         std::string attemptID;
         const MeshOrganisation* organisation { nullptr }; // Whose rate is charged; null once admission has started
         std::optional<ParentRun> parent; // The request whose run made this nested call; empty for a caller's request
-        uint64_t fingerprint { 0 };      // Identical when the caller sends the same request again
+        uint64_t fingerprint { 0 };      // See requestFingerprint(); zero until it is needed
         unsigned maximumEndpoints { 1 };
         TimePoint arrivedAt {};
         TimePoint deadline {};
@@ -84,6 +86,8 @@
 
     void handle(const RefPtr<StrictHTTPConnection>&, HTTPRequest, TimePoint now);
     Result<void> checkRequest(PendingRequest&, HTTPRequest&, TimePoint now);
+    Result<void> checkCrashSuspicion(PendingRequest&, const HTTPRequest&);
+    uint64_t fingerprintOf(PendingRequest&, const HTTPRequest&) const;
     Result<void> authenticate(PendingRequest&, const std::string& key, TimePoint now);
     void admit(const RefPtr<PendingRequest>&, TimePoint now);
     void dispatch(PendingRequest&, TimePoint now);
--- a/Source/sidecar/MeshSync.cpp
+++ b/Source/sidecar/MeshSync.cpp
@@ -1,12 +1,13 @@
 // Index of this file
 //   Store:       start, onConfigurationRead, applyConfiguration, onMembersRead, applyMembers, onMemberListUpdated, readAllMembers
-//   Own record:  applyOwnRecord, setOwnService, publishOwnRecord, storeLeave
+//   Own record:  applyOwnRecord, setOwnService, publishOwnRecord, publishCrashSuspects, storeLeave
 //   Peers:       tick, sendSyncRequest, onSyncRequest, onSyncResponse, pushConfiguration, connectToMembers
 //   Repair:      repair
 
 #include "sidecar/MeshSync.h"
 
 #include "core/EventLog.h"
+#include "mesh/CrashSuspects.h"
 #include "platform/MemberCodec.h"
 #include "sidecar/FollowSettings.h"
 #include "sidecar/MeshFrames.h"
@@ -43,11 +44,12 @@
 
 } // namespace
 
-MeshSync::MeshSync(
-    const MeshSettings& settings, MeshView& view, MeshLinks& links, platform::StoreClient& store, const MeshMember& own)
+MeshSync::MeshSync(const MeshSettings& settings, MeshView& view, MeshLinks& links, platform::StoreClient& store,
+    CrashSuspects& crashSuspects, const MeshMember& own)
     : m_view(view)
     , m_links(links)
     , m_store(store)
+    , m_crashSuspects(crashSuspects)
     , m_own(own)
     , m_policy(settings, view.endpoints(), view.freshness(), own)
     , m_configurationFollower(store, followConfiguration(settings),
@@ -95,10 +97,12 @@
 void MeshSync::applyMembers(const std::vector<MeshMember>& members)
 {
     for (const auto& member : members) {
-        if (member.name != m_own.name)
-            m_view.updateMember(member);
-        else
+        if (member.name == m_own.name) {
             applyOwnRecord(member);
+            continue;
+        }
+        m_view.updateMember(member);
+        m_crashSuspects.merge(member.crashSuspects, WallClock::now());
     }
 }
 
@@ -149,6 +153,11 @@
         if (m_ownRecordPublished && m_onFormerLeave)
             m_onFormerLeave(m_own.lastLeave);
     }
+    m_crashSuspects.restore(record.crashSuspects, WallClock::now());
+    if (!m_ownRecordPublished) {
+        m_publishedSuspects = m_crashSuspects.revision();
+        m_own.crashSuspects = m_crashSuspects.ownRecords(WallClock::now());
+    }
     m_ownRecordStored = platform::encodeMember(record).value == platform::encodeMember(m_own).value;
 }
 
@@ -171,6 +180,15 @@
         });
 }
 
+void MeshSync::publishCrashSuspects()
+{
+    if (!m_ownRecordPublished || m_publishedSuspects == m_crashSuspects.revision())
+        return;
+    m_publishedSuspects = m_crashSuspects.revision();
+    m_own.crashSuspects = m_crashSuspects.ownRecords(WallClock::now());
+    publishOwnRecord();
+}
+
 void MeshSync::storeLeave(const EndpointLeave& leave, std::function<void()> done)
 {
     m_own.lastLeave = leave;
@@ -188,6 +206,7 @@
 
 void MeshSync::tick(TimePoint now)
 {
+    publishCrashSuspects();
     const auto actions = m_policy.planSync(now);
     if (actions.readsConfiguration)
         m_configurationFollower.readOnce();
--- a/Source/sidecar/MeshSync.h
+++ b/Source/sidecar/MeshSync.h
@@ -16,6 +16,7 @@
 struct RecordsT;
 } // namespace wire
 
+class CrashSuspects;
 class MeshView;
 class MeshLinks;
 class PeerLink;
@@ -24,7 +25,7 @@
 // decides.
 class MeshSync {
 public:
-    MeshSync(const MeshSettings&, MeshView&, MeshLinks&, platform::StoreClient&, const MeshMember& own);
+    MeshSync(const MeshSettings&, MeshView&, MeshLinks&, platform::StoreClient&, CrashSuspects&, const MeshMember& own);
 
     // Called when the member list is known, and again if it turns out later: with the last leave of a backend server beside this
     // daemon that was stored before the daemon started.
@@ -54,6 +55,7 @@
     void onMemberListUpdated();
     void applyOwnRecord(const MeshMember&);
     void publishOwnRecord();
+    void publishCrashSuspects();
     void connectToMembers();
     void sendSyncRequest(const std::string& member, TimePoint now);
     void pushConfiguration();
@@ -61,12 +63,14 @@
     MeshView& m_view;
     MeshLinks& m_links;
     platform::StoreClient& m_store;
+    CrashSuspects& m_crashSuspects;
     MeshMember m_own;
     MeshSyncPolicy m_policy;
     StoreFollower m_configurationFollower;
     StoreFollower m_memberFollower;
     std::function<void(const EndpointLeave&)> m_onFormerLeave;
     Timer m_ownRecordRetry;
+    uint64_t m_publishedSuspects { 0 }; // CrashSuspects::revision() of the published records
     bool m_ownRecordStored { false };
     bool m_ownRecordPublished { false }; // Initial publication done or not needed; afterwards only changes are written
     bool m_readingAllMembers { false };
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -54,11 +54,12 @@
               },
               [this] { return m_executor.report(MonotonicClock::now()); } },
           meshFrameDictionary())
-    , m_executor(settings, m_instance.backendServer, m_instance.service)
+    , m_crashSuspects(settings)
+    , m_executor(settings, m_instance.backendServer, m_instance.service, m_crashSuspects)
     , m_rateLimiter(settings, m_view, m_links, m_own.name)
-    , m_ingress({ settings, m_view, m_links, m_executor, m_rateLimiter, m_metrics, m_own.name })
+    , m_ingress({ settings, m_view, m_links, m_executor, m_rateLimiter, m_metrics, m_crashSuspects, m_own.name })
     , m_store(m_instance.store)
-    , m_sync(settings, m_view, m_links, m_store, m_own)
+    , m_sync(settings, m_view, m_links, m_store, m_crashSuspects, m_own)
 {
     m_view.updateMember(m_own);
     m_view.setConfigurationHandler([this] { onConfiguration(); });
@@ -169,6 +170,7 @@
         m_metrics.setGauge("shallot_members_listed", static_cast<double>(members.size()));
         m_metrics.setGauge("shallot_member_list_offset", static_cast<double>(members.state().offset));
         m_metrics.setGauge("shallot_member_list_in_doubt", m_sync.policy().isListInDoubt() ? 1 : 0);
+        m_metrics.setGauge("shallot_crash_suspects", static_cast<double>(m_crashSuspects.size()));
         m_metrics.setGauge("shallot_requests_open", static_cast<double>(m_ingress.inProgress()));
         m_metrics.setGauge("shallot_configuration_version", static_cast<double>(m_view.version()));
         m_metrics.setGauge("shallot_configuration_age_seconds", toSeconds(now - m_view.freshness().confirmedAt));
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mesh/CrashSuspects.h"
 #include "mesh/MeshSettings.h"
 #include "net/Timer.h"
 #include "platform/InstanceSettings.h"
@@ -63,6 +64,7 @@
     MeshMember m_own;
     MeshView m_view;
     MeshLinks m_links;
+    CrashSuspects m_crashSuspects;
     EndpointExecutor m_executor;
     DistributedRateLimiter m_rateLimiter;
     MeshMetrics m_metrics;
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -40,6 +40,10 @@
 struct CancelBuilder;
 struct CancelT;
 
+struct CrashSuspect;
+struct CrashSuspectBuilder;
+struct CrashSuspectT;
+
 struct MemberState;
 struct MemberStateBuilder;
 struct MemberStateT;
@@ -1324,6 +1328,97 @@
 
 flatbuffers::Offset<Cancel> CreateCancel(flatbuffers::FlatBufferBuilder &_fbb, const CancelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct CrashSuspectT : public flatbuffers::NativeTable {
+  typedef CrashSuspect TableType;
+  uint64_t fingerprint = 0;
+  uint32_t crashes = 0;
+  uint32_t cleared = 0;
+  int64_t recorded_s = 0;
+};
+
+struct CrashSuspect FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashSuspectT NativeTableType;
+  typedef CrashSuspectBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FINGERPRINT = 4,
+    VT_CRASHES = 6,
+    VT_CLEARED = 8,
+    VT_RECORDED_S = 10
+  };
+  uint64_t fingerprint() const {
+    return GetField<uint64_t>(VT_FINGERPRINT, 0);
+  }
+  uint32_t crashes() const {
+    return GetField<uint32_t>(VT_CRASHES, 0);
+  }
+  uint32_t cleared() const {
+    return GetField<uint32_t>(VT_CLEARED, 0);
+  }
+  int64_t recorded_s() const {
+    return GetField<int64_t>(VT_RECORDED_S, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_CRASHES, 4) &&
+           VerifyField<uint32_t>(verifier, VT_CLEARED, 4) &&
+           VerifyField<int64_t>(verifier, VT_RECORDED_S, 8) &&
+           verifier.EndTable();
+  }
+  CrashSuspectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CrashSuspectT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CrashSuspect> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CrashSuspectBuilder {
+  typedef CrashSuspect Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_fingerprint(uint64_t fingerprint) {
+    fbb_.AddElement<uint64_t>(CrashSuspect::VT_FINGERPRINT, fingerprint, 0);
+  }
+  void add_crashes(uint32_t crashes) {
+    fbb_.AddElement<uint32_t>(CrashSuspect::VT_CRASHES, crashes, 0);
+  }
+  void add_cleared(uint32_t cleared) {
+    fbb_.AddElement<uint32_t>(CrashSuspect::VT_CLEARED, cleared, 0);
+  }
+  void add_recorded_s(int64_t recorded_s) {
+    fbb_.AddElement<int64_t>(CrashSuspect::VT_RECORDED_S, recorded_s, 0);
+  }
+  explicit CrashSuspectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashSuspect> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashSuspect>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashSuspect> CreateCrashSuspect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t fingerprint = 0,
+    uint32_t crashes = 0,
+    uint32_t cleared = 0,
+    int64_t recorded_s = 0) {
+  CrashSuspectBuilder builder_(_fbb);
+  builder_.add_recorded_s(recorded_s);
+  builder_.add_fingerprint(fingerprint);
+  builder_.add_cleared(cleared);
+  builder_.add_crashes(crashes);
+  return builder_.Finish();
+}
+
+struct CrashSuspect::Traits {
+  using type = CrashSuspect;
+  static auto constexpr Create = CreateCrashSuspect;
+};
+
+flatbuffers::Offset<CrashSuspect> CreateCrashSuspect(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct MemberStateT : public flatbuffers::NativeTable {
   typedef MemberState TableType;
   std::string member{};
@@ -1335,6 +1430,11 @@
   uint32_t slots = 0;
   std::string left_instance{};
   uint64_t left_started_by = 0;
+  std::vector<std::unique_ptr<shallot::wire::CrashSuspectT>> crash_suspects{};
+  MemberStateT() = default;
+  MemberStateT(const MemberStateT &o);
+  MemberStateT(MemberStateT&&) FLATBUFFERS_NOEXCEPT = default;
+  MemberStateT &operator=(MemberStateT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct MemberState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1350,7 +1450,8 @@
     VT_SERVICE = 14,
     VT_SLOTS = 16,
     VT_LEFT_INSTANCE = 18,
-    VT_LEFT_STARTED_BY = 20
+    VT_LEFT_STARTED_BY = 20,
+    VT_CRASH_SUSPECTS = 22
   };
   const flatbuffers::String *member() const {
     return GetPointer<const flatbuffers::String *>(VT_MEMBER);
@@ -1379,6 +1480,9 @@
   uint64_t left_started_by() const {
     return GetField<uint64_t>(VT_LEFT_STARTED_BY, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<shallot::wire::CrashSuspect>> *crash_suspects() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<shallot::wire::CrashSuspect>> *>(VT_CRASH_SUSPECTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_MEMBER) &&
@@ -1395,6 +1499,9 @@
            VerifyOffset(verifier, VT_LEFT_INSTANCE) &&
            verifier.VerifyString(left_instance()) &&
            VerifyField<uint64_t>(verifier, VT_LEFT_STARTED_BY, 8) &&
+           VerifyOffset(verifier, VT_CRASH_SUSPECTS) &&
+           verifier.VerifyVector(crash_suspects()) &&
+           verifier.VerifyVectorOfTables(crash_suspects()) &&
            verifier.EndTable();
   }
   MemberStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1433,6 +1540,9 @@
   void add_left_started_by(uint64_t left_started_by) {
     fbb_.AddElement<uint64_t>(MemberState::VT_LEFT_STARTED_BY, left_started_by, 0);
   }
+  void add_crash_suspects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::CrashSuspect>>> crash_suspects) {
+    fbb_.AddOffset(MemberState::VT_CRASH_SUSPECTS, crash_suspects);
+  }
   explicit MemberStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1455,10 +1565,12 @@
     flatbuffers::Offset<flatbuffers::String> service = 0,
     uint32_t slots = 0,
     flatbuffers::Offset<flatbuffers::String> left_instance = 0,
-    uint64_t left_started_by = 0) {
+    uint64_t left_started_by = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::CrashSuspect>>> crash_suspects = 0) {
   MemberStateBuilder builder_(_fbb);
   builder_.add_left_started_by(left_started_by);
   builder_.add_version(version);
+  builder_.add_crash_suspects(crash_suspects);
   builder_.add_left_instance(left_instance);
   builder_.add_slots(slots);
   builder_.add_service(service);
@@ -1484,12 +1596,14 @@
     const char *service = nullptr,
     uint32_t slots = 0,
     const char *left_instance = nullptr,
-    uint64_t left_started_by = 0) {
+    uint64_t left_started_by = 0,
+    const std::vector<flatbuffers::Offset<shallot::wire::CrashSuspect>> *crash_suspects = nullptr) {
   auto member__ = member ? _fbb.CreateString(member) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto left_instance__ = left_instance ? _fbb.CreateString(left_instance) : 0;
+  auto crash_suspects__ = crash_suspects ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::CrashSuspect>>(*crash_suspects) : 0;
   return shallot::wire::CreateMemberState(
       _fbb,
       member__,
@@ -1500,7 +1614,8 @@
       service__,
       slots,
       left_instance__,
-      left_started_by);
+      left_started_by,
+      crash_suspects__);
 }
 
 flatbuffers::Offset<MemberState> CreateMemberState(flatbuffers::FlatBufferBuilder &_fbb, const MemberStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3512,6 +3627,69 @@
       _id);
 }
 
+inline CrashSuspectT *CrashSuspect::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CrashSuspectT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashSuspect::UnPackTo(CrashSuspectT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = fingerprint(); _o->fingerprint = _e; }
+  { auto _e = crashes(); _o->crashes = _e; }
+  { auto _e = cleared(); _o->cleared = _e; }
+  { auto _e = recorded_s(); _o->recorded_s = _e; }
+}
+
+inline flatbuffers::Offset<CrashSuspect> CrashSuspect::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashSuspect(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashSuspect> CreateCrashSuspect(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashSuspectT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _fingerprint = _o->fingerprint;
+  auto _crashes = _o->crashes;
+  auto _cleared = _o->cleared;
+  auto _recorded_s = _o->recorded_s;
+  return shallot::wire::CreateCrashSuspect(
+      _fbb,
+      _fingerprint,
+      _crashes,
+      _cleared,
+      _recorded_s);
+}
+
+inline MemberStateT::MemberStateT(const MemberStateT &o)
+      : member(o.member),
+        zone(o.zone),
+        address(o.address),
+        version(o.version),
+        state(o.state),
+        service(o.service),
+        slots(o.slots),
+        left_instance(o.left_instance),
+        left_started_by(o.left_started_by) {
+  crash_suspects.reserve(o.crash_suspects.size());
+  for (const auto &crash_suspects_ : o.crash_suspects) { crash_suspects.emplace_back((crash_suspects_) ? new shallot::wire::CrashSuspectT(*crash_suspects_) : nullptr); }
+}
+
+inline MemberStateT &MemberStateT::operator=(MemberStateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(member, o.member);
+  std::swap(zone, o.zone);
+  std::swap(address, o.address);
+  std::swap(version, o.version);
+  std::swap(state, o.state);
+  std::swap(service, o.service);
+  std::swap(slots, o.slots);
+  std::swap(left_instance, o.left_instance);
+  std::swap(left_started_by, o.left_started_by);
+  std::swap(crash_suspects, o.crash_suspects);
+  return *this;
+}
+
 inline MemberStateT *MemberState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<MemberStateT>();
   UnPackTo(_o.get(), _resolver);
@@ -3530,6 +3708,7 @@
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = left_instance(); if (_e) _o->left_instance = _e->str(); }
   { auto _e = left_started_by(); _o->left_started_by = _e; }
+  { auto _e = crash_suspects(); if (_e) { _o->crash_suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crash_suspects[_i] = std::unique_ptr<shallot::wire::CrashSuspectT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<MemberState> MemberState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3549,6 +3728,7 @@
   auto _slots = _o->slots;
   auto _left_instance = _o->left_instance.empty() ? 0 : _fbb.CreateString(_o->left_instance);
   auto _left_started_by = _o->left_started_by;
+  auto _crash_suspects = _o->crash_suspects.size() ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::CrashSuspect>> (_o->crash_suspects.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashSuspect(*__va->__fbb, __va->__o->crash_suspects[i].get(), __va->__rehasher); }, &_va ) : 0;
   return shallot::wire::CreateMemberState(
       _fbb,
       _member,
@@ -3559,7 +3739,8 @@
       _service,
       _slots,
       _left_instance,
-      _left_started_by);
+      _left_started_by,
+      _crash_suspects);
 }
 
 inline CrashReportT *CrashReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/CrashingRequestsTest.cpp
+++ b/Tests/CrashingRequestsTest.cpp
@@ -9,9 +9,9 @@
 namespace shallot {
 namespace {
 
-constexpr auto downtime = 300ms;          // Of a backend server that crashed
-constexpr auto pauseOfCaller = 600ms;     // Between two resends
-constexpr auto timeToKnow = 3s;           // From the third crash on; then the whole fleet must refuse the request
+constexpr auto downtime = 300ms;      // Of a backend server that crashed
+constexpr auto pauseOfCaller = 600ms; // Between two resends
+constexpr auto timeToKnow = 3s;       // From the third crash on; then the whole fleet must refuse the request
 constexpr size_t crashesBeforeRefusal = 3;
 constexpr size_t arrivalsAllowed = 3; // After that time
 
@@ -67,5 +67,67 @@
 INSTANTIATE_TEST_SUITE_P(SidecarPath, CrashingRequests, testing::Values("/read/crash", "/order/crash"),
     [](const auto& info) { return std::string(info.param).starts_with("/read") ? "Idempotent" : "NonIdempotent"; });
 
+TEST(SidecarPath, ARequestThatCrashesBackendServersStaysRefusedAfterAllDaemonsRestarted)
+{
+    constexpr size_t daemons = 4;
+    SidecarHarness mesh({ "zone-a/alpha", "zone-a/alpha", "zone-b/alpha", "zone-b/alpha" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    const HTTPRequest request { "POST", "/order/crash", {}, "crash" };
+    crashOn(mesh, daemons, request.target);
+    crashThree(mesh, daemons, request);
+    mesh.runFor(timeToKnow);
+    for (size_t i = 0; i < daemons; ++i)
+        mesh.stop(i);
+    for (size_t i = 0; i < daemons; ++i)
+        mesh.start(i);
+    ASSERT_TRUE(mesh.waitUntilServing());
+    const auto before = mesh.executionCount(request.target);
+    for (size_t i = 0; i < daemons; ++i) {
+        const auto& exchange = mesh.wait(mesh.send(i, request));
+        EXPECT_EQ(exchange.status(), 503);
+        EXPECT_GT(std::stod(std::string(findHeader(exchange.response->headers, "Retry-After"))), 60);
+    }
+    EXPECT_EQ(mesh.executionCount(request.target), before);
+}
+
+// The culprit and a request that runs beside it each time; the latter is answered at other times.
+TEST(SidecarPath, ARequestThatRanBesideTheCulpritOfThreeCrashesIsServed)
+{
+    constexpr size_t daemons = 4;
+    SidecarHarness mesh({ "zone-a/alpha", "zone-a/alpha", "zone-b/alpha", "zone-b/alpha" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    std::vector<RefPtr<StrictHTTPConnection>> open;
+    bool holds = false;
+    for (size_t i = 0; i < daemons; ++i) {
+        auto& endpoint = mesh.endpoint(i);
+        endpoint.setScript([&](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+            if (request.target == "/order/crash")
+                endpoint.crash(downtime);
+            else if (request.target == "/order/beside" && holds)
+                open.push_back(connection);
+            else
+                EndpointStandin::respond(*connection, request);
+        });
+    }
+    const HTTPRequest beside { "POST", "/order/beside", {}, "innocent" };
+    for (size_t round = 0; round < crashesBeforeRefusal + 1; ++round) {
+        holds = true;
+        std::vector<std::shared_ptr<SidecarHarness::Exchange>> running;
+        for (size_t i = 0; i < daemons; ++i)
+            running.push_back(mesh.send(i, beside));
+        mesh.runUntil([&] { return open.size() >= daemons; });
+        mesh.wait(mesh.send(round % daemons, { "POST", "/order/crash", {}, "crash" }));
+        holds = false;
+        open.clear();
+        for (const auto& exchange : running)
+            mesh.wait(exchange);
+        mesh.runFor(pauseOfCaller);
+        for (size_t i = 0; i < daemons; ++i)
+            EXPECT_EQ(mesh.wait(mesh.send(i, beside)).status(), 200);
+    }
+    EXPECT_EQ(mesh.wait(mesh.send(0, { "POST", "/order/crash", {}, "crash" })).status(), 503);
+    EXPECT_LE(mesh.executionCount("/order/crash"), crashesBeforeRefusal + 1);
+}
+
 } // namespace
 } // namespace shallot
