--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -1,7 +1,7 @@
 // Index of this file
 //   Announcements:  recordAnnouncement, recordLeave, verifyInstance, onProbe, isAvailable
 //   Admission:      submit, checkAdmission, checkCrashSuspicion, runNext, findParent, recordPressure
-//   Runs:           run, send, onResponse, finish, refuse, cancel, onDeadline
+//   Runs:           run, send, onResponse, recordRateLimit, finish, refuse, cancel, onDeadline
 //   Crashes:        recordUnanswered, recordAnswered, recordCrash
 
 #include "sidecar/EndpointExecutor.h"
@@ -64,6 +64,7 @@
         // A run that follows one seen by this process is newer by its start time; only the first announcement can be stale.
         m_verified = m_announced;
         m_leaveAnnounced = false;
+        m_rateLimit = 0;
         m_pool.reset();
         if (crashed)
             recordCrash("replaced");
@@ -121,6 +122,7 @@
     if (m_probing || m_healthPath.empty())
         return;
     m_probing = true;
+    m_probeSentAt = MonotonicClock::now();
     m_probeID = m_nextID++;
     m_probeTimer.startOnce(probeTimeout, [this] {
         m_probePool.abandon(m_probeID);
@@ -137,6 +139,8 @@
     const bool healthy = response && response->status == 200;
     const std::string instance(healthy ? platform::instanceOf(*response) : "");
     const auto load = healthy ? platform::loadOf(*response) : std::nullopt;
+    if (healthy)
+        recordRateLimit(*response, m_probeSentAt, MonotonicClock::now());
     if (healthy && !m_announced && load && load->slots && !instance.empty()) {
         m_announcement.instance = instance;
         m_announcement.slots = load->slots;
@@ -382,7 +386,10 @@
         finish(*live, std::move(response), true, now);
         return;
     }
-    switch (platform::classifyResponse(*response)) {
+    const auto responseClass = platform::classifyResponse(*response);
+    if (responseClass == platform::ResponseClass::Valid || responseClass == platform::ResponseClass::NotExecuted)
+        recordRateLimit(*response, live->started, now);
+    switch (responseClass) {
     case platform::ResponseClass::Valid:
         m_lastContact = now;
         recordAnswered(*live, response->status);
@@ -404,6 +411,20 @@
     }
 }
 
+// Responses may overtake each other: one to a request sent before the limit was named does not end it.
+void EndpointExecutor::recordRateLimit(const HTTPResponse& response, TimePoint sentAt, TimePoint now)
+{
+    const auto named = platform::rateLimitOf(response);
+    if (named)
+        m_rateLimitNamedAt = now;
+    else if (sentAt <= m_rateLimitNamedAt)
+        return;
+    if (const auto previous = std::exchange(m_rateLimit, named.value_or(0)); previous != m_rateLimit) {
+        EventLog::write("backend-server-limit",
+            { { "backend_server", m_announcement.instance }, { "per_second", m_rateLimit }, { "previous", previous } });
+    }
+}
+
 void EndpointExecutor::refuse(LiveRun& live, ErrorKind kind, TimePoint now)
 {
     Error error { kind, {}, {} };
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -66,6 +66,8 @@
     EndpointReport report(TimePoint now) const;
     const std::string& service() const { return m_announcement.service; }
     size_t inProgress() const { return m_calls.size(); }
+    // Requests per second that the backend server asked for; zero: no limit.
+    double rateLimit() const { return m_rateLimit; }
     void setChangeHandler(std::function<void()> handler) { m_onChange = std::move(handler); }
 
 private:
@@ -102,6 +104,7 @@
     void finish(LiveRun&, Result<HTTPResponse>, bool reachedBackend, TimePoint now);
     void recordUnanswered(LiveRun&, TimePoint now);
     void recordAnswered(LiveRun&, uint16_t status);
+    void recordRateLimit(const HTTPResponse&, TimePoint sentAt, TimePoint now);
     void recordCrash(const char* evidence);
     void refuse(LiveRun&, ErrorKind, TimePoint now);
     void verifyInstance();
@@ -122,6 +125,8 @@
     std::vector<UnansweredRun> m_unanswered; // Since the backend server last showed that it was running
     EndpointAnnouncement m_announcement;
     std::string m_healthPath;
+    double m_rateLimit { 0 };
+    TimePoint m_rateLimitNamedAt {}; // In the last response that named one
     size_t m_isolatedCalls { 0 }; // Queued or running
     std::function<void()> m_onChange;
     TimePoint m_lastContact {};
@@ -131,6 +136,7 @@
     bool m_probing { false };
     Timer m_probeTimer;
     uint64_t m_probeID { 0 };
+    TimePoint m_probeSentAt {};
     EndpointLeave m_formerLeave;
     bool m_formerLeaveKnown { false };
     bool m_leaveAnnounced { false };   // By the current backend server
