--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -127,7 +127,7 @@
     std::string m_healthPath;
     double m_rateLimit { 0 };
     TimePoint m_rateLimitNamedAt {}; // In the last response that named one
-    size_t m_isolatedCalls { 0 }; // Queued or running
+    size_t m_isolatedCalls { 0 };    // Queued or running
     std::function<void()> m_onChange;
     TimePoint m_lastContact {};
     uint64_t m_nextID { 1 };
