Send a backend server no more than the rate limit that it names

Cause: the header was not read; the daemon beside the backend server ran what the slots allow. Class: what a backend server says of itself in its responses has no way to the decision that it is meant for.

Change: the executor, the only way to the backend server, takes one token for each request in front of its queue. Reports carry the limit, and senders add the wait behind it to the expected time; a refusal because of it is rerouted, since it says nothing of the other backend servers.

--- a/Source/mesh/EndpointQueue.cpp
+++ b/Source/mesh/EndpointQueue.cpp
@@ -3,6 +3,7 @@
 #include "mesh/MeshSettings.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace shallot {
 
@@ -11,27 +12,75 @@
     m_limit = std::max(1U, static_cast<uint32_t>(slots * m_settings.slotShare));
 }
 
-Duration EndpointQueue::expectedWait(uint8_t priority) const
+// The tokens stay when only the rate changes: a limit that is named anew with each response allows no new burst.
+void EndpointQueue::setRateLimit(std::optional<double> perSecond, TimePoint now)
 {
-    uint32_t ahead = 0;
-    for (size_t i = priority; i < queueClasses; ++i)
-        ahead += m_waiting[i];
+    if (!perSecond) {
+        m_rate.reset();
+        return;
+    }
+    if (!m_rate)
+        m_rate = TokenBucket { 0, 0, 0, now };
+    m_rate->refill(now);
+    m_rate->rate = std::max(*perSecond, m_settings.minimumRateLimit);
+    m_rate->burst = std::max(1.0, m_rate->rate * toSeconds(m_settings.rateLimitBurst));
+}
+
+Duration EndpointQueue::nextStartIn(TimePoint now) const
+{
+    if (!m_rate)
+        return {};
+    auto bucket = *m_rate;
+    bucket.refill(now);
+    return bucket.tokens >= 1 ? Duration::zero() : fromSeconds((1 - bucket.tokens) / bucket.rate) + Duration(1);
+}
+
+bool EndpointQueue::mayRunNow(TimePoint now) const
+{
+    return m_running < m_limit && nextStartIn(now) == Duration::zero();
+}
+
+void EndpointQueue::recordStart(TimePoint now)
+{
+    ++m_running;
+    if (m_rate) {
+        m_rate->refill(now);
+        m_rate->tokens -= 1;
+    }
+}
+
+uint32_t EndpointQueue::countAhead(uint8_t priority) const
+{
+    return std::accumulate(m_waiting.begin() + priority, m_waiting.end(), uint32_t { 0 });
+}
+
+Duration EndpointQueue::pressure(uint8_t priority, TimePoint now) const
+{
+    return countAhead(priority) || m_running >= m_limit ? expectedWait(priority, now) : Duration::zero();
+}
+
+Duration EndpointQueue::expectedWait(uint8_t priority, TimePoint now) const
+{
+    const auto ahead = countAhead(priority);
     const auto service = m_serviceTime > Duration::zero() ? m_serviceTime : m_settings.assumedServiceTime;
-    if (!ahead && m_running < m_limit)
+    if (!ahead && mayRunNow(now))
         return {};
-    return fromSeconds(toSeconds(service) * (ahead + 1) / m_limit);
+    const bool slotIsFree = !ahead && m_running < m_limit;
+    const auto waitForSlot = slotIsFree ? Duration::zero() : fromSeconds(toSeconds(service) * (ahead + 1) / m_limit);
+    const auto waitForRate = m_rate ? nextStartIn(now) + fromSeconds(ahead / m_rate->rate) : Duration::zero();
+    return std::max(waitForSlot, waitForRate);
 }
 
-QueueDecision EndpointQueue::decide(uint8_t priority, Duration maximumWait) const
+QueueDecision EndpointQueue::decide(uint8_t priority, Duration maximumWait, TimePoint now) const
 {
-    if (m_running < m_limit && !m_queue.size())
+    if (!m_queue.size() && mayRunNow(now))
         return QueueDecision::Run;
-    return expectedWait(priority) <= maximumWait ? QueueDecision::Wait : QueueDecision::Refuse;
+    return expectedWait(priority, now) <= maximumWait ? QueueDecision::Wait : QueueDecision::Refuse;
 }
 
-Duration EndpointQueue::retryAfter(uint8_t priority) const
+Duration EndpointQueue::retryAfter(uint8_t priority, TimePoint now) const
 {
-    return std::clamp(expectedWait(priority) * 2, m_settings.retryAfterMinimum, m_settings.retryAfterMaximum);
+    return std::clamp(expectedWait(priority, now) * 2, m_settings.retryAfterMinimum, m_settings.retryAfterMaximum);
 }
 
 void EndpointQueue::push(QueueItem& item)
@@ -48,9 +97,9 @@
     m_queue.remove(item);
 }
 
-QueueItem* EndpointQueue::popIfFree()
+QueueItem* EndpointQueue::popIfFree(TimePoint now)
 {
-    if (m_running >= m_limit)
+    if (!mayRunNow(now))
         return nullptr;
     auto* item = m_queue.pop();
     if (item)
@@ -76,7 +125,10 @@
 
 EndpointReport EndpointQueue::report(bool available) const
 {
-    return { available, m_running, static_cast<uint32_t>(m_queue.size()), m_limit, m_serviceTime };
+    EndpointReport report { available, m_running, static_cast<uint32_t>(m_queue.size()), m_limit, m_serviceTime };
+    if (m_rate)
+        report.rateLimit = m_rate->rate;
+    return report;
 }
 
 } // namespace shallot
--- a/Source/mesh/EndpointReport.h
+++ b/Source/mesh/EndpointReport.h
@@ -3,18 +3,20 @@
 #include "core/Time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace shallot {
 
 // Load of one backend server as measured by its local daemon. Sent with every response.
 struct EndpointReport {
-    bool available { true }; // Accepts new requests
-    uint32_t running { 0 };  // Requests that the backend server is running
-    uint32_t queued { 0 };   // Requests that wait in the daemon's queue
-    uint32_t limit { 1 };    // Requests that may run concurrently
-    Duration serviceTime {}; // Average time of a run; 0 before the first run
-    Duration pressure {};    // Longest queueing time of the call answered, here or in the services called on its behalf
-    bool leaving { false };  // The daemon is shutting down; set only in reports sent by themselves, not with responses
+    bool available { true };         // Accepts new requests
+    uint32_t running { 0 };          // Requests that the backend server is running
+    uint32_t queued { 0 };           // Requests that wait in the daemon's queue
+    uint32_t limit { 1 };            // Requests that may run concurrently
+    Duration serviceTime {};         // Average time of a run; 0 before the first run
+    std::optional<double> rateLimit; // Requests per second that the backend server takes; empty: any number
+    Duration pressure {};            // Longest queueing time of the call answered, here or in the services called on its behalf
+    bool leaving { false };          // The daemon is shutting down; set only in reports sent by themselves, not with responses
 };
 
 } // namespace shallot
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -43,6 +43,10 @@
     Duration maximumIdleForNonIdempotent { 500ms };
     // A connection that breaks this soon after a request was sent had been closed before; shorter than any run.
     Duration staleConnectionWindow { 20ms };
+    // Of the rate that a backend server names: what may be sent at once after a pause, and the least rate, at which it is asked
+    // whether it takes more again.
+    Duration rateLimitBurst { 250ms };
+    double minimumRateLimit { 0.25 };
     // Without an announcement for this long, three announcement intervals, a backend server counts as unavailable.
     Duration announcementTimeout { 5s };
 
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -81,6 +81,10 @@
         seconds += load * service; // A full backend server justifies a call to another zone
     if (load > m_settings.loadKnee)
         seconds += (std::min(load, 1.0) - m_settings.loadKnee) * service;
+    if (report.rateLimit) {
+        const double ahead = reported ? report.queued + endpoint.sentSinceReport : endpoint.outstanding;
+        seconds += (ahead + 1) / std::max(*report.rateLimit, m_settings.minimumRateLimit);
+    }
     if (endpoint.member.zone != m_ownZone && !anyZone)
         seconds += std::max(toSeconds(m_settings.zonePenalty), m_settings.zonePenaltyShare * service);
     return seconds;
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -64,7 +64,8 @@
         // A run that follows one seen by this process is newer by its start time; only the first announcement can be stale.
         m_verified = m_announced;
         m_leaveAnnounced = false;
-        m_rateLimit = 0;
+        m_rateLimit.reset();
+        m_queue.setRateLimit({}, now);
         m_pool.reset();
         if (crashed)
             recordCrash("replaced");
@@ -260,7 +261,7 @@
     const auto target = live->call.targetLatency > Duration::zero() ? live->call.targetLatency : live->call.context.remaining;
     const auto maximumWait = std::min(target - service, live->call.context.remaining - service);
     live->item.deadline = now + std::max(Duration::zero(), live->call.context.remaining - service);
-    switch (m_queue.decide(live->item.priority, maximumWait)) {
+    switch (m_queue.decide(live->item.priority, maximumWait, now)) {
     case QueueDecision::Run:
         run(*live, now);
         break;
@@ -278,7 +279,7 @@
 
 void EndpointExecutor::runNext(TimePoint now)
 {
-    while (auto* item = m_queue.popIfFree()) {
+    while (auto* item = m_queue.popIfFree(now)) {
         const auto live = m_calls.at(item->id);
         if (!isAvailable(now)) {
             refuse(*live, ErrorKind::Draining, now);
@@ -294,6 +295,8 @@
         }
         run(*live, now);
     }
+    if (const auto wait = m_queue.nextStartIn(now); wait > Duration::zero() && m_queue.queued())
+        m_rateTimer.startOnce(wait, [this] { runNext(MonotonicClock::now()); });
 }
 
 // A nested call is matched by its attempt id if that is the attempt id of a running request plus a suffix after a dot, otherwise
@@ -336,7 +339,7 @@
     live.started = now;
     if (!m_crashSuspects.isEmpty())
         live.knownCrashes = m_crashSuspects.crashesOf(fingerprintOf(live), WallClock::now());
-    m_queue.recordStart();
+    m_queue.recordStart(now);
     m_deadlines.set(live.item.id, live.deadline + responseGrace);
     m_running[live.attemptID] = live.item.id;
     m_loadShedder.recordStart(live.call.context.route, live.call.context.priority);
@@ -419,17 +422,20 @@
         m_rateLimitNamedAt = now;
     else if (sentAt <= m_rateLimitNamedAt)
         return;
-    if (const auto previous = std::exchange(m_rateLimit, named.value_or(0)); previous != m_rateLimit) {
-        EventLog::write("backend-server-limit",
-            { { "backend_server", m_announcement.instance }, { "per_second", m_rateLimit }, { "previous", previous } });
-    }
+    const auto previous = std::exchange(m_rateLimit, named);
+    if (previous == m_rateLimit)
+        return;
+    m_queue.setRateLimit(m_rateLimit, now);
+    EventLog::write("backend-server-limit",
+        { { "backend_server", m_announcement.instance }, { "named", m_rateLimit.has_value() },
+            { "per_second", m_rateLimit.value_or(0) }, { "previous", previous.value_or(0) } });
 }
 
 void EndpointExecutor::refuse(LiveRun& live, ErrorKind kind, TimePoint now)
 {
     Error error { kind, {}, {} };
     if (kind == ErrorKind::Overloaded || kind == ErrorKind::ExpiredInQueue)
-        error.retryAfter = m_queue.retryAfter(live.item.priority);
+        error.retryAfter = m_queue.retryAfter(live.item.priority, now);
     finish(live, tl::unexpected(std::move(error)), false, now);
 }
 
@@ -460,7 +466,7 @@
     if (const auto completion = std::exchange(live.completion, nullptr)) {
         auto ownReport = report(now);
         ownReport.pressure
-            = std::max(m_queue.expectedWait(context.priority), m_loadShedder.pressure(context.route, context.priority, now));
+            = std::max(m_queue.pressure(context.priority, now), m_loadShedder.pressure(context.route, context.priority, now));
         completion({ std::move(response), ownReport, reachedBackend, live.nestedCallFailed });
     }
     runNext(now);
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -66,8 +66,8 @@
     EndpointReport report(TimePoint now) const;
     const std::string& service() const { return m_announcement.service; }
     size_t inProgress() const { return m_calls.size(); }
-    // Requests per second that the backend server asked for; zero: no limit.
-    double rateLimit() const { return m_rateLimit; }
+    // Requests per second that the backend server takes from all instances together; empty: it names no limit.
+    std::optional<double> rateLimit() const { return m_rateLimit; }
     void setChangeHandler(std::function<void()> handler) { m_onChange = std::move(handler); }
 
 private:
@@ -125,7 +125,7 @@
     std::vector<UnansweredRun> m_unanswered; // Since the backend server last showed that it was running
     EndpointAnnouncement m_announcement;
     std::string m_healthPath;
-    double m_rateLimit { 0 };
+    std::optional<double> m_rateLimit;
     TimePoint m_rateLimitNamedAt {}; // In the last response that named one
     size_t m_isolatedCalls { 0 };    // Queued or running
     std::function<void()> m_onChange;
@@ -135,6 +135,7 @@
     bool m_verified { false }; // The first announcement after a start may be stale: a probe confirms it
     bool m_probing { false };
     Timer m_probeTimer;
+    Timer m_rateTimer; // Until the rate limit allows the next queued request
     uint64_t m_probeID { 0 };
     TimePoint m_probeSentAt {};
     EndpointLeave m_formerLeave;
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -44,6 +44,8 @@
     body->queued = outcome.report.queued;
     body->limit = outcome.report.limit;
     body->service_us = toMicroseconds(outcome.report.serviceTime);
+    if (outcome.report.rateLimit)
+        body->rate_limit = *outcome.report.rateLimit;
     body->pressure_us = toMicroseconds(outcome.report.pressure);
     body->arrived = outcome.reachedBackend;
     body->call_failed = outcome.nestedCallFailed;
@@ -63,8 +65,11 @@
 
 MeshOutcome readMeshOutcome(wire::AnswerT& answer)
 {
-    const EndpointReport report { !answer.unavailable, answer.in_flight, answer.queued, std::max(1U, answer.limit),
-        fromMicroseconds(answer.service_us), fromMicroseconds(answer.pressure_us) };
+    EndpointReport report { !answer.unavailable, answer.in_flight, answer.queued, std::max(1U, answer.limit),
+        fromMicroseconds(answer.service_us) };
+    if (answer.rate_limit >= 0)
+        report.rateLimit = answer.rate_limit;
+    report.pressure = fromMicroseconds(answer.pressure_us);
     const bool reachedBackend = answer.arrived;
     const bool nestedCallFailed = answer.call_failed;
     return { readOutcome(answer).response, report, reachedBackend, nestedCallFailed };
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -346,8 +346,10 @@
             || kind == ErrorKind::CrashSuspect)
             return false;
         if (!outcome.reachedBackend) {
-            // If a downstream service is overloaded, other backend servers of this service would refuse as well.
-            const bool downstreamOverloaded = !pending.parent && outcome.report.pressure > m_dependencies.settings.pressureTarget;
+            // If a downstream service is overloaded, other backend servers of this service would refuse as well; a rate limit is
+            // one backend server's own.
+            const bool downstreamOverloaded = !pending.parent && !outcome.report.rateLimit
+                && outcome.report.pressure > m_dependencies.settings.pressureTarget;
             if (pending.reroutes >= m_dependencies.settings.reroutes || (kind == ErrorKind::Overloaded && downstreamOverloaded))
                 return false;
             ++pending.reroutes;
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -170,7 +170,7 @@
         m_metrics.setGauge("shallot_members_listed", static_cast<double>(members.size()));
         m_metrics.setGauge("shallot_member_list_offset", static_cast<double>(members.state().offset));
         m_metrics.setGauge("shallot_member_list_in_doubt", m_sync.policy().isListInDoubt() ? 1 : 0);
-        m_metrics.setGauge("shallot_backend_server_limit", m_executor.rateLimit());
+        m_metrics.setGauge("shallot_backend_server_limit", m_executor.rateLimit().value_or(-1));
         m_metrics.setGauge("shallot_crash_suspects", static_cast<double>(m_crashSuspects.size()));
         m_metrics.setGauge("shallot_requests_open", static_cast<double>(m_ingress.inProgress()));
         m_metrics.setGauge("shallot_configuration_version", static_cast<double>(m_view.version()));
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -1004,6 +1004,7 @@
   uint64_t pressure_us = 0;
   bool arrived = false;
   bool call_failed = false;
+  double rate_limit = -1.0;
   AnswerT() = default;
   AnswerT(const AnswerT &o);
   AnswerT(AnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1031,7 +1032,8 @@
     VT_UNAVAILABLE = 30,
     VT_PRESSURE_US = 32,
     VT_ARRIVED = 34,
-    VT_CALL_FAILED = 36
+    VT_CALL_FAILED = 36,
+    VT_RATE_LIMIT = 38
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1084,6 +1086,9 @@
   bool call_failed() const {
     return GetField<uint8_t>(VT_CALL_FAILED, 0) != 0;
   }
+  double rate_limit() const {
+    return GetField<double>(VT_RATE_LIMIT, -1.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1107,6 +1112,7 @@
            VerifyField<uint64_t>(verifier, VT_PRESSURE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_ARRIVED, 1) &&
            VerifyField<uint8_t>(verifier, VT_CALL_FAILED, 1) &&
+           VerifyField<double>(verifier, VT_RATE_LIMIT, 8) &&
            verifier.EndTable();
   }
   AnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1169,6 +1175,9 @@
   void add_call_failed(bool call_failed) {
     fbb_.AddElement<uint8_t>(Answer::VT_CALL_FAILED, static_cast<uint8_t>(call_failed), 0);
   }
+  void add_rate_limit(double rate_limit) {
+    fbb_.AddElement<double>(Answer::VT_RATE_LIMIT, rate_limit, -1.0);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1198,8 +1207,10 @@
     bool unavailable = false,
     uint64_t pressure_us = 0,
     bool arrived = false,
-    bool call_failed = false) {
+    bool call_failed = false,
+    double rate_limit = -1.0) {
   AnswerBuilder builder_(_fbb);
+  builder_.add_rate_limit(rate_limit);
   builder_.add_pressure_us(pressure_us);
   builder_.add_service_us(service_us);
   builder_.add_retry_after_us(retry_after_us);
@@ -1243,7 +1254,8 @@
     bool unavailable = false,
     uint64_t pressure_us = 0,
     bool arrived = false,
-    bool call_failed = false) {
+    bool call_failed = false,
+    double rate_limit = -1.0) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto detail__ = detail ? _fbb.CreateString(detail) : 0;
@@ -1265,7 +1277,8 @@
       unavailable,
       pressure_us,
       arrived,
-      call_failed);
+      call_failed,
+      rate_limit);
 }
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3501,7 +3514,8 @@
         unavailable(o.unavailable),
         pressure_us(o.pressure_us),
         arrived(o.arrived),
-        call_failed(o.call_failed) {
+        call_failed(o.call_failed),
+        rate_limit(o.rate_limit) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new shallot::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -3524,6 +3538,7 @@
   std::swap(pressure_us, o.pressure_us);
   std::swap(arrived, o.arrived);
   std::swap(call_failed, o.call_failed);
+  std::swap(rate_limit, o.rate_limit);
   return *this;
 }
 
@@ -3553,6 +3568,7 @@
   { auto _e = pressure_us(); _o->pressure_us = _e; }
   { auto _e = arrived(); _o->arrived = _e; }
   { auto _e = call_failed(); _o->call_failed = _e; }
+  { auto _e = rate_limit(); _o->rate_limit = _e; }
 }
 
 inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3580,6 +3596,7 @@
   auto _pressure_us = _o->pressure_us;
   auto _arrived = _o->arrived;
   auto _call_failed = _o->call_failed;
+  auto _rate_limit = _o->rate_limit;
   return shallot::wire::CreateAnswer(
       _fbb,
       _id,
@@ -3598,7 +3615,8 @@
       _unavailable,
       _pressure_us,
       _arrived,
-      _call_failed);
+      _call_failed,
+      _rate_limit);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/MeshDecisionsTest.cpp
+++ b/Tests/MeshDecisionsTest.cpp
@@ -271,24 +271,25 @@
 {
     const MeshSettings settings;
     EndpointQueue queue(settings);
+    const TimePoint now { 1s };
     queue.setSlots(2);
     queue.recordServiceTime(100ms);
-    EXPECT_EQ(queue.decide(4, 0ms), QueueDecision::Run);
+    EXPECT_EQ(queue.decide(4, 0ms, now), QueueDecision::Run);
     for (uint32_t i = 0; i < queue.limit(); ++i)
-        queue.recordStart();
-    EXPECT_EQ(queue.decide(4, 0ms), QueueDecision::Refuse);
-    EXPECT_EQ(queue.decide(4, 1s), QueueDecision::Wait);
+        queue.recordStart(now);
+    EXPECT_EQ(queue.decide(4, 0ms, now), QueueDecision::Refuse);
+    EXPECT_EQ(queue.decide(4, 1s, now), QueueDecision::Wait);
     std::vector<QueueItem> items(20);
     for (auto& item : items) {
         item.priority = 4;
         queue.push(item);
     }
-    EXPECT_EQ(queue.decide(4, 1s), QueueDecision::Refuse);
-    EXPECT_EQ(queue.decide(6, 1s), QueueDecision::Wait);
-    EXPECT_GT(queue.retryAfter(4), 0ms);
-    EXPECT_EQ(queue.popIfFree(), nullptr);
+    EXPECT_EQ(queue.decide(4, 1s, now), QueueDecision::Refuse);
+    EXPECT_EQ(queue.decide(6, 1s, now), QueueDecision::Wait);
+    EXPECT_GT(queue.retryAfter(4, now), 0ms);
+    EXPECT_EQ(queue.popIfFree(now), nullptr);
     queue.recordEnd();
-    EXPECT_NE(queue.popIfFree(), nullptr);
+    EXPECT_NE(queue.popIfFree(now), nullptr);
     for (auto& item : items)
         queue.remove(item);
     EXPECT_EQ(queue.queued(), 0U);
@@ -360,8 +361,8 @@
         (succeeded ? served : failed)[request.root == priorityOfRank(0) ? 0 : 1] += 1;
     };
     const auto call = [&](Request& request, TimePoint now) {
-        if (sharedQueue.decide(request.priority, request.deadline - now - callTime) == QueueDecision::Refuse) {
-            shedder.recordPressure(request.route, request.root, sharedQueue.expectedWait(request.priority), now);
+        if (sharedQueue.decide(request.priority, request.deadline - now - callTime, now) == QueueDecision::Refuse) {
+            shedder.recordPressure(request.route, request.root, sharedQueue.pressure(request.priority, now), now);
             finish(request, false);
             return;
         }
@@ -393,7 +394,7 @@
                 continue;
             request->calling = false;
             sharedQueue.recordEnd();
-            shedder.recordPressure(request->route, request->root, sharedQueue.expectedWait(request->priority), now);
+            shedder.recordPressure(request->route, request->root, sharedQueue.pressure(request->priority, now), now);
             if (!--request->callsLeft)
                 finish(*request, true);
             else
@@ -401,9 +402,9 @@
         }
         for (auto* item : sharedQueue.takeExpired(now))
             finish(static_cast<Request&>(*item), false);
-        while (auto* item = sharedQueue.popIfFree()) {
+        while (auto* item = sharedQueue.popIfFree(now)) {
             auto& request = static_cast<Request&>(*item);
-            sharedQueue.recordStart();
+            sharedQueue.recordStart(now);
             request.calling = true;
             request.callEnds = now + callTime;
         }
--- a/Tests/NamedRateLimitTest.cpp
+++ b/Tests/NamedRateLimitTest.cpp
@@ -10,9 +10,9 @@
 namespace shallot {
 namespace {
 
-constexpr double namedLimit = 10;       // Requests per second
-constexpr auto requestInterval = 10ms;  // Ten times the limit
-constexpr auto settlingTime = 3s;       // After the limit was first named
+constexpr double namedLimit = 10;      // Requests per second
+constexpr auto requestInterval = 10ms; // Ten times the limit
+constexpr auto settlingTime = 3s;      // After the limit was first named
 constexpr auto window = 4s;
 constexpr size_t allowedInWindow = 65; // One and a half times the limit, and five requests
 
@@ -91,7 +91,7 @@
     EXPECT_LE(load.mostInWindow(0, settled), allowedInWindow);
     EXPECT_LE(load.mostInWindow(1, settled), allowedInWindow);
     for (const auto& exchange : load.exchanges())
-        ASSERT_EQ(exchange->status(), 200);
+        ASSERT_EQ(exchange->status(), 200) << exchange->response->body;
 }
 
 TEST(NamedRateLimit, RequestsBeyondTheLimitsOfAllAreRefusedAsNotExecuted)
