Take a backend server out of use when a response says that it leaves

Cause and class as with the rate limit: the header had no way to the decision. Announcements and health probes may still call it ready.

The leave is handled as an announced one and stored in the member record, so it stands after a restart of the daemon.

--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -1,7 +1,7 @@
 // Index of this file
 //   Announcements:  recordAnnouncement, recordLeave, verifyInstance, onProbe, isAvailable
 //   Admission:      submit, checkAdmission, checkCrashSuspicion, runNext, findParent, recordPressure
-//   Runs:           run, send, onResponse, recordRateLimit, finish, refuse, cancel, onDeadline
+//   Runs:           run, send, onResponse, recordStateHeaders, recordRateLimit, finish, refuse, cancel, onDeadline
 //   Crashes:        recordUnanswered, recordAnswered, recordCrash
 
 #include "sidecar/EndpointExecutor.h"
@@ -140,8 +140,6 @@
     const bool healthy = response && response->status == 200;
     const std::string instance(healthy ? platform::instanceOf(*response) : "");
     const auto load = healthy ? platform::loadOf(*response) : std::nullopt;
-    if (healthy)
-        recordRateLimit(*response, m_probeSentAt, MonotonicClock::now());
     if (healthy && !m_announced && load && load->slots && !instance.empty()) {
         m_announcement.instance = instance;
         m_announcement.slots = load->slots;
@@ -149,7 +147,10 @@
         m_lastContact = MonotonicClock::now();
         m_queue.setSlots(load->slots);
     }
-    m_verified = m_verified || (healthy && instance == m_announcement.instance);
+    const bool fromAnnounced = healthy && instance == m_announcement.instance;
+    m_verified = m_verified || fromAnnounced;
+    if (fromAnnounced)
+        recordStateHeaders(*response, m_probeSentAt, MonotonicClock::now());
     EventLog::write("instance-probed",
         { { "backend_server", instance }, { "verified", m_verified },
             { "reason", response ? std::to_string(response->status) : response.error().detail } });
@@ -391,7 +392,7 @@
     }
     const auto responseClass = platform::classifyResponse(*response);
     if (responseClass == platform::ResponseClass::Valid || responseClass == platform::ResponseClass::NotExecuted)
-        recordRateLimit(*response, live->started, now);
+        recordStateHeaders(*response, live->started, now);
     switch (responseClass) {
     case platform::ResponseClass::Valid:
         m_lastContact = now;
@@ -414,6 +415,17 @@
     }
 }
 
+// What the backend server says of itself in each response.
+void EndpointExecutor::recordStateHeaders(const HTTPResponse& response, TimePoint sentAt, TimePoint now)
+{
+    recordRateLimit(response, sentAt, now);
+    if (!platform::isLeaving(response) || !currentLeave().instance.empty())
+        return;
+    recordLeave(m_announcement.instance, now);
+    if (m_onLeave)
+        m_onLeave();
+}
+
 // Responses may overtake each other: one to a request sent before the limit was named does not end it.
 void EndpointExecutor::recordRateLimit(const HTTPResponse& response, TimePoint sentAt, TimePoint now)
 {
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -68,6 +68,8 @@
     size_t inProgress() const { return m_calls.size(); }
     // Requests per second that the backend server takes from all instances together; empty: it names no limit.
     std::optional<double> rateLimit() const { return m_rateLimit; }
+    // Called when the backend server says in a response that it leaves.
+    void setLeaveHandler(std::function<void()> handler) { m_onLeave = std::move(handler); }
     void setChangeHandler(std::function<void()> handler) { m_onChange = std::move(handler); }
 
 private:
@@ -104,6 +106,7 @@
     void finish(LiveRun&, Result<HTTPResponse>, bool reachedBackend, TimePoint now);
     void recordUnanswered(LiveRun&, TimePoint now);
     void recordAnswered(LiveRun&, uint16_t status);
+    void recordStateHeaders(const HTTPResponse&, TimePoint sentAt, TimePoint now);
     void recordRateLimit(const HTTPResponse&, TimePoint sentAt, TimePoint now);
     void recordCrash(const char* evidence);
     void refuse(LiveRun&, ErrorKind, TimePoint now);
@@ -129,6 +132,7 @@
     TimePoint m_rateLimitNamedAt {}; // In the last response that named one
     size_t m_isolatedCalls { 0 };    // Queued or running
     std::function<void()> m_onChange;
+    std::function<void()> m_onLeave;
     TimePoint m_lastContact {};
     uint64_t m_nextID { 1 };
     bool m_announced { false };
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -65,6 +65,7 @@
     m_view.setConfigurationHandler([this] { onConfiguration(); });
     m_sync.setFormerLeaveHandler([this](const EndpointLeave& former) { m_executor.setFormerLeave(former); });
     m_executor.setChangeHandler([this] { onBackendServerChange(); });
+    m_executor.setLeaveHandler([this] { m_sync.storeLeave(m_executor.currentLeave(), [] {}); });
 }
 
 // Start and leave
--- a/Tests/EndpointQueueRateTest.cpp
+++ b/Tests/EndpointQueueRateTest.cpp
@@ -15,8 +15,8 @@
 constexpr auto step = 5ms;
 constexpr auto window = 4s;
 
-// The oracle: the requests of any 4 s stay within one and a half times what the limit allows, and five. The limit is named anew in
-// each interval, changes by a twentieth, and ends now and then with a single response that names none.
+// The oracle: the requests of any 4 s stay within one and a half times what the limit allows, and five. The limit is named anew
+// in each interval, changes by a twentieth, and ends now and then with a single response that names none.
 RC_GTEST_PROP(EndpointQueueRate, NoWindowHoldsMoreThanTheLimitAllows, ())
 {
     const MeshSettings settings;
