Ignore announcements of unknown services and of other addresses

Cause: the daemon took any well-formed announcement for the backend server beside it. Class: state is taken from whoever spoke last.

Change: an announcement counts only from the daemon's own backend address and of a service of the settings or the configuration; any other one is answered 400, logged, and changes nothing. The stand-ins of the tests announce their real address now, as the platform does.

--- a/Source/sidecar/MeshView.h
+++ b/Source/sidecar/MeshView.h
@@ -24,6 +24,7 @@
     // replaces a newer one. EditInvalid if the document cannot be decoded; the current configuration stays in force.
     Result<void> applyConfiguration(const std::string& document, const char* source);
     RouteTable* routes() { return m_routes.get(); }
+    const RouteTable* routes() const { return m_routes.get(); }
     uint64_t version() const { return m_routes ? m_routes->configuration().version : 0; }
     const std::string& document() const { return m_document; }
 
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,6 +1,6 @@
 // Index of this file
 //   Start and leave:  Sidecar, start, leave, finishLeaving, applySettings
-//   Local servers:    handleControl, handleReadiness, isReady
+//   Local servers:    handleControl, checkAnnouncement, handleReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, cancelCall
 //   Changes:          onBackendServerChange, onConfiguration
 //   Time:             tick
@@ -140,13 +140,21 @@
 void Sidecar::handleControl(const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request)
 {
     const auto now = MonotonicClock::now();
+    const auto refuse = [&connection, now](const Error& error) {
+        EventLog::write("announcement-refused", { { "detail", error.detail } });
+        connection->respond(platform::makeErrorResponse(error, {}), false, now);
+    };
     const auto notice = platform::decodeNotice(request);
     if (!notice) {
-        EventLog::write("announcement-refused", { { "detail", notice.error().detail } });
-        connection->respond(platform::makeErrorResponse(notice.error(), {}), false, now);
+        refuse(notice.error());
+        return;
+    }
+    const auto* announcement = std::get_if<EndpointAnnouncement>(&*notice);
+    if (const auto checked = announcement ? checkAnnouncement(*announcement) : Result<void>(); !checked) {
+        refuse(checked.error());
         return;
     }
-    if (const auto* announcement = std::get_if<EndpointAnnouncement>(&*notice))
+    if (announcement)
         m_executor.recordAnnouncement(*announcement, now);
     else
         m_executor.recordLeave(std::get<platform::LeaveNotice>(*notice).instance, now);
@@ -161,6 +169,20 @@
         m_sync.storeLeave(leave, acknowledge);
 }
 
+// Only the backend server at this daemon's address, of a service that exists, may change what is known of it.
+Result<void> Sidecar::checkAnnouncement(const EndpointAnnouncement& announcement) const
+{
+    if (announcement.address.toString() != m_instance.backendServer.toString())
+        return fail(ErrorKind::BadRequest,
+            announcement.instance + " announces itself at " + announcement.address.toString() + ", not at this daemon's address");
+    const auto* routes = m_view.routes();
+    const bool isKnown = announcement.service == m_instance.service || (routes && routes->findService(announcement.service));
+    if (!isKnown)
+        return fail(ErrorKind::BadRequest,
+            announcement.instance + " announces the service " + announcement.service + ", which is unknown");
+    return {};
+}
+
 void Sidecar::handleReadiness(const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request)
 {
     const auto now = MonotonicClock::now();
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -47,6 +47,7 @@
     };
 
     void handleControl(const RefPtr<StrictHTTPConnection>&, const HTTPRequest&);
+    Result<void> checkAnnouncement(const EndpointAnnouncement&) const;
     void handleReadiness(const RefPtr<StrictHTTPConnection>&, const HTTPRequest&);
     bool isReady(TimePoint now);
 
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -69,9 +69,9 @@
 
 void EndpointStandin::announce()
 {
-    sendAnnouncement(R"({"service":")" + m_service + R"(","addr":"127.0.0.1:1","zone":"z","version":"v1","slots":4,"state":")"
-        + (m_draining ? "draining" : "ready") + R"(","cold_left_s":0,"born":)" + std::to_string(m_startedAt) + R"(,"seq":)"
-        + std::to_string(++m_sequence) + "}");
+    sendAnnouncement(R"({"service":")" + m_service + R"(","addr":")" + m_address.toString()
+        + R"(","zone":"z","version":"v1","slots":4,"state":")" + (m_draining ? "draining" : "ready")
+        + R"(","cold_left_s":0,"born":)" + std::to_string(m_startedAt) + R"(,"seq":)" + std::to_string(++m_sequence) + "}");
 }
 
 void EndpointStandin::sendAnnouncement(const std::string& body)
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -204,8 +204,8 @@
         EXPECT_EQ(mesh.endpoint(0).requests().size(), before);
         // A later run under the same name is another one.
         mesh.store().setMode(StoreStandin::Mode::Serving);
-        mesh.endpoint(0).sendAnnouncement(
-            R"({"service":"alpha","addr":"127.0.0.1:1","zone":"z","slots":4,"state":"ready","seq":1,"born":2000})");
+        mesh.endpoint(0).sendAnnouncement(R"({"service":"alpha","addr":")" + mesh.backendServerAddress(0).toString()
+            + R"(","zone":"z","slots":4,"state":"ready","seq":1,"born":2000})");
         EXPECT_TRUE(mesh.runUntil([&] {
             mesh.fetch(0, "/read/1");
             return mesh.endpoint(0).requests().size() > before;
@@ -225,12 +225,38 @@
     mesh.runFor(50ms);
     EXPECT_EQ(mesh.fetch(0, "/read/1").status(), 200);
     // A late announcement of an earlier run.
-    mesh.endpoint(0).sendAnnouncement(
-        R"({"service":"beta","addr":"127.0.0.1:1","zone":"z","slots":4,"state":"draining","seq":999999,"born":999})");
+    mesh.endpoint(0).sendAnnouncement(R"({"service":"beta","addr":")" + mesh.backendServerAddress(0).toString()
+        + R"(","zone":"z","slots":4,"state":"draining","seq":999999,"born":999})");
     mesh.runFor(50ms);
     EXPECT_EQ(mesh.fetch(0, "/read/1").status(), 200);
 }
 
+TEST(SidecarPath, AnAnnouncementOfAnUnknownServiceOrAnotherAddressChangesNothing)
+{
+    SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    const auto own = mesh.backendServerAddress(0).toString();
+    std::vector<RefPtr<StrictHTTPConnection>> open;
+    mesh.endpoint(0).setScript([&open](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+        if (request.target == "/order/running")
+            open.push_back(connection);
+        else
+            EndpointStandin::respond(*connection, request);
+    });
+    const auto running = mesh.send(1, { "POST", "/order/running", {}, "tiles" });
+    ASSERT_TRUE(mesh.runUntil([&] { return !open.empty(); }));
+    for (const auto& [service, address] : { std::pair<std::string, std::string> { "gamma", own }, { "beta", "127.0.0.1:9" } }) {
+        mesh.endpoint(0).sendAnnouncement(R"({"service":")" + service + R"(","addr":")" + address
+            + R"(","zone":"z","slots":4,"state":"ready","seq":1,"born":900000})");
+        mesh.runFor(100ms);
+        EXPECT_EQ(mesh.fetch(1, "/read/1").status(), 200);
+        EXPECT_EQ(mesh.fetch(0, "/inner/1", "").status(), 200);
+        EXPECT_EQ(headerOf(mesh.endpoint(1).requests().back(), platform::header::callerService), "alpha");
+    }
+    EXPECT_FALSE(running->done);
+    EXPECT_EQ(mesh.endpoint(0).disconnectCount(), 0U);
+}
+
 TEST(SidecarPath, ALostResponseIsRetriedOnlyOnIdempotentRoutes)
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/alpha" });
