Check queued calls again before they run

Cause: the service of a call was compared only when it arrived. Class: state is taken from whoever spoke last; a queued call was bound to the address, not to the service. A second way was found by the test: the connections were closed before the new announcement was in force, and each run that ended there let a queued call out under the former instance's name (three arrivals, which a real backend server answers with 421).

Change: runNext() makes all checks of the arrival again, and the announcement is in force before the connections are closed.

--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -59,25 +59,27 @@
             "announcement-stale", { { "backend_server", announcement.instance }, { "sequence", announcement.sequence } });
         return;
     }
+    const bool crashed = m_announced && !sameRun && currentLeave().instance.empty();
     if (!sameRun) {
-        const bool crashed = m_announced && currentLeave().instance.empty();
         // A run that follows one seen by this process is newer by its start time; only the first announcement can be stale.
         m_verified = m_announced;
         m_leaveAnnounced = false;
         m_rateLimit.reset();
         m_queue.setRateLimit({}, now);
-        m_pool.reset();
-        if (crashed)
-            recordCrash("replaced");
         EventLog::write("instance-new",
             { { "backend_server", announcement.instance }, { "service", announcement.service },
                 { "slots", announcement.slots } });
     }
-    m_announcement = announcement;
+    const auto former = std::exchange(m_announcement, announcement);
     m_announced = true;
     m_unreachable = false;
     m_lastContact = now;
     m_queue.setSlots(announcement.slots);
+    // Each run that ends here makes room for a queued call, which must be checked against the new backend server.
+    if (!sameRun)
+        m_pool.reset();
+    if (crashed)
+        recordCrash(former.instance, "replaced");
     if (!m_verified)
         verifyInstance();
     updateAvailability();
@@ -282,19 +284,14 @@
 {
     while (auto* item = m_queue.popIfFree(now)) {
         const auto live = m_calls.at(item->id);
-        if (!isAvailable(now)) {
-            refuse(*live, ErrorKind::Draining, now);
-            continue;
-        }
-        if (item->deadline <= now) {
-            refuse(*live, ErrorKind::ExpiredInQueue, now);
-            continue;
-        }
-        if (const auto refusal = checkCrashSuspicion(*live); refusal != ErrorKind::None) {
+        // The backend server may have changed since the call was queued; even its service may be another one.
+        auto refusal = checkAdmission(*live, now);
+        if (refusal == ErrorKind::None && item->deadline <= now)
+            refusal = ErrorKind::ExpiredInQueue;
+        if (refusal != ErrorKind::None)
             refuse(*live, refusal, now);
-            continue;
-        }
-        run(*live, now);
+        else
+            run(*live, now);
     }
     if (const auto wait = m_queue.nextStartIn(now); wait > Duration::zero() && m_queue.queued())
         m_rateTimer.startOnce(wait, [this] { runNext(MonotonicClock::now()); });
@@ -383,7 +380,7 @@
             recordUnanswered(*live, now);
         if (response.error().kind == ErrorKind::NoBackendServer) {
             if (!m_unreachable && currentLeave().instance.empty())
-                recordCrash("refuses connections");
+                recordCrash(m_announcement.instance, "refuses connections");
             m_unreachable = true;
             updateAvailability();
         }
@@ -535,7 +532,7 @@
     EventLog::write("crash-suspect-cleared", { { "request", live.attemptID }, { "route", live.call.context.route } });
 }
 
-void EndpointExecutor::recordCrash(const char* evidence)
+void EndpointExecutor::recordCrash(const std::string& instance, const char* evidence)
 {
     const auto runs = std::exchange(m_unanswered, {});
     std::vector<CrashSuspects::InterruptedRun> interrupted;
@@ -548,8 +545,8 @@
     for (size_t i = 0; i < std::min(runs.size(), maximumLoggedAttempts); ++i)
         attempts += (i ? " " : "") + runs[i].attemptID;
     EventLog::write("backend-server-crashed",
-        { { "backend_server", m_announcement.instance }, { "evidence", evidence }, { "runs", runs.size() },
-            { "requests", attempts }, { "crashes_before", knownCrashes } });
+        { { "backend_server", instance }, { "evidence", evidence }, { "runs", runs.size() }, { "requests", attempts },
+            { "crashes_before", knownCrashes } });
     m_crashSuspects.recordCrash(interrupted, WallClock::now());
 }
 
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -108,7 +108,7 @@
     void recordAnswered(LiveRun&, uint16_t status);
     void recordStateHeaders(const HTTPResponse&, TimePoint sentAt, TimePoint now);
     void recordRateLimit(const HTTPResponse&, TimePoint sentAt, TimePoint now);
-    void recordCrash(const char* evidence);
+    void recordCrash(const std::string& instance, const char* evidence);
     void refuse(LiveRun&, ErrorKind, TimePoint now);
     void verifyInstance();
     void onProbe(const Result<HTTPResponse>&);
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -257,6 +257,32 @@
     EXPECT_EQ(mesh.endpoint(0).disconnectCount(), 0U);
 }
 
+// The backend server falls silent with requests queued for it; the next one at its address is of another service.
+TEST(SidecarPath, QueuedRequestsDoNotRunAtTheNextBackendServerOfAnotherService)
+{
+    constexpr size_t requests = 12;
+    SidecarHarness mesh({ "zone-a/alpha", "zone-b/alpha", "zone-b/beta" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    bool replaced = false;
+    size_t atTheWrongService = 0;
+    std::vector<RefPtr<StrictHTTPConnection>> open;
+    const auto hold = [&](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+        atTheWrongService += replaced && !request.target.starts_with("/inner/") ? 1 : 0;
+        open.push_back(connection);
+    };
+    mesh.endpoint(0).setScript(hold);
+    std::vector<std::shared_ptr<SidecarHarness::Exchange>> exchanges;
+    for (size_t i = 0; i < requests; ++i)
+        exchanges.push_back(mesh.send(0, { "POST", "/order/" + std::to_string(i), {}, "tiles" }));
+    ASSERT_TRUE(mesh.runUntil([&] { return open.size() >= 3; })); // All slots of the first one
+    mesh.runFor(100ms);
+    replaced = true;
+    mesh.endpoint(0).sendAnnouncement(R"({"service":"beta","addr":")" + mesh.backendServerAddress(0).toString()
+        + R"(","zone":"z","slots":4,"state":"ready","seq":1,"born":900000})");
+    mesh.runFor(700ms);
+    EXPECT_EQ(atTheWrongService, 0U);
+}
+
 TEST(SidecarPath, ALostResponseIsRetriedOnlyOnIdempotentRoutes)
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/alpha" });
