Ledgers: an outdated or repeated handover raises nothing

Cause: a former owner kept its copy of a ledger, which filled up while nobody used it, and handed it over when it was stopped; the owner took it in place of its own tokens. Class: state is taken from whoever spoke last.

Change: a ledger that no member has contacted within ledgerIdleTimeout is not handed over. A handover replaces the tokens only during a takeover and once; later ones can only lower them.

AHandedOverLedgerContinues... let half a second pass without a heartbeat before the handover, longer than ledgerIdleTimeout; its members go on sending heartbeats now, as the daemons do. Its checks are the same.

--- a/Source/mesh/RateLedger.cpp
+++ b/Source/mesh/RateLedger.cpp
@@ -38,15 +38,25 @@
 
 } // namespace
 
+// Members send heartbeats to the owners of the ledgers that they use. After a gap, another member owns this ledger.
+bool RateLedger::isIdle(TimePoint now) const
+{
+    return now - m_lastContact > m_settings.ledgerIdleTimeout;
+}
+
+// The next contact or handover after a gap starts a takeover.
+void RateLedger::endIfIdle(TimePoint now)
+{
+    if (!isIdle(now))
+        return;
+    m_buckets.clear();
+    m_contacts.clear();
+    m_activeSince = now;
+}
+
 void RateLedger::recordContact(const std::string& member, Duration switchedAgo, TimePoint now)
 {
-    // Members send heartbeats to the owners of the ledgers that they use. After a gap, another member owned this ledger
-    // meanwhile, and this is a takeover.
-    if (now - m_lastContact > m_settings.ledgerIdleTimeout) {
-        m_buckets.clear();
-        m_contacts.clear();
-        m_activeSince = now;
-    }
+    endIfIdle(now);
     m_lastContact = now;
     const bool afterHandover = now - m_handoverAt <= m_settings.shareLease;
     m_contacts[member] = { switchedAgo > Duration::zero() && !afterHandover ? now - switchedAgo : TimePoint(), now };
@@ -97,6 +107,7 @@
 std::map<std::string, double> RateLedger::handOver(TimePoint now)
 {
     std::map<std::string, double> tokens;
+    endIfIdle(now);
     for (auto& [organisation, bucket] : m_buckets) {
         bucket.tokens.refill(now);
         tokens[organisation] = bucket.tokens.tokens;
@@ -109,13 +120,18 @@
 
 void RateLedger::acceptHandover(const std::string& organisation, double tokens, TimePoint now)
 {
-    auto& bucket = m_buckets[organisation].tokens;
-    // Members may have contacted this ledger before the handover arrived, which gave it the debt of a takeover. The previous
-    // owner grants no more, so the debt is dropped.
+    endIfIdle(now);
+    m_lastContact = now;
+    auto& item = m_buckets[organisation];
+    auto& bucket = item.tokens;
+    bucket.refill(now);
     bucket.rate = std::max(bucket.rate, placeholderRate);
-    bucket.tokens = tokens;
+    // Members may have contacted this ledger before the handover arrived, which gave it the debt of a takeover. The previous
+    // owner grants no more, so the debt is dropped. Later the handover may be an outdated copy or a duplicate.
+    const bool isTakeover = now - m_activeSince <= m_settings.shareLease && !item.handedOver;
+    bucket.tokens = isTakeover ? tokens : std::min(bucket.tokens, tokens);
     bucket.updated = now;
-    m_lastContact = now;
+    item.handedOver = true;
     m_handoverAt = now;
     for (auto& [member, contact] : m_contacts)
         contact.switchedAt = {};
--- a/Source/mesh/RateLedger.h
+++ b/Source/mesh/RateLedger.h
@@ -32,16 +32,18 @@
     // granted from that share, too.
     void settle(const std::string& organisation, const RateSettlement&, const RatePlan&, size_t members, TimePoint now);
 
-    // Ends this ledger and returns its tokens by organisation, for the next owner. Grants nothing until a member contacts it
-    // again.
+    // Ends this ledger and returns its tokens by organisation, for the next owner; none if the members use another ledger now.
+    // Grants nothing until a member contacts it again.
     std::map<std::string, double> handOver(TimePoint now);
-    // Continues with the previous owner's tokens, without the delay of a takeover.
+    // Continues with the previous owner's tokens, without the delay of a takeover. Once the takeover is complete or a handover
+    // was received, a further one does not raise the tokens.
     void acceptHandover(const std::string& organisation, double tokens, TimePoint now);
 
 private:
     struct Bucket {
         TokenBucket tokens;
-        double scheduled { 0 }; // Refused requests whose retry time has not come yet
+        bool handedOver { false }; // Received from the previous owner
+        double scheduled { 0 };    // Refused requests whose retry time has not come yet
         TimePoint scheduledAt {};
     };
 
@@ -51,6 +53,8 @@
         TimePoint lastAt {};
     };
 
+    bool isIdle(TimePoint now) const;
+    void endIfIdle(TimePoint now);
     double leasedShare(size_t members, TimePoint now);
 
     const MeshSettings& m_settings;
--- a/Tests/RateLedgerFuzzTest.cpp
+++ b/Tests/RateLedgerFuzzTest.cpp
@@ -302,6 +302,8 @@
         first.recordContact("a", {}, now);
     const auto before = first.grant("o", 1000, plan, 1, later + 2s).tokens;
     EXPECT_EQ(before, 100U); // The burst
+    first.recordContact("a", {}, later + 2s + 250ms);
+    first.recordContact("a", {}, later + 2s + 500ms);
     const auto tokens = first.handOver(later + 2s + 500ms);
     ASSERT_TRUE(tokens.contains("o"));
     second.acceptHandover("o", tokens.at("o"), later + 2s + 500ms);
