A closing connection stays open while its client reads

Cause: the timeout of a closing connection began when the response was passed to the socket, although its bytes were still waiting to be sent. Class: a fixed time in place of progress.

Change: the timeout begins anew whenever bytes were sent since the last check. A client that stops reading is still cut off (test).

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -18,7 +18,7 @@
 constexpr size_t maximumPipelinedBytes = 256 * 1024; // Received while a request is being served; more closes the connection
 constexpr size_t bufferCheckBytes = 64 * 1024;       // Above this size mayBufferMore() is consulted
 constexpr auto firstRequestTimeout = std::chrono::milliseconds(500); // While draining; many times the network delay
-constexpr auto lingerTimeout = std::chrono::seconds(2);              // For the client to close after the last response
+constexpr auto lingerTimeout = std::chrono::seconds(2); // For the client to read on, or to close, after the last response
 
 // http_parser accepts white space before the colon and drops it; other parsers differ, so it must be rejected here.
 bool hasValidHeaderNames(std::string_view headerSection)
@@ -348,6 +348,9 @@
     if (m_serving || !m_socket->isOpen())
         return;
     const RefPtr<StrictHTTPConnection> protect(this);
+    // A client that is still reading the last response is given time, however slow it is.
+    if (m_closing && m_socket->pendingBytes() != std::exchange(m_unsentBytes, m_socket->pendingBytes()))
+        m_phaseStart = now;
     const auto age = now - m_phaseStart;
     if (m_closing) {
         if (age > lingerTimeout)
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -43,7 +43,8 @@
     void respond(const HTTPResponse&, bool close, TimePoint now);
     // Closes the connection without a response.
     void abort();
-    // Rejects a request whose header section or body is overdue, and closes an idle or lingering connection after its timeout.
+    // Rejects a request whose header section or body is overdue, and closes an idle connection, or one whose client does not read
+    // the last response, after its timeout.
     void enforceTimeouts(TimePoint now);
     // Closes the connection after the requests received so far have been served, or at once if there are none. A connection that
     // has not carried a request yet stays open for a short time to receive its first one.
@@ -76,6 +77,7 @@
     TimePoint m_phaseStart {}; // Start of the current phase: idle, header section, body or lingering close
     HeaderCollector m_collector;
     bool m_messageComplete { false };
+    size_t m_unsentBytes { 0 };             // Of the last response, at the last check
     size_t m_currentBodyBytes { 0 };        // Body size of the request being served
     const char* m_rejectReason { nullptr }; // Why the body is rejected; null while it is not
     uint16_t m_rejectStatus { 0 };
--- a/Tests/GracefulShutdownTest.cpp
+++ b/Tests/GracefulShutdownTest.cpp
@@ -21,9 +21,11 @@
 // A caller with a blocking socket: its bytes are in the server's kernel when send() returns, whatever the server's loop does.
 class BlockingCaller {
 public:
-    explicit BlockingCaller(const SocketAddress& address)
+    explicit BlockingCaller(const SocketAddress& address, int receiveBuffer = 0)
         : m_descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
+        if (receiveBuffer)
+            setsockopt(m_descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
         sockaddr_in target {};
         target.sin_family = AF_INET;
         target.sin_port = htons(address.port);
@@ -167,6 +169,45 @@
     EXPECT_TRUE(runUntil([&] { return refused; }));
 }
 
+TEST_F(GracefulShutdown, AResponseThatIsBeingReadSlowlyIsDeliveredCompletely)
+{
+    constexpr size_t bodyBytes = 28 * 1024 * 1024; // Several times what the kernel buffers
+    constexpr auto readInterval = 5ms;
+    constexpr auto readTime = 4s; // Longer than a client may linger without reading
+    constexpr size_t bytesPerRead = bodyBytes / (readTime / readInterval);
+    BlockingCaller reader(address, 64 * 1024);
+    reader.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    server.startDraining();
+    held->respond({ 200, {}, std::string(bodyBytes, 'x') }, false, MonotonicClock::now());
+    size_t received = 0;
+    Timer reads;
+    reads.startRepeating(readInterval, [&] {
+        for (size_t batch = 0; batch < bytesPerRead && !reader.hasEnded();) {
+            const auto bytes = reader.receive().size();
+            if (!bytes)
+                break;
+            batch += bytes;
+            received += bytes;
+        }
+    });
+    const auto end = MonotonicClock::now() + 2 * readTime;
+    while (!reader.hasEnded() && MonotonicClock::now() < end)
+        g_main_context_iteration(nullptr, TRUE);
+    EXPECT_GT(received, bodyBytes);
+    EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
+}
+
+TEST_F(GracefulShutdown, AClientThatStopsReadingIsCutOff)
+{
+    BlockingCaller reader(address, 64 * 1024);
+    reader.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    server.startDraining();
+    held->respond({ 200, {}, std::string(12 * 1024 * 1024, 'x') }, false, MonotonicClock::now());
+    EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
+}
+
 TEST_F(GracefulShutdown, BodiesOfAllCallersTogetherAreBounded)
 {
     constexpr size_t callers = 12;
