Bound the bodies that a daemon holds for its backend server

Cause: bodies of queued and running calls were counted nowhere, and each was held twice. Class: nobody counts the bytes.

Change: one count of the bodies that the executor holds; a call beyond the limit is refused as not run, and rerouted.

--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -1,6 +1,6 @@
 // Index of this file
 //   Announcements:  recordAnnouncement, recordLeave, verifyInstance, onProbe, isAvailable
-//   Admission:      submit, checkAdmission, checkCrashSuspicion, runNext, findParent, recordPressure
+//   Admission:      submit, checkAdmission, checkCrashSuspicion, reserveBodyBytes, runNext, findParent, recordPressure
 //   Runs:           run, send, onResponse, recordStateHeaders, recordRateLimit, finish, refuse, cancel, onDeadline
 //   Crashes:        recordUnanswered, recordAnswered, recordCrash
 
@@ -229,6 +229,19 @@
     return ErrorKind::None;
 }
 
+// The backend server may read a body as slowly as it likes. A request that may be sent again is held twice.
+ErrorKind EndpointExecutor::reserveBodyBytes(LiveRun& live)
+{
+    const auto bodyBytes = live.call.request.body.size();
+    live.mayResend = live.call.context.idempotent && bodyBytes <= m_settings.maximumResentBodyBytes;
+    const auto bytes = live.mayResend ? 2 * bodyBytes : bodyBytes;
+    if (bytes && m_heldBodyBytes + bytes > m_settings.maximumHeldBodyBytes)
+        return ErrorKind::Overloaded;
+    live.heldBodyBytes = bytes;
+    m_heldBodyBytes += bytes;
+    return ErrorKind::None;
+}
+
 uint64_t EndpointExecutor::fingerprintOf(LiveRun& live) const
 {
     const auto& request = live.call.request;
@@ -254,6 +267,10 @@
         refuse(*live, refusal, now);
         return id;
     }
+    if (const auto refusal = reserveBodyBytes(*live); refusal != ErrorKind::None) {
+        refuse(*live, refusal, now);
+        return id;
+    }
     const auto& context = live->call.context;
     if (!isNestedCallPriority(context.priority)
         && !m_loadShedder.admits(context.route, context.priority, live->call.scheduledRetry, now)) {
@@ -342,7 +359,15 @@
     m_running[live.attemptID] = live.item.id;
     m_loadShedder.recordStart(live.call.context.route, live.call.context.priority);
     platform::addDeliveryHeaders(live.call.request, live.deadline - now, m_announcement.instance);
-    send(live, live.call.context.idempotent ? Duration::max() : m_settings.maximumIdleForNonIdempotent);
+    if (live.mayResend) {
+        send(live, Duration::max());
+        return;
+    }
+    // Only the connection keeps the body.
+    if (!live.call.request.body.empty())
+        fingerprintOf(live);
+    send(live, m_settings.maximumIdleForNonIdempotent);
+    live.call.request.body = {};
 }
 
 void EndpointExecutor::send(LiveRun& live, Duration maximumIdle)
@@ -371,7 +396,7 @@
     if (!response) {
         const bool wasStale = response.error().kind == ErrorKind::BackendFailed && response.error().onReusedConnection
             && now - live->started < m_settings.staleConnectionWindow;
-        if (wasStale && live->call.context.idempotent && !std::exchange(live->resent, true)) {
+        if (wasStale && live->mayResend && !std::exchange(live->resent, true)) {
             recordUnanswered(*live, now);
             send(*live, Duration::zero());
             return;
@@ -456,6 +481,7 @@
     m_deadlines.remove(live.item.id);
     if (std::exchange(live.isolated, false))
         --m_isolatedCalls;
+    m_heldBodyBytes -= std::exchange(live.heldBodyBytes, 0);
     const auto& context = live.call.context;
     if (!response && live.completion) {
         EventLog::write("run-failed",
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -79,12 +79,14 @@
         MeshCompletion completion;
         std::string attemptID;
         uint64_t fingerprint { 0 };  // See requestFingerprint(); computed only when needed
+        size_t heldBodyBytes { 0 };  // Counted in m_heldBodyBytes
         uint32_t knownCrashes { 0 }; // Of this request, when the run started
         bool isolated { false };     // Runs without another such request, see CrashSuspects::isIsolated()
         TimePoint deadline {};
         TimePoint submitted {};
         TimePoint started {};
         bool running { false };
+        bool mayResend { false };        // Its request is kept while it runs
         bool nestedCallFailed { false }; // A nested call of this run failed
         bool resent { false };           // After a stale keep-alive connection
     };
@@ -98,6 +100,7 @@
 
     ErrorKind checkAdmission(LiveRun&, TimePoint now);
     ErrorKind checkCrashSuspicion(LiveRun&);
+    ErrorKind reserveBodyBytes(LiveRun&);
     uint64_t fingerprintOf(LiveRun&) const;
     void runNext(TimePoint now);
     void run(LiveRun&, TimePoint now);
@@ -131,6 +134,7 @@
     std::optional<double> m_rateLimit;
     TimePoint m_rateLimitNamedAt {}; // In the last response that named one
     size_t m_isolatedCalls { 0 };    // Queued or running
+    size_t m_heldBodyBytes { 0 };    // Of all calls, including what their connections have not sent yet
     std::function<void()> m_onChange;
     std::function<void()> m_onLeave;
     TimePoint m_lastContact {};
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -324,6 +324,44 @@
     EXPECT_EQ(mesh.executionCount("/upload/2"), 1U);
 }
 
+TEST(SidecarPath, BodiesHeldForASlowBackendServerAreBounded)
+{
+    constexpr size_t uploads = 10;
+    SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
+    mesh.settings.maximumHeldBodyBytes = 4 * 1024 * 1024;
+    ASSERT_TRUE(mesh.waitUntilServing());
+    std::vector<std::pair<RefPtr<StrictHTTPConnection>, HTTPRequest>> open;
+    mesh.endpoint(0).setScript([&open](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+        open.emplace_back(connection, request);
+    });
+    std::vector<std::shared_ptr<SidecarHarness::Exchange>> exchanges;
+    const std::string footage(1024 * 1024, 'f');
+    for (size_t i = 0; i < uploads; ++i)
+        exchanges.push_back(mesh.send(i % 2, { "POST", "/upload/" + std::to_string(i), {}, footage }));
+    const auto count = [&exchanges](uint16_t status) {
+        return static_cast<size_t>(std::count_if(exchanges.begin(), exchanges.end(),
+            [status](const auto& exchange) { return exchange->done && exchange->status() == status; }));
+    };
+    EXPECT_TRUE(mesh.runUntil([&] { return count(503) == uploads - 4; }));
+    // Those that are held are served, and make room for others.
+    const auto respondToAll = [&open] {
+        for (const auto& [connection, request] : std::exchange(open, {}))
+            EndpointStandin::respond(*connection, request);
+    };
+    EXPECT_TRUE(mesh.runUntil([&] {
+        respondToAll();
+        return count(200) == 4;
+    }));
+    const auto later = mesh.send(1, { "POST", "/upload/later", {}, footage });
+    EXPECT_TRUE(mesh.runUntil([&] {
+        respondToAll();
+        return later->done;
+    }));
+    EXPECT_EQ(later->status(), 200);
+    for (size_t i = 0; i < uploads; ++i)
+        EXPECT_LE(mesh.executionCount("/upload/" + std::to_string(i)), exchanges[i]->status() == 200 ? 1U : 0U);
+}
+
 TEST(SidecarPath, AResponseWithoutSealIsNotASuccess)
 {
     SidecarHarness mesh({ "zone-a/alpha" });
