--- /dev/null
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -0,0 +1,253 @@
+// Index of this file
+//   Runs:     run, send, onResponse, recordStateHeaders, recordRateLimit, finish, refuse, cancel, onDeadline
+//   Crashes:  recordUnanswered, recordAnswered, recordCrash
+
+#include "core/EventLog.h"
+#include "mesh/MeshSettings.h"
+#include "platform/RequestCodec.h"
+#include "sidecar/EndpointExecutor.h"
+
+#include <algorithm>
+
+namespace shallot {
+
+namespace {
+
+constexpr auto responseGrace = 20ms; // The backend server stops at the deadline by itself; its response gets this much longer
+constexpr size_t maximumUnansweredRuns = 1024;   // Several times the slots of the largest backend server
+constexpr size_t maximumLoggedAttempts = 8;      // Of the runs that a crash interrupted
+
+} // namespace
+
+// Runs
+
+void EndpointExecutor::run(LiveRun& live, TimePoint now)
+{
+    const RefPtr<LiveRun> protect(&live);
+    live.running = true;
+    live.started = now;
+    if (!m_crashSuspects.isEmpty())
+        live.knownCrashes = m_crashSuspects.crashesOf(fingerprintOf(live), WallClock::now());
+    m_queue.recordStart(now);
+    m_deadlines.set(live.item.id, live.deadline + responseGrace);
+    m_running[live.attemptID] = live.item.id;
+    m_loadShedder.recordStart(live.call.context.route, live.call.context.priority);
+    platform::addDeliveryHeaders(live.call.request, live.deadline - now, m_announcement.instance);
+    if (live.mayResend) {
+        send(live, Duration::max());
+        return;
+    }
+    // Only the connection keeps the body.
+    if (!live.call.request.body.empty())
+        fingerprintOf(live);
+    send(live, m_settings.maximumIdleForNonIdempotent);
+    live.call.request.body = {};
+}
+
+void EndpointExecutor::send(LiveRun& live, Duration maximumIdle)
+{
+    const auto id = live.item.id;
+    m_pool.send(
+        id, live.call.request, [this, id](Result<HTTPResponse> response) { onResponse(id, std::move(response)); },
+        [attemptID = live.attemptID](const HTTPResponse& response, bool onReusedConnection) {
+            const auto echoed = platform::attemptIDOf(response.headers);
+            if (echoed == attemptID)
+                return HTTPConnection::ResponseMatch::Matched;
+            if (!echoed.empty())
+                return HTTPConnection::ResponseMatch::Mismatched;
+            return onReusedConnection ? HTTPConnection::ResponseMatch::Unknown : HTTPConnection::ResponseMatch::Matched;
+        },
+        maximumIdle);
+}
+
+void EndpointExecutor::onResponse(uint64_t id, Result<HTTPResponse> response)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const auto live = found->second;
+    const auto now = MonotonicClock::now();
+    if (!response) {
+        const bool wasStale = response.error().kind == ErrorKind::BackendFailed && response.error().onReusedConnection
+            && now - live->started < m_settings.staleConnectionWindow;
+        if (wasStale && live->mayResend && !std::exchange(live->resent, true)) {
+            recordUnanswered(*live, now);
+            send(*live, Duration::zero());
+            return;
+        }
+        if (response.error().kind == ErrorKind::BackendFailed)
+            recordUnanswered(*live, now);
+        if (response.error().kind == ErrorKind::NoBackendServer) {
+            if (!m_unreachable && currentLeave().instance.empty())
+                recordCrash(m_announcement.instance, "refuses connections");
+            m_unreachable = true;
+            updateAvailability();
+        }
+        finish(*live, std::move(response), true, now);
+        return;
+    }
+    const auto responseClass = platform::classifyResponse(*response);
+    if (responseClass == platform::ResponseClass::Valid || responseClass == platform::ResponseClass::NotExecuted)
+        recordStateHeaders(*response, live->started, now);
+    switch (responseClass) {
+    case platform::ResponseClass::Valid:
+        m_lastContact = now;
+        recordAnswered(*live, response->status);
+        m_queue.recordServiceTime(now - live->started);
+        platform::removeInternalHeaders(*response);
+        finish(*live, std::move(response), true, now);
+        break;
+    case platform::ResponseClass::NotExecuted:
+        finish(*live, fail(ErrorKind::BackendRefused, "refused with status " + std::to_string(response->status)), true, now);
+        break;
+    case platform::ResponseClass::WrongInstance:
+        m_unreachable = true;
+        updateAvailability();
+        finish(*live, fail(ErrorKind::BackendRefused, "another instance uses the address"), true, now);
+        break;
+    case platform::ResponseClass::Invalid:
+        finish(*live, fail(ErrorKind::BadResponse, "invalid response: no seal, an encoded body or an interim status"), true, now);
+        break;
+    }
+}
+
+// What the backend server says of itself in each response.
+void EndpointExecutor::recordStateHeaders(const HTTPResponse& response, TimePoint sentAt, TimePoint now)
+{
+    recordRateLimit(response, sentAt, now);
+    if (!platform::isLeaving(response) || !currentLeave().instance.empty())
+        return;
+    recordLeave(m_announcement.instance, now);
+    if (m_onLeave)
+        m_onLeave();
+}
+
+// Responses may overtake each other: one to a request sent before the limit was named does not end it.
+void EndpointExecutor::recordRateLimit(const HTTPResponse& response, TimePoint sentAt, TimePoint now)
+{
+    const auto named = platform::rateLimitOf(response);
+    if (named)
+        m_rateLimitNamedAt = now;
+    else if (sentAt <= m_rateLimitNamedAt)
+        return;
+    const auto previous = std::exchange(m_rateLimit, named);
+    if (previous == m_rateLimit)
+        return;
+    m_queue.setRateLimit(m_rateLimit, now);
+    EventLog::write("backend-server-limit",
+        { { "backend_server", m_announcement.instance }, { "named", m_rateLimit.has_value() },
+            { "per_second", m_rateLimit.value_or(0) }, { "previous", previous.value_or(0) } });
+}
+
+void EndpointExecutor::refuse(LiveRun& live, ErrorKind kind, TimePoint now)
+{
+    Error error { kind, {}, {} };
+    if (kind == ErrorKind::Overloaded || kind == ErrorKind::ExpiredInQueue)
+        error.retryAfter = m_queue.retryAfter(live.item.priority, now);
+    finish(live, tl::unexpected(std::move(error)), false, now);
+}
+
+void EndpointExecutor::finish(LiveRun& live, Result<HTTPResponse> response, bool reachedBackend, TimePoint now)
+{
+    const RefPtr<LiveRun> protect(&live);
+    m_queue.remove(live.item);
+    m_calls.erase(live.item.id);
+    m_deadlines.remove(live.item.id);
+    if (std::exchange(live.isolated, false))
+        --m_isolatedCalls;
+    m_heldBodyBytes -= std::exchange(live.heldBodyBytes, 0);
+    const auto& context = live.call.context;
+    if (!response && live.completion) {
+        EventLog::write("run-failed",
+            { { "request", live.attemptID }, { "route", context.route }, { "priority", context.priority },
+                { "reason", errorInfo(response.error().kind).name }, { "detail", response.error().detail },
+                { "arrived", reachedBackend }, { "backend_server", m_announcement.instance }, { "running", m_queue.running() },
+                { "queued", m_queue.queued() }, { "limit", m_queue.limit() },
+                { "service_time_ms", toSeconds(m_queue.serviceTime()) * 1000 },
+                { "pressure_ms", toSeconds(m_loadShedder.pressure(context.route, context.priority, now)) * 1000 },
+                { "held_ms", toSeconds(now - live.submitted) * 1000 }, { "announced_s", toSeconds(now - m_lastContact) } });
+    }
+    if (std::exchange(live.running, false)) {
+        m_queue.recordEnd();
+        m_running.erase(live.attemptID);
+        m_loadShedder.recordEnd(context.route, context.priority);
+    }
+    if (const auto completion = std::exchange(live.completion, nullptr)) {
+        auto ownReport = report(now);
+        ownReport.pressure
+            = std::max(m_queue.pressure(context.priority, now), m_loadShedder.pressure(context.route, context.priority, now));
+        completion({ std::move(response), ownReport, reachedBackend, live.nestedCallFailed });
+    }
+    runNext(now);
+}
+
+void EndpointExecutor::cancel(uint64_t id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const auto live = found->second;
+    const auto now = MonotonicClock::now();
+    live->completion = nullptr;
+    if (live->running) {
+        recordUnanswered(*live, now);
+        m_pool.abandon(id);
+    }
+    finish(*live, fail(ErrorKind::Cancelled), true, now);
+}
+
+void EndpointExecutor::onDeadline(uint64_t id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const auto live = found->second;
+    const auto now = MonotonicClock::now();
+    if (!live->running) {
+        refuse(*live, ErrorKind::ExpiredInQueue, now);
+        return;
+    }
+    recordUnanswered(*live, now);
+    m_pool.abandon(id);
+    finish(*live, fail(ErrorKind::TimedOut, "the backend server did not respond by the deadline"), true, now);
+}
+
+// Crashes
+
+void EndpointExecutor::recordUnanswered(LiveRun& live, TimePoint now)
+{
+    if (m_unanswered.size() >= maximumUnansweredRuns)
+        m_unanswered.erase(m_unanswered.begin());
+    m_unanswered.push_back({ { fingerprintOf(live), live.knownCrashes }, live.attemptID, now });
+}
+
+// A run that started later and was answered shows that the earlier ones did not crash the backend server.
+void EndpointExecutor::recordAnswered(LiveRun& live, uint16_t status)
+{
+    std::erase_if(
+        m_unanswered, [&live](const auto& run) { return run.endedAt < live.started || run.attemptID == live.attemptID; });
+    // An answer with a server error may have been made without running the request.
+    if (m_crashSuspects.isEmpty() || status >= 500 || !m_crashSuspects.recordAnswer(fingerprintOf(live), WallClock::now()))
+        return;
+    EventLog::write("crash-suspect-cleared", { { "request", live.attemptID }, { "route", live.call.context.route } });
+}
+
+void EndpointExecutor::recordCrash(const std::string& instance, const char* evidence)
+{
+    const auto runs = std::exchange(m_unanswered, {});
+    std::vector<CrashSuspects::InterruptedRun> interrupted;
+    uint32_t knownCrashes = 0;
+    for (const auto& ended : runs) {
+        interrupted.push_back(ended.run);
+        knownCrashes = std::max(knownCrashes, ended.run.knownCrashes);
+    }
+    std::string attempts;
+    for (size_t i = 0; i < std::min(runs.size(), maximumLoggedAttempts); ++i)
+        attempts += (i ? " " : "") + runs[i].attemptID;
+    EventLog::write("backend-server-crashed",
+        { { "backend_server", instance }, { "evidence", evidence }, { "runs", runs.size() }, { "requests", attempts },
+            { "crashes_before", knownCrashes } });
+    m_crashSuspects.recordCrash(interrupted, WallClock::now());
+}
+
+} // namespace shallot
