--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr auto responseGrace = 20ms; // The backend server stops at the deadline by itself; its response gets this much longer
-constexpr size_t maximumUnansweredRuns = 1024;   // Several times the slots of the largest backend server
-constexpr size_t maximumLoggedAttempts = 8;      // Of the runs that a crash interrupted
+constexpr size_t maximumUnansweredRuns = 1024; // Several times the slots of the largest backend server
+constexpr size_t maximumLoggedAttempts = 8;    // Of the runs that a crash interrupted
 
 } // namespace
 
--- a/Tests/BackendServerTroubleTest.cpp
+++ b/Tests/BackendServerTroubleTest.cpp
@@ -24,8 +24,12 @@
     const auto running = mesh.send(1, { "POST", "/order/running", {}, "tiles" });
     ASSERT_TRUE(mesh.runUntil([&] { return !open.empty(); }));
     for (const auto& [service, address] : { std::pair<std::string, std::string> { "gamma", own }, { "beta", "127.0.0.1:9" } }) {
-        mesh.endpoint(0).sendAnnouncement(R"({"service":")" + service + R"(","addr":")" + address
-            + R"(","zone":"z","slots":4,"state":"ready","seq":1,"born":900000})");
+        std::string body = R"({"service":")";
+        body += service;
+        body += R"(","addr":")";
+        body += address;
+        body += R"(","zone":"z","slots":4,"state":"ready","seq":1,"born":900000})";
+        mesh.endpoint(0).sendAnnouncement(body);
         mesh.runFor(100ms);
         EXPECT_EQ(mesh.fetch(1, "/read/1").status(), 200);
         EXPECT_EQ(mesh.fetch(0, "/inner/1", "").status(), 200);
--- a/Tests/NamedRateLimitTest.cpp
+++ b/Tests/NamedRateLimitTest.cpp
@@ -19,7 +19,7 @@
 // Requests at a constant rate through all daemons in turn, and when each backend server received them.
 class LimitedMesh {
 public:
-    LimitedMesh(std::vector<std::string> locations, std::vector<size_t> limited)
+    LimitedMesh(const std::vector<std::string>& locations, std::vector<size_t> limited)
         : m_daemons(locations.size())
         , m_mesh(locations)
         , m_limited(std::move(limited))
