Tell the fleet when the service of the own backend server changes

Callers saw: a backend server of another service that took over an address while the former one still counted as available got no request from other instances, and the requests of the former service were still sent there, refused and rerouted.

Cause: the change handler ran only when availability changed, so the member record, the links and the health path kept the former service. Class: a belief on another's word that is not passed on.

Change: the handler also runs when the service changed. EndpointIdentity.ABackendServerThatIsReplacedByOneOfAnotherServiceServesThatService failed before (503) and passes; SidecarPath.* passes.

--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -35,6 +35,7 @@
     , m_queue(settings)
     , m_loadShedder(settings)
     , m_deadlines([this](uint64_t id) { onDeadline(id); })
+    , m_formerService(service)
 {
     m_pool.setAddress(backendServer);
     m_pool.setAcceptsCloseDelimited(true);
@@ -173,13 +174,14 @@
 bool EndpointExecutor::updateAvailability()
 {
     const bool available = isAvailable(MonotonicClock::now());
-    if (available == m_wasAvailable)
+    if (available == m_wasAvailable && service() == m_formerService)
         return false;
     m_wasAvailable = available;
+    m_formerService = service();
     EventLog::write("instance-availability",
-        { { "backend_server", m_announcement.instance }, { "available", available }, { "draining", m_announcement.draining },
-            { "left", m_leaveAnnounced }, { "left_before_restart", m_formerLeave.instance }, { "unreachable", m_unreachable },
-            { "verified", m_verified } });
+        { { "backend_server", m_announcement.instance }, { "service", service() }, { "available", available },
+            { "draining", m_announcement.draining }, { "left", m_leaveAnnounced },
+            { "left_before_restart", m_formerLeave.instance }, { "unreachable", m_unreachable }, { "verified", m_verified } });
     if (m_onChange)
         m_onChange();
     return true;
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -115,7 +115,7 @@
     void refuse(LiveRun&, ErrorKind, TimePoint now);
     void verifyInstance();
     void onProbe(const Result<HTTPResponse>&);
-    bool updateAvailability(); // Returns whether it changed
+    bool updateAvailability(); // Returns whether it or the service changed
     void onDeadline(uint64_t id);
 
     const MeshSettings& m_settings;
@@ -152,6 +152,7 @@
     uint64_t m_leaveAnnouncedAt { 0 }; // Milliseconds since 1970; an upper bound of its start time if no announcement gave it
     bool m_unreachable { false };      // Refused a connection; reset by its next announcement
     bool m_leaving { false };
+    std::string m_formerService; // With m_wasAvailable, what the last call of the change handler reported
     bool m_wasAvailable { false };
 };
 
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -47,7 +47,7 @@
             [this](StrictHTTPConnection&) { ++m_disconnects; } });
     g_assert(started);
     m_running = true;
-    m_announceTimer.startRepeating(200ms, [this] { announce(); });
+    setAnnouncing(true);
 }
 
 void EndpointStandin::crash(Duration downtime)
@@ -69,21 +69,54 @@
 
 void EndpointStandin::announce()
 {
-    sendAnnouncement(R"({"service":")" + m_service + R"(","addr":")" + m_address.toString()
-        + R"(","zone":"z","version":"v1","slots":4,"state":")" + (m_draining ? "draining" : "ready")
-        + R"(","cold_left_s":0,"born":)" + std::to_string(m_startedAt) + R"(,"seq":)" + std::to_string(++m_sequence) + "}");
+    sendAnnouncement(m_instance, bodyOf(m_service, m_draining ? "draining" : "ready", m_startedAt, ++m_sequence));
 }
 
-void EndpointStandin::sendAnnouncement(const std::string& body)
+std::string EndpointStandin::announcementOf(const std::string& service, uint64_t startedAt, uint64_t sequence) const
 {
-    m_control.send(m_nextID++, { "POST", std::string(platform::path::announce) + m_instance, { { "Host", "control" } }, body },
+    return bodyOf(service, "ready", startedAt, sequence);
+}
+
+std::string EndpointStandin::bodyOf(
+    const std::string& service, const std::string& state, uint64_t startedAt, uint64_t sequence) const
+{
+    return R"({"service":")" + service + R"(","addr":")" + m_address.toString()
+        + R"(","zone":"z","version":"v1","slots":4,"state":")" + state + R"(","cold_left_s":0,"born":)"
+        + std::to_string(startedAt) + R"(,"seq":)" + std::to_string(sequence) + "}";
+}
+
+void EndpointStandin::sendAnnouncement(const std::string& instance, const std::string& body)
+{
+    m_control.send(m_nextID++, { "POST", std::string(platform::path::announce) + instance, { { "Host", "control" } }, body },
         [](const Result<HTTPResponse>&) {});
 }
 
+void EndpointStandin::setAnnouncing(bool announcing)
+{
+    if (announcing)
+        m_announceTimer.startRepeating(200ms, [this] { announce(); });
+    else
+        m_announceTimer.stop();
+}
+
+void EndpointStandin::replaceBy(const std::string& service)
+{
+    m_instance += "+";
+    m_startedAt += 1000;
+    m_sequence = 0;
+    m_service = service;
+    announce();
+}
+
 void EndpointStandin::leave()
 {
     m_announceTimer.stop();
-    m_control.send(m_nextID++, { "POST", std::string(platform::path::leave) + m_instance, { { "Host", "control" } }, {} },
+    sendLeave({});
+}
+
+void EndpointStandin::sendLeave(const std::string& body)
+{
+    m_control.send(m_nextID++, { "POST", std::string(platform::path::leave) + m_instance, { { "Host", "control" } }, body },
         [](const Result<HTTPResponse>&) {});
 }
 
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -22,8 +22,17 @@
     void setDraining(bool draining) { m_draining = draining; }
     void announce();
     // Sends an announcement with any body.
-    void sendAnnouncement(const std::string& body);
+    void sendAnnouncement(const std::string& body) { sendAnnouncement(m_instance, body); }
+    void sendAnnouncement(const std::string& instance, const std::string& body);
+    // A complete announcement of a run of any service and start time at this backend server's address.
+    std::string announcementOf(const std::string& service, uint64_t startedAt, uint64_t sequence = 1) const;
+    // Whether it announces itself regularly.
+    void setAnnouncing(bool);
+    // The next run at this address, of any service, starts without an end of the former one that anyone noticed.
+    void replaceBy(const std::string& service);
     void leave();
+    // Sends a leave with any body.
+    void sendLeave(const std::string& body);
     // Closes all connections without a response and the address; a new instance announces itself after that time.
     void crash(Duration downtime);
     bool isRunning() const { return m_running; }
@@ -41,6 +50,7 @@
 
 private:
     void start();
+    std::string bodyOf(const std::string& service, const std::string& state, uint64_t startedAt, uint64_t sequence) const;
 
     SocketAddress m_address;
     std::unique_ptr<StrictHTTPServer> m_server;
