Name the callers' service only after a verified announcement

Callers saw: after a restart of a daemon, a late announcement of an earlier backend server at its address, of another service, put that service into the caller service of every request that began there (UNASKED), until the real one announced itself.

Cause: the service of an announcement was used before anything had verified it. Class: state is taken from whoever spoke last.

Change: the configured service stands until the run is verified. EndpointIdentity.ALateAnnouncementAfterARestartDoesNotNameTheCallersService failed before ("beta" in place of "alpha") and passes.

--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -32,6 +32,7 @@
     : m_settings(settings)
     , m_crashSuspects(crashSuspects)
     , m_host(backendServer.toString())
+    , m_configuredService(service)
     , m_queue(settings)
     , m_loadShedder(settings)
     , m_deadlines([this](uint64_t id) { onDeadline(id); })
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -64,7 +64,8 @@
 
     bool isAvailable(TimePoint now) const;
     EndpointReport report(TimePoint now) const;
-    const std::string& service() const { return m_announcement.service; }
+    // Of the backend server, if it is verified; otherwise the configured one.
+    const std::string& service() const { return m_announced && m_verified ? m_announcement.service : m_configuredService; }
     size_t inProgress() const { return m_calls.size(); }
     // Requests per second that the backend server takes from all instances together; empty: it names no limit.
     std::optional<double> rateLimit() const { return m_rateLimit; }
@@ -121,6 +122,7 @@
     const MeshSettings& m_settings;
     CrashSuspects& m_crashSuspects;
     std::string m_host;
+    std::string m_configuredService;
     HTTPPool m_pool;
     HTTPPool m_probePool;
     EndpointQueue m_queue;
--- a/Tests/EndpointIdentityTest.cpp
+++ b/Tests/EndpointIdentityTest.cpp
@@ -8,6 +8,8 @@
 namespace shallot {
 namespace {
 
+constexpr uint64_t earlierStart = 1; // Before that of each stand-in
+
 std::string_view callerServiceOf(EndpointStandin& endpoint)
 {
     return findHeader(endpoint.requests().back().headers, platform::header::callerService);
@@ -25,5 +27,20 @@
     EXPECT_EQ(callerServiceOf(mesh.endpoint(1)), "beta");
 }
 
+// After a restart the daemon knows no run yet, so a late announcement of an earlier one comes first.
+TEST(EndpointIdentity, ALateAnnouncementAfterARestartDoesNotNameTheCallersService)
+{
+    SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    mesh.endpoint(0).setAnnouncing(false);
+    mesh.stop(0);
+    mesh.start(0);
+    ASSERT_TRUE(mesh.runUntil([&] { return mesh.fetch(0, "/inner/1", "").status() == 200; }));
+    mesh.endpoint(0).sendAnnouncement("earlier", mesh.endpoint(0).announcementOf("beta", earlierStart));
+    mesh.runFor(100ms);
+    EXPECT_EQ(mesh.fetch(0, "/inner/2", "").status(), 200);
+    EXPECT_EQ(callerServiceOf(mesh.endpoint(1)), "alpha");
+}
+
 } // namespace
 } // namespace shallot
