--- /dev/null
+++ b/Source/mesh/EndpointLife.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "mesh/EndpointAnnouncement.h"
+#include "mesh/EndpointLeave.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace shallot {
+
+struct MeshSettings;
+
+// What became of an announcement.
+enum class AnnouncementVerdict : uint8_t {
+    Stale,   // Older than what is known; changes nothing
+    Renewed, // Of the current run
+    NewRun,  // Another run of a backend server is the current one now
+};
+
+// What this daemon believes of the backend server beside it, and on whose word: which run is at the address, of which service,
+// and whether it has left. docs/design/authority.md says who may change what.
+class EndpointLife {
+public:
+    // `service` is the configured service of the instance; it counts until a run is verified.
+    EndpointLife(const MeshSettings&, std::string service);
+
+    AnnouncementVerdict recordAnnouncement(const EndpointAnnouncement&, TimePoint now);
+    // `wallClockMs`: milliseconds since 1970; no run that starts later is meant.
+    void recordLeave(const std::string& instance, uint64_t wallClockMs);
+    // The last leave stored before this daemon started. No run is available until it is known: the first announcement after a
+    // restart may be from a backend server that has left.
+    void setFormerLeave(const EndpointLeave&);
+    // A healthy response of the backend server, which names itself. `slots`: zero if it does not name them.
+    void recordProbe(std::string_view instance, uint32_t slots, TimePoint now);
+    // It responded to a request.
+    void recordResponse(TimePoint now) { m_lastContact = now; }
+    // It refused a connection, or another run is at the address; unavailable until its next announcement.
+    void recordUnreachable() { m_unreachable = true; }
+
+    bool isAnnounced() const { return m_announced; }
+    // The first announcement after a start may be stale: a probe confirms it.
+    bool isVerified() const { return m_verified; }
+    bool isUnreachable() const { return m_unreachable; }
+    bool hasLeft() const;
+    bool isAvailable(TimePoint now) const;
+    // The leave of the current run; empty if it has not left.
+    EndpointLeave currentLeave() const;
+    const EndpointLeave& formerLeave() const { return m_formerLeave; }
+    const EndpointAnnouncement& current() const { return m_current; }
+    const std::string& service() const { return m_announced && m_verified ? m_current.service : m_service; }
+    TimePoint lastContact() const { return m_lastContact; }
+
+private:
+    bool isCurrentRun(const EndpointAnnouncement&) const;
+
+    const MeshSettings& m_settings;
+    std::string m_service; // Configured
+    EndpointAnnouncement m_current;
+    EndpointLeave m_formerLeave;
+    TimePoint m_lastContact {};
+    uint64_t m_leaveAnnouncedAt { 0 }; // Milliseconds since 1970; an upper bound of its start time if no announcement gave it
+    bool m_announced { false };
+    bool m_verified { false };
+    bool m_formerLeaveKnown { false };
+    bool m_leaveAnnounced { false }; // By the current run
+    bool m_unreachable { false };
+};
+
+} // namespace shallot
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -32,7 +32,7 @@
     : m_settings(settings)
     , m_crashSuspects(crashSuspects)
     , m_host(backendServer.toString())
-    , m_configuredService(service)
+    , m_life(settings, service)
     , m_queue(settings)
     , m_loadShedder(settings)
     , m_deadlines([this](uint64_t id) { onDeadline(id); })
@@ -41,44 +41,33 @@
     m_pool.setAddress(backendServer);
     m_pool.setAcceptsCloseDelimited(true);
     m_probePool.setAddress(backendServer);
-    m_announcement.service = service;
 }
 
 // Announcements
 
 void EndpointExecutor::recordAnnouncement(const EndpointAnnouncement& announcement, TimePoint now)
 {
-    // A run discovered by a probe has no start time until it announces itself.
-    const bool sameStart = announcement.startedAt == m_announcement.startedAt || !m_announcement.startedAt;
-    const bool sameRun = m_announced && announcement.instance == m_announcement.instance && sameStart;
-    const bool older = m_announced && !sameRun && announcement.startedAt <= m_announcement.startedAt;
-    if (older || (sameRun && announcement.sequence <= m_announcement.sequence)) {
+    const auto former = m_life.current().instance;
+    const bool mayHaveCrashed = m_life.isAnnounced() && currentLeave().instance.empty();
+    const auto verdict = m_life.recordAnnouncement(announcement, now);
+    if (verdict == AnnouncementVerdict::Stale) {
         EventLog::write(
             "announcement-stale", { { "backend_server", announcement.instance }, { "sequence", announcement.sequence } });
         return;
     }
-    const bool crashed = m_announced && !sameRun && currentLeave().instance.empty();
-    if (!sameRun) {
-        // A run that follows one seen by this process is newer by its start time; only the first announcement can be stale.
-        m_verified = m_announced;
-        m_leaveAnnounced = false;
+    m_queue.setSlots(announcement.slots);
+    if (verdict == AnnouncementVerdict::NewRun) {
         m_rateLimit.reset();
         m_queue.setRateLimit({}, now);
         EventLog::write("instance-new",
             { { "backend_server", announcement.instance }, { "service", announcement.service },
                 { "slots", announcement.slots } });
-    }
-    const auto former = std::exchange(m_announcement, announcement);
-    m_announced = true;
-    m_unreachable = false;
-    m_lastContact = now;
-    m_queue.setSlots(announcement.slots);
-    // Each run that ends here makes room for a queued call, which must be checked against the new backend server.
-    if (!sameRun)
+        // Each run that ends here makes room for a queued call, which must be checked against the new backend server.
         m_pool.reset();
-    if (crashed)
-        recordCrash(former.instance, "replaced");
-    if (!m_verified)
+        if (mayHaveCrashed)
+            recordCrash(former, "replaced");
+    }
+    if (!m_life.isVerified())
         verifyInstance();
     updateAvailability();
     runNext(now);
@@ -86,33 +75,21 @@
 
 void EndpointExecutor::recordLeave(const std::string& instance, TimePoint)
 {
-    if (!m_announced || instance == m_announcement.instance) {
-        if (!std::exchange(m_leaveAnnounced, true))
-            m_leaveAnnouncedAt = wallClockMilliseconds();
-        m_announcement.instance = instance;
-    }
+    m_life.recordLeave(instance, wallClockMilliseconds());
     EventLog::write("instance-leaves", { { "backend_server", instance } });
     updateAvailability();
 }
 
 void EndpointExecutor::setFormerLeave(const EndpointLeave& leave)
 {
-    m_formerLeave = leave;
-    m_formerLeaveKnown = true;
+    m_life.setFormerLeave(leave);
     updateAvailability();
 }
 
-EndpointLeave EndpointExecutor::currentLeave() const
-{
-    if (!m_leaveAnnounced && !m_announcement.draining)
-        return {};
-    return { m_announcement.instance, m_announcement.startedAt ? m_announcement.startedAt : m_leaveAnnouncedAt };
-}
-
 void EndpointExecutor::setHealthPath(const std::string& path, TimePoint)
 {
     m_healthPath = path;
-    if (!m_verified)
+    if (!m_life.isVerified())
         verifyInstance();
 }
 
@@ -140,29 +117,22 @@
     const bool healthy = response && response->status == 200;
     const std::string instance(healthy ? platform::instanceOf(*response) : "");
     const auto load = healthy ? platform::loadOf(*response) : std::nullopt;
-    if (healthy && !m_announced && load && load->slots && !instance.empty()) {
-        m_announcement.instance = instance;
-        m_announcement.slots = load->slots;
-        m_announced = true;
-        m_lastContact = MonotonicClock::now();
-        m_queue.setSlots(load->slots);
-    }
-    const bool fromAnnounced = healthy && instance == m_announcement.instance;
-    m_verified = m_verified || fromAnnounced;
-    if (fromAnnounced)
+    const bool wasAnnounced = m_life.isAnnounced();
+    if (healthy)
+        m_life.recordProbe(instance, load ? load->slots : 0, MonotonicClock::now());
+    if (!wasAnnounced && m_life.isAnnounced())
+        m_queue.setSlots(m_life.current().slots);
+    if (healthy && instance == m_life.current().instance)
         recordStateHeaders(*response, m_probeSentAt, MonotonicClock::now());
     EventLog::write("instance-probed",
-        { { "backend_server", instance }, { "verified", m_verified },
+        { { "backend_server", instance }, { "verified", m_life.isVerified() },
             { "reason", response ? std::to_string(response->status) : response.error().detail } });
     updateAvailability();
 }
 
 bool EndpointExecutor::isAvailable(TimePoint now) const
 {
-    const bool hasLeft
-        = m_announcement.draining || m_leaveAnnounced || m_formerLeave.covers(m_announcement.instance, m_announcement.startedAt);
-    return m_announced && m_verified && m_formerLeaveKnown && !hasLeft && !m_unreachable && !m_leaving
-        && now - m_lastContact < m_settings.announcementTimeout;
+    return m_life.isAvailable(now) && !m_leaving;
 }
 
 EndpointReport EndpointExecutor::report(TimePoint now) const
@@ -179,10 +149,12 @@
         return false;
     m_wasAvailable = available;
     m_formerService = service();
+    const auto& current = m_life.current();
     EventLog::write("instance-availability",
-        { { "backend_server", m_announcement.instance }, { "service", service() }, { "available", available },
-            { "draining", m_announcement.draining }, { "left", m_leaveAnnounced },
-            { "left_before_restart", m_formerLeave.instance }, { "unreachable", m_unreachable }, { "verified", m_verified } });
+        { { "backend_server", current.instance }, { "service", service() }, { "available", available },
+            { "draining", current.draining }, { "left", m_life.hasLeft() },
+            { "left_before_restart", m_life.formerLeave().instance }, { "unreachable", m_life.isUnreachable() },
+            { "verified", m_life.isVerified() } });
     if (m_onChange)
         m_onChange();
     return true;
@@ -201,7 +173,7 @@
 ErrorKind EndpointExecutor::checkAdmission(LiveRun& live, TimePoint now)
 {
     const auto& call = live.call;
-    if (!m_announced || call.service != m_announcement.service)
+    if (!m_life.isAnnounced() || call.service != m_life.current().service)
         return ErrorKind::NoBackendServer;
     if (!isAvailable(now))
         return ErrorKind::Draining;
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -2,8 +2,7 @@
 
 #include "core/RefCounted.h"
 #include "mesh/CrashSuspects.h"
-#include "mesh/EndpointAnnouncement.h"
-#include "mesh/EndpointLeave.h"
+#include "mesh/EndpointLife.h"
 #include "mesh/EndpointQueue.h"
 #include "mesh/MeshCall.h"
 #include "mesh/RootLoadShedder.h"
@@ -50,11 +49,10 @@
     // An announcement from the backend server; stale ones are ignored.
     void recordAnnouncement(const EndpointAnnouncement&, TimePoint now);
     void recordLeave(const std::string& instance, TimePoint now);
-    // The last leave stored in the member list before this daemon started. The backend server is unavailable until this is known:
-    // the first announcement after a restart may be from a backend server that has left.
+    // The last leave stored in the member list before this daemon started; the backend server is unavailable until it is known.
     void setFormerLeave(const EndpointLeave&);
     // The leave of the backend server that announced it or is draining; empty if there is none.
-    EndpointLeave currentLeave() const;
+    EndpointLeave currentLeave() const { return m_life.currentLeave(); }
     // Path of the health endpoint. The first probe also substitutes for announcements not received yet.
     void setHealthPath(const std::string&, TimePoint now);
     // Refuses new calls; those queued or running continue.
@@ -65,7 +63,7 @@
     bool isAvailable(TimePoint now) const;
     EndpointReport report(TimePoint now) const;
     // Of the backend server, if it is verified; otherwise the configured one.
-    const std::string& service() const { return m_announced && m_verified ? m_announcement.service : m_configuredService; }
+    const std::string& service() const { return m_life.service(); }
     size_t inProgress() const { return m_calls.size(); }
     // Requests per second that the backend server takes from all instances together; empty: it names no limit.
     std::optional<double> rateLimit() const { return m_rateLimit; }
@@ -122,7 +120,7 @@
     const MeshSettings& m_settings;
     CrashSuspects& m_crashSuspects;
     std::string m_host;
-    std::string m_configuredService;
+    EndpointLife m_life;
     HTTPPool m_pool;
     HTTPPool m_probePool;
     EndpointQueue m_queue;
@@ -131,7 +129,6 @@
     std::unordered_map<std::string, uint64_t> m_running; // By attempt, while at the backend server
     DeadlineQueue m_deadlines;
     std::vector<UnansweredRun> m_unanswered; // Since the backend server last showed that it was running
-    EndpointAnnouncement m_announcement;
     std::string m_healthPath;
     std::optional<double> m_rateLimit;
     TimePoint m_rateLimitNamedAt {}; // In the last response that named one
@@ -139,20 +136,12 @@
     size_t m_heldBodyBytes { 0 };    // Of all calls, including what their connections have not sent yet
     std::function<void()> m_onChange;
     std::function<void()> m_onLeave;
-    TimePoint m_lastContact {};
     uint64_t m_nextID { 1 };
-    bool m_announced { false };
-    bool m_verified { false }; // The first announcement after a start may be stale: a probe confirms it
     bool m_probing { false };
     Timer m_probeTimer;
     Timer m_rateTimer; // Until the rate limit allows the next queued request
     uint64_t m_probeID { 0 };
     TimePoint m_probeSentAt {};
-    EndpointLeave m_formerLeave;
-    bool m_formerLeaveKnown { false };
-    bool m_leaveAnnounced { false };   // By the current backend server
-    uint64_t m_leaveAnnouncedAt { 0 }; // Milliseconds since 1970; an upper bound of its start time if no announcement gave it
-    bool m_unreachable { false };      // Refused a connection; reset by its next announcement
     bool m_leaving { false };
     std::string m_formerService; // With m_wasAvailable, what the last call of the change handler reported
     bool m_wasAvailable { false };
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -32,7 +32,7 @@
     m_deadlines.set(live.item.id, live.deadline + responseGrace);
     m_running[live.attemptID] = live.item.id;
     m_loadShedder.recordStart(live.call.context.route, live.call.context.priority);
-    platform::addDeliveryHeaders(live.call.request, live.deadline - now, m_announcement.instance);
+    platform::addDeliveryHeaders(live.call.request, live.deadline - now, m_life.current().instance);
     if (live.mayResend) {
         send(live, Duration::max());
         return;
@@ -78,9 +78,9 @@
         if (response.error().kind == ErrorKind::BackendFailed)
             recordUnanswered(*live, now);
         if (response.error().kind == ErrorKind::NoBackendServer) {
-            if (!m_unreachable && currentLeave().instance.empty())
-                recordCrash(m_announcement.instance, "refuses connections");
-            m_unreachable = true;
+            if (!m_life.isUnreachable() && currentLeave().instance.empty())
+                recordCrash(m_life.current().instance, "refuses connections");
+            m_life.recordUnreachable();
             updateAvailability();
         }
         finish(*live, std::move(response), true, now);
@@ -91,7 +91,7 @@
         recordStateHeaders(*response, live->started, now);
     switch (responseClass) {
     case platform::ResponseClass::Valid:
-        m_lastContact = now;
+        m_life.recordResponse(now);
         recordAnswered(*live, response->status);
         m_queue.recordServiceTime(now - live->started);
         platform::removeInternalHeaders(*response);
@@ -101,7 +101,7 @@
         finish(*live, fail(ErrorKind::BackendRefused, "refused with status " + std::to_string(response->status)), true, now);
         break;
     case platform::ResponseClass::WrongInstance:
-        m_unreachable = true;
+        m_life.recordUnreachable();
         updateAvailability();
         finish(*live, fail(ErrorKind::BackendRefused, "another instance uses the address"), true, now);
         break;
@@ -117,7 +117,7 @@
     recordRateLimit(response, sentAt, now);
     if (!platform::isLeaving(response) || !currentLeave().instance.empty())
         return;
-    recordLeave(m_announcement.instance, now);
+    recordLeave(m_life.current().instance, now);
     if (m_onLeave)
         m_onLeave();
 }
@@ -135,7 +135,7 @@
         return;
     m_queue.setRateLimit(m_rateLimit, now);
     EventLog::write("backend-server-limit",
-        { { "backend_server", m_announcement.instance }, { "named", m_rateLimit.has_value() },
+        { { "backend_server", m_life.current().instance }, { "named", m_rateLimit.has_value() },
             { "per_second", m_rateLimit.value_or(0) }, { "previous", previous.value_or(0) } });
 }
 
@@ -161,11 +161,12 @@
         EventLog::write("run-failed",
             { { "request", live.attemptID }, { "route", context.route }, { "priority", context.priority },
                 { "reason", errorInfo(response.error().kind).name }, { "detail", response.error().detail },
-                { "arrived", reachedBackend }, { "backend_server", m_announcement.instance }, { "running", m_queue.running() },
+                { "arrived", reachedBackend }, { "backend_server", m_life.current().instance }, { "running", m_queue.running() },
                 { "queued", m_queue.queued() }, { "limit", m_queue.limit() },
                 { "service_time_ms", toSeconds(m_queue.serviceTime()) * 1000 },
                 { "pressure_ms", toSeconds(m_loadShedder.pressure(context.route, context.priority, now)) * 1000 },
-                { "held_ms", toSeconds(now - live.submitted) * 1000 }, { "announced_s", toSeconds(now - m_lastContact) } });
+                { "held_ms", toSeconds(now - live.submitted) * 1000 },
+                { "announced_s", toSeconds(now - m_life.lastContact()) } });
     }
     if (std::exchange(live.running, false)) {
         m_queue.recordEnd();
