Keep a leave in force for all runs of that name up to its time

Callers saw: after a restart of a daemon, a backend server that had left got new requests again when its leave arrived before a late announcement of it (DRAIN): 10 of 20 requests in the test.

Cause: a leave before the first announcement was a flag, and the next announcement of any run reset it. A run that had said that it drains could also return to use with a later announcement. Class: state is taken from whoever spoke last.

Change: a leave is kept as a name and a latest start time, and covers a run by these. EndpointIdentity.ALateAnnouncementDoesNotRevokeALeave failed before and passes.

--- a/Source/mesh/EndpointLife.cpp
+++ b/Source/mesh/EndpointLife.cpp
@@ -26,12 +26,13 @@
     const bool older = m_announced && !sameRun && announcement.startedAt <= m_current.startedAt;
     if (older || (sameRun && announcement.sequence <= m_current.sequence))
         return AnnouncementVerdict::Stale;
-    if (!sameRun) {
-        // A run that follows one seen by this process is newer by its start time; only the first announcement can be stale.
+    // A run that follows one seen by this process is newer by its start time; only the first announcement can be stale.
+    if (!sameRun)
         m_verified = m_announced;
-        m_leaveAnnounced = false;
-    }
     m_current = announcement;
+    // A run that has said that it drains does not return to use, whatever it announces later.
+    if (announcement.draining)
+        m_leave = { announcement.instance, announcement.startedAt };
     m_announced = true;
     m_unreachable = false;
     m_lastContact = now;
@@ -42,9 +43,8 @@
 {
     if (m_announced && instance != m_current.instance)
         return;
-    if (!std::exchange(m_leaveAnnounced, true))
-        m_leaveAnnouncedAt = wallClockMs;
-    m_current.instance = instance;
+    if (!m_leave.covers(instance, m_current.startedAt))
+        m_leave = { instance, m_announced && m_current.startedAt ? m_current.startedAt : wallClockMs };
 }
 
 void EndpointLife::setFormerLeave(const EndpointLeave& leave)
@@ -66,7 +66,7 @@
 
 bool EndpointLife::hasLeft() const
 {
-    return m_leaveAnnounced || m_current.draining || m_formerLeave.covers(m_current.instance, m_current.startedAt);
+    return !currentLeave().instance.empty() || m_formerLeave.covers(m_current.instance, m_current.startedAt);
 }
 
 bool EndpointLife::isAvailable(TimePoint now) const
@@ -77,9 +77,7 @@
 
 EndpointLeave EndpointLife::currentLeave() const
 {
-    if (!m_leaveAnnounced && !m_current.draining)
-        return {};
-    return { m_current.instance, m_current.startedAt ? m_current.startedAt : m_leaveAnnouncedAt };
+    return !m_announced || m_leave.covers(m_current.instance, m_current.startedAt) ? m_leave : EndpointLeave {};
 }
 
 } // namespace shallot
--- a/Source/mesh/EndpointLife.h
+++ b/Source/mesh/EndpointLife.h
@@ -57,13 +57,12 @@
     const MeshSettings& m_settings;
     std::string m_service; // Configured
     EndpointAnnouncement m_current;
-    EndpointLeave m_formerLeave;
+    EndpointLeave m_leave;       // Announced to this process
+    EndpointLeave m_formerLeave; // Announced before this process started
     TimePoint m_lastContact {};
-    uint64_t m_leaveAnnouncedAt { 0 }; // Milliseconds since 1970; an upper bound of its start time if no announcement gave it
     bool m_announced { false };
     bool m_verified { false };
     bool m_formerLeaveKnown { false };
-    bool m_leaveAnnounced { false }; // By the current run
     bool m_unreachable { false };
 };
 
--- a/Tests/EndpointIdentityTest.cpp
+++ b/Tests/EndpointIdentityTest.cpp
@@ -15,7 +15,6 @@
     return findHeader(endpoint.requests().back().headers, platform::header::callerService);
 }
 
-// The backend server stays available throughout, so only its service changes.
 TEST(EndpointIdentity, ABackendServerThatIsReplacedByOneOfAnotherServiceServesThatService)
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/alpha" });
@@ -27,7 +26,6 @@
     EXPECT_EQ(callerServiceOf(mesh.endpoint(1)), "beta");
 }
 
-// After a restart the daemon knows no run yet, so a late announcement of an earlier one comes first.
 TEST(EndpointIdentity, ALateAnnouncementAfterARestartDoesNotNameTheCallersService)
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
@@ -42,5 +40,23 @@
     EXPECT_EQ(callerServiceOf(mesh.endpoint(1)), "alpha");
 }
 
+TEST(EndpointIdentity, ALateAnnouncementDoesNotRevokeALeave)
+{
+    SidecarHarness mesh({ "zone-a/alpha", "zone-b/alpha" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    mesh.endpoint(0).setAnnouncing(false);
+    mesh.stop(0);
+    mesh.start(0);
+    ASSERT_TRUE(mesh.runUntil([&] { return mesh.fetch(0, "/read/1").status() == 200; }));
+    mesh.endpoint(0).leave();
+    mesh.runFor(300ms);
+    mesh.endpoint(0).announce();
+    mesh.runFor(300ms);
+    const auto before = mesh.endpoint(0).requests().size();
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(mesh.fetch(i % 2, "/read/2").status(), 200);
+    EXPECT_EQ(mesh.endpoint(0).requests().size(), before);
+}
+
 } // namespace
 } // namespace shallot
