Ignore the late leave of an earlier run of the same name

Callers saw: a backend server that had started again under its former name was out of use until its next start when the leave of the former run arrived late: 503 for its service in the test.

Cause: a leave was matched by name alone; the start time that it may name was not read. Class: state is taken from whoever spoke last.

Change: the start time of a leave is decoded and compared with that of the current run; an outdated leave is logged as leave-stale. EndpointIdentity.ALateLeaveDoesNotRemoveTheNextRunOfTheSameName failed before (503) and passes.

--- a/Source/mesh/EndpointLife.cpp
+++ b/Source/mesh/EndpointLife.cpp
@@ -39,12 +39,16 @@
     return sameRun ? AnnouncementVerdict::Renewed : AnnouncementVerdict::NewRun;
 }
 
-void EndpointLife::recordLeave(const std::string& instance, uint64_t wallClockMs)
+bool EndpointLife::recordLeave(const std::string& instance, uint64_t startedAt, uint64_t wallClockMs)
 {
-    if (m_announced && instance != m_current.instance)
-        return;
+    // A backend server may start again under the name that it had.
+    const bool ofEarlierRun = startedAt && startedAt < m_current.startedAt;
+    if (m_announced && (instance != m_current.instance || ofEarlierRun))
+        return false;
+    const auto knownStart = m_announced && m_current.startedAt ? m_current.startedAt : startedAt;
     if (!m_leave.covers(instance, m_current.startedAt))
-        m_leave = { instance, m_announced && m_current.startedAt ? m_current.startedAt : wallClockMs };
+        m_leave = { instance, knownStart ? knownStart : wallClockMs };
+    return true;
 }
 
 void EndpointLife::setFormerLeave(const EndpointLeave& leave)
--- a/Source/mesh/EndpointLife.h
+++ b/Source/mesh/EndpointLife.h
@@ -26,8 +26,9 @@
     EndpointLife(const MeshSettings&, std::string service);
 
     AnnouncementVerdict recordAnnouncement(const EndpointAnnouncement&, TimePoint now);
-    // `wallClockMs`: milliseconds since 1970; no run that starts later is meant.
-    void recordLeave(const std::string& instance, uint64_t wallClockMs);
+    // Both times are milliseconds since 1970. `startedAt`: of the run that leaves; 0 if it is not known. No run that starts after
+    // `wallClockMs` is meant. Returns whether the leave concerns the current run or one not announced yet.
+    bool recordLeave(const std::string& instance, uint64_t startedAt, uint64_t wallClockMs);
     // The last leave stored before this daemon started. No run is available until it is known: the first announcement after a
     // restart may be from a backend server that has left.
     void setFormerLeave(const EndpointLeave&);
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -73,10 +73,12 @@
     runNext(now);
 }
 
-void EndpointExecutor::recordLeave(const std::string& instance, TimePoint)
+void EndpointExecutor::recordLeave(const std::string& instance, uint64_t startedAt)
 {
-    m_life.recordLeave(instance, wallClockMilliseconds());
-    EventLog::write("instance-leaves", { { "backend_server", instance } });
+    const bool isNews = m_life.recordLeave(instance, startedAt, wallClockMilliseconds());
+    EventLog::write(isNews ? "instance-leaves" : "leave-stale",
+        { { "backend_server", instance }, { "started_at_ms", startedAt }, { "current", m_life.current().instance },
+            { "current_started_at_ms", m_life.current().startedAt } });
     updateAvailability();
 }
 
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -48,7 +48,8 @@
 
     // An announcement from the backend server; stale ones are ignored.
     void recordAnnouncement(const EndpointAnnouncement&, TimePoint now);
-    void recordLeave(const std::string& instance, TimePoint now);
+    // `startedAt`: of the run that leaves, in milliseconds since 1970; 0 if it is not known.
+    void recordLeave(const std::string& instance, uint64_t startedAt);
     // The last leave stored in the member list before this daemon started; the backend server is unavailable until it is known.
     void setFormerLeave(const EndpointLeave&);
     // The leave of the backend server that announced it or is draining; empty if there is none.
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -117,7 +117,7 @@
     recordRateLimit(response, sentAt, now);
     if (!platform::isLeaving(response) || !currentLeave().instance.empty())
         return;
-    recordLeave(m_life.current().instance, now);
+    recordLeave(m_life.current().instance, m_life.current().startedAt);
     if (m_onLeave)
         m_onLeave();
 }
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -154,10 +154,12 @@
         refuse(checked.error());
         return;
     }
-    if (announcement)
+    if (announcement) {
         m_executor.recordAnnouncement(*announcement, now);
-    else
-        m_executor.recordLeave(std::get<platform::LeaveNotice>(*notice).instance, now);
+    } else {
+        const auto& leave = std::get<platform::LeaveNotice>(*notice);
+        m_executor.recordLeave(leave.instance, leave.startedAt);
+    }
     const auto acknowledge = [connection] {
         connection->respond({ 200, { { "Content-Type", "application/json" } }, "{}" }, false, MonotonicClock::now());
     };
--- a/Tests/EndpointIdentityTest.cpp
+++ b/Tests/EndpointIdentityTest.cpp
@@ -58,5 +58,14 @@
     EXPECT_EQ(mesh.endpoint(0).requests().size(), before);
 }
 
+TEST(EndpointIdentity, ALateLeaveDoesNotRemoveTheNextRunOfTheSameName)
+{
+    SidecarHarness mesh({ "zone-a/alpha" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    mesh.endpoint(0).sendLeave(R"({"born":)" + std::to_string(earlierStart) + "}");
+    mesh.runFor(100ms);
+    EXPECT_EQ(mesh.fetch(0, "/read/1").status(), 200);
+}
+
 } // namespace
 } // namespace shallot
