Confirm another run before it replaces a backend server in use

Callers saw: one announcement of another writer, at the right address and of a known service, cut the running order of the real backend server and put it out of use; after a restart of the daemon, one that came first shut the real one out for good, since its start time was later.

Class: state is taken from whoever spoke last.

Change: a run in use is replaced by one that the health endpoint names, by the next run of the same backend server under its name, or by one that announces itself again while the run in use and the health endpoint are silent. The health path is that of the announced service.

--- a/Source/mesh/EndpointLife.cpp
+++ b/Source/mesh/EndpointLife.cpp
@@ -20,23 +20,54 @@
     return m_announced && announcement.instance == m_current.instance && sameStart;
 }
 
-AnnouncementVerdict EndpointLife::recordAnnouncement(const EndpointAnnouncement& announcement, TimePoint now)
+// Verified, not known to have ended and heard of recently.
+bool EndpointLife::isInUse(TimePoint now) const
+{
+    return m_verified && !hasLeft() && !m_unreachable && now - m_lastContact < m_settings.announcementTimeout;
+}
+
+void EndpointLife::adopt(const EndpointAnnouncement& announcement, bool verified, TimePoint now)
 {
-    const bool sameRun = isCurrentRun(announcement);
-    const bool older = m_announced && !sameRun && announcement.startedAt <= m_current.startedAt;
-    if (older || (sameRun && announcement.sequence <= m_current.sequence))
-        return AnnouncementVerdict::Stale;
-    // A run that follows one seen by this process is newer by its start time; only the first announcement can be stale.
-    if (!sameRun)
-        m_verified = m_announced;
     m_current = announcement;
-    // A run that has said that it drains does not return to use, whatever it announces later.
-    if (announcement.draining)
-        m_leave = { announcement.instance, announcement.startedAt };
+    m_candidate.reset();
     m_announced = true;
+    m_verified = verified;
     m_unreachable = false;
     m_lastContact = now;
-    return sameRun ? AnnouncementVerdict::Renewed : AnnouncementVerdict::NewRun;
+    // A run that has said that it drains does not return to use, whatever it announces later.
+    if (announcement.draining)
+        m_leave = { announcement.instance, announcement.startedAt };
+}
+
+// A run in use is replaced only by one that is confirmed: an announcement may be late, or of another writer. Confirmed is a run
+// that the health endpoint names, the next run of the same backend server under its name, and one that announces itself again
+// while the run in use says nothing and the health endpoint does not answer.
+AnnouncementVerdict EndpointLife::recordAnnouncement(const EndpointAnnouncement& announcement, TimePoint now)
+{
+    if (isCurrentRun(announcement)) {
+        if (announcement.sequence <= m_current.sequence)
+            return AnnouncementVerdict::Stale;
+        adopt(announcement, m_verified, now);
+        return AnnouncementVerdict::Renewed;
+    }
+    if (!m_announced) {
+        adopt(announcement, false, now);
+        return AnnouncementVerdict::NewRun;
+    }
+    const bool later = announcement.startedAt > m_current.startedAt;
+    const bool inUse = isInUse(now);
+    if (!later && inUse)
+        return AnnouncementVerdict::Stale;
+    const bool sameEndpoint = announcement.instance == m_current.instance && announcement.service == m_current.service;
+    const bool again = m_candidate && announcement.instance == m_candidate->instance
+        && announcement.startedAt == m_candidate->startedAt && announcement.sequence > m_candidate->sequence;
+    if (later && (again || (m_verified && (sameEndpoint || !inUse)))) {
+        adopt(announcement, true, now);
+        return AnnouncementVerdict::NewRun;
+    }
+    m_candidate = announcement;
+    m_candidateAt = now;
+    return AnnouncementVerdict::Unconfirmed;
 }
 
 bool EndpointLife::recordLeave(const std::string& instance, uint64_t startedAt, uint64_t wallClockMs)
@@ -57,15 +88,27 @@
     m_formerLeaveKnown = true;
 }
 
-void EndpointLife::recordProbe(std::string_view instance, uint32_t slots, TimePoint now)
+bool EndpointLife::recordProbe(std::string_view instance, uint32_t slots, TimePoint sentAt, TimePoint now)
 {
-    if (!m_announced && slots && !instance.empty()) {
+    if (instance.empty())
+        return false;
+    if (m_candidate && instance == m_candidate->instance) {
+        adopt(EndpointAnnouncement(*m_candidate), true, now);
+        return true;
+    }
+    if (!m_announced && slots) {
         m_current.instance = instance;
         m_current.slots = slots;
         m_announced = true;
         m_lastContact = now;
     }
-    m_verified = m_verified || (m_announced && instance == m_current.instance);
+    if (!m_announced || instance != m_current.instance)
+        return false;
+    m_verified = true;
+    // A probe sent earlier may have reached the run before.
+    if (m_candidate && m_candidateAt <= sentAt)
+        m_candidate.reset();
+    return false;
 }
 
 bool EndpointLife::hasLeft() const
--- a/Source/mesh/EndpointLife.h
+++ b/Source/mesh/EndpointLife.h
@@ -13,9 +13,10 @@
 
 // What became of an announcement.
 enum class AnnouncementVerdict : uint8_t {
-    Stale,   // Older than what is known; changes nothing
-    Renewed, // Of the current run
-    NewRun,  // Another run of a backend server is the current one now
+    Stale,       // Older than what is known; changes nothing
+    Renewed,     // Of the current run
+    NewRun,      // Another run of a backend server is the current one now
+    Unconfirmed, // Names another run than the one in use; changes nothing until that run is confirmed
 };
 
 // What this daemon believes of the backend server beside it, and on whose word: which run is at the address, of which service,
@@ -32,8 +33,9 @@
     // The last leave stored before this daemon started. No run is available until it is known: the first announcement after a
     // restart may be from a backend server that has left.
     void setFormerLeave(const EndpointLeave&);
-    // A healthy response of the backend server, which names itself. `slots`: zero if it does not name them.
-    void recordProbe(std::string_view instance, uint32_t slots, TimePoint now);
+    // A healthy response of the backend server, which names itself, to a probe sent at that time. `slots`: zero if it does not
+    // name them. Returns whether it confirmed another run, which is the current one now.
+    bool recordProbe(std::string_view instance, uint32_t slots, TimePoint sentAt, TimePoint now);
     // It responded to a request.
     void recordResponse(TimePoint now) { m_lastContact = now; }
     // It refused a connection, or another run is at the address; unavailable until its next announcement.
@@ -42,6 +44,10 @@
     bool isAnnounced() const { return m_announced; }
     // The first announcement after a start may be stale: a probe confirms it.
     bool isVerified() const { return m_verified; }
+    // Whether a probe could show which run is at the address.
+    bool needsProbe() const { return !m_verified || m_candidate; }
+    // The service whose health endpoint such a probe must call.
+    const std::string& probedService() const { return m_candidate ? m_candidate->service : m_current.service; }
     bool isUnreachable() const { return m_unreachable; }
     bool hasLeft() const;
     bool isAvailable(TimePoint now) const;
@@ -54,10 +60,14 @@
 
 private:
     bool isCurrentRun(const EndpointAnnouncement&) const;
+    bool isInUse(TimePoint now) const;
+    void adopt(const EndpointAnnouncement&, bool verified, TimePoint now);
 
     const MeshSettings& m_settings;
     std::string m_service; // Configured
     EndpointAnnouncement m_current;
+    std::optional<EndpointAnnouncement> m_candidate; // Announced beside the current run and not confirmed yet
+    TimePoint m_candidateAt {};
     EndpointLeave m_leave;       // Announced to this process
     EndpointLeave m_formerLeave; // Announced before this process started
     TimePoint m_lastContact {};
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Announcements:  recordAnnouncement, recordLeave, verifyInstance, onProbe, isAvailable
+//   Announcements:  recordAnnouncement, onNewRun, recordLeave, verifyInstance, onProbe, isAvailable
 //   Admission:      submit, checkAdmission, checkCrashSuspicion, reserveBodyBytes, runNext, findParent, recordPressure
 // The runs at the backend server are in EndpointExecutorRuns.cpp.
 
@@ -17,7 +17,8 @@
 namespace {
 
 constexpr auto inheritedDeadlineTolerance = 3ms; // Deadlines are transmitted in whole milliseconds
-constexpr auto probeTimeout = 1s;                // Of the health probe after a start, which usually takes a few milliseconds
+constexpr auto probeTimeout = 1s;                // Of a health probe, which usually takes a few milliseconds
+constexpr auto probeInterval = 250ms;            // Until a probe that came too early for an announcement is repeated
 
 uint64_t wallClockMilliseconds()
 {
@@ -50,29 +51,44 @@
     const auto former = m_life.current().instance;
     const bool mayHaveCrashed = m_life.isAnnounced() && currentLeave().instance.empty();
     const auto verdict = m_life.recordAnnouncement(announcement, now);
-    if (verdict == AnnouncementVerdict::Stale) {
-        EventLog::write(
-            "announcement-stale", { { "backend_server", announcement.instance }, { "sequence", announcement.sequence } });
+    switch (verdict) {
+    case AnnouncementVerdict::Stale:
+        EventLog::write("announcement-stale",
+            { { "backend_server", announcement.instance }, { "sequence", announcement.sequence }, { "current", former } });
         return;
+    case AnnouncementVerdict::Unconfirmed:
+        EventLog::write("announcement-unconfirmed",
+            { { "backend_server", announcement.instance }, { "service", announcement.service }, { "current", former } });
+        verifyInstance();
+        return;
+    case AnnouncementVerdict::NewRun:
+        onNewRun(former, mayHaveCrashed, now);
+        break;
+    case AnnouncementVerdict::Renewed:
+        m_queue.setSlots(announcement.slots);
+        break;
     }
-    m_queue.setSlots(announcement.slots);
-    if (verdict == AnnouncementVerdict::NewRun) {
-        m_rateLimit.reset();
-        m_queue.setRateLimit({}, now);
-        EventLog::write("instance-new",
-            { { "backend_server", announcement.instance }, { "service", announcement.service },
-                { "slots", announcement.slots } });
-        // Each run that ends here makes room for a queued call, which must be checked against the new backend server.
-        m_pool.reset();
-        if (mayHaveCrashed)
-            recordCrash(former, "replaced");
-    }
-    if (!m_life.isVerified())
+    if (m_life.needsProbe())
         verifyInstance();
     updateAvailability();
     runNext(now);
 }
 
+void EndpointExecutor::onNewRun(const std::string& former, bool mayHaveCrashed, TimePoint now)
+{
+    const auto& current = m_life.current();
+    m_queue.setSlots(current.slots);
+    m_rateLimit.reset();
+    m_queue.setRateLimit({}, now);
+    EventLog::write("instance-new",
+        { { "backend_server", current.instance }, { "service", current.service }, { "slots", current.slots },
+            { "replaces", former } });
+    // Each run that ends here makes room for a queued call, which must be checked against the new backend server.
+    m_pool.reset();
+    if (mayHaveCrashed)
+        recordCrash(former, "replaced");
+}
+
 void EndpointExecutor::recordLeave(const std::string& instance, uint64_t startedAt)
 {
     const bool isNews = m_life.recordLeave(instance, startedAt, wallClockMilliseconds());
@@ -88,18 +104,19 @@
     updateAvailability();
 }
 
-void EndpointExecutor::setHealthPath(const std::string& path, TimePoint)
+void EndpointExecutor::setHealthPaths(std::map<std::string, std::string> paths)
 {
-    m_healthPath = path;
-    if (!m_life.isVerified())
+    m_healthPaths = std::move(paths);
+    if (m_life.needsProbe())
         verifyInstance();
 }
 
-// Needed only after this daemon starts. The backend server may have been running for long: its next announcement can be seconds
-// away, and the first one received may be stale.
+// Asks the backend server for its name: after a start of this daemon, since the backend server may have been running for long and
+// the first announcement received may be stale, and when another run is announced beside the one in use.
 void EndpointExecutor::verifyInstance()
 {
-    if (m_probing || m_healthPath.empty())
+    const auto path = m_healthPaths.find(m_life.probedService());
+    if (m_probing || path == m_healthPaths.end())
         return;
     m_probing = true;
     m_probeSentAt = MonotonicClock::now();
@@ -108,28 +125,35 @@
         m_probePool.abandon(m_probeID);
         onProbe(fail(ErrorKind::TimedOut, "no answer"));
     });
-    m_probePool.send(m_probeID, { "GET", m_healthPath, { { "Host", m_host } }, {} },
+    m_probePool.send(m_probeID, { "GET", path->second, { { "Host", m_host } }, {} },
         [this](const Result<HTTPResponse>& response) { onProbe(response); });
 }
 
 void EndpointExecutor::onProbe(const Result<HTTPResponse>& response)
 {
+    const auto now = MonotonicClock::now();
     m_probing = false;
     m_probeTimer.stop();
     const bool healthy = response && response->status == 200;
     const std::string instance(healthy ? platform::instanceOf(*response) : "");
     const auto load = healthy ? platform::loadOf(*response) : std::nullopt;
+    const auto former = m_life.current().instance;
     const bool wasAnnounced = m_life.isAnnounced();
-    if (healthy)
-        m_life.recordProbe(instance, load ? load->slots : 0, MonotonicClock::now());
-    if (!wasAnnounced && m_life.isAnnounced())
+    const bool mayHaveCrashed = wasAnnounced && currentLeave().instance.empty();
+    if (m_life.recordProbe(instance, load ? load->slots : 0, m_probeSentAt, now))
+        onNewRun(former, mayHaveCrashed, now);
+    else if (!wasAnnounced && m_life.isAnnounced())
         m_queue.setSlots(m_life.current().slots);
     if (healthy && instance == m_life.current().instance)
-        recordStateHeaders(*response, m_probeSentAt, MonotonicClock::now());
+        recordStateHeaders(*response, m_probeSentAt, now);
     EventLog::write("instance-probed",
         { { "backend_server", instance }, { "verified", m_life.isVerified() },
             { "reason", response ? std::to_string(response->status) : response.error().detail } });
     updateAvailability();
+    runNext(now);
+    // The candidate announced itself after this probe was sent.
+    if (healthy && m_life.isVerified() && m_life.needsProbe())
+        m_probeTimer.startOnce(probeInterval, [this] { verifyInstance(); });
 }
 
 bool EndpointExecutor::isAvailable(TimePoint now) const
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -10,6 +10,7 @@
 #include "net/HTTPPool.h"
 #include "net/Timer.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -54,8 +55,8 @@
     void setFormerLeave(const EndpointLeave&);
     // The leave of the backend server that announced it or is draining; empty if there is none.
     EndpointLeave currentLeave() const { return m_life.currentLeave(); }
-    // Path of the health endpoint. The first probe also substitutes for announcements not received yet.
-    void setHealthPath(const std::string&, TimePoint now);
+    // Paths of the health endpoints by service. The first probe also substitutes for announcements not received yet.
+    void setHealthPaths(std::map<std::string, std::string>);
     // Refuses new calls; those queued or running continue.
     void startLeaving();
     // Detects a backend server that has been silent for too long.
@@ -113,6 +114,7 @@
     void recordRateLimit(const HTTPResponse&, TimePoint sentAt, TimePoint now);
     void recordCrash(const std::string& instance, const char* evidence);
     void refuse(LiveRun&, ErrorKind, TimePoint now);
+    void onNewRun(const std::string& former, bool mayHaveCrashed, TimePoint now);
     void verifyInstance();
     void onProbe(const Result<HTTPResponse>&);
     bool updateAvailability(); // Returns whether it or the service changed
@@ -129,8 +131,8 @@
     std::unordered_map<uint64_t, RefPtr<LiveRun>> m_calls;
     std::unordered_map<std::string, uint64_t> m_running; // By attempt, while at the backend server
     DeadlineQueue m_deadlines;
-    std::vector<UnansweredRun> m_unanswered; // Since the backend server last showed that it was running
-    std::string m_healthPath;
+    std::vector<UnansweredRun> m_unanswered;          // Since the backend server last showed that it was running
+    std::map<std::string, std::string> m_healthPaths; // By service
     std::optional<double> m_rateLimit;
     TimePoint m_rateLimitNamedAt {}; // In the last response that named one
     size_t m_isolatedCalls { 0 };    // Queued or running
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -307,8 +307,10 @@
 {
     const auto& configuration = m_view.routes()->configuration();
     m_ingress.applyLimits(configuration.limits);
-    if (const auto* service = m_view.routes()->findService(m_own.service))
-        m_executor.setHealthPath(service->healthPath, MonotonicClock::now());
+    std::map<std::string, std::string> healthPaths;
+    for (const auto& service : configuration.services)
+        healthPaths[service.name] = service.healthPath;
+    m_executor.setHealthPaths(std::move(healthPaths));
 }
 
 // Time
--- a/Tests/EndpointIdentityTest.cpp
+++ b/Tests/EndpointIdentityTest.cpp
@@ -8,13 +8,15 @@
 namespace shallot {
 namespace {
 
-constexpr uint64_t earlierStart = 1; // Before that of each stand-in
+constexpr uint64_t laterStart = 900'000; // After that of each stand-in
+constexpr uint64_t earlierStart = 1;     // Before that of each stand-in
 
 std::string_view callerServiceOf(EndpointStandin& endpoint)
 {
     return findHeader(endpoint.requests().back().headers, platform::header::callerService);
 }
 
+// The backend server stays available throughout, so only its service changes.
 TEST(EndpointIdentity, ABackendServerThatIsReplacedByOneOfAnotherServiceServesThatService)
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/alpha" });
@@ -26,6 +28,7 @@
     EXPECT_EQ(callerServiceOf(mesh.endpoint(1)), "beta");
 }
 
+// After a restart the daemon knows no run yet, so a late announcement of an earlier one comes first.
 TEST(EndpointIdentity, ALateAnnouncementAfterARestartDoesNotNameTheCallersService)
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
@@ -40,6 +43,46 @@
     EXPECT_EQ(callerServiceOf(mesh.endpoint(1)), "alpha");
 }
 
+// A foreign run that was announced first must not shut out the one that really runs there, whose start is earlier.
+TEST(EndpointIdentity, TheRunningBackendServerIsUsedThoughAnotherOneWasAnnouncedFirst)
+{
+    SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    mesh.endpoint(0).setAnnouncing(false);
+    mesh.stop(0);
+    mesh.start(0);
+    ASSERT_TRUE(mesh.runUntil([&] { return mesh.fetch(0, "/inner/1", "").status() == 200; }));
+    mesh.endpoint(0).sendAnnouncement("foreign", mesh.endpoint(0).announcementOf("beta", laterStart));
+    mesh.runFor(200ms);
+    mesh.endpoint(0).setAnnouncing(true);
+    EXPECT_TRUE(mesh.runUntil([&] { return mesh.fetch(1, "/read/1").status() == 200; }));
+}
+
+TEST(EndpointIdentity, AnAnnouncementOfAnotherRunDoesNotReplaceARunningBackendServer)
+{
+    SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    std::vector<RefPtr<StrictHTTPConnection>> open;
+    mesh.endpoint(0).setScript([&open](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+        if (request.target == "/order/running")
+            open.push_back(connection);
+        else
+            EndpointStandin::respond(*connection, request);
+    });
+    const auto running = mesh.send(1, { "POST", "/order/running", {}, "tiles" });
+    ASSERT_TRUE(mesh.runUntil([&] { return !open.empty(); }));
+    for (const auto* service : { "alpha", "beta" }) {
+        mesh.endpoint(0).sendAnnouncement("foreign", mesh.endpoint(0).announcementOf(service, laterStart));
+        mesh.runFor(300ms);
+        EXPECT_EQ(mesh.fetch(1, "/read/1").status(), 200);
+        EXPECT_EQ(mesh.fetch(0, "/inner/1", "").status(), 200);
+        EXPECT_EQ(callerServiceOf(mesh.endpoint(1)), "alpha");
+    }
+    EXPECT_FALSE(running->done);
+    EXPECT_EQ(mesh.endpoint(0).disconnectCount(), 0U);
+}
+
+// The leave comes before the first announcement after a restart of the daemon, and an earlier announcement after it.
 TEST(EndpointIdentity, ALateAnnouncementDoesNotRevokeALeave)
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/alpha" });
@@ -58,6 +101,7 @@
     EXPECT_EQ(mesh.endpoint(0).requests().size(), before);
 }
 
+// A leave of the former run, which had the same name, arrives after the next run has announced itself.
 TEST(EndpointIdentity, ALateLeaveDoesNotRemoveTheNextRunOfTheSameName)
 {
     SidecarHarness mesh({ "zone-a/alpha" });
