--- a/Tests/PlatformCodecTest.cpp
+++ b/Tests/PlatformCodecTest.cpp
@@ -135,6 +135,36 @@
     EXPECT_EQ(classifyResponse({ 421, {}, {} }), ResponseClass::WrongInstance);
 }
 
+// Announcements of other writers, each with one field missing or of another type.
+TEST(PlatformAnnouncements, WithAMissingOrMalformedFieldNameNoBackendServer)
+{
+    const std::string valid = R"({"service":"s","addr":"10.0.0.1:4","zone":"z","version":"v1","slots":4,"state":"ready",)"
+                              R"("cold_left_s":0.5,"born":1000,"seq":3})";
+    const auto decodes = [](const std::string& body) {
+        return decodeNotice({ "POST", std::string(path::announce) + "i-1", {}, body }).has_value();
+    };
+    ASSERT_TRUE(decodes(valid));
+    const std::pair<std::string, std::vector<std::string>> fields[] = {
+        { R"("service":"s")", { "7", R"("")", "null" } },
+        { R"("addr":"10.0.0.1:4")", { "4", R"("host:4")", "[]" } },
+        { R"("zone":"z")", { "1", R"("")", "null" } },
+        { R"("version":"v1")", { "1", "{}", "null" } },
+        { R"("slots":4)", { R"("4")", "0", "-1", "4.5", "null" } },
+        { R"("state":"ready")", { R"("odd")", "1", "null" } },
+        { R"("cold_left_s":0.5)", { R"("0.5")", "-1", "1e300", "null", "false" } },
+        { R"("born":1000)", { R"("1000")", "-1", "0.5", "null" } },
+        { R"("seq":3)", { R"("3")", "-1", "1.5", "null" } },
+    };
+    for (const auto& [field, values] : fields) {
+        const auto at = valid.find(field);
+        const auto name = field.substr(0, field.find(':') + 1);
+        for (const auto& value : values)
+            EXPECT_FALSE(decodes(std::string(valid).replace(at, field.size(), name + value))) << name << value;
+        const bool mayBeMissing = name == R"("born":)";
+        EXPECT_EQ(decodes(std::string(valid).replace(at, field.size(), R"("other":1)")), mayBeMissing) << name;
+    }
+}
+
 TEST(PlatformMembers, RoundTripAndInvalidRecordsAreRejected)
 {
     const MeshMember member { "m", "z", "10.0.0.1:7000", "s" };
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -204,8 +204,7 @@
         EXPECT_EQ(mesh.endpoint(0).requests().size(), before);
         // A later run under the same name is another one.
         mesh.store().setMode(StoreStandin::Mode::Serving);
-        mesh.endpoint(0).sendAnnouncement(R"({"service":"alpha","addr":")" + mesh.backendServerAddress(0).toString()
-            + R"(","zone":"z","slots":4,"state":"ready","seq":1,"born":2000})");
+        mesh.endpoint(0).sendAnnouncement(mesh.endpoint(0).announcementOf("alpha", 2000));
         EXPECT_TRUE(mesh.runUntil([&] {
             mesh.fetch(0, "/read/1");
             return mesh.endpoint(0).requests().size() > before;
@@ -226,7 +225,7 @@
     EXPECT_EQ(mesh.fetch(0, "/read/1").status(), 200);
     // A late announcement of an earlier run.
     mesh.endpoint(0).sendAnnouncement(R"({"service":"beta","addr":")" + mesh.backendServerAddress(0).toString()
-        + R"(","zone":"z","slots":4,"state":"draining","seq":999999,"born":999})");
+        + R"(","zone":"z","version":"v1","slots":4,"state":"draining","cold_left_s":0,"seq":999999,"born":999})");
     mesh.runFor(50ms);
     EXPECT_EQ(mesh.fetch(0, "/read/1").status(), 200);
 }
