A member's state counts only from that member

Callers saw: nothing yet; in the test one frame of another member changed a member's address and service, and its requests got 503.

Cause: state frames name the member that they are of, and any authenticated peer was believed for any name. Class: state is taken from whoever spoke last.

Change: a state that is not the sender's own is logged and ignored. PeerIdentity.AMemberCannotSpeakForAnotherOne failed before (503) and passes.

--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/MeshLinks.h"
 
+#include "core/EventLog.h"
 #include "wire/Frames_generated.h"
 
 #include <algorithm>
@@ -119,6 +120,11 @@
         return;
     }
     for (const auto& state : gossip->members) {
+        // A member speaks for itself only; what others say of it comes with the member list.
+        if (state->member != link.peer()) {
+            EventLog::write("member-state-foreign", { { "member", state->member }, { "from", link.peer() } });
+            continue;
+        }
         EndpointReport report;
         report.available = state->state == static_cast<uint8_t>(State::Available);
         report.leaving = state->state == static_cast<uint8_t>(State::Leaving);
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -87,8 +87,13 @@
 
 void EndpointStandin::sendAnnouncement(const std::string& instance, const std::string& body)
 {
-    m_control.send(m_nextID++, { "POST", std::string(platform::path::announce) + instance, { { "Host", "control" } }, body },
-        [](const Result<HTTPResponse>&) {});
+    sendNotice(std::string(platform::path::announce) + instance, body);
+}
+
+void EndpointStandin::sendNotice(std::string target, const std::string& body)
+{
+    m_control.send(m_nextID++, { "POST", std::move(target), { { "Host", "control" } }, body },
+        [this](const Result<HTTPResponse>& response) { m_lastNoticeStatus = response ? response->status : 0; });
 }
 
 void EndpointStandin::setAnnouncing(bool announcing)
@@ -116,8 +121,7 @@
 
 void EndpointStandin::sendLeave(const std::string& body)
 {
-    m_control.send(m_nextID++, { "POST", std::string(platform::path::leave) + m_instance, { { "Host", "control" } }, body },
-        [](const Result<HTTPResponse>&) {});
+    sendNotice(std::string(platform::path::leave) + m_instance, body);
 }
 
 void EndpointStandin::respond(
@@ -200,6 +204,11 @@
     return instance;
 }
 
+SocketAddress SidecarHarness::peersAddress(size_t daemon) const
+{
+    return address(daemon, peerPort);
+}
+
 void SidecarHarness::writeConfiguration(uint64_t version, const std::string& keys, double rate)
 {
     const auto route = [](const char* prefix, const char* service, const char* kind, bool open) {
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -31,6 +31,8 @@
     // The next run at this address, of any service, starts without an end of the former one that anyone noticed.
     void replaceBy(const std::string& service);
     void leave();
+    // Status of the last response to an announcement or a leave; 0: none yet.
+    uint16_t lastNoticeStatus() const { return m_lastNoticeStatus; }
     // Sends a leave with any body.
     void sendLeave(const std::string& body);
     // Closes all connections without a response and the address; a new instance announces itself after that time.
@@ -50,6 +52,7 @@
 
 private:
     void start();
+    void sendNotice(std::string target, const std::string& body);
     std::string bodyOf(const std::string& service, const std::string& state, uint64_t startedAt, uint64_t sequence) const;
 
     SocketAddress m_address;
@@ -63,6 +66,7 @@
     uint64_t m_startedAt { 1000 };
     std::vector<HTTPRequest> m_requests; // Without health probes
     uint64_t m_sequence { 0 };
+    uint16_t m_lastNoticeStatus { 0 };
     uint64_t m_nextID { 1 };
     size_t m_disconnects { 0 };
     bool m_draining { false };
@@ -105,6 +109,7 @@
     size_t executionCount(std::string_view target) const;
     SocketAddress callersAddress(size_t daemon) const;
     SocketAddress backendServerAddress(size_t daemon) const;
+    SocketAddress peersAddress(size_t daemon) const;
 
     MeshSettings settings;
 
