Grant nothing to an organisation that a ledger's owner does not know

Cause: a rate of zero stood for "unknown" as well as for "no limit". Class: state is taken from whoever spoke last.

Change: an unknown plan is a value of its own. The owner grants nothing and says so in its answer; the requester uses its local share meanwhile, and the tokens spent there are debited once the plan is known. A daemon of the former version reads the new answer as a refusal.

--- a/Source/mesh/RateLedger.cpp
+++ b/Source/mesh/RateLedger.cpp
@@ -50,6 +50,7 @@
     if (!isIdle(now))
         return;
     m_buckets.clear();
+    m_spentUnknown.clear();
     m_contacts.clear();
     m_activeSince = now;
 }
@@ -99,9 +100,17 @@
     auto& bucket = m_buckets[organisation].tokens;
     adapt(bucket, plan, share, m_settings.shareLease, m_activeSince, now);
     bucket.tokens = std::min(bucket.burst, bucket.tokens + settlement.unused);
+    const auto spentUnknown = m_spentUnknown.extract(organisation);
+    const auto spent = settlement.spentLocally + (spentUnknown ? spentUnknown.mapped() : 0);
     // Without contact for longer than the lease, a member's share was not granted from here, so the debt is bounded.
     const double largestDebt = -bucket.rate * toSeconds(m_settings.shareLease);
-    bucket.tokens = std::max(bucket.tokens - settlement.spentLocally, std::min(bucket.tokens, largestDebt));
+    bucket.tokens = std::max(bucket.tokens - spent, std::min(bucket.tokens, largestDebt));
+}
+
+void RateLedger::settleUnknown(const std::string& organisation, const RateSettlement& settlement)
+{
+    if (settlement.spentLocally)
+        m_spentUnknown[organisation] += settlement.spentLocally;
 }
 
 std::map<std::string, double> RateLedger::handOver(TimePoint now)
@@ -113,6 +122,7 @@
         tokens[organisation] = bucket.tokens.tokens;
     }
     m_buckets.clear();
+    m_spentUnknown.clear();
     m_contacts.clear();
     m_lastContact = {};
     return tokens;
@@ -138,14 +148,16 @@
 }
 
 RateGrant LocalRateShares::grant(
-    const std::string& organisation, unsigned wanted, const RatePlan& plan, size_t members, TimePoint now)
+    const std::string& organisation, unsigned wanted, const RatePlan& plan, size_t members, TimePoint now, TimePoint heldSince)
 {
     if (plan.rate <= 0)
         return { wanted, {} };
     auto& bucket = m_buckets[organisation];
     const double share = 1 / static_cast<double>(std::max<size_t>(1, members));
-    const bool wasIdle = now - bucket.updated > m_settings.ledgerIdleTimeout;
-    adapt(bucket, plan, share, m_settings.shareLease, wasIdle ? now : TimePoint {}, now);
+    // A ledger may have granted from the share since its last use.
+    if (heldSince == TimePoint() && now - bucket.updated > m_settings.ledgerIdleTimeout)
+        heldSince = now;
+    adapt(bucket, plan, share, m_settings.shareLease, heldSince, now);
     const auto taken = takeTokens(bucket, wanted);
     return { taken, taken == wanted ? Duration::zero() : fromSeconds((1 - bucket.tokens) / bucket.rate) };
 }
--- a/Source/mesh/RateLedger.h
+++ b/Source/mesh/RateLedger.h
@@ -31,6 +31,8 @@
     // Adds unused tokens back, up to the burst, and debits the tokens that a member spent from its local share while this ledger
     // granted from that share, too.
     void settle(const std::string& organisation, const RateSettlement&, const RatePlan&, size_t members, TimePoint now);
+    // The same for an organisation whose plan this member does not know yet: the tokens spent are debited once it is known.
+    void settleUnknown(const std::string& organisation, const RateSettlement&);
 
     // Ends this ledger and returns its tokens by organisation, for the next owner; none if the members use another ledger now.
     // Grants nothing until a member contacts it again.
@@ -60,9 +62,10 @@
     const MeshSettings& m_settings;
     std::map<std::string, Contact> m_contacts; // By member
     TimePoint m_lastContact {};
-    TimePoint m_activeSince {};              // Contacted without a gap of ledgerIdleTimeout since
-    TimePoint m_handoverAt {};               // Tokens were received from the previous owner, which grants no more
-    std::map<std::string, Bucket> m_buckets; // By organisation
+    TimePoint m_activeSince {};                     // Contacted without a gap of ledgerIdleTimeout since
+    TimePoint m_handoverAt {};                      // Tokens were received from the previous owner, which grants no more
+    std::map<std::string, Bucket> m_buckets;        // By organisation
+    std::map<std::string, unsigned> m_spentUnknown; // See settleUnknown(); by organisation
 };
 
 // This member's own shares of the rates, used while no ledger responds.
@@ -73,7 +76,9 @@
     {
     }
 
-    RateGrant grant(const std::string& organisation, unsigned wanted, const RatePlan&, size_t members, TimePoint now);
+    // `heldSince`: since when no ledger has granted from this share; zero if that is not known.
+    RateGrant grant(const std::string& organisation, unsigned wanted, const RatePlan&, size_t members, TimePoint now,
+        TimePoint heldSince = {});
 
 private:
     const MeshSettings& m_settings;
--- a/Source/sidecar/DistributedRateLimiter.cpp
+++ b/Source/sidecar/DistributedRateLimiter.cpp
@@ -69,15 +69,15 @@
     return stableHash(organisation) % m_settings.ledgerCount;
 }
 
-RatePlan DistributedRateLimiter::findPlan(const std::string& organisation)
+std::optional<RatePlan> DistributedRateLimiter::findPlan(const std::string& organisation) const
 {
     if (!m_view.routes())
-        return {};
+        return std::nullopt;
     for (const auto& item : m_view.routes()->configuration().organisations) {
         if (item.name == organisation)
-            return { item.rate, item.burst };
+            return RatePlan { item.rate, item.burst };
     }
-    return {};
+    return std::nullopt;
 }
 
 void DistributedRateLimiter::request(const MeshOrganisation& organisation, TimePoint now, Completion completion)
@@ -102,7 +102,9 @@
     const auto number = ledgerNumber(organisation);
     const auto* ledger = m_view.endpoints().ledgerOwner(number);
     if (!ledger) {
-        const auto grant = m_localShares.grant(organisation, wanted, state.plan, m_view.endpoints().countShareHolders(now), now);
+        state.unknownSince = {};
+        const auto grant = m_localShares.grant(
+            organisation, wanted, state.plan, m_view.endpoints().countShareHolders(now), now, state.unknownSince);
         complete(organisation, state, state.account.applyLocalGrant(grant), now);
         return;
     }
@@ -148,15 +150,24 @@
 void DistributedRateLimiter::onTimeout(const std::string& organisation)
 {
     auto& state = m_states.at(organisation);
+    state.unknownSince = {};
     const auto now = MonotonicClock::now();
     if (++state.timeouts >= m_settings.maximumLedgerTimeouts) {
         state.timeouts = 0;
         const auto firstRequestedAt = now - m_settings.maximumLedgerTimeouts * m_settings.ledgerRequestTimeout;
         m_view.endpoints().recordUnreachable(state.ledger, firstRequestedAt, now);
     }
+    completeFromLocalShare(organisation, state, "ledger-silent", now);
+}
+
+// The ledger's owner gave no answer that decides the open token request.
+void DistributedRateLimiter::completeFromLocalShare(
+    const std::string& organisation, OrganisationState& state, const char* event, TimePoint now)
+{
     const auto wanted = state.account.requestedTokens();
-    const auto grant = m_localShares.grant(organisation, wanted, state.plan, m_view.endpoints().countShareHolders(now), now);
-    EventLog::write("ledger-silent",
+    const auto grant = m_localShares.grant(
+        organisation, wanted, state.plan, m_view.endpoints().countShareHolders(now), now, state.unknownSince);
+    EventLog::write(event,
         { { "organisation", organisation }, { "ledger", state.ledger }, { "waiting", wanted }, { "granted", grant.tokens } });
     complete(organisation, state, state.account.applyLocalGrantOnTimeout(grant), now);
 }
@@ -259,17 +270,8 @@
         }
         auto& ledger = m_ledgers[ledgerNumber(request->organisation)];
         ledger.recordContact(link.peer(), readMovedAgo(*request), now);
-        const auto plan = findPlan(request->organisation);
-        const auto holders = m_view.endpoints().countShareHolders(now);
-        ledger.settle(request->organisation, readSettlement(*request), plan, holders, now);
-        if (!request->waiting)
-            continue;
-        const auto grant = ledger.grant(request->organisation, request->waiting, plan, holders, now);
-        auto loan = std::make_unique<wire::LoanT>();
-        loan->organisation = request->organisation;
-        loan->tokens = grant.tokens;
-        loan->retry_after_us = static_cast<uint64_t>(grant.retryAfter.count());
-        loans.loans.push_back(std::move(loan));
+        if (auto loan = answerRequest(ledger, *request, now))
+            loans.loans.push_back(std::move(loan));
     }
     if (loans.loans.empty())
         return;
@@ -278,6 +280,29 @@
     link.send(frame);
 }
 
+// Null if the request asks for no tokens.
+std::unique_ptr<wire::LoanT> DistributedRateLimiter::answerRequest(
+    RateLedger& ledger, const wire::LoanRequestT& request, TimePoint now)
+{
+    const auto plan = findPlan(request.organisation);
+    const auto holders = m_view.endpoints().countShareHolders(now);
+    auto loan = std::make_unique<wire::LoanT>();
+    loan->organisation = request.organisation;
+    loan->plan_unknown = !plan;
+    if (!plan) {
+        EventLog::write("plan-unknown", { { "organisation", request.organisation }, { "waiting", request.waiting } });
+        ledger.settleUnknown(request.organisation, readSettlement(request));
+        return request.waiting ? std::move(loan) : nullptr;
+    }
+    ledger.settle(request.organisation, readSettlement(request), *plan, holders, now);
+    if (!request.waiting)
+        return nullptr;
+    const auto granted = ledger.grant(request.organisation, request.waiting, *plan, holders, now);
+    loan->tokens = granted.tokens;
+    loan->retry_after_us = static_cast<uint64_t>(granted.retryAfter.count());
+    return loan;
+}
+
 void DistributedRateLimiter::onGrants(const wire::LoansT& loans, TimePoint now)
 {
     for (const auto& loan : loans.loans) {
@@ -290,9 +315,17 @@
         const auto found = m_states.find(loan->organisation);
         if (found == m_states.end())
             continue;
+        auto& state = found->second;
+        if (loan->plan_unknown) {
+            if (state.unknownSince == TimePoint())
+                state.unknownSince = now;
+            if (state.account.openSequence() == loans.sequence)
+                completeFromLocalShare(found->first, state, "ledger-without-plan", now);
+            continue;
+        }
+        state.unknownSince = {};
         const RateGrant grant { static_cast<unsigned>(std::max(0.0, loan->tokens)),
             Duration(static_cast<int64_t>(loan->retry_after_us)) };
-        auto& state = found->second;
         if (state.account.openSequence() == loans.sequence)
             state.timeouts = 0;
         else
--- a/Source/sidecar/DistributedRateLimiter.h
+++ b/Source/sidecar/DistributedRateLimiter.h
@@ -7,6 +7,8 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -14,7 +16,9 @@
 namespace shallot {
 
 namespace wire {
+struct LoanRequestT;
 struct LoanRequestsT;
+struct LoanT;
 struct LoansT;
 } // namespace wire
 
@@ -53,8 +57,9 @@
         }
 
         RateAccount account;
-        std::string ledger;      // Owner that the open token request was sent to
-        unsigned timeouts { 0 }; // Consecutive
+        std::string ledger;        // Owner that the open token request was sent to
+        unsigned timeouts { 0 };   // Consecutive
+        TimePoint unknownSince {}; // Each answer of the ledger's owner since then said that it does not know the plan
         RatePlan plan;
         Timer timeout;
     };
@@ -62,11 +67,14 @@
     using Heartbeats = std::map<const RemoteEndpoint*, wire::LoanRequestsT>; // By ledger owner
 
     size_t ledgerNumber(const std::string& organisation) const;
-    RatePlan findPlan(const std::string& organisation);
+    // Empty if the configuration of this member does not have the organisation; a plan without a limit is another thing.
+    std::optional<RatePlan> findPlan(const std::string& organisation) const;
     void requestTokens(const std::string& organisation, OrganisationState&, TimePoint now);
     void complete(const std::string& organisation, OrganisationState&, const RateAccount::Decisions&, TimePoint now);
     void settleAccount(const std::string& organisation, OrganisationState&, Heartbeats&, TimePoint now);
     void onTimeout(const std::string& organisation);
+    void completeFromLocalShare(const std::string& organisation, OrganisationState&, const char* event, TimePoint now);
+    std::unique_ptr<wire::LoanT> answerRequest(RateLedger&, const wire::LoanRequestT&, TimePoint now);
 
     const MeshSettings& m_settings;
     MeshView& m_view;
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -2603,6 +2603,7 @@
   double burst = 0.0;
   double tokens = 0.0;
   uint64_t retry_after_us = 0;
+  bool plan_unknown = false;
 };
 
 struct Loan FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2616,7 +2617,8 @@
     VT_RATE = 10,
     VT_BURST = 12,
     VT_TOKENS = 14,
-    VT_RETRY_AFTER_US = 16
+    VT_RETRY_AFTER_US = 16,
+    VT_PLAN_UNKNOWN = 18
   };
   const flatbuffers::String *organisation() const {
     return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
@@ -2639,6 +2641,9 @@
   uint64_t retry_after_us() const {
     return GetField<uint64_t>(VT_RETRY_AFTER_US, 0);
   }
+  bool plan_unknown() const {
+    return GetField<uint8_t>(VT_PLAN_UNKNOWN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ORGANISATION) &&
@@ -2649,6 +2654,7 @@
            VerifyField<double>(verifier, VT_BURST, 8) &&
            VerifyField<double>(verifier, VT_TOKENS, 8) &&
            VerifyField<uint64_t>(verifier, VT_RETRY_AFTER_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PLAN_UNKNOWN, 1) &&
            verifier.EndTable();
   }
   LoanT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2681,6 +2687,9 @@
   void add_retry_after_us(uint64_t retry_after_us) {
     fbb_.AddElement<uint64_t>(Loan::VT_RETRY_AFTER_US, retry_after_us, 0);
   }
+  void add_plan_unknown(bool plan_unknown) {
+    fbb_.AddElement<uint8_t>(Loan::VT_PLAN_UNKNOWN, static_cast<uint8_t>(plan_unknown), 0);
+  }
   explicit LoanBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2701,7 +2710,8 @@
     double rate = 0.0,
     double burst = 0.0,
     double tokens = 0.0,
-    uint64_t retry_after_us = 0) {
+    uint64_t retry_after_us = 0,
+    bool plan_unknown = false) {
   LoanBuilder builder_(_fbb);
   builder_.add_retry_after_us(retry_after_us);
   builder_.add_tokens(tokens);
@@ -2710,6 +2720,7 @@
   builder_.add_epoch(epoch);
   builder_.add_id(id);
   builder_.add_organisation(organisation);
+  builder_.add_plan_unknown(plan_unknown);
   return builder_.Finish();
 }
 
@@ -2726,7 +2737,8 @@
     double rate = 0.0,
     double burst = 0.0,
     double tokens = 0.0,
-    uint64_t retry_after_us = 0) {
+    uint64_t retry_after_us = 0,
+    bool plan_unknown = false) {
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   return shallot::wire::CreateLoan(
       _fbb,
@@ -2736,7 +2748,8 @@
       rate,
       burst,
       tokens,
-      retry_after_us);
+      retry_after_us,
+      plan_unknown);
 }
 
 flatbuffers::Offset<Loan> CreateLoan(flatbuffers::FlatBufferBuilder &_fbb, const LoanT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4174,6 +4187,7 @@
   { auto _e = burst(); _o->burst = _e; }
   { auto _e = tokens(); _o->tokens = _e; }
   { auto _e = retry_after_us(); _o->retry_after_us = _e; }
+  { auto _e = plan_unknown(); _o->plan_unknown = _e; }
 }
 
 inline flatbuffers::Offset<Loan> Loan::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoanT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4191,6 +4205,7 @@
   auto _burst = _o->burst;
   auto _tokens = _o->tokens;
   auto _retry_after_us = _o->retry_after_us;
+  auto _plan_unknown = _o->plan_unknown;
   return shallot::wire::CreateLoan(
       _fbb,
       _organisation,
@@ -4199,7 +4214,8 @@
       _rate,
       _burst,
       _tokens,
-      _retry_after_us);
+      _retry_after_us,
+      _plan_unknown);
 }
 
 inline LoansT::LoansT(const LoansT &o)
--- a/Tests/PeerIdentityTest.cpp
+++ b/Tests/PeerIdentityTest.cpp
@@ -98,5 +98,49 @@
     EXPECT_EQ(mesh.fetch(0, "/inner/1", "").status(), 200);
 }
 
+// The owner of a ledger may not have the configuration yet that added the organisation.
+TEST(PeerIdentity, ALedgerGrantsNothingToAnOrganisationThatItDoesNotKnow)
+{
+    SidecarHarness mesh({ "zone-a/alpha" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    TestPeer peer("stranger");
+    peer.requestTokens(mesh.peersAddress(0), "new-school", 500);
+    ASSERT_TRUE(mesh.runUntil([&] { return !peer.loans.empty(); }));
+    EXPECT_EQ(peer.loans.front().tokens, 0);
+}
+
+TEST(PeerIdentity, AnOrganisationUnknownToTheOwnerOfItsLedgerGetsItsLocalShare)
+{
+    constexpr double rate = 40; // Per second, and as a burst; half of it is the share of one of two members
+    constexpr size_t requestsPerRound = 40;
+    constexpr size_t ledgerCount = MeshSettings {}.ledgerCount;
+    SidecarHarness mesh({ "zone-a/alpha" });
+    mesh.writeConfiguration(2, R"(["key-1","key-2"])", rate);
+    ASSERT_TRUE(mesh.waitUntilServing());
+    const auto ledger = stableHash("school") % ledgerCount + 1;
+    size_t number = 0;
+    while (stableHash("owner-" + std::to_string(number), ledger) < stableHash("daemon-0", ledger))
+        ++number;
+    TestPeer owner("owner-" + std::to_string(number));
+    const SocketAddress address { "127.0.0.1", nextBasePort() };
+    ASSERT_TRUE(owner.listen(address));
+    owner.sendState(mesh.peersAddress(0), owner.name(), address.toString(), "beta");
+    mesh.runFor(500ms);
+    const auto startedAt = MonotonicClock::now();
+    std::vector<std::shared_ptr<SidecarHarness::Exchange>> exchanges;
+    for (int round = 0; round < 3; ++round) {
+        for (size_t i = 0; i < requestsPerRound; ++i)
+            exchanges.push_back(mesh.send(0, { "GET", "/read/1", {}, {} }));
+        mesh.runFor(700ms);
+    }
+    for (const auto& exchange : exchanges)
+        mesh.wait(exchange);
+    const auto served = static_cast<double>(
+        std::count_if(exchanges.begin(), exchanges.end(), [](const auto& exchange) { return exchange->status() == 200; }));
+    EXPECT_GT(owner.tokenRequests, 0U);
+    EXPECT_GT(served, 0);
+    EXPECT_LE(served, rate / 2 + rate / 2 * toSeconds(MonotonicClock::now() - startedAt));
+}
+
 } // namespace
 } // namespace shallot
