Acknowledge a leave only once it is stored

Class: a promise on another's word.

Change: an unstored leave is answered 503 and is in force all the same; the backend server says it again, and the record is stored later. The same check holds for repeated announcements. EndpointIdentity.ALeaveThatIsNotStoredIsNotAcknowledged failed before (200 in place of 503) and passes.

--- a/Source/sidecar/MeshSync.cpp
+++ b/Source/sidecar/MeshSync.cpp
@@ -150,6 +150,7 @@
 {
     if (m_own.lastLeave.instance.empty() && !record.lastLeave.instance.empty()) {
         m_own.lastLeave = record.lastLeave;
+        m_storedLeave = record.lastLeave;
         if (m_ownRecordPublished && m_onFormerLeave)
             m_onFormerLeave(m_own.lastLeave);
     }
@@ -170,11 +171,13 @@
 
 void MeshSync::publishOwnRecord()
 {
-    m_store.append(
-        platform::StoreTopic::Members, platform::encodeMember(m_own), appendTimeout, [this](const Result<void>& result) {
+    m_store.append(platform::StoreTopic::Members, platform::encodeMember(m_own), appendTimeout,
+        [this, leave = m_own.lastLeave](const Result<void>& result) {
             m_ownRecordStored = result.has_value();
-            if (m_ownRecordStored)
+            if (m_ownRecordStored) {
+                m_storedLeave = leave;
                 return;
+            }
             EventLog::write("membership-not-stored", { { "detail", result.error().detail } });
             m_ownRecordRetry.startOnce(appendRetryDelay, [this] { publishOwnRecord(); });
         });
@@ -189,16 +192,19 @@
     publishOwnRecord();
 }
 
-void MeshSync::storeLeave(const EndpointLeave& leave, std::function<void()> done)
+void MeshSync::storeLeave(const EndpointLeave& leave, std::function<void(bool stored)> done)
 {
     m_own.lastLeave = leave;
     m_store.append(platform::StoreTopic::Members, platform::encodeMember(m_own), leaveTimeout,
-        [this, done = std::move(done), instance = leave.instance](const Result<void>& result) {
-            if (!result) {
-                EventLog::write("leave-not-stored", { { "backend_server", instance }, { "detail", result.error().detail } });
+        [this, done = std::move(done), leave](const Result<void>& result) {
+            if (result) {
+                m_storedLeave = leave;
+            } else {
+                EventLog::write(
+                    "leave-not-stored", { { "backend_server", leave.instance }, { "detail", result.error().detail } });
                 m_ownRecordRetry.startOnce(appendRetryDelay, [this] { publishOwnRecord(); });
             }
-            done();
+            done(result.has_value());
         });
 }
 
--- a/Source/sidecar/MeshSync.h
+++ b/Source/sidecar/MeshSync.h
@@ -35,10 +35,10 @@
     // Stores the changed member record.
     void setOwnService(const std::string&);
 
-    // Stores that the backend server leaves. The handler is called once the store has confirmed it, or after a short timeout if
-    // it did not.
-    void storeLeave(const EndpointLeave&, std::function<void()> done);
-    const EndpointLeave& storedLeave() const { return m_own.lastLeave; }
+    // Stores that the backend server leaves. The handler is called with true once the store has confirmed it, or with false if
+    // it did not within a short time; the record is then stored later.
+    void storeLeave(const EndpointLeave&, std::function<void(bool stored)> done);
+    const EndpointLeave& storedLeave() const { return m_storedLeave; }
 
     void onSyncRequest(PeerLink&, const wire::RecordsRequestT&, TimePoint now);
     void onSyncResponse(PeerLink&, const wire::RecordsT&, TimePoint now);
@@ -65,6 +65,7 @@
     platform::StoreClient& m_store;
     CrashSuspects& m_crashSuspects;
     MeshMember m_own;
+    EndpointLeave m_storedLeave; // The last one that the store has confirmed
     MeshSyncPolicy m_policy;
     StoreFollower m_configurationFollower;
     StoreFollower m_memberFollower;
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -65,7 +65,7 @@
     m_view.setConfigurationHandler([this] { onConfiguration(); });
     m_sync.setFormerLeaveHandler([this](const EndpointLeave& former) { m_executor.setFormerLeave(former); });
     m_executor.setChangeHandler([this] { onBackendServerChange(); });
-    m_executor.setLeaveHandler([this] { m_sync.storeLeave(m_executor.currentLeave(), [] {}); });
+    m_executor.setLeaveHandler([this] { m_sync.storeLeave(m_executor.currentLeave(), [](bool) {}); });
 }
 
 // Start and leave
@@ -160,13 +160,15 @@
         const auto& leave = std::get<platform::LeaveNotice>(*notice);
         m_executor.recordLeave(leave.instance, leave.startedAt);
     }
-    const auto acknowledge = [connection] {
-        connection->respond({ 200, { { "Content-Type", "application/json" } }, "{}" }, false, MonotonicClock::now());
+    const auto acknowledge = [connection](bool stored) {
+        const uint16_t status = stored ? 200 : 503;
+        connection->respond({ status, { { "Content-Type", "application/json" } }, "{}" }, false, MonotonicClock::now());
     };
-    // An acknowledged leave must survive a restart of this daemon, so it is stored before it is acknowledged.
+    // An acknowledged leave must survive a restart of this daemon, so it is acknowledged only if it is stored. It is in force in
+    // any case, and the backend server says it again.
     const auto leave = m_executor.currentLeave();
     if (leave.instance.empty() || m_sync.storedLeave().covers(leave.instance, leave.latestStart))
-        acknowledge();
+        acknowledge(true);
     else
         m_sync.storeLeave(leave, acknowledge);
 }
--- a/Tests/EndpointIdentityTest.cpp
+++ b/Tests/EndpointIdentityTest.cpp
@@ -101,6 +101,24 @@
     EXPECT_EQ(mesh.endpoint(0).requests().size(), before);
 }
 
+// The store refuses the record of the leave, so a kill of the daemon would lose it.
+TEST(EndpointIdentity, ALeaveThatIsNotStoredIsNotAcknowledged)
+{
+    SidecarHarness mesh({ "zone-a/alpha", "zone-b/alpha" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    mesh.store().setMode(StoreStandin::Mode::Refusing);
+    mesh.endpoint(0).leave();
+    mesh.runFor(1s);
+    EXPECT_EQ(mesh.endpoint(0).lastNoticeStatus(), 503);
+    const auto before = mesh.endpoint(0).requests().size();
+    mesh.store().setMode(StoreStandin::Mode::Serving);
+    ASSERT_TRUE(mesh.runUntil([&] { return mesh.fetch(1, "/read/1").status() == 200; }));
+    EXPECT_EQ(mesh.endpoint(0).requests().size(), before); // Though unacknowledged, it is in force
+    mesh.runFor(1s);
+    mesh.endpoint(0).sendLeave({});
+    EXPECT_TRUE(mesh.runUntil([&] { return mesh.endpoint(0).lastNoticeStatus() == 200; }));
+}
+
 // A leave of the former run, which had the same name, arrives after the next run has announced itself.
 TEST(EndpointIdentity, ALateLeaveDoesNotRemoveTheNextRunOfTheSameName)
 {
