Use a limited backend server up to its limit, and fully once it ends

Cause: senders added the time between two requests at the limit to each expected response, and believed a limit without an age, although only traffic to the backend server can show that it has ended. Class: a belief without an age.

Change: reports carry the wait until the limit allows one more request; senders let that wait pass with time. The least rate is one request in two seconds, within what is allowed beyond any limit, so that the end of a very small limit is noticed. Tests that failed before: NamedRateLimit.ALimitedBackendServerIsUsedUpToItsLimitAndFullyOnceTheLimitEnds and .AVerySmallLimitIsKeptAndItsEndIsNoticed (zero and 0.1 a second).

--- a/Source/mesh/EndpointQueue.cpp
+++ b/Source/mesh/EndpointQueue.cpp
@@ -123,11 +123,13 @@
         = fromSeconds(toSeconds(m_serviceTime) + m_settings.serviceTimeWeight * (toSeconds(time) - toSeconds(m_serviceTime)));
 }
 
-EndpointReport EndpointQueue::report(bool available) const
+EndpointReport EndpointQueue::report(bool available, TimePoint now) const
 {
     EndpointReport report { available, m_running, static_cast<uint32_t>(m_queue.size()), m_limit, m_serviceTime };
-    if (m_rate)
+    if (m_rate) {
         report.rateLimit = m_rate->rate;
+        report.rateWait = nextStartIn(now) + fromSeconds(static_cast<double>(m_queue.size()) / m_rate->rate);
+    }
     return report;
 }
 
--- a/Source/mesh/EndpointQueue.h
+++ b/Source/mesh/EndpointQueue.h
@@ -59,7 +59,7 @@
     uint32_t running() const { return m_running; }
     size_t queued() const { return m_queue.size(); }
     Duration serviceTime() const { return m_serviceTime; }
-    EndpointReport report(bool available) const;
+    EndpointReport report(bool available, TimePoint now) const;
 
 private:
     bool mayRunNow(TimePoint now) const;
--- a/Source/mesh/EndpointReport.h
+++ b/Source/mesh/EndpointReport.h
@@ -15,6 +15,7 @@
     uint32_t limit { 1 };            // Requests that may run concurrently
     Duration serviceTime {};         // Average time of a run; 0 before the first run
     std::optional<double> rateLimit; // Requests per second that the backend server takes; empty: any number
+    Duration rateWait {};            // Time until that limit allows one more request behind those that wait
     Duration pressure {};            // Longest queueing time of the call answered, here or in the services called on its behalf
     bool leaving { false };          // The daemon is shutting down; set only in reports sent by themselves, not with responses
 };
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -44,9 +44,9 @@
     // A connection that breaks this soon after a request was sent had been closed before; shorter than any run.
     Duration staleConnectionWindow { 20ms };
     // Of the rate that a backend server names: what may be sent at once after a pause, and the least rate, at which it is asked
-    // whether it takes more again.
+    // whether it takes more again. Two requests in four seconds are within what it allows beyond any limit.
     Duration rateLimitBurst { 250ms };
-    double minimumRateLimit { 0.25 };
+    double minimumRateLimit { 0.5 };
     // Bodies of the requests that wait for the backend server or that it has not answered. While they are received and written
     // they take up to three times as much memory.
     size_t maximumHeldBodyBytes { 40 * 1024 * 1024 };
@@ -55,7 +55,7 @@
     Duration announcementTimeout { 5s };
 
     // Requests that crash backend servers
-    unsigned crashThreshold { 3 };           // Successive crashes without an answer, after which a request is refused
+    unsigned crashThreshold { 3 }; // Successive crashes without an answer, after which a request is refused
     Duration crashSuspectLifetime { 600s };  // How long after its last change a record counts
     size_t maximumPublishedSuspects { 256 }; // In one daemon's member record; about 10 KB
 
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -81,9 +81,11 @@
         seconds += load * service; // A full backend server justifies a call to another zone
     if (load > m_settings.loadKnee)
         seconds += (std::min(load, 1.0) - m_settings.loadKnee) * service;
+    // The wait passes while no request is sent, so a limit that has been raised or ended is found out by the next request.
     if (report.rateLimit) {
-        const double ahead = reported ? report.queued + endpoint.sentSinceReport : endpoint.outstanding;
-        seconds += (ahead + 1) / std::max(*report.rateLimit, m_settings.minimumRateLimit);
+        const double rate = std::max(*report.rateLimit, m_settings.minimumRateLimit);
+        const double wait = toSeconds(report.rateWait - (now - endpoint.reportedAt)) + endpoint.sentSinceReport / rate;
+        seconds += std::max(0.0, wait);
     }
     if (endpoint.member.zone != m_ownZone && !anyZone)
         seconds += std::max(toSeconds(m_settings.zonePenalty), m_settings.zonePenaltyShare * service);
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -163,7 +163,7 @@
 
 EndpointReport EndpointExecutor::report(TimePoint now) const
 {
-    auto report = m_queue.report(isAvailable(now));
+    auto report = m_queue.report(isAvailable(now), now);
     report.leaving = m_leaving;
     return report;
 }
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -46,6 +46,7 @@
     body->service_us = toMicroseconds(outcome.report.serviceTime);
     if (outcome.report.rateLimit)
         body->rate_limit = *outcome.report.rateLimit;
+    body->rate_wait_us = toMicroseconds(outcome.report.rateWait);
     body->pressure_us = toMicroseconds(outcome.report.pressure);
     body->arrived = outcome.reachedBackend;
     body->call_failed = outcome.nestedCallFailed;
@@ -69,6 +70,7 @@
         fromMicroseconds(answer.service_us) };
     if (answer.rate_limit >= 0)
         report.rateLimit = answer.rate_limit;
+    report.rateWait = fromMicroseconds(answer.rate_wait_us);
     report.pressure = fromMicroseconds(answer.pressure_us);
     const bool reachedBackend = answer.arrived;
     const bool nestedCallFailed = answer.call_failed;
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -1005,6 +1005,7 @@
   bool arrived = false;
   bool call_failed = false;
   double rate_limit = -1.0;
+  uint64_t rate_wait_us = 0;
   AnswerT() = default;
   AnswerT(const AnswerT &o);
   AnswerT(AnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1033,7 +1034,8 @@
     VT_PRESSURE_US = 32,
     VT_ARRIVED = 34,
     VT_CALL_FAILED = 36,
-    VT_RATE_LIMIT = 38
+    VT_RATE_LIMIT = 38,
+    VT_RATE_WAIT_US = 40
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1089,6 +1091,9 @@
   double rate_limit() const {
     return GetField<double>(VT_RATE_LIMIT, -1.0);
   }
+  uint64_t rate_wait_us() const {
+    return GetField<uint64_t>(VT_RATE_WAIT_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1113,6 +1118,7 @@
            VerifyField<uint8_t>(verifier, VT_ARRIVED, 1) &&
            VerifyField<uint8_t>(verifier, VT_CALL_FAILED, 1) &&
            VerifyField<double>(verifier, VT_RATE_LIMIT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RATE_WAIT_US, 8) &&
            verifier.EndTable();
   }
   AnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1178,6 +1184,9 @@
   void add_rate_limit(double rate_limit) {
     fbb_.AddElement<double>(Answer::VT_RATE_LIMIT, rate_limit, -1.0);
   }
+  void add_rate_wait_us(uint64_t rate_wait_us) {
+    fbb_.AddElement<uint64_t>(Answer::VT_RATE_WAIT_US, rate_wait_us, 0);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1208,8 +1217,10 @@
     uint64_t pressure_us = 0,
     bool arrived = false,
     bool call_failed = false,
-    double rate_limit = -1.0) {
+    double rate_limit = -1.0,
+    uint64_t rate_wait_us = 0) {
   AnswerBuilder builder_(_fbb);
+  builder_.add_rate_wait_us(rate_wait_us);
   builder_.add_rate_limit(rate_limit);
   builder_.add_pressure_us(pressure_us);
   builder_.add_service_us(service_us);
@@ -1255,7 +1266,8 @@
     uint64_t pressure_us = 0,
     bool arrived = false,
     bool call_failed = false,
-    double rate_limit = -1.0) {
+    double rate_limit = -1.0,
+    uint64_t rate_wait_us = 0) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto detail__ = detail ? _fbb.CreateString(detail) : 0;
@@ -1278,7 +1290,8 @@
       pressure_us,
       arrived,
       call_failed,
-      rate_limit);
+      rate_limit,
+      rate_wait_us);
 }
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3528,7 +3541,8 @@
         pressure_us(o.pressure_us),
         arrived(o.arrived),
         call_failed(o.call_failed),
-        rate_limit(o.rate_limit) {
+        rate_limit(o.rate_limit),
+        rate_wait_us(o.rate_wait_us) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new shallot::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -3552,6 +3566,7 @@
   std::swap(arrived, o.arrived);
   std::swap(call_failed, o.call_failed);
   std::swap(rate_limit, o.rate_limit);
+  std::swap(rate_wait_us, o.rate_wait_us);
   return *this;
 }
 
@@ -3582,6 +3597,7 @@
   { auto _e = arrived(); _o->arrived = _e; }
   { auto _e = call_failed(); _o->call_failed = _e; }
   { auto _e = rate_limit(); _o->rate_limit = _e; }
+  { auto _e = rate_wait_us(); _o->rate_wait_us = _e; }
 }
 
 inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3610,6 +3626,7 @@
   auto _arrived = _o->arrived;
   auto _call_failed = _o->call_failed;
   auto _rate_limit = _o->rate_limit;
+  auto _rate_wait_us = _o->rate_wait_us;
   return shallot::wire::CreateAnswer(
       _fbb,
       _id,
@@ -3629,7 +3646,8 @@
       _pressure_us,
       _arrived,
       _call_failed,
-      _rate_limit);
+      _rate_limit,
+      _rate_wait_us);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/EndpointQueueRateTest.cpp
+++ b/Tests/EndpointQueueRateTest.cpp
@@ -84,7 +84,7 @@
     queue.recordServiceTime(100ms);
     const TimePoint now { 10s };
     queue.setRateLimit(30, now);
-    EXPECT_EQ(queue.report(true).rateLimit, 30);
+    EXPECT_EQ(queue.report(true, now).rateLimit, 30);
     EXPECT_GT(queue.expectedWait(2, now), 0ms);
     EXPECT_EQ(queue.pressure(2, now), 0ms);
 }
--- a/Tests/NamedRateLimitTest.cpp
+++ b/Tests/NamedRateLimitTest.cpp
@@ -14,7 +14,10 @@
 constexpr auto requestInterval = 10ms; // Ten times the limit
 constexpr auto settlingTime = 3s;      // After the limit was first named
 constexpr auto window = 4s;
-constexpr size_t allowedInWindow = 65; // One and a half times the limit, and five requests
+constexpr size_t allowedInWindow = 65;   // One and a half times the limit, and five requests
+constexpr auto runTime = 20ms;           // Where backend servers must look alike; the shortest runs differ by chance
+constexpr auto timeToRecover = 3s;       // After a limit has ended
+constexpr size_t shareWithoutLimit = 40; // In two seconds; a third of the requests are 66
 
 // Requests at a constant rate through all daemons in turn, and when each backend server received them.
 class LimitedMesh {
@@ -28,13 +31,18 @@
         for (size_t i = 0; i < m_daemons; ++i) {
             m_mesh.endpoint(i).setScript([this, i](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
                 m_arrivals[i].push_back(MonotonicClock::now());
-                respond(*connection, request, m_naming && std::find(m_limited.begin(), m_limited.end(), i) != m_limited.end());
+                const bool namesLimit = m_naming && std::find(m_limited.begin(), m_limited.end(), i) != m_limited.end();
+                m_runs.push_back(std::make_unique<Timer>());
+                m_runs.back()->startOnce(
+                    m_runTime, [this, connection, request, namesLimit] { respond(*connection, request, namesLimit); });
             });
         }
     }
 
     SidecarHarness& mesh() { return m_mesh; }
     void setNaming(bool naming) { m_naming = naming; }
+    void setLimit(double limit) { m_limit = limit; }
+    void setRunTime(Duration time) { m_runTime = time; }
     size_t arrivalCount(size_t endpoint) const { return m_arrivals[endpoint].size(); }
     const std::vector<std::shared_ptr<SidecarHarness::Exchange>>& exchanges() const { return m_exchanges; }
 
@@ -62,13 +70,13 @@
     }
 
 private:
-    static void respond(StrictHTTPConnection& connection, const HTTPRequest& request, bool namesLimit)
+    void respond(StrictHTTPConnection& connection, const HTTPRequest& request, bool namesLimit) const
     {
         HTTPHeaders headers { { std::string(platform::header::attemptID),
                                   std::string(findHeader(request.headers, platform::header::attemptID)) },
             { std::string(platform::header::seal), "seal" } };
         if (namesLimit)
-            headers.emplace_back("Server-Limit", std::to_string(namedLimit));
+            headers.emplace_back("Server-Limit", std::to_string(m_limit));
         connection.respond({ 200, headers, "done" }, false, MonotonicClock::now());
     }
 
@@ -78,6 +86,9 @@
     std::vector<std::vector<TimePoint>> m_arrivals; // By backend server
     std::vector<std::shared_ptr<SidecarHarness::Exchange>> m_exchanges;
     size_t m_sent { 0 };
+    std::vector<std::unique_ptr<Timer>> m_runs;
+    Duration m_runTime { 0 };
+    double m_limit { namedLimit };
     bool m_naming { true };
 };
 
@@ -125,5 +136,44 @@
     EXPECT_GE(load.arrivalCount(0) - before, 150U);
 }
 
+// The others could serve all requests, so nothing but the limit keeps requests from the limited one.
+TEST(NamedRateLimit, ALimitedBackendServerIsUsedUpToItsLimitAndFullyOnceTheLimitEnds)
+{
+    LimitedMesh load({ "zone-a/alpha", "zone-a/alpha", "zone-a/alpha" }, { 0 });
+    load.setRunTime(runTime);
+    ASSERT_TRUE(load.mesh().waitUntilServing());
+    load.sendFor(settlingTime);
+    const auto settled = MonotonicClock::now();
+    load.sendFor(window);
+    EXPECT_GE(load.mostInWindow(0, settled), static_cast<size_t>(0.5 * namedLimit * toSeconds(window)));
+    EXPECT_LE(load.mostInWindow(0, settled), allowedInWindow);
+    load.setNaming(false);
+    load.sendFor(timeToRecover);
+    const auto before = load.arrivalCount(0);
+    load.sendFor(2s);
+    EXPECT_GE(load.arrivalCount(0) - before, shareWithoutLimit);
+}
+
+// Zero and limits below one request in two seconds: no more than what is allowed beyond any limit, and found out when they end.
+TEST(NamedRateLimit, AVerySmallLimitIsKeptAndItsEndIsNoticed)
+{
+    for (const double limit : { 0.0, 0.1 }) {
+        SCOPED_TRACE(limit);
+        LimitedMesh load({ "zone-a/alpha", "zone-a/alpha", "zone-a/alpha" }, { 0 });
+        load.setLimit(limit);
+        load.setRunTime(runTime);
+        ASSERT_TRUE(load.mesh().waitUntilServing());
+        load.sendFor(settlingTime);
+        const auto settled = MonotonicClock::now();
+        load.sendFor(window);
+        EXPECT_LE(load.mostInWindow(0, settled), 5U);
+        load.setNaming(false);
+        load.sendFor(timeToRecover);
+        const auto before = load.arrivalCount(0);
+        load.sendFor(2s);
+        EXPECT_GE(load.arrivalCount(0) - before, shareWithoutLimit);
+    }
+}
+
 } // namespace
 } // namespace shallot
