Find a crash by probes and tell the fleet at once

Cause: a crash was believed only on a refused connection or on the announcement of the next instance, 3 to 7 s later, and the other daemons learned of it by way of the store. Crashes meanwhile counted as one. Class: a belief that changes only by traffic.

Change: a run that ends without a response pauses the queue and is followed within 50 ms by a probe on a new connection, unless the backend server answers another run before. A refused connection, another instance, or two probes that are closed show a crash; silence does not, since a slow or frozen backend server is silent too. The records go to all linked daemons at once, and by the member list as before.

--- a/Source/mesh/CrashSuspects.cpp
+++ b/Source/mesh/CrashSuspects.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace shallot {
 
@@ -32,14 +33,14 @@
 {
     if (const auto found = m_suspects.find(fingerprint); found != m_suspects.end()) {
         if (isExpired(found->second.suspect, now))
-            found->second = { { fingerprint }, false };
+            found->second = { { fingerprint } };
         return &found->second;
     }
     if (m_suspects.size() >= maximumSuspects)
         std::erase_if(m_suspects, [&](const auto& item) { return isExpired(item.second.suspect, now); });
     if (m_suspects.size() >= maximumSuspects)
         return nullptr;
-    return &m_suspects.emplace(fingerprint, Entry { { fingerprint }, false }).first->second;
+    return &m_suspects.emplace(fingerprint, Entry { { fingerprint } }).first->second;
 }
 
 // A crash counts once for all runs that started before it was known. So a popular request that runs at several backend servers
@@ -53,6 +54,7 @@
         entry->suspect.crashes = std::max(entry->suspect.crashes, run.knownCrashes + 1);
         entry->suspect.recordedAt = now;
         entry->own = true;
+        entry->changed = true;
         ++m_revision;
     }
 }
@@ -66,6 +68,7 @@
     found->second.suspect.cleared = found->second.suspect.crashes;
     found->second.suspect.recordedAt = now;
     found->second.own = true;
+    found->second.changed = true;
     ++m_revision;
     return true;
 }
@@ -129,6 +132,17 @@
     return records;
 }
 
+std::vector<CrashSuspect> CrashSuspects::takeChanges(std::chrono::sys_seconds now)
+{
+    std::vector<CrashSuspect> changes;
+    for (auto& [fingerprint, entry] : m_suspects) {
+        if (std::exchange(entry.changed, false) && !isExpired(entry.suspect, now)
+            && changes.size() < m_settings.maximumPublishedSuspects)
+            changes.push_back(entry.suspect);
+    }
+    return changes;
+}
+
 uint32_t CrashSuspects::crashesOf(uint64_t fingerprint, std::chrono::sys_seconds now) const
 {
     const auto found = m_suspects.find(fingerprint);
--- a/Source/mesh/CrashSuspects.h
+++ b/Source/mesh/CrashSuspects.h
@@ -36,6 +36,8 @@
     void restore(std::span<const CrashSuspect>, std::chrono::sys_seconds now);
     // Records that this daemon publishes: those that it changed last.
     std::vector<CrashSuspect> ownRecords(std::chrono::sys_seconds now) const;
+    // Those of them that changed since the last call.
+    std::vector<CrashSuspect> takeChanges(std::chrono::sys_seconds now);
     // Grows with each change of this daemon's records.
     uint64_t revision() const { return m_revision; }
 
@@ -52,7 +54,8 @@
 private:
     struct Entry {
         CrashSuspect suspect;
-        bool own { false }; // Changed last by this daemon
+        bool own { false };     // Changed last by this daemon
+        bool changed { false }; // By this daemon, since takeChanges()
     };
 
     uint32_t suspicion(uint64_t fingerprint, std::chrono::sys_seconds now) const;
--- a/Source/mesh/EndpointQueue.cpp
+++ b/Source/mesh/EndpointQueue.cpp
@@ -37,7 +37,7 @@
 
 bool EndpointQueue::mayRunNow(TimePoint now) const
 {
-    return m_running < m_limit && nextStartIn(now) == Duration::zero();
+    return !m_paused && m_running < m_limit && nextStartIn(now) == Duration::zero();
 }
 
 void EndpointQueue::recordStart(TimePoint now)
--- a/Source/mesh/EndpointQueue.h
+++ b/Source/mesh/EndpointQueue.h
@@ -34,6 +34,9 @@
     // Requests per second that the backend server takes; empty: any number.
     void setRateLimit(std::optional<double> perSecond, TimePoint now);
 
+    // While paused, requests wait instead of running.
+    void setPaused(bool paused) { m_paused = paused; }
+
     // `maximumWait`: longest time that the request may wait before it runs.
     QueueDecision decide(uint8_t priority, Duration maximumWait, TimePoint now) const;
     // Expected wait behind the queued requests of this and higher priorities; zero if one could run now and none of them waits.
@@ -71,6 +74,7 @@
     std::array<uint32_t, queueClasses> m_waiting {}; // By priority
     uint32_t m_limit { 1 };
     uint32_t m_running { 0 };
+    bool m_paused { false };
     Duration m_serviceTime {};
 };
 
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -55,6 +55,9 @@
     Duration announcementTimeout { 5s };
 
     // Requests that crash backend servers
+    // A run that ended without a response is followed by a probe unless the backend server responds to another one before.
+    Duration crashProbeDelay { 50ms };
+    unsigned crashProbes { 2 };    // Successive probes on new connections that are closed without a response show a crash
     unsigned crashThreshold { 3 }; // Successive crashes without an answer, after which a request is refused
     Duration crashSuspectLifetime { 600s };  // How long after its last change a record counts
     size_t maximumPublishedSuspects { 256 }; // In one daemon's member record; about 10 KB
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -87,6 +87,7 @@
     m_pool.reset();
     if (mayHaveCrashed)
         recordCrash(former, "replaced");
+    endSuspicion(now);
 }
 
 void EndpointExecutor::recordLeave(const std::string& instance, uint64_t startedAt)
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -71,6 +71,8 @@
     std::optional<double> rateLimit() const { return m_rateLimit; }
     // Called when the backend server says in a response that it leaves.
     void setLeaveHandler(std::function<void()> handler) { m_onLeave = std::move(handler); }
+    // Called when the records of requests that crash backend servers changed, so that the fleet can be told at once.
+    void setSuspectsHandler(std::function<void()> handler) { m_onSuspectsChange = std::move(handler); }
     void setChangeHandler(std::function<void()> handler) { m_onChange = std::move(handler); }
 
 private:
@@ -113,6 +115,11 @@
     void recordStateHeaders(const HTTPResponse&, TimePoint sentAt, TimePoint now);
     void recordRateLimit(const HTTPResponse&, TimePoint sentAt, TimePoint now);
     void recordCrash(const std::string& instance, const char* evidence);
+    void suspectCrash(TimePoint now);
+    void probeSuspectedCrash();
+    void onSuspicionProbe(const Result<HTTPResponse>&);
+    void concludeCrash(const char* evidence, TimePoint now);
+    void endSuspicion(TimePoint now);
     void refuse(LiveRun&, ErrorKind, TimePoint now);
     void onNewRun(const std::string& former, bool mayHaveCrashed, TimePoint now);
     void verifyInstance();
@@ -139,11 +146,17 @@
     size_t m_heldBodyBytes { 0 };    // Of all calls, including what their connections have not sent yet
     std::function<void()> m_onChange;
     std::function<void()> m_onLeave;
+    std::function<void()> m_onSuspectsChange;
     uint64_t m_nextID { 1 };
     bool m_probing { false };
     Timer m_probeTimer;
     Timer m_rateTimer; // Until the rate limit allows the next queued request
     uint64_t m_probeID { 0 };
+    // A run ended without a response, and nothing has shown since whether the backend server still runs.
+    bool m_crashSuspected { false };
+    unsigned m_failedProbes { 0 }; // Since then
+    uint64_t m_suspicionProbeID { 0 };
+    Timer m_suspicionTimer;
     TimePoint m_probeSentAt {};
     bool m_leaving { false };
     std::string m_formerService; // With m_wasAvailable, what the last call of the change handler reported
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -1,6 +1,7 @@
 // Index of this file
 //   Runs:     run, send, onResponse, recordStateHeaders, recordRateLimit, finish, refuse, cancel, onDeadline
-//   Crashes:  recordUnanswered, recordAnswered, recordCrash
+//   Crashes:  recordUnanswered, recordAnswered, recordCrash, suspectCrash, probeSuspectedCrash, onSuspicionProbe, concludeCrash,
+//             endSuspicion
 
 #include "core/EventLog.h"
 #include "mesh/MeshSettings.h"
@@ -15,6 +16,7 @@
 
 constexpr auto responseGrace = 20ms; // The backend server stops at the deadline by itself; its response gets this much longer
 constexpr size_t maximumUnansweredRuns = 1024; // Several times the slots of the largest backend server
+constexpr auto suspicionProbeTimeout = 200ms;  // Of a probe after a suspected crash; tens of times the usual response time
 constexpr size_t maximumLoggedAttempts = 8;    // Of the runs that a crash interrupted
 
 } // namespace
@@ -75,18 +77,17 @@
             send(*live, Duration::zero());
             return;
         }
-        if (response.error().kind == ErrorKind::BackendFailed)
+        if (response.error().kind == ErrorKind::BackendFailed) {
             recordUnanswered(*live, now);
-        if (response.error().kind == ErrorKind::NoBackendServer) {
-            if (!m_life.isUnreachable() && currentLeave().instance.empty())
-                recordCrash(m_life.current().instance, "refuses connections");
-            m_life.recordUnreachable();
-            updateAvailability();
+            suspectCrash(now);
         }
+        if (response.error().kind == ErrorKind::NoBackendServer)
+            concludeCrash("refuses connections", now);
         finish(*live, std::move(response), true, now);
         return;
     }
     const auto responseClass = platform::classifyResponse(*response);
+    endSuspicion(now);
     if (responseClass == platform::ResponseClass::Valid || responseClass == platform::ResponseClass::NotExecuted)
         recordStateHeaders(*response, live->started, now);
     switch (responseClass) {
@@ -231,6 +232,8 @@
     if (m_crashSuspects.isEmpty() || status >= 500 || !m_crashSuspects.recordAnswer(fingerprintOf(live), WallClock::now()))
         return;
     EventLog::write("crash-suspect-cleared", { { "request", live.attemptID }, { "route", live.call.context.route } });
+    if (m_onSuspectsChange)
+        m_onSuspectsChange();
 }
 
 void EndpointExecutor::recordCrash(const std::string& instance, const char* evidence)
@@ -249,6 +252,87 @@
         { { "backend_server", instance }, { "evidence", evidence }, { "runs", runs.size() }, { "requests", attempts },
             { "crashes_before", knownCrashes } });
     m_crashSuspects.recordCrash(interrupted, WallClock::now());
+    if (m_onSuspectsChange)
+        m_onSuspectsChange();
+}
+
+// A crash breaks all connections, and so do a faulty response and a connection that was idle for too long. Which one it was is
+// found out on a new connection; until then requests wait, since those sent to a crashed backend server would be lost.
+void EndpointExecutor::suspectCrash(TimePoint now)
+{
+    if (m_crashSuspected || !m_life.isAvailable(now))
+        return;
+    m_crashSuspected = true;
+    m_failedProbes = 0;
+    m_queue.setPaused(true);
+    m_suspicionTimer.startOnce(m_settings.crashProbeDelay, [this] { probeSuspectedCrash(); });
+}
+
+void EndpointExecutor::probeSuspectedCrash()
+{
+    const auto path = m_healthPaths.find(m_life.service());
+    if (path == m_healthPaths.end()) {
+        endSuspicion(MonotonicClock::now());
+        return;
+    }
+    m_suspicionProbeID = m_nextID++;
+    m_suspicionTimer.startOnce(suspicionProbeTimeout, [this] {
+        m_probePool.abandon(m_suspicionProbeID);
+        onSuspicionProbe(fail(ErrorKind::TimedOut, "no answer"));
+    });
+    m_probePool.send(
+        m_suspicionProbeID, { "GET", path->second, { { "Host", m_host } }, {} },
+        [this](const Result<HTTPResponse>& response) { onSuspicionProbe(response); }, nullptr, Duration::zero());
+}
+
+void EndpointExecutor::onSuspicionProbe(const Result<HTTPResponse>& response)
+{
+    const auto now = MonotonicClock::now();
+    m_suspicionTimer.stop();
+    if (!m_crashSuspected)
+        return;
+    if (response) {
+        const auto instance = platform::instanceOf(*response);
+        if (instance.empty() || instance == m_life.current().instance)
+            endSuspicion(now);
+        else
+            concludeCrash("another instance answers", now);
+        return;
+    }
+    if (response.error().kind == ErrorKind::NoBackendServer) {
+        concludeCrash("refuses connections", now);
+        return;
+    }
+    // A backend server that is slow or frozen is silent, too, so silence is no evidence.
+    if (response.error().kind == ErrorKind::TimedOut) {
+        endSuspicion(now);
+        return;
+    }
+    if (++m_failedProbes >= m_settings.crashProbes)
+        concludeCrash("closes connections", now);
+    else
+        m_suspicionTimer.startOnce(m_settings.crashProbeDelay, [this] { probeSuspectedCrash(); });
+}
+
+// The backend server is unavailable until its next announcement. After a leave, its end is no crash.
+void EndpointExecutor::concludeCrash(const char* evidence, TimePoint now)
+{
+    const bool isNews = !m_life.isUnreachable() && currentLeave().instance.empty();
+    m_life.recordUnreachable();
+    if (isNews)
+        recordCrash(m_life.current().instance, evidence);
+    updateAvailability();
+    endSuspicion(now);
+}
+
+void EndpointExecutor::endSuspicion(TimePoint now)
+{
+    if (!std::exchange(m_crashSuspected, false))
+        return;
+    m_suspicionTimer.stop();
+    m_probePool.abandon(m_suspicionProbeID);
+    m_queue.setPaused(false);
+    runNext(now);
 }
 
 } // namespace shallot
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -77,6 +77,28 @@
     return { readOutcome(answer).response, report, reachedBackend, nestedCallFailed };
 }
 
+std::unique_ptr<wire::CrashSuspectT> packCrashSuspect(const CrashSuspect& suspect)
+{
+    auto item = std::make_unique<wire::CrashSuspectT>();
+    item->fingerprint = suspect.fingerprint;
+    item->crashes = suspect.crashes;
+    item->cleared = suspect.cleared;
+    item->recorded_s = suspect.recordedAt.time_since_epoch().count();
+    return item;
+}
+
+std::vector<CrashSuspect> readCrashSuspects(std::span<const std::unique_ptr<wire::CrashSuspectT>> items)
+{
+    constexpr int64_t maximumSeconds = 1LL << 40;
+    std::vector<CrashSuspect> suspects;
+    for (const auto& item : items) {
+        if (item && item->recorded_s >= 0 && item->recorded_s < maximumSeconds)
+            suspects.push_back({ item->fingerprint, item->crashes, item->cleared,
+                std::chrono::sys_seconds(std::chrono::seconds(item->recorded_s)) });
+    }
+    return suspects;
+}
+
 void addMemberUpdate(wire::RecordsT& records, const MemberUpdate& update)
 {
     records.members_known = update.state.isKnown;
@@ -92,14 +114,8 @@
         state->service = member.service;
         state->left_instance = member.lastLeave.instance;
         state->left_started_by = member.lastLeave.latestStart;
-        for (const auto& suspect : member.crashSuspects) {
-            auto item = std::make_unique<wire::CrashSuspectT>();
-            item->fingerprint = suspect.fingerprint;
-            item->crashes = suspect.crashes;
-            item->cleared = suspect.cleared;
-            item->recorded_s = suspect.recordedAt.time_since_epoch().count();
-            state->crash_suspects.push_back(std::move(item));
-        }
+        for (const auto& suspect : member.crashSuspects)
+            state->crash_suspects.push_back(packCrashSuspect(suspect));
         records.members.push_back(std::move(state));
     }
 }
@@ -113,13 +129,8 @@
     for (const auto& state : records.members) {
         if (!state || state->member.empty() || !parseSocketAddress(state->address))
             continue;
-        update.members.push_back(
-            { state->member, state->zone, state->address, state->service, { state->left_instance, state->left_started_by }, {} });
-        for (const auto& item : state->crash_suspects) {
-            if (item)
-                update.members.back().crashSuspects.push_back({ item->fingerprint, item->crashes, item->cleared,
-                    std::chrono::sys_seconds(std::chrono::seconds(item->recorded_s)) });
-        }
+        update.members.push_back({ state->member, state->zone, state->address, state->service,
+            { state->left_instance, state->left_started_by }, readCrashSuspects(state->crash_suspects) });
     }
     return update;
 }
--- a/Source/sidecar/MeshFrames.h
+++ b/Source/sidecar/MeshFrames.h
@@ -2,15 +2,20 @@
 
 #include "mesh/MeshCall.h"
 
+#include <memory>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace shallot {
 
+struct CrashSuspect;
 struct MemberUpdate;
 
 namespace wire {
 struct AnswerT;
 struct CallT;
+struct CrashSuspectT;
 struct FrameT;
 struct GossipT;
 struct RecordsT;
@@ -22,6 +27,10 @@
 MeshCall readMeshCall(wire::CallT&);
 MeshOutcome readMeshOutcome(wire::AnswerT&);
 
+std::unique_ptr<wire::CrashSuspectT> packCrashSuspect(const CrashSuspect&);
+// Leaves out records with an impossible time.
+std::vector<CrashSuspect> readCrashSuspects(std::span<const std::unique_ptr<wire::CrashSuspectT>>);
+
 // Changes of the member list within a frame of records.
 void addMemberUpdate(wire::RecordsT&, const MemberUpdate&);
 MemberUpdate readMemberUpdate(const wire::RecordsT&);
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/MeshLinks.h"
 
 #include "core/EventLog.h"
+#include "sidecar/MeshFrames.h"
 #include "wire/Frames_generated.h"
 
 #include <algorithm>
@@ -80,7 +81,7 @@
         --found->second.outstanding;
 }
 
-void MeshLinks::sendState(PeerLink& link, bool requestsState)
+void MeshLinks::sendState(PeerLink& link, bool requestsState, const std::vector<CrashSuspect>& suspects)
 {
     const auto report = m_callbacks.ownReport();
     auto state = std::make_unique<wire::MemberStateT>();
@@ -92,6 +93,8 @@
     state->state = static_cast<uint8_t>(report.leaving ? State::Leaving
             : report.available                         ? State::Available
                                                        : State::Unavailable);
+    for (const auto& suspect : suspects)
+        state->crash_suspects.push_back(packCrashSuspect(suspect));
     wire::GossipT gossip;
     gossip.wants_table = requestsState;
     gossip.members.push_back(std::move(state));
@@ -100,15 +103,28 @@
     link.send(frame);
 }
 
-void MeshLinks::broadcastState()
+std::vector<RefPtr<PeerLink>> MeshLinks::allLinks() const
 {
     std::vector<RefPtr<PeerLink>> links;
     for (const auto& [link, monitor] : m_monitors)
         links.emplace_back(link);
-    for (const auto& link : links)
+    return links;
+}
+
+void MeshLinks::broadcastState()
+{
+    for (const auto& link : allLinks())
         sendState(*link, false);
 }
 
+void MeshLinks::broadcastCrashSuspects(const std::vector<CrashSuspect>& suspects)
+{
+    if (suspects.empty())
+        return;
+    for (const auto& link : allLinks())
+        sendState(*link, false, suspects);
+}
+
 void MeshLinks::onFrame(PeerLink& link, wire::FrameT& frame)
 {
     auto& monitor = m_monitors[&link];
@@ -129,7 +145,8 @@
         report.available = state->state == static_cast<uint8_t>(State::Available);
         report.leaving = state->state == static_cast<uint8_t>(State::Leaving);
         report.limit = std::max(1U, state->slots);
-        m_callbacks.onState({ state->member, state->zone, state->address, state->service }, report);
+        m_callbacks.onState(
+            { state->member, state->zone, state->address, state->service, {}, readCrashSuspects(state->crash_suspects) }, report);
     }
     if (gossip->wants_table)
         sendState(link, false);
--- a/Source/sidecar/MeshLinks.h
+++ b/Source/sidecar/MeshLinks.h
@@ -38,6 +38,8 @@
     void removeOutstanding(PeerLink&);
     // Sends this daemon's state to every linked daemon.
     void broadcastState();
+    // The same with records of requests that crash backend servers.
+    void broadcastCrashSuspects(const std::vector<CrashSuspect>&);
     void setOwnService(const std::string& service) { m_own.service = service; }
     void tick(TimePoint now);
     void closeAll() { m_links.closeAll(); }
@@ -56,7 +58,8 @@
     RefPtr<PeerLink> linkTo(const std::string& address, bool alwaysProbes);
     void onFrame(PeerLink&, wire::FrameT&);
     void onClosed(PeerLink&);
-    void sendState(PeerLink&, bool requestsState);
+    void sendState(PeerLink&, bool requestsState, const std::vector<CrashSuspect>& = {});
+    std::vector<RefPtr<PeerLink>> allLinks() const;
 
     MeshMember m_own;
     Callbacks m_callbacks;
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -48,6 +48,7 @@
               },
               [this](const MeshMember& member, const EndpointReport& report) {
                   m_view.updateMember(member);
+                  m_crashSuspects.merge(member.crashSuspects, WallClock::now());
                   m_view.endpoints().recordReachable(member.name, MonotonicClock::now());
                   m_view.endpoints().recordReport(member.name, report, MonotonicClock::now());
                   m_view.endpoints().recordLeaving(member.name, report.leaving);
@@ -65,6 +66,7 @@
     m_view.setConfigurationHandler([this] { onConfiguration(); });
     m_sync.setFormerLeaveHandler([this](const EndpointLeave& former) { m_executor.setFormerLeave(former); });
     m_executor.setChangeHandler([this] { onBackendServerChange(); });
+    m_executor.setSuspectsHandler([this] { m_links.broadcastCrashSuspects(m_crashSuspects.takeChanges(WallClock::now())); });
     m_executor.setLeaveHandler([this] { m_sync.storeLeave(m_executor.currentLeave(), [](bool) {}); });
 }
 
--- a/Tests/CrashingRequestsTest.cpp
+++ b/Tests/CrashingRequestsTest.cpp
@@ -129,5 +129,48 @@
     EXPECT_LE(mesh.executionCount("/order/crash"), crashesBeforeRefusal + 1);
 }
 
+// The crashed backend servers still accept connections, and the caller comes again before the next instance announces itself.
+TEST(SidecarPath, ACrashIsFoundBeforeTheNextInstanceAnnouncesItself)
+{
+    constexpr size_t daemons = 6;
+    constexpr auto longDowntime = 2s;
+    constexpr size_t resends = 14;
+    SidecarHarness mesh({ "zone-a/alpha", "zone-a/alpha", "zone-b/alpha", "zone-b/alpha", "zone-c/alpha", "zone-c/alpha" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    std::vector<TimePoint> crashes;
+    for (size_t i = 0; i < daemons; ++i) {
+        auto& endpoint = mesh.endpoint(i);
+        endpoint.setScript([&](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+            if (request.target == "/read/crash") {
+                crashes.push_back(MonotonicClock::now());
+                endpoint.crash(longDowntime, true);
+            } else {
+                EndpointStandin::respond(*connection, request);
+            }
+        });
+    }
+    Timer load;
+    std::vector<std::shared_ptr<SidecarHarness::Exchange>> bystanders;
+    load.startRepeating(25ms, [&] {
+        bystanders.push_back(
+            mesh.send(bystanders.size() % daemons, { "GET", "/read/" + std::to_string(bystanders.size()), {}, {} }));
+    });
+    const HTTPRequest culprit { "GET", "/read/crash", {}, {} };
+    for (size_t i = 0; i < resends; ++i) {
+        mesh.send(i % daemons, culprit);
+        mesh.runFor(700ms);
+    }
+    load.stop();
+    mesh.runFor(1s);
+    ASSERT_GE(crashes.size(), crashesBeforeRefusal);
+    const auto late = std::count_if(
+        crashes.begin(), crashes.end(), [&](TimePoint at) { return at > crashes[crashesBeforeRefusal - 1] + timeToKnow; });
+    EXPECT_LE(late, static_cast<long>(arrivalsAllowed));
+    EXPECT_LE(crashes.size(), 2 * crashesBeforeRefusal);
+    const auto served
+        = std::count_if(bystanders.begin(), bystanders.end(), [](const auto& exchange) { return exchange->status() == 200; });
+    EXPECT_GE(static_cast<double>(served), 0.95 * static_cast<double>(bystanders.size()));
+}
+
 } // namespace
 } // namespace shallot
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -50,14 +50,20 @@
     setAnnouncing(true);
 }
 
-void EndpointStandin::crash(Duration downtime)
+void EndpointStandin::crash(Duration downtime, bool acceptsConnections)
 {
     if (!std::exchange(m_running, false))
         return;
     m_announceTimer.stop();
     // From the main loop: the script that calls this runs within a callback of the server.
-    m_crashTimer.startOnce(1ms, [this, downtime] {
+    m_crashTimer.startOnce(1ms, [this, downtime, acceptsConnections] {
         m_server.reset();
+        if (acceptsConnections) {
+            m_server = std::make_unique<StrictHTTPServer>();
+            const auto started = m_server->start(m_address, {},
+                { [](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) { connection->abort(); }, nullptr });
+            g_assert(started);
+        }
         m_crashTimer.startOnce(downtime, [this] {
             m_instance += "+";
             m_startedAt += 1000;
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -36,7 +36,8 @@
     // Sends a leave with any body.
     void sendLeave(const std::string& body);
     // Closes all connections without a response and the address; a new instance announces itself after that time.
-    void crash(Duration downtime);
+    // `acceptsConnections`: until then connections are accepted and closed without a response.
+    void crash(Duration downtime, bool acceptsConnections = false);
     bool isRunning() const { return m_running; }
     // Frees the address for another stand-in with different behaviour; announcements continue.
     void stopServing() { m_server->startDraining(); }
