Bound the work of one turn of the event loop

Cause: for each chunk above 64 KB of a body the memory of all connections was added up, and up to 64 MB were read before any timer. Class: work whose amount another process chooses.

Change: the memory limit is checked once for each 64 KB, a socket is read once a turn, and a turn ends after 10 ms; the sockets that are left come first in the next one.

--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr size_t maximumResponseBytes = 4 * 1024 * 1024; // Far above the longest responses of the deployments
-constexpr size_t bufferCheckBytes = 64 * 1024;           // Above this size mayBufferMore() is consulted
+constexpr size_t bufferCheckBytes = 64 * 1024;           // mayBufferMore() is consulted once for so many bytes of a body
 constexpr unsigned maximumMismatchedResponses = 8;       // Late responses dropped in one exchange before it fails
 
 std::string formatRequest(const HTTPRequest& request)
@@ -136,7 +136,8 @@
     const auto size = m_response.body.size() + bytes.size();
     if (size > maximumResponseBytes)
         m_rejectReason = "the response is too large";
-    else if (size > bufferCheckBytes && m_callbacks.mayBufferMore && !m_callbacks.mayBufferMore())
+    else if (size / bufferCheckBytes > m_response.body.size() / bufferCheckBytes && m_callbacks.mayBufferMore
+        && !m_callbacks.mayBufferMore())
         m_rejectReason = "the responses in progress exceed the memory limit";
     if (m_rejectReason)
         return false;
--- a/Source/net/SocketPoller.cpp
+++ b/Source/net/SocketPoller.cpp
@@ -1,8 +1,8 @@
 #include "net/SocketPoller.h"
 
 #include "core/Log.h"
+#include "core/Time.h"
 
-#include <algorithm>
 #include <array>
 #include <cstring>
 #include <glib-unix.h>
@@ -12,7 +12,10 @@
 
 namespace {
 
-constexpr int eventsPerIteration = 64; // Further ready sockets wait for the next iteration, after the timers
+using namespace std::chrono_literals;
+
+constexpr int eventsPerIteration = 64;         // Further ready sockets wait for the next iteration, after the timers
+constexpr auto maximumTimePerIteration = 10ms; // After the socket that exceeds it, timers are next
 
 struct PollerSource {
     GSource source;
@@ -55,22 +58,40 @@
     if (epoll_ctl(m_epoll, operation, watcher.descriptor, &event))
         SHALLOT_LOG(ERROR, "net") << "Watching a socket failed: " << std::strerror(errno) << ".";
     watcher.events = events;
-    if (!events)
-        std::replace(m_ready.begin(), m_ready.end(), &watcher, static_cast<SocketWatcher*>(nullptr));
+    if (events)
+        return;
+    for (auto& ready : m_ready) {
+        if (ready.watcher == &watcher)
+            ready.watcher = nullptr;
+    }
 }
 
-void SocketPoller::dispatch()
+void SocketPoller::poll()
 {
     std::array<epoll_event, eventsPerIteration> events; // NOLINT: filled by epoll_wait
     const int count = epoll_wait(m_epoll, events.data(), eventsPerIteration, 0);
     m_ready.clear();
-    for (int i = 0; i < count; ++i)
-        m_ready.push_back(static_cast<SocketWatcher*>(events[static_cast<size_t>(i)].data.ptr));
-    for (size_t i = 0; i < m_ready.size(); ++i) {
-        if (auto* watcher = m_ready[i])
-            watcher->onReady(watcher->owner, events[i].events);
+    m_nextReady = 0;
+    for (int i = 0; i < count; ++i) {
+        const auto& event = events[static_cast<size_t>(i)];
+        m_ready.push_back({ static_cast<SocketWatcher*>(event.data.ptr), event.events });
+    }
+}
+
+// Sockets that are left when the time is used up come first in the next iteration, so that each gets its turn.
+void SocketPoller::dispatch()
+{
+    if (m_nextReady >= m_ready.size())
+        poll();
+    const auto end = MonotonicClock::now() + maximumTimePerIteration;
+    while (m_nextReady < m_ready.size()) {
+        const auto ready = m_ready[m_nextReady++];
+        if (!ready.watcher)
+            continue;
+        ready.watcher->onReady(ready.watcher->owner, ready.events);
+        if (MonotonicClock::now() >= end)
+            return;
     }
-    m_ready.clear();
 }
 
 } // namespace shallot
--- a/Source/net/SocketPoller.h
+++ b/Source/net/SocketPoller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -25,12 +26,19 @@
     void watch(SocketWatcher&, uint32_t events);
 
 private:
+    struct ReadySocket {
+        SocketWatcher* watcher { nullptr }; // Null if it has been removed meanwhile
+        uint32_t events { 0 };
+    };
+
     SocketPoller();
     void dispatch();
+    void poll();
 
     GSource* m_source { nullptr };
     int m_epoll { -1 };
-    std::vector<SocketWatcher*> m_ready; // During dispatch(); null where the watcher has been removed meanwhile
+    std::vector<ReadySocket> m_ready; // Found by the last poll; handled in order, possibly over several iterations
+    size_t m_nextReady { 0 };
 };
 
 } // namespace shallot
--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -15,7 +15,7 @@
 
 constexpr size_t maximumPendingBytes = 32 * 1024 * 1024;
 constexpr size_t readChunkBytes = 64 * 1024;
-constexpr int maximumReadsPerEvent = 16; // Prevents a busy connection from starving the others
+constexpr int maximumReadsPerEvent = 1; // A busy connection starves neither the others nor the timers
 
 bool wouldBlock()
 {
