Model check of a backend server's life, and two faults that it found

Callers saw: nothing yet. The check found: the leave of a run that was not announced yet was acknowledged and forgotten, or named the start of the run before (three steps: announce, restart under the same name, leave); a backend server that drains was replaced by any later announcement, which cut its runs and changed the callers' service (announce, drain, foreign announcement).

Change: leaves of other runs are kept for them with their own start, and a verified run is replaced only by a confirmed one, also while it drains. Both are in one commit because the check passes with both only.

--- a/Source/mesh/EndpointLife.cpp
+++ b/Source/mesh/EndpointLife.cpp
@@ -2,10 +2,17 @@
 
 #include "mesh/MeshSettings.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shallot {
 
+namespace {
+
+constexpr size_t maximumLeaves = 16; // Runs at one address follow each other within seconds at most
+
+} // namespace
+
 EndpointLife::EndpointLife(const MeshSettings& settings, std::string service)
     : m_settings(settings)
     , m_service(std::move(service))
@@ -36,12 +43,12 @@
     m_lastContact = now;
     // A run that has said that it drains does not return to use, whatever it announces later.
     if (announcement.draining)
-        m_leave = { announcement.instance, announcement.startedAt };
+        addLeave({ announcement.instance, announcement.startedAt });
 }
 
-// A run in use is replaced only by one that is confirmed: an announcement may be late, or of another writer. Confirmed is a run
-// that the health endpoint names, the next run of the same backend server under its name, and one that announces itself again
-// while the run in use says nothing and the health endpoint does not answer.
+// A verified run is replaced only by one that is confirmed, also if it drains: an announcement may be late, or of another writer.
+// Confirmed is a run that the health endpoint names, the next run of the same backend server under its name, and one that
+// announces itself again while the run in use says nothing and the health endpoint does not answer.
 AnnouncementVerdict EndpointLife::recordAnnouncement(const EndpointAnnouncement& announcement, TimePoint now)
 {
     if (isCurrentRun(announcement)) {
@@ -55,13 +62,12 @@
         return AnnouncementVerdict::NewRun;
     }
     const bool later = announcement.startedAt > m_current.startedAt;
-    const bool inUse = isInUse(now);
-    if (!later && inUse)
+    if (!later && isInUse(now))
         return AnnouncementVerdict::Stale;
     const bool sameEndpoint = announcement.instance == m_current.instance && announcement.service == m_current.service;
     const bool again = m_candidate && announcement.instance == m_candidate->instance
         && announcement.startedAt == m_candidate->startedAt && announcement.sequence > m_candidate->sequence;
-    if (later && (again || (m_verified && (sameEndpoint || !inUse)))) {
+    if (later && (again || (m_verified && sameEndpoint))) {
         adopt(announcement, true, now);
         return AnnouncementVerdict::NewRun;
     }
@@ -74,12 +80,28 @@
 {
     // A backend server may start again under the name that it had.
     const bool ofEarlierRun = startedAt && startedAt < m_current.startedAt;
-    if (m_announced && (instance != m_current.instance || ofEarlierRun))
+    if (m_announced && instance == m_current.instance && ofEarlierRun)
         return false;
-    const auto knownStart = m_announced && m_current.startedAt ? m_current.startedAt : startedAt;
-    if (!m_leave.covers(instance, m_current.startedAt))
-        m_leave = { instance, knownStart ? knownStart : wallClockMs };
-    return true;
+    const bool ofCurrentRun = !m_announced || instance == m_current.instance;
+    const auto knownStart = m_announced && ofCurrentRun ? std::max(startedAt, m_current.startedAt) : startedAt;
+    addLeave({ instance, knownStart ? knownStart : wallClockMs });
+    return ofCurrentRun;
+}
+
+const EndpointLeave* EndpointLife::findLeave(const EndpointAnnouncement& run) const
+{
+    const auto found = std::find_if(m_leaves.rbegin(), m_leaves.rend(),
+        [&run](const EndpointLeave& leave) { return leave.covers(run.instance, run.startedAt); });
+    return found == m_leaves.rend() ? nullptr : &*found;
+}
+
+void EndpointLife::addLeave(const EndpointLeave& leave)
+{
+    if (std::find(m_leaves.begin(), m_leaves.end(), leave) != m_leaves.end())
+        return;
+    m_leaves.push_back(leave);
+    if (m_leaves.size() > maximumLeaves)
+        m_leaves.erase(m_leaves.begin());
 }
 
 void EndpointLife::setFormerLeave(const EndpointLeave& leave)
@@ -124,7 +146,8 @@
 
 EndpointLeave EndpointLife::currentLeave() const
 {
-    return !m_announced || m_leave.covers(m_current.instance, m_current.startedAt) ? m_leave : EndpointLeave {};
+    const auto* leave = m_announced ? findLeave(m_current) : m_leaves.empty() ? nullptr : &m_leaves.back();
+    return leave ? *leave : EndpointLeave {};
 }
 
 } // namespace shallot
--- a/Source/mesh/EndpointLife.h
+++ b/Source/mesh/EndpointLife.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace shallot {
 
@@ -28,7 +29,8 @@
 
     AnnouncementVerdict recordAnnouncement(const EndpointAnnouncement&, TimePoint now);
     // Both times are milliseconds since 1970. `startedAt`: of the run that leaves; 0 if it is not known. No run that starts after
-    // `wallClockMs` is meant. Returns whether the leave concerns the current run or one not announced yet.
+    // `wallClockMs` is meant. Returns whether the leave concerns the current run, or any if none was announced; that of another
+    // one is kept for its announcements.
     bool recordLeave(const std::string& instance, uint64_t startedAt, uint64_t wallClockMs);
     // The last leave stored before this daemon started. No run is available until it is known: the first announcement after a
     // restart may be from a backend server that has left.
@@ -61,6 +63,8 @@
 private:
     bool isCurrentRun(const EndpointAnnouncement&) const;
     bool isInUse(TimePoint now) const;
+    const EndpointLeave* findLeave(const EndpointAnnouncement&) const;
+    void addLeave(const EndpointLeave&);
     void adopt(const EndpointAnnouncement&, bool verified, TimePoint now);
 
     const MeshSettings& m_settings;
@@ -68,8 +72,8 @@
     EndpointAnnouncement m_current;
     std::optional<EndpointAnnouncement> m_candidate; // Announced beside the current run and not confirmed yet
     TimePoint m_candidateAt {};
-    EndpointLeave m_leave;       // Announced to this process
-    EndpointLeave m_formerLeave; // Announced before this process started
+    std::vector<EndpointLeave> m_leaves; // Announced to this process; the latest ones, newest last
+    EndpointLeave m_formerLeave;         // Announced before this process started
     TimePoint m_lastContact {};
     bool m_announced { false };
     bool m_verified { false };
