Mend the deploy build; store the leave of a run that a probe confirms

The member is a named object now.

A run that announced its leave before it was confirmed is also stored as having left when a probe confirms it; before, only with its next announcement.

--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -141,10 +141,14 @@
     const auto former = m_life.current().instance;
     const bool wasAnnounced = m_life.isAnnounced();
     const bool mayHaveCrashed = wasAnnounced && currentLeave().instance.empty();
-    if (m_life.recordProbe(instance, load ? load->slots : 0, m_probeSentAt, now))
+    if (m_life.recordProbe(instance, load ? load->slots : 0, m_probeSentAt, now)) {
         onNewRun(former, mayHaveCrashed, now);
-    else if (!wasAnnounced && m_life.isAnnounced())
+        // It may have announced its leave before it was confirmed.
+        if (!currentLeave().instance.empty() && m_onLeave)
+            m_onLeave();
+    } else if (!wasAnnounced && m_life.isAnnounced()) {
         m_queue.setSlots(m_life.current().slots);
+    }
     if (healthy && instance == m_life.current().instance)
         recordStateHeaders(*response, m_probeSentAt, now);
     EventLog::write("instance-probed",
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -69,7 +69,7 @@
     size_t inProgress() const { return m_calls.size(); }
     // Requests per second that the backend server takes from all instances together; empty: it names no limit.
     std::optional<double> rateLimit() const { return m_rateLimit; }
-    // Called when the backend server says in a response that it leaves.
+    // Called when the backend server turns out to leave other than by a notice to this daemon.
     void setLeaveHandler(std::function<void()> handler) { m_onLeave = std::move(handler); }
     // Called when the records of requests that crash backend servers changed, so that the fleet can be told at once.
     void setSuspectsHandler(std::function<void()> handler) { m_onSuspectsChange = std::move(handler); }
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -145,8 +145,13 @@
         report.available = state->state == static_cast<uint8_t>(State::Available);
         report.leaving = state->state == static_cast<uint8_t>(State::Leaving);
         report.limit = std::max(1U, state->slots);
-        m_callbacks.onState(
-            { state->member, state->zone, state->address, state->service, {}, readCrashSuspects(state->crash_suspects) }, report);
+        MeshMember member;
+        member.name = state->member;
+        member.zone = state->zone;
+        member.address = state->address;
+        member.service = state->service;
+        member.crashSuspects = readCrashSuspects(state->crash_suspects);
+        m_callbacks.onState(member, report);
     }
     if (gossip->wants_table)
         sendState(link, false);
