--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,11 @@
 SOAK_SEEDS ?= 1 2
 SOAK_SECONDS ?= 8
 
-.PHONY: setup all run test fuzz faults soak bench lint format clean
+# make review  cases of an independent review against the deploy file's build; REVIEW_CASES="1 5" REVIEW_PLAYS=n
+REVIEW_CASES ?= 1 2 3 4 5
+REVIEW_PLAYS ?= 1
+
+.PHONY: setup all run test fuzz faults soak review bench lint format clean
 
 all: $(BUILD)/CMakeCache.txt
 	@cmake --build $(BUILD)
@@ -45,6 +49,11 @@
 soak: all
 	@status=0; for seed in $(SOAK_SEEDS); do $(BUILD)/shallot-soak $(BUILD)/shallot-sidecar $$seed $(SOAK_SECONDS) || status=1; done; exit $$status
 
+review:
+	@sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)" >/dev/null
+	@review/build.sh
+	@scripts/run-review $(REVIEW_PLAYS) $(REVIEW_CASES)
+
 bench: all
 	@SHALLOT_BIN=$(BUILD) scripts/run-bench.sh
 
