Soak: real addresses and next runs; two tests judge what they name again

Cause: the soak's stand-ins announced a false address, so since all their announcements were refused, drains were never acknowledged, and the drain check checked nothing. Two tests of BackendServerTroubleTest.cpp sent announcements without a version and a warm-up time, which refuses for that reason.

Change: the soak announces the real address, starts a next run after each drain, draws announcements of other writers as a fault, and checks that each request is meant for the backend server that gets it. The tests' announcements are complete.

--- a/Tests/BackendServerTroubleTest.cpp
+++ b/Tests/BackendServerTroubleTest.cpp
@@ -28,7 +28,7 @@
         body += service;
         body += R"(","addr":")";
         body += address;
-        body += R"(","zone":"z","slots":4,"state":"ready","seq":1,"born":900000})";
+        body += R"(","zone":"z","version":"v1","slots":4,"state":"ready","cold_left_s":0,"seq":1,"born":900000})";
         mesh.endpoint(0).sendAnnouncement(body);
         mesh.runFor(100ms);
         EXPECT_EQ(mesh.fetch(1, "/read/1").status(), 200);
@@ -60,7 +60,7 @@
     mesh.runFor(100ms);
     replaced = true;
     mesh.endpoint(0).sendAnnouncement(R"({"service":"beta","addr":")" + mesh.backendServerAddress(0).toString()
-        + R"(","zone":"z","slots":4,"state":"ready","seq":1,"born":900000})");
+        + R"(","zone":"z","version":"v1","slots":4,"state":"ready","cold_left_s":0,"seq":1,"born":900000})");
     mesh.runFor(700ms);
     EXPECT_EQ(atTheWrongService, 0U);
 }
--- a/Tests/soak/soak.cpp
+++ b/Tests/soak/soak.cpp
@@ -42,7 +42,8 @@
 constexpr auto maximumFaultDuration = 2500ms;
 constexpr auto recoveryTime = 6s; // After the last fault; then all requests must be served again
 constexpr auto keyWithdrawalLimit = 5s;
-constexpr auto drainLimit = 2s; // From the acknowledgement of a drain to the last new request
+constexpr uint64_t startOfForeignRuns = 900'000'000; // Milliseconds since 1970; later than that of any run here
+constexpr auto drainLimit = 2s;                      // From the acknowledgement of a drain to the last new request
 constexpr auto maximumRunDuration = 60ms;
 constexpr auto rateWindow = 5s;
 constexpr double limitedRate = 20; // Requests a second of the organisation with key-3, which sends more; also its burst
@@ -130,6 +131,7 @@
         HTTPPool callers;
         HTTPPool control;
         uint64_t sequence { 0 };
+        uint64_t backendStartedAt { 1000 }; // Of the current run; milliseconds since 1970
         bool draining { false };
         TimePoint drainAcknowledged {}; // TimePoint(): not yet
     };
@@ -254,6 +256,8 @@
             return;
         }
         const std::string id(findHeader(request.headers, platform::header::attemptID));
+        if (findHeader(request.headers, platform::header::expectedInstance) != instance)
+            fail("a request was meant for another backend server: " + id);
         const auto found = m_attempts.find(id);
         if (found == m_attempts.end()) {
             fail("a backend server received a request that no caller sent: " + id);
@@ -306,14 +310,14 @@
             fail("an organisation ran more requests in 5 s than its rate, its burst and the margin allow");
     }
 
+    static std::string instanceOf(const DaemonProcess& daemon) { return "instance-" + std::to_string(daemon.index); }
+
     void announce(DaemonProcess& daemon)
     {
-        const std::string body
-            = R"({"service":"alpha","addr":"127.0.0.1:1","zone":"z","version":"v1","slots":20,"cold_left_s":0,"born":1000,"state":")"
-            + std::string(daemon.draining ? "draining" : "ready") + R"(","seq":)" + std::to_string(++daemon.sequence) + "}";
+        const auto body
+            = announcementBody(daemon, daemon.draining ? "draining" : "ready", daemon.backendStartedAt, ++daemon.sequence);
         daemon.control.send(m_nextID++,
-            { "POST", std::string(platform::path::announce) + "instance-" + std::to_string(daemon.index), { { "Host", "c" } },
-                body },
+            { "POST", std::string(platform::path::announce) + instanceOf(daemon), { { "Host", "c" } }, body },
             [&daemon, draining = daemon.draining](const Result<HTTPResponse>& response) {
                 const bool acknowledged = draining && daemon.draining && response && response->status == 200;
                 if (acknowledged && daemon.drainAcknowledged == TimePoint())
@@ -321,6 +325,21 @@
             });
     }
 
+    // Another writer names a backend server that does not run there.
+    void announceForeign(DaemonProcess& daemon)
+    {
+        const auto body = announcementBody(daemon, "ready", startOfForeignRuns, ++m_foreignSequence);
+        daemon.control.send(m_nextID++, { "POST", std::string(platform::path::announce) + "foreign", { { "Host", "c" } }, body },
+            [](const Result<HTTPResponse>&) {});
+    }
+
+    std::string announcementBody(const DaemonProcess& daemon, const char* state, uint64_t startedAt, uint64_t sequence) const
+    {
+        return R"({"service":"alpha","addr":")" + address(daemon.index, BackendProxy).toString()
+            + R"(","zone":"z","version":"v1","slots":20,"cold_left_s":0,"born":)" + std::to_string(startedAt) + R"(,"state":")"
+            + state + R"(","seq":)" + std::to_string(sequence) + "}";
+    }
+
     // Callers
 
     void sendRequest()
@@ -386,7 +405,7 @@
             m_recoveries.push_back({ until, [&proxy] { proxy.setFault(FaultProxy::Fault::None); } });
         };
         ++m_faults;
-        switch (m_random() % 8) {
+        switch (m_random() % 9) {
         case 0:
             injectProxyFault(*daemon.peerProxy);
             break;
@@ -423,10 +442,16 @@
         case 7:
             daemon.draining = true;
             m_recoveries.push_back({ until + drainLimit, [&daemon] {
+                                        // The next run, under the same name
+                                        daemon.backendStartedAt += 1000;
+                                        daemon.sequence = 0;
                                         daemon.draining = false;
                                         daemon.drainAcknowledged = {};
                                     } });
             break;
+        case 8:
+            announceForeign(daemon);
+            break;
         }
     }
 
@@ -498,6 +523,7 @@
     std::set<std::string> m_failures;
     TimePoint m_keyWithdrawnAt {};
     uint64_t m_nextID { 1 };
+    uint64_t m_foreignSequence { 0 };
     size_t m_faults { 0 };
     bool m_keyWithdrawn { false };
 };
