--- a/Tests/CrashingRequestsTest.cpp
+++ b/Tests/CrashingRequestsTest.cpp
@@ -172,5 +172,28 @@
     EXPECT_GE(static_cast<double>(served), 0.95 * static_cast<double>(bystanders.size()));
 }
 
+// All daemons receive the culprit at the same moment, and again once the backend servers have been back for a while.
+TEST(SidecarPath, ARequestThatCrashedManyBackendServersAtOnceReachesFewFurtherOnes)
+{
+    constexpr size_t daemons = 6;
+    constexpr size_t rounds = 3;
+    SidecarHarness mesh({ "zone-a/alpha", "zone-a/alpha", "zone-b/alpha", "zone-b/alpha", "zone-c/alpha", "zone-c/alpha" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    const HTTPRequest culprit { "POST", "/order/crash", {}, "crash" };
+    crashOn(mesh, daemons, culprit.target);
+    size_t before = 0;
+    for (size_t round = 0; round < rounds; ++round) {
+        for (size_t i = 0; i < daemons; ++i)
+            mesh.send(i, culprit);
+        mesh.runFor(timeToKnow + pauseOfCaller);
+        if (!round)
+            before = mesh.executionCount(culprit.target);
+    }
+    ASSERT_GE(before, crashesBeforeRefusal);
+    EXPECT_LE(mesh.executionCount(culprit.target) - before, arrivalsAllowed);
+    for (size_t i = 0; i < daemons; ++i)
+        EXPECT_EQ(mesh.fetch(i, "/read/other").status(), 200);
+}
+
 } // namespace
 } // namespace shallot
