Count crashes at the same time for requests that were never answered

Cause: a crash counted only for runs that started when the crash before was known, so that a popular request is not refused with the backend servers that it runs at. Six crashes in one moment counted as one, whatever the request.

Change: crashes have identifiers, and records carry those during which the backend server had not answered the request within a minute. Three of them refuse the request until it is answered anywhere. A popular request was answered there, a culprit never, so the exception stays for the former.

--- a/Source/core/Time.h
+++ b/Source/core/Time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <ctime>
 
 namespace shallot {
@@ -30,6 +31,13 @@
     {
         return std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
     }
+
+    // Since 1970.
+    static uint64_t milliseconds() noexcept
+    {
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+    }
 };
 
 using Duration = MonotonicClock::duration;
--- a/Source/mesh/CrashSuspects.cpp
+++ b/Source/mesh/CrashSuspects.cpp
@@ -12,9 +12,11 @@
 
 constexpr size_t maximumSuspects = 20'000; // A few MB
 
+// A request that was answered once does not crash each backend server: only successive crashes count for it.
 uint32_t uncleared(const CrashSuspect& suspect)
 {
-    return suspect.crashes > suspect.cleared ? suspect.crashes - suspect.cleared : 0;
+    const auto successive = suspect.crashes > suspect.cleared ? suspect.crashes - suspect.cleared : 0;
+    return suspect.cleared ? successive : std::max(successive, static_cast<uint32_t>(suspect.crashIDs.size()));
 }
 
 } // namespace
@@ -43,8 +45,21 @@
     return &m_suspects.emplace(fingerprint, Entry { { fingerprint } }).first->second;
 }
 
+// Returns whether the list changed. The smallest ones are kept, so that lists merge to the same in any order.
+bool CrashSuspects::addCrashIDs(CrashSuspect& suspect, std::span<const uint64_t> ids) const
+{
+    auto& known = suspect.crashIDs;
+    const auto former = known;
+    known.insert(known.end(), ids.begin(), ids.end());
+    std::sort(known.begin(), known.end());
+    known.erase(std::unique(known.begin(), known.end()), known.end());
+    known.resize(std::min<size_t>(known.size(), m_settings.crashThreshold));
+    return known != former;
+}
+
 // A crash counts once for all runs that started before it was known. So a popular request that runs at several backend servers
-// when all of them crash at once gets one count, while a caller that resends the culprit adds one with each crash.
+// when all of them crash at once gets one count, while a caller that resends the culprit adds one with each crash. A request that
+// its backend server had not answered lately is no popular one: for it each crash counts, also at the same time.
 void CrashSuspects::recordCrash(std::span<const InterruptedRun> runs, std::chrono::sys_seconds now)
 {
     for (const auto& run : runs) {
@@ -52,6 +67,8 @@
         if (!entry)
             continue;
         entry->suspect.crashes = std::max(entry->suspect.crashes, run.knownCrashes + 1);
+        if (run.crashID)
+            addCrashIDs(entry->suspect, { &run.crashID, 1 });
         entry->suspect.recordedAt = now;
         entry->own = true;
         entry->changed = true;
@@ -91,11 +108,13 @@
     if (!entry)
         return;
     auto& suspect = entry->suspect;
-    const bool isNews
-        = other.crashes > suspect.crashes || other.cleared > suspect.cleared || other.recordedAt > suspect.recordedAt;
+    const bool knowsMore = suspect.crashes > other.crashes || suspect.cleared > other.cleared
+        || !std::includes(other.crashIDs.begin(), other.crashIDs.end(), suspect.crashIDs.begin(), suspect.crashIDs.end());
+    const bool hasNewIDs = addCrashIDs(suspect, other.crashIDs);
+    const bool isNews = hasNewIDs || other.crashes > suspect.crashes || other.cleared > suspect.cleared
+        || other.recordedAt > suspect.recordedAt;
     if (!isNews)
         return;
-    const bool knowsMore = suspect.crashes > other.crashes || suspect.cleared > other.cleared;
     suspect.crashes = std::max(suspect.crashes, other.crashes);
     suspect.cleared = std::max(suspect.cleared, other.cleared);
     suspect.recordedAt = std::max(suspect.recordedAt, std::min(other.recordedAt, now)); // The other clock may be ahead
--- a/Source/mesh/CrashSuspects.h
+++ b/Source/mesh/CrashSuspects.h
@@ -13,14 +13,16 @@
 struct MeshSettings;
 
 // Which requests crash the backend servers that run them, from the evidence of the whole fleet. A request is refused after a
-// number of successive crashes without an answer in between; one that was merely running beside the culprit is cleared by its
-// next answer. The daemons exchange their records through the member list.
+// number of successive crashes without an answer in between, or after as many at the same time if it had not been answered
+// before; one that was merely running beside the culprit is cleared by its next answer. The daemons exchange their records
+// through the member list.
 class CrashSuspects {
 public:
     // A run that the crash of this daemon's backend server interrupted.
     struct InterruptedRun {
         uint64_t fingerprint { 0 };
         uint32_t knownCrashes { 0 }; // crashesOf() when the run started
+        uint64_t crashID { 0 };      // See CrashSuspect::crashIDs; 0 if the backend server had answered the request lately
     };
 
     explicit CrashSuspects(const MeshSettings&);
@@ -59,6 +61,7 @@
     };
 
     uint32_t suspicion(uint64_t fingerprint, std::chrono::sys_seconds now) const;
+    bool addCrashIDs(CrashSuspect&, std::span<const uint64_t>) const;
     bool isExpired(const CrashSuspect&, std::chrono::sys_seconds now) const;
     Entry* findOrAdd(uint64_t fingerprint, std::chrono::sys_seconds now);
     void mergeOne(const CrashSuspect&, bool own, std::chrono::sys_seconds now);
--- a/Source/mesh/MemberList.cpp
+++ b/Source/mesh/MemberList.cpp
@@ -18,6 +18,8 @@
         const auto recordedAt = static_cast<uint64_t>(suspect.recordedAt.time_since_epoch().count());
         for (const auto value : { suspect.fingerprint, uint64_t { suspect.crashes }, uint64_t { suspect.cleared }, recordedAt })
             digest = stableHash(std::to_string(value), digest);
+        for (const auto id : suspect.crashIDs)
+            digest = stableHash(std::to_string(id), digest);
     }
     return digest;
 }
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -20,12 +20,6 @@
 constexpr auto probeTimeout = 1s;                // Of a health probe, which usually takes a few milliseconds
 constexpr auto probeInterval = 250ms;            // Until a probe that came too early for an announcement is repeated
 
-uint64_t wallClockMilliseconds()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
-}
-
 } // namespace
 
 EndpointExecutor::EndpointExecutor(
@@ -92,7 +86,7 @@
 
 void EndpointExecutor::recordLeave(const std::string& instance, uint64_t startedAt)
 {
-    const bool isNews = m_life.recordLeave(instance, startedAt, wallClockMilliseconds());
+    const bool isNews = m_life.recordLeave(instance, startedAt, WallClock::milliseconds());
     EventLog::write(isNews ? "instance-leaves" : "leave-stale",
         { { "backend_server", instance }, { "started_at_ms", startedAt }, { "current", m_life.current().instance },
             { "current_started_at_ms", m_life.current().startedAt } });
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/RefCounted.h"
+#include "mesh/AnsweredRequests.h"
 #include "mesh/CrashSuspects.h"
 #include "mesh/EndpointLife.h"
 #include "mesh/EndpointQueue.h"
@@ -99,6 +100,7 @@
         CrashSuspects::InterruptedRun run;
         std::string attemptID;
         TimePoint endedAt {};
+        bool answeredBefore { false }; // Lately, by this backend server
     };
 
     ErrorKind checkAdmission(LiveRun&, TimePoint now);
@@ -138,7 +140,8 @@
     std::unordered_map<uint64_t, RefPtr<LiveRun>> m_calls;
     std::unordered_map<std::string, uint64_t> m_running; // By attempt, while at the backend server
     DeadlineQueue m_deadlines;
-    std::vector<UnansweredRun> m_unanswered;          // Since the backend server last showed that it was running
+    std::vector<UnansweredRun> m_unanswered; // Since the backend server last showed that it was running
+    AnsweredRequests m_answered;
     std::map<std::string, std::string> m_healthPaths; // By service
     std::optional<double> m_rateLimit;
     TimePoint m_rateLimitNamedAt {}; // In the last response that named one
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -3,6 +3,7 @@
 //   Crashes:  recordUnanswered, recordAnswered, recordCrash, suspectCrash, probeSuspectedCrash, onSuspicionProbe, concludeCrash,
 //             endSuspicion
 
+#include "core/Digest.h"
 #include "core/EventLog.h"
 #include "mesh/MeshSettings.h"
 #include "platform/RequestCodec.h"
@@ -220,7 +221,8 @@
 {
     if (m_unanswered.size() >= maximumUnansweredRuns)
         m_unanswered.erase(m_unanswered.begin());
-    m_unanswered.push_back({ { fingerprintOf(live), live.knownCrashes }, live.attemptID, now });
+    const auto fingerprint = fingerprintOf(live);
+    m_unanswered.push_back({ { fingerprint, live.knownCrashes, 0 }, live.attemptID, now, m_answered.contains(fingerprint, now) });
 }
 
 // A run that started later and was answered shows that the earlier ones did not crash the backend server.
@@ -229,7 +231,10 @@
     std::erase_if(
         m_unanswered, [&live](const auto& run) { return run.endedAt < live.started || run.attemptID == live.attemptID; });
     // An answer with a server error may have been made without running the request.
-    if (m_crashSuspects.isEmpty() || status >= 500 || !m_crashSuspects.recordAnswer(fingerprintOf(live), WallClock::now()))
+    if (status >= 500)
+        return;
+    m_answered.record(fingerprintOf(live), MonotonicClock::now());
+    if (m_crashSuspects.isEmpty() || !m_crashSuspects.recordAnswer(fingerprintOf(live), WallClock::now()))
         return;
     EventLog::write("crash-suspect-cleared", { { "request", live.attemptID }, { "route", live.call.context.route } });
     if (m_onSuspectsChange)
@@ -241,8 +246,11 @@
     const auto runs = std::exchange(m_unanswered, {});
     std::vector<CrashSuspects::InterruptedRun> interrupted;
     uint32_t knownCrashes = 0;
+    // A backend server may start again under its name.
+    const auto crashID = stableHash(instance + '\n' + std::to_string(WallClock::milliseconds()));
     for (const auto& ended : runs) {
         interrupted.push_back(ended.run);
+        interrupted.back().crashID = ended.answeredBefore ? 0 : crashID;
         knownCrashes = std::max(knownCrashes, ended.run.knownCrashes);
     }
     std::string attempts;
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -18,6 +18,12 @@
     return static_cast<uint64_t>(std::max<int64_t>(0, duration.count()));
 }
 
+std::vector<uint64_t> sorted(std::vector<uint64_t> values)
+{
+    std::sort(values.begin(), values.end());
+    return values;
+}
+
 Duration fromMicroseconds(uint64_t microseconds)
 {
     constexpr uint64_t maximumMicroseconds = 600'000'000;
@@ -84,6 +90,7 @@
     item->crashes = suspect.crashes;
     item->cleared = suspect.cleared;
     item->recorded_s = suspect.recordedAt.time_since_epoch().count();
+    item->crash_ids = suspect.crashIDs;
     return item;
 }
 
@@ -94,7 +101,7 @@
     for (const auto& item : items) {
         if (item && item->recorded_s >= 0 && item->recorded_s < maximumSeconds)
             suspects.push_back({ item->fingerprint, item->crashes, item->cleared,
-                std::chrono::sys_seconds(std::chrono::seconds(item->recorded_s)) });
+                std::chrono::sys_seconds(std::chrono::seconds(item->recorded_s)), sorted(item->crash_ids) });
     }
     return suspects;
 }
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -1360,6 +1360,7 @@
   uint32_t crashes = 0;
   uint32_t cleared = 0;
   int64_t recorded_s = 0;
+  std::vector<uint64_t> crash_ids{};
 };
 
 struct CrashSuspect FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1370,7 +1371,8 @@
     VT_FINGERPRINT = 4,
     VT_CRASHES = 6,
     VT_CLEARED = 8,
-    VT_RECORDED_S = 10
+    VT_RECORDED_S = 10,
+    VT_CRASH_IDS = 12
   };
   uint64_t fingerprint() const {
     return GetField<uint64_t>(VT_FINGERPRINT, 0);
@@ -1384,12 +1386,17 @@
   int64_t recorded_s() const {
     return GetField<int64_t>(VT_RECORDED_S, 0);
   }
+  const flatbuffers::Vector<uint64_t> *crash_ids() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CRASH_IDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
            VerifyField<uint32_t>(verifier, VT_CRASHES, 4) &&
            VerifyField<uint32_t>(verifier, VT_CLEARED, 4) &&
            VerifyField<int64_t>(verifier, VT_RECORDED_S, 8) &&
+           VerifyOffset(verifier, VT_CRASH_IDS) &&
+           verifier.VerifyVector(crash_ids()) &&
            verifier.EndTable();
   }
   CrashSuspectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1413,6 +1420,9 @@
   void add_recorded_s(int64_t recorded_s) {
     fbb_.AddElement<int64_t>(CrashSuspect::VT_RECORDED_S, recorded_s, 0);
   }
+  void add_crash_ids(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> crash_ids) {
+    fbb_.AddOffset(CrashSuspect::VT_CRASH_IDS, crash_ids);
+  }
   explicit CrashSuspectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1429,10 +1439,12 @@
     uint64_t fingerprint = 0,
     uint32_t crashes = 0,
     uint32_t cleared = 0,
-    int64_t recorded_s = 0) {
+    int64_t recorded_s = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> crash_ids = 0) {
   CrashSuspectBuilder builder_(_fbb);
   builder_.add_recorded_s(recorded_s);
   builder_.add_fingerprint(fingerprint);
+  builder_.add_crash_ids(crash_ids);
   builder_.add_cleared(cleared);
   builder_.add_crashes(crashes);
   return builder_.Finish();
@@ -1443,6 +1455,23 @@
   static auto constexpr Create = CreateCrashSuspect;
 };
 
+inline flatbuffers::Offset<CrashSuspect> CreateCrashSuspectDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t fingerprint = 0,
+    uint32_t crashes = 0,
+    uint32_t cleared = 0,
+    int64_t recorded_s = 0,
+    const std::vector<uint64_t> *crash_ids = nullptr) {
+  auto crash_ids__ = crash_ids ? _fbb.CreateVector<uint64_t>(*crash_ids) : 0;
+  return shallot::wire::CreateCrashSuspect(
+      _fbb,
+      fingerprint,
+      crashes,
+      cleared,
+      recorded_s,
+      crash_ids__);
+}
+
 flatbuffers::Offset<CrashSuspect> CreateCrashSuspect(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct MemberStateT : public flatbuffers::NativeTable {
@@ -3689,6 +3718,7 @@
   { auto _e = crashes(); _o->crashes = _e; }
   { auto _e = cleared(); _o->cleared = _e; }
   { auto _e = recorded_s(); _o->recorded_s = _e; }
+  { auto _e = crash_ids(); if (_e) { _o->crash_ids.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crash_ids[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<CrashSuspect> CrashSuspect::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3703,12 +3733,14 @@
   auto _crashes = _o->crashes;
   auto _cleared = _o->cleared;
   auto _recorded_s = _o->recorded_s;
+  auto _crash_ids = _o->crash_ids.size() ? _fbb.CreateVector(_o->crash_ids) : 0;
   return shallot::wire::CreateCrashSuspect(
       _fbb,
       _fingerprint,
       _crashes,
       _cleared,
-      _recorded_s);
+      _recorded_s,
+      _crash_ids);
 }
 
 inline MemberStateT::MemberStateT(const MemberStateT &o)
--- a/Tests/CrashSuspectsTest.cpp
+++ b/Tests/CrashSuspectsTest.cpp
@@ -1,6 +1,7 @@
 // Decisions on requests that crash backend servers, with time passed in.
 
 #include "mesh/CrashSuspects.h"
+#include "mesh/AnsweredRequests.h"
 #include "mesh/MeshSettings.h"
 #include "platform/MemberCodec.h"
 
@@ -67,6 +68,47 @@
         EXPECT_FALSE(daemon.isRefused(popular, fleet.now));
 }
 
+TEST(CrashSuspects, ARequestThatNoBackendServerHadAnsweredIsRefusedAfterThreeCrashesAtOnce)
+{
+    Fleet fleet(4);
+    for (size_t i = 0; i < 3; ++i) {
+        const uint64_t crashID = 100 + i;
+        fleet.crash(i, { { culprit, 0, crashID }, { culprit, 0, crashID }, fleet.runAt(i, popular) });
+    }
+    EXPECT_FALSE(fleet.daemons[0].isRefused(culprit, fleet.now));
+    fleet.exchange();
+    for (const auto& daemon : fleet.daemons) {
+        EXPECT_TRUE(daemon.isRefused(culprit, fleet.now));
+        EXPECT_FALSE(daemon.isRefused(popular, fleet.now));
+    }
+}
+
+TEST(CrashSuspects, CrashesAtTheSameTimeNoLongerCountOnceTheRequestIsAnswered)
+{
+    Fleet fleet(3);
+    for (size_t i = 0; i < 2; ++i)
+        fleet.crash(i, { { popular, 0, 100 + i } });
+    fleet.exchange();
+    EXPECT_TRUE(fleet.daemons[2].isIsolated(popular, fleet.now));
+    EXPECT_TRUE(fleet.daemons[2].recordAnswer(popular, fleet.now));
+    fleet.exchange();
+    fleet.crash(0, { { popular, fleet.daemons[0].crashesOf(popular, fleet.now), 102 } });
+    fleet.exchange();
+    for (const auto& daemon : fleet.daemons)
+        EXPECT_FALSE(daemon.isRefused(popular, fleet.now));
+}
+
+TEST(AnsweredRequests, AreForgottenAfterAWhile)
+{
+    AnsweredRequests answered;
+    const TimePoint answeredAt { 1h };
+    EXPECT_FALSE(answered.contains(popular, answeredAt));
+    answered.record(popular, answeredAt);
+    EXPECT_TRUE(answered.contains(popular, answeredAt + 30s));
+    EXPECT_FALSE(answered.contains(culprit, answeredAt));
+    EXPECT_FALSE(answered.contains(popular, answeredAt + 10min));
+}
+
 TEST(CrashSuspects, AnAnswerClearsARequestThatRanBesideTheCulprit)
 {
     Fleet fleet(4);
@@ -134,7 +176,9 @@
     std::vector<CrashSuspect> records;
     for (int i = 0; i < *rc::gen::inRange(1, 12); ++i) {
         records.push_back({ *rc::gen::inRange<uint64_t>(1, 4), *rc::gen::inRange(0U, 6U), *rc::gen::inRange(0U, 6U),
-            start + std::chrono::seconds(*rc::gen::inRange(-900, 900)) });
+            start + std::chrono::seconds(*rc::gen::inRange(-900, 900)),
+            *rc::gen::container<std::vector<uint64_t>>(rc::gen::inRange<uint64_t>(1, 9)) });
+        std::sort(records.back().crashIDs.begin(), records.back().crashIDs.end());
     }
     const MeshSettings settings;
     CrashSuspects inOrder(settings);
@@ -181,7 +225,8 @@
 
 TEST(CrashSuspects, MemberRecordsCarryThemAndRejectMalformedOnes)
 {
-    MeshMember member { "daemon", "zone", "127.0.0.1:1", "alpha", {}, { { UINT64_MAX, 3, 1, start }, { 7, 1, 0, start } } };
+    MeshMember member { "daemon", "zone", "127.0.0.1:1", "alpha", {},
+        { { UINT64_MAX, 3, 1, start, { 4, UINT64_MAX } }, { 7, 1, 0, start, {} } } };
     const auto record = platform::encodeMember(member);
     const auto decoded = platform::decodeMember(record);
     ASSERT_TRUE(decoded);
@@ -192,6 +237,12 @@
         broken.value.replace(broken.value.find(good), good.size(), text);
         EXPECT_FALSE(platform::decodeMember(broken)) << text;
     }
+    for (const auto* text : { "", "x", "1 ", "1 -2", "1 x", "99999999999999999999 1" }) {
+        auto broken = record;
+        const std::string good = "18446744073709551615 4 18446744073709551615";
+        broken.value.replace(broken.value.find(good), good.size(), text);
+        EXPECT_FALSE(platform::decodeMember(broken)) << text;
+    }
 }
 
 } // namespace
