Read a store that comes back from an earlier copy anew, and store again what it lost

Cause: offsets of different eras were compared, and nobody wrote again what the store had lost.

Change: the store's era is read with each response and belongs to each offset, in followers, member lists and sync frames. A daemon whose record the copy lacks stores it again, at once for leaves and crashes, otherwise spread over the fleet.

StoreFollower.ALateRead... names the era now, its checks are the same.

--- a/Source/mesh/MemberList.cpp
+++ b/Source/mesh/MemberList.cpp
@@ -35,12 +35,12 @@
     m_state.digest += digestOf(listed); // A sum does not depend on the order of arrival
 }
 
-void MemberList::applySnapshot(uint64_t next, const std::vector<MeshMember>& members)
+void MemberList::applySnapshot(uint64_t next, const std::vector<MeshMember>& members, uint64_t era)
 {
-    if (m_state.isKnown && next < m_state.offset)
+    if (MemberListState { true, next, 0, era }.isBehind(m_state))
         return;
     m_members.clear();
-    m_state = { true, next, 0 };
+    m_state = { true, next, 0, era };
     for (const auto& member : members)
         upsert(member);
     // A snapshot does not contain the individual records before its offset.
@@ -48,9 +48,9 @@
     m_historyFrom = next;
 }
 
-void MemberList::applyRecords(uint64_t from, uint64_t next, const std::vector<MeshMember>& members)
+void MemberList::applyRecords(uint64_t from, uint64_t next, const std::vector<MeshMember>& members, uint64_t era)
 {
-    if (!m_state.isKnown || from > m_state.offset || next <= m_state.offset)
+    if (!m_state.isKnown || era != m_state.era || from > m_state.offset || next <= m_state.offset)
         return;
     for (const auto& member : members)
         upsert(member);
@@ -74,21 +74,24 @@
 {
     if (!update.state.isKnown)
         return UpdateResult::Consistent;
-    if (update.isSnapshot && (!m_state.isKnown || update.state.offset > m_state.offset))
-        applySnapshot(update.state.offset, update.members);
-    else if (!m_state.isKnown || (update.state.offset > m_state.offset && update.from > m_state.offset))
+    const bool continues = m_state.isKnown && update.state.era == m_state.era && update.from <= m_state.offset;
+    if (!m_state.isBehind(update.state))
+        return differsFrom(update.state) ? UpdateResult::Diverged : UpdateResult::Consistent;
+    if (update.isSnapshot)
+        applySnapshot(update.state.offset, update.members, update.state.era);
+    else if (!continues)
         return UpdateResult::Gap;
     else
-        applyRecords(update.from, update.state.offset, update.members);
+        applyRecords(update.from, update.state.offset, update.members, update.state.era);
     return differsFrom(update.state) ? UpdateResult::Diverged : UpdateResult::Consistent;
 }
 
 MemberUpdate MemberList::updateFor(const MemberListState& other) const
 {
     MemberUpdate update { m_state, false, m_state.offset, {} };
-    if (!m_state.isKnown || (other.isKnown && other.offset >= m_state.offset))
+    if (!m_state.isKnown || !other.isBehind(m_state))
         return update;
-    if (!other.isKnown || other.offset < m_historyFrom) {
+    if (!other.isKnown || other.era < m_state.era || other.offset < m_historyFrom) {
         update.isSnapshot = true;
         for (const auto& [name, member] : m_members)
             update.members.push_back(member);
@@ -104,7 +107,8 @@
 
 bool MemberList::differsFrom(const MemberListState& other) const
 {
-    return m_state.isKnown && other.isKnown && other.offset == m_state.offset && other.digest != m_state.digest;
+    return m_state.isKnown && other.isKnown && other.era == m_state.era && other.offset == m_state.offset
+        && other.digest != m_state.digest;
 }
 
 } // namespace shallot
--- a/Source/mesh/MemberList.h
+++ b/Source/mesh/MemberList.h
@@ -16,6 +16,13 @@
     bool isKnown { false }; // Received at least once, from the store or a peer
     uint64_t offset { 0 };  // Records of the store before this offset have been applied
     uint64_t digest { 0 };  // Over all listed members, independent of the order in which they were added
+    uint64_t era { 0 };     // Of the store, in which the offset counts; it rises when the store comes back from an earlier copy
+
+    // Whether the other copy may have something new for this one.
+    bool isBehind(const MemberListState& other) const
+    {
+        return !isKnown || era < other.era || (era == other.era && offset < other.offset);
+    }
 };
 
 // Member list update from one daemon to another.
@@ -39,11 +46,11 @@
         Diverged,   // Same offset, other digest: one of the two lists is incomplete
     };
 
-    // Replaces the list with all members of the store at offset `next`. An older snapshot is ignored.
-    void applySnapshot(uint64_t next, const std::vector<MeshMember>&);
-    // Applies the records from offset `from` up to but not including `next`; ignored if records before `from` are missing or none
-    // is new.
-    void applyRecords(uint64_t from, uint64_t next, const std::vector<MeshMember>&);
+    // Replaces the list with all members of the store at offset `next` of that era. An older snapshot is ignored.
+    void applySnapshot(uint64_t next, const std::vector<MeshMember>&, uint64_t era = 0);
+    // Applies the records from offset `from` up to but not including `next`; ignored if records before `from` are missing, none
+    // is new or they are of another era.
+    void applyRecords(uint64_t from, uint64_t next, const std::vector<MeshMember>&, uint64_t era = 0);
     UpdateResult applyUpdate(const MemberUpdate&);
     // Update for a daemon whose copy is in the state `other`: recent records if they suffice, otherwise a snapshot.
     MemberUpdate updateFor(const MemberListState& other) const;
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -87,6 +87,8 @@
     Duration comparisonInterval { 2s }; // Between two comparisons of a store reader's member list with another zone's
     Duration probeInterval { 1s };      // Between two sync requests to unreachable members of the zone
     Duration repairInterval { 2s };     // Shortest time between two reads of the complete member list
+    // Member records that all daemons together store again after the store lost them; a quarter of what the users' store takes.
+    double restoredRecordsPerSecond { 100 };
 
     // Rate limits of organisations
     unsigned ledgerCount { 4 };                 // Partitions of the organisations; the ledger of each is owned by one member
--- a/Source/mesh/MeshSyncPolicy.cpp
+++ b/Source/mesh/MeshSyncPolicy.cpp
@@ -137,6 +137,12 @@
     return m_members.differsFrom(other) ? markListInDoubt(now) : MemberListRepair::None;
 }
 
+Duration MeshSyncPolicy::delayOfRestoredRecord()
+{
+    const auto longest = static_cast<double>(m_endpoints.all().size()) / m_settings.restoredRecordsPerSecond;
+    return fromSeconds(std::uniform_real_distribution<double>(0, longest)(m_random));
+}
+
 // Two lists that differ do not show which one is incomplete, so each daemon reads its own again, at most once per repair
 // interval.
 MemberListRepair MeshSyncPolicy::markListInDoubt(TimePoint now)
--- a/Source/mesh/MeshSyncPolicy.h
+++ b/Source/mesh/MeshSyncPolicy.h
@@ -60,6 +60,8 @@
     MemberListRepair compareMemberLists(const MemberListState&, TimePoint now);
     // Another list with the same offset differed, and this one has not been read again since.
     bool isListInDoubt() const { return m_listInDoubt; }
+    // When to store the own record again after the store lost it: at a random time, since all daemons notice that together.
+    Duration delayOfRestoredRecord();
     // All members have been read from the store.
     void recordRepaired() { m_listInDoubt = false; }
 
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -112,6 +112,7 @@
     records.members_from = update.from;
     records.members_next = update.state.offset;
     records.members_digest = update.state.digest;
+    records.members_era = update.state.era;
     records.members_whole = update.isSnapshot;
     for (const auto& member : update.members) {
         auto state = std::make_unique<wire::MemberStateT>();
@@ -130,7 +131,7 @@
 MemberUpdate readMemberUpdate(const wire::RecordsT& records)
 {
     MemberUpdate update;
-    update.state = { records.members_known, records.members_next, records.members_digest };
+    update.state = { records.members_known, records.members_next, records.members_digest, records.members_era };
     update.isSnapshot = records.members_whole;
     update.from = records.members_from;
     for (const auto& state : records.members) {
--- a/Source/sidecar/MeshSync.cpp
+++ b/Source/sidecar/MeshSync.cpp
@@ -1,5 +1,6 @@
 // Index of this file
-//   Store:       start, onConfigurationRead, applyConfiguration, onMembersRead, applyMembers, onMemberListUpdated, readAllMembers
+//   Store:       start, onConfigurationRead, applyConfiguration, onMembersRead, onStoreEra, applyMembers, storeOwnRecordAgain,
+//                onMemberListUpdated, readAllMembers
 //   Own record:  applyOwnRecord, setOwnService, publishOwnRecord, publishCrashSuspects, storeLeave
 //   Peers:       tick, sendSyncRequest, onSyncRequest, onSyncResponse, pushConfiguration, connectToMembers
 //   Repair:      repair
@@ -56,6 +57,7 @@
           [this](const FollowerUpdate& read, TimePoint seenUntil) { onConfigurationRead(read, seenUntil); })
     , m_memberFollower(store, followMembers(), [this](const FollowerUpdate& read, TimePoint) { onMembersRead(read); })
 {
+    m_store.setEraHandler([this](uint64_t era) { onStoreEra(era); });
 }
 
 // Store
@@ -86,16 +88,28 @@
 void MeshSync::onMembersRead(const FollowerUpdate& read)
 {
     const auto members = decodeMembers(read.records);
+    const auto formerEra = m_policy.members().state().era;
     if (read.isSnapshot)
-        m_policy.members().applySnapshot(read.next, members);
+        m_policy.members().applySnapshot(read.next, members, read.era);
     else
-        m_policy.members().applyRecords(read.from, read.next, members);
-    applyMembers(members);
+        m_policy.members().applyRecords(read.from, read.next, members, read.era);
+    applyMembers(members, formerEra);
     onMemberListUpdated();
 }
 
-void MeshSync::applyMembers(const std::vector<MeshMember>& members)
+// The member follower may hold a read for long, so it is not what notices that the store came back from an earlier copy.
+void MeshSync::onStoreEra(uint64_t era)
 {
+    const auto& state = m_policy.members().state();
+    if (state.isKnown && state.era < era)
+        readAllMembers();
+}
+
+void MeshSync::applyMembers(const std::vector<MeshMember>& members, uint64_t formerEra)
+{
+    const bool isNewEra = m_policy.members().state().era > formerEra && m_ownRecordPublished;
+    if (isNewEra)
+        m_ownRecordStored = false;
     for (const auto& member : members) {
         if (member.name == m_own.name) {
             applyOwnRecord(member);
@@ -104,6 +118,26 @@
         m_view.updateMember(member);
         m_crashSuspects.merge(member.crashSuspects, WallClock::now());
     }
+    if (isNewEra)
+        storeOwnRecordAgain();
+}
+
+// The earlier copy may lack what the store had confirmed since. All daemons find that out at the same time; leaves and crashes,
+// which must not be forgotten by a restart, are stored at once.
+void MeshSync::storeOwnRecordAgain()
+{
+    if (m_ownRecordStored)
+        return;
+    m_storedLeave = {};
+    const bool urgent = !m_own.lastLeave.instance.empty() || !m_own.crashSuspects.empty();
+    const auto delay = urgent ? Duration::zero() : m_policy.delayOfRestoredRecord();
+    EventLog::write("own-record-lost",
+        { { "era", m_policy.members().state().era }, { "left_instance", m_own.lastLeave.instance },
+            { "crash_suspects", m_own.crashSuspects.size() }, { "stored_again_in_s", toSeconds(delay) } });
+    m_ownRecordRetry.startOnce(delay, [this] {
+        if (!m_ownRecordStored)
+            publishOwnRecord();
+    });
 }
 
 void MeshSync::onMemberListUpdated()
@@ -111,7 +145,7 @@
     const auto& state = m_policy.members().state();
     if (!state.isKnown)
         return;
-    m_memberFollower.advanceTo(state.offset);
+    m_memberFollower.advanceTo(state.offset, state.era);
     if (!m_view.markMembersKnown())
         return;
     EventLog::write("members-known", { { "members", m_policy.members().size() }, { "offset", state.offset } });
@@ -135,7 +169,7 @@
             EventLog::write("members-not-read", { { "detail", read.error().detail } });
             return;
         }
-        onMembersRead({ read->records, read->nextOffset, read->nextOffset, true });
+        onMembersRead({ read->records, read->nextOffset, read->nextOffset, true, read->era });
         m_policy.recordRepaired();
         const auto& state = m_policy.members().state();
         EventLog::write("members-read-again",
@@ -235,6 +269,7 @@
     request.members_known = state.isKnown;
     request.members_from = state.offset;
     request.members_digest = state.digest;
+    request.members_era = state.era;
     wire::FrameT frame;
     frame.body.Set(request);
     link->send(frame);
@@ -242,7 +277,7 @@
 
 void MeshSync::onSyncRequest(PeerLink& link, const wire::RecordsRequestT& request, TimePoint now)
 {
-    const MemberListState requester { request.members_known, request.members_from, request.members_digest };
+    const MemberListState requester { request.members_known, request.members_from, request.members_digest, request.members_era };
     wire::RecordsT response;
     response.sequence = request.sequence;
     response.next_offset = m_view.version();
@@ -265,10 +300,10 @@
     if (!response.snapshot.empty() && response.next_offset > m_view.version())
         applyConfiguration(response.snapshot, "peer");
     const auto update = readMemberUpdate(response);
-    const auto known = m_policy.members().state().offset;
+    const auto former = m_policy.members().state();
     const auto repairAction = m_policy.applyMemberUpdate(update, now);
-    if (m_policy.members().state().offset > known || update.isSnapshot)
-        applyMembers(update.members);
+    if (former.isBehind(m_policy.members().state()))
+        applyMembers(update.members, former.era);
     onMemberListUpdated();
     repair(repairAction, "answer", peer, update.state);
     const Duration age(static_cast<int64_t>(std::min(response.log_age_us, maximumFreshnessAgeUs)));
@@ -311,8 +346,8 @@
     const auto& own = m_policy.members().state();
     EventLog::write("member-list-differs",
         { { "peer", peer }, { "cause", cause }, { "whole_list_read", repair == MemberListRepair::ReadSnapshot },
-            { "offset", own.offset }, { "digest", own.digest }, { "members", m_policy.members().size() },
-            { "peer_offset", other.offset }, { "peer_digest", other.digest } });
+            { "offset", own.offset }, { "digest", own.digest }, { "era", own.era }, { "members", m_policy.members().size() },
+            { "peer_offset", other.offset }, { "peer_digest", other.digest }, { "peer_era", other.era } });
     if (repair == MemberListRepair::ReadSnapshot)
         readAllMembers();
     else
--- a/Source/sidecar/MeshSync.h
+++ b/Source/sidecar/MeshSync.h
@@ -49,7 +49,9 @@
     void onConfigurationRead(const FollowerUpdate&, TimePoint seenUntil);
     void onMembersRead(const FollowerUpdate&);
     void applyConfiguration(const std::string& document, const char* source);
-    void applyMembers(const std::vector<MeshMember>&);
+    void onStoreEra(uint64_t era);
+    void applyMembers(const std::vector<MeshMember>&, uint64_t formerEra);
+    void storeOwnRecordAgain();
     void repair(MemberListRepair, const char* cause, const std::string& peer, const MemberListState& other);
     void readAllMembers();
     void onMemberListUpdated();
--- a/Source/sidecar/StoreFollower.cpp
+++ b/Source/sidecar/StoreFollower.cpp
@@ -46,8 +46,12 @@
         readNext();
 }
 
-void StoreFollower::advanceTo(uint64_t offset)
+void StoreFollower::advanceTo(uint64_t offset, uint64_t era)
 {
+    if (era < m_era)
+        return;
+    if (std::exchange(m_era, era) < era)
+        m_offset.reset();
     m_offset = std::max(m_offset.value_or(0), offset);
 }
 
@@ -95,6 +99,18 @@
     if (!std::exchange(m_reachable, true))
         EventLog::write("store-regained", { { "topic", topicName(m_settings.topic) }, { "failures", m_failures } });
     m_failures = 0;
+    // The store came back from an earlier copy: other records may stand at the offsets that were read.
+    if (read->era > m_era && m_offset && !wasSnapshot) {
+        m_offset.reset();
+        scheduleNext({});
+        return;
+    }
+    if (read->era < m_era) {
+        scheduleNext(std::max<Duration>(m_settings.readDelay, minimumReadDelay));
+        return;
+    }
+    if (std::exchange(m_era, read->era) < read->era)
+        m_offset.reset();
     // A late response brings nothing new, and its records may be older than those received meanwhile.
     const uint64_t known = m_offset.value_or(0);
     if (m_offset && !wasSnapshot && read->nextOffset <= known)
@@ -104,7 +120,7 @@
     // A read held to its end without records shows that there were none when it ended. The store counts the hold from the arrival
     // of the request.
     const bool held = read->records.empty() && hold > Duration::zero() && MonotonicClock::now() - sentAt >= hold;
-    m_onRead({ read->records, known, read->nextOffset, wasSnapshot }, held ? sentAt + hold : sentAt);
+    m_onRead({ read->records, known, read->nextOffset, wasSnapshot, m_era }, held ? sentAt + hold : sentAt);
     // If the store does not hold the read, the rate of reads must stay bounded.
     const auto readDelay = wasSnapshot ? m_settings.delayAfterSnapshot : m_settings.readDelay;
     scheduleNext(held ? Duration::zero() : std::max<Duration>(readDelay, minimumReadDelay));
--- a/Source/sidecar/StoreFollower.h
+++ b/Source/sidecar/StoreFollower.h
@@ -15,9 +15,10 @@
     uint64_t from { 0 };
     uint64_t next { 0 };       // Offset after the last record
     bool isSnapshot { false }; // The newest record of each key, in place of all records before `next`
+    uint64_t era { 0 };        // In which the offsets count, see platform::StoreRead::era
 };
 
-// Follows one topic: reads the snapshot first, then new records with held reads.
+// Follows one topic: reads the snapshot first, then new records with held reads. Starts again with a snapshot in each later era.
 class StoreFollower {
 public:
     // All records written before `seenUntil` have been read.
@@ -31,8 +32,9 @@
     void readOnce();
     // Offset of the next read; 0 before the first response.
     uint64_t offset() const { return m_offset.value_or(0); }
-    // Skips records before that offset, which were received by other means.
-    void advanceTo(uint64_t offset);
+    uint64_t era() const { return m_era; }
+    // Skips records before that offset of that era, which were received by other means; an earlier era has no effect.
+    void advanceTo(uint64_t offset, uint64_t era);
     bool isReachable() const { return m_reachable; }
 
 private:
@@ -46,6 +48,7 @@
     Callback m_onRead;
     Timer m_timer;
     std::optional<uint64_t> m_offset; // Offset of the next read; empty: read the snapshot first
+    uint64_t m_era { 0 };             // In which the offset counts
     unsigned m_failures { 0 };        // Consecutive
     bool m_reachable { true };
     bool m_hadRecords { false }; // The last read returned records
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -1942,6 +1942,7 @@
   uint64_t members_from = 0;
   uint64_t members_digest = 0;
   bool members_known = false;
+  uint64_t members_era = 0;
 };
 
 struct RecordsRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1953,7 +1954,8 @@
     VT_FROM = 6,
     VT_MEMBERS_FROM = 8,
     VT_MEMBERS_DIGEST = 10,
-    VT_MEMBERS_KNOWN = 12
+    VT_MEMBERS_KNOWN = 12,
+    VT_MEMBERS_ERA = 14
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1970,6 +1972,9 @@
   bool members_known() const {
     return GetField<uint8_t>(VT_MEMBERS_KNOWN, 0) != 0;
   }
+  uint64_t members_era() const {
+    return GetField<uint64_t>(VT_MEMBERS_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1977,6 +1982,7 @@
            VerifyField<uint64_t>(verifier, VT_MEMBERS_FROM, 8) &&
            VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
            VerifyField<uint8_t>(verifier, VT_MEMBERS_KNOWN, 1) &&
+           VerifyField<uint64_t>(verifier, VT_MEMBERS_ERA, 8) &&
            verifier.EndTable();
   }
   RecordsRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2003,6 +2009,9 @@
   void add_members_known(bool members_known) {
     fbb_.AddElement<uint8_t>(RecordsRequest::VT_MEMBERS_KNOWN, static_cast<uint8_t>(members_known), 0);
   }
+  void add_members_era(uint64_t members_era) {
+    fbb_.AddElement<uint64_t>(RecordsRequest::VT_MEMBERS_ERA, members_era, 0);
+  }
   explicit RecordsRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2020,8 +2029,10 @@
     uint64_t from = 0,
     uint64_t members_from = 0,
     uint64_t members_digest = 0,
-    bool members_known = false) {
+    bool members_known = false,
+    uint64_t members_era = 0) {
   RecordsRequestBuilder builder_(_fbb);
+  builder_.add_members_era(members_era);
   builder_.add_members_digest(members_digest);
   builder_.add_members_from(members_from);
   builder_.add_from(from);
@@ -2145,6 +2156,7 @@
   uint64_t members_digest = 0;
   bool members_known = false;
   bool members_whole = false;
+  uint64_t members_era = 0;
   RecordsT() = default;
   RecordsT(const RecordsT &o);
   RecordsT(RecordsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2166,7 +2178,8 @@
     VT_MEMBERS_NEXT = 18,
     VT_MEMBERS_DIGEST = 20,
     VT_MEMBERS_KNOWN = 22,
-    VT_MEMBERS_WHOLE = 24
+    VT_MEMBERS_WHOLE = 24,
+    VT_MEMBERS_ERA = 26
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -2201,6 +2214,9 @@
   bool members_whole() const {
     return GetField<uint8_t>(VT_MEMBERS_WHOLE, 0) != 0;
   }
+  uint64_t members_era() const {
+    return GetField<uint64_t>(VT_MEMBERS_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -2219,6 +2235,7 @@
            VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
            VerifyField<uint8_t>(verifier, VT_MEMBERS_KNOWN, 1) &&
            VerifyField<uint8_t>(verifier, VT_MEMBERS_WHOLE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_MEMBERS_ERA, 8) &&
            verifier.EndTable();
   }
   RecordsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2263,6 +2280,9 @@
   void add_members_whole(bool members_whole) {
     fbb_.AddElement<uint8_t>(Records::VT_MEMBERS_WHOLE, static_cast<uint8_t>(members_whole), 0);
   }
+  void add_members_era(uint64_t members_era) {
+    fbb_.AddElement<uint64_t>(Records::VT_MEMBERS_ERA, members_era, 0);
+  }
   explicit RecordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2286,8 +2306,10 @@
     uint64_t members_next = 0,
     uint64_t members_digest = 0,
     bool members_known = false,
-    bool members_whole = false) {
+    bool members_whole = false,
+    uint64_t members_era = 0) {
   RecordsBuilder builder_(_fbb);
+  builder_.add_members_era(members_era);
   builder_.add_members_digest(members_digest);
   builder_.add_members_next(members_next);
   builder_.add_members_from(members_from);
@@ -2319,7 +2341,8 @@
     uint64_t members_next = 0,
     uint64_t members_digest = 0,
     bool members_known = false,
-    bool members_whole = false) {
+    bool members_whole = false,
+    uint64_t members_era = 0) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Record>>(*records) : 0;
   auto snapshot__ = snapshot ? _fbb.CreateString(snapshot) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::MemberState>>(*members) : 0;
@@ -2335,7 +2358,8 @@
       members_next,
       members_digest,
       members_known,
-      members_whole);
+      members_whole,
+      members_era);
 }
 
 flatbuffers::Offset<Records> CreateRecords(flatbuffers::FlatBufferBuilder &_fbb, const RecordsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3947,6 +3971,7 @@
   { auto _e = members_from(); _o->members_from = _e; }
   { auto _e = members_digest(); _o->members_digest = _e; }
   { auto _e = members_known(); _o->members_known = _e; }
+  { auto _e = members_era(); _o->members_era = _e; }
 }
 
 inline flatbuffers::Offset<RecordsRequest> RecordsRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordsRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3962,13 +3987,15 @@
   auto _members_from = _o->members_from;
   auto _members_digest = _o->members_digest;
   auto _members_known = _o->members_known;
+  auto _members_era = _o->members_era;
   return shallot::wire::CreateRecordsRequest(
       _fbb,
       _sequence,
       _from,
       _members_from,
       _members_digest,
-      _members_known);
+      _members_known,
+      _members_era);
 }
 
 inline RecordT *Record::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4012,7 +4039,8 @@
         members_next(o.members_next),
         members_digest(o.members_digest),
         members_known(o.members_known),
-        members_whole(o.members_whole) {
+        members_whole(o.members_whole),
+        members_era(o.members_era) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new shallot::wire::RecordT(*records_) : nullptr); }
   members.reserve(o.members.size());
@@ -4031,6 +4059,7 @@
   std::swap(members_digest, o.members_digest);
   std::swap(members_known, o.members_known);
   std::swap(members_whole, o.members_whole);
+  std::swap(members_era, o.members_era);
   return *this;
 }
 
@@ -4054,6 +4083,7 @@
   { auto _e = members_digest(); _o->members_digest = _e; }
   { auto _e = members_known(); _o->members_known = _e; }
   { auto _e = members_whole(); _o->members_whole = _e; }
+  { auto _e = members_era(); _o->members_era = _e; }
 }
 
 inline flatbuffers::Offset<Records> Records::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4075,6 +4105,7 @@
   auto _members_digest = _o->members_digest;
   auto _members_known = _o->members_known;
   auto _members_whole = _o->members_whole;
+  auto _members_era = _o->members_era;
   return shallot::wire::CreateRecords(
       _fbb,
       _sequence,
@@ -4087,7 +4118,8 @@
       _members_next,
       _members_digest,
       _members_known,
-      _members_whole);
+      _members_whole,
+      _members_era);
 }
 
 inline ReturnedLoanT *ReturnedLoan::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/MeshSyncPolicyTest.cpp
+++ b/Tests/MeshSyncPolicyTest.cpp
@@ -107,6 +107,29 @@
     EXPECT_FALSE(unknown.state().isKnown);
 }
 
+TEST(MemberList, StartsAgainInALaterEraOfTheStore)
+{
+    MemberList reader;
+    MemberList follower;
+    reader.applySnapshot(7, { memberNumber(1), memberNumber(2) }, 1);
+    follower.applySnapshot(7, { memberNumber(1), memberNumber(2) }, 1);
+    reader.applySnapshot(4, { memberNumber(1) }, 2); // The copy is older
+    EXPECT_EQ(reader.state().offset, 4U);
+    EXPECT_EQ(follower.updateFor(reader.state()).members.size(), 0U);
+    EXPECT_EQ(reader.applyUpdate(follower.updateFor({})), MemberList::UpdateResult::Consistent); // Of the earlier era
+    EXPECT_EQ(reader.state().offset, 4U);
+    follower.applyRecords(7, 8, { memberNumber(3) }, 2); // Its offsets count in the later era
+    EXPECT_EQ(follower.state().offset, 7U);
+    const auto update = reader.updateFor(follower.state());
+    ASSERT_TRUE(update.isSnapshot);
+    EXPECT_EQ(follower.applyUpdate(update), MemberList::UpdateResult::Consistent);
+    EXPECT_EQ(follower.state().digest, reader.state().digest);
+    EXPECT_EQ(follower.state().era, 2U);
+    follower.applySnapshot(9, { memberNumber(1), memberNumber(2), memberNumber(3) }, 1); // A late read of the earlier era
+    EXPECT_EQ(follower.state().offset, 4U);
+    EXPECT_EQ(follower.applyUpdate({ { true, 3, 0, 3 }, false, 2, { memberNumber(2) } }), MemberList::UpdateResult::Gap);
+}
+
 // The store's member list and configuration version.
 struct ModelStore {
     std::vector<MeshMember> records;
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -536,7 +536,7 @@
     wake.startOnce(100ms, [&woken] { woken = true; });
     while (!woken) // Until the read is held
         g_main_context_iteration(nullptr, TRUE);
-    follower.advanceTo(10);
+    follower.advanceTo(10, follower.era());
     store.put("keyed.members", "m", "older than what was learned elsewhere");
     runUntilRead(2);
     EXPECT_EQ(values.size(), 1U);
--- a/Tests/StoreStandin.cpp
+++ b/Tests/StoreStandin.cpp
@@ -24,11 +24,6 @@
         bytes += static_cast<char>(number >> (8 * (size - 1 - i)));
 }
 
-void respond(StrictHTTPConnection& connection, uint16_t status, std::string body)
-{
-    connection.respond({ status, {}, std::move(body) }, false, MonotonicClock::now());
-}
-
 } // namespace
 
 StoreStandin::StoreStandin(const SocketAddress& address)
@@ -45,6 +40,40 @@
     completeHeldReads(topic);
 }
 
+std::unique_ptr<StoreStandin> StoreStandin::copy() const
+{
+    std::unique_ptr<StoreStandin> result(new StoreStandin);
+    result->m_topics = m_topics;
+    return result;
+}
+
+void StoreStandin::restore(const StoreStandin& copy)
+{
+    m_topics = copy.m_topics;
+    ++m_era;
+    for (const auto& held : std::exchange(m_held, {})) {
+        if (held->connection)
+            held->connection->abort();
+    }
+}
+
+void StoreStandin::respond(StrictHTTPConnection& connection, uint16_t status, std::string body) const
+{
+    connection.respond({ status, { { std::string(platform::header::storeEra), std::to_string(m_era) } }, std::move(body) }, false,
+        MonotonicClock::now());
+}
+
+std::map<std::string, std::string> StoreStandin::newest(const std::string& topic) const
+{
+    std::map<std::string, std::string> values;
+    const auto found = m_topics.find(topic);
+    if (found == m_topics.end())
+        return values;
+    for (const auto& [key, value] : found->second.records)
+        values[key] = value;
+    return values;
+}
+
 void StoreStandin::trim(const std::string& topic)
 {
     m_topics[topic].firstOffset = m_topics[topic].records.size();
@@ -73,7 +102,7 @@
     const auto from = std::strtoull(queryValue(request.target, "from").c_str(), nullptr, 10);
     const auto wait = std::strtoll(queryValue(request.target, "wait_ms").c_str(), nullptr, 10);
     m_readHolds.emplace_back(std::chrono::milliseconds(wait));
-    if (!wait || from < m_topics[topic].records.size()) {
+    if (!wait || from != m_topics[topic].records.size()) {
         respondWithRecords(*connection, topic, from);
         return;
     }
@@ -91,12 +120,9 @@
 
 void StoreStandin::respondWithSnapshot(StrictHTTPConnection& connection, const std::string& topic)
 {
-    std::map<std::string, std::string> newest;
-    for (const auto& [key, value] : m_topics[topic].records)
-        newest[key] = value;
     JSONWriter writer;
     writer.beginObject().beginArray("items");
-    for (const auto& [key, value] : newest) {
+    for (const auto& [key, value] : newest(topic)) {
         char* encoded = g_base64_encode(reinterpret_cast<const guchar*>(value.data()), value.size());
         writer.beginObject().add("key", key).add("value", encoded).endObject();
         g_free(encoded);
@@ -108,7 +134,7 @@
 void StoreStandin::respondWithRecords(StrictHTTPConnection& connection, const std::string& topic, size_t from)
 {
     const auto& [records, firstOffset] = m_topics[topic];
-    if (from < firstOffset) {
+    if (from < firstOffset || from > records.size()) {
         respond(connection, 410, R"({"first_offset":)" + std::to_string(firstOffset) + "}");
         return;
     }
--- a/Tests/StoreStandin.h
+++ b/Tests/StoreStandin.h
@@ -23,8 +23,14 @@
     explicit StoreStandin(const SocketAddress&);
 
     void put(const std::string& topic, const std::string& key, const std::string& value);
+    // The newest value of each key.
+    std::map<std::string, std::string> newest(const std::string& topic) const;
     // Drops all records written so far; the newest of each key stays in the snapshot.
     void trim(const std::string& topic);
+    // Comes back from an earlier copy of its topics: the connections of held reads are closed.
+    void restore(const StoreStandin& copy);
+    // A copy of the topics, without a server.
+    std::unique_ptr<StoreStandin> copy() const;
     // Called with each appended value; returns the value to store.
     void setRecordFilter(std::function<std::string(const std::string& topic, std::string)> filter)
     {
@@ -36,6 +42,8 @@
     const std::vector<Duration>& readHolds() const { return m_readHolds; }
 
 private:
+    StoreStandin() = default;
+
     struct Topic {
         std::vector<std::pair<std::string, std::string>> records;
         size_t firstOffset { 0 }; // Oldest offset kept
@@ -49,6 +57,7 @@
     };
 
     void handle(const RefPtr<StrictHTTPConnection>&, const HTTPRequest&);
+    void respond(StrictHTTPConnection&, uint16_t status, std::string body) const;
     void respondWithSnapshot(StrictHTTPConnection&, const std::string& topic);
     void respondWithRecords(StrictHTTPConnection&, const std::string& topic, size_t from);
     void completeHeldReads(const std::string& topic);
@@ -59,6 +68,7 @@
     std::function<std::string(const std::string&, std::string)> m_filter;
     Mode m_mood { Mode::Serving };
     size_t m_calls { 0 };
+    uint64_t m_era { 1 }; // Rises with each restore
     std::vector<Duration> m_readHolds;
 };
 
