Tell the fleet when a backend server's rate limit ends or rises

Cause: only answers told senders of a limit, so those that sent nothing kept the former one.

Change: the daemon beside the backend server sends its state when the limit ends or doubles, at most each 500 ms. A state carries the whole load report; before, it said that a backend server was idle, unmeasured and unlimited.

The entry in KNOWN-RED.txt stays until the test has been played under the sanitizers at that load.

--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -72,6 +72,8 @@
     std::optional<double> rateLimit() const { return m_rateLimit; }
     // Called when the backend server turns out to leave other than by a notice to this daemon.
     void setLeaveHandler(std::function<void()> handler) { m_onLeave = std::move(handler); }
+    // Called when the limit that the backend server names has ended or risen much, so that the fleet can be told.
+    void setLimitRiseHandler(std::function<void()> handler) { m_onLimitRise = std::move(handler); }
     // Called when the records of requests that crash backend servers changed, so that the fleet can be told at once.
     void setSuspectsHandler(std::function<void()> handler) { m_onSuspectsChange = std::move(handler); }
     void setChangeHandler(std::function<void()> handler) { m_onChange = std::move(handler); }
@@ -116,6 +118,7 @@
     void recordAnswered(LiveRun&, uint16_t status);
     void recordStateHeaders(const HTTPResponse&, TimePoint sentAt, TimePoint now);
     void recordRateLimit(const HTTPResponse&, TimePoint sentAt, TimePoint now);
+    void announceLimitRise();
     void recordCrash(const std::string& instance, const char* evidence);
     void suspectCrash(TimePoint now);
     void probeSuspectedCrash();
@@ -144,12 +147,17 @@
     AnsweredRequests m_answered;
     std::map<std::string, std::string> m_healthPaths; // By service
     std::optional<double> m_rateLimit;
-    TimePoint m_rateLimitNamedAt {}; // In the last response that named one
-    size_t m_isolatedCalls { 0 };    // Queued or running
-    size_t m_heldBodyBytes { 0 };    // Of all calls, including what their connections have not sent yet
+    TimePoint m_rateLimitNamedAt {};        // In the last response that named one
+    std::optional<double> m_leastRateLimit; // Named since the fleet was told of a rise
+    Timer m_limitNoticeTimer;               // Until it may be told of the next one
+    bool m_limitNoticeWaits { false };      // The timer is running
+    bool m_limitNoticePending { false };
+    size_t m_isolatedCalls { 0 }; // Queued or running
+    size_t m_heldBodyBytes { 0 }; // Of all calls, including what their connections have not sent yet
     std::function<void()> m_onChange;
     std::function<void()> m_onLeave;
     std::function<void()> m_onSuspectsChange;
+    std::function<void()> m_onLimitRise;
     uint64_t m_nextID { 1 };
     bool m_probing { false };
     Timer m_probeTimer;
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Runs:     run, send, onResponse, recordStateHeaders, recordRateLimit, finish, refuse, cancel, onDeadline
+//   Runs:     run, send, onResponse, recordStateHeaders, recordRateLimit, announceLimitRise, finish, refuse, cancel, onDeadline
 //   Crashes:  recordUnanswered, recordAnswered, recordCrash, suspectCrash, probeSuspectedCrash, onSuspicionProbe, concludeCrash,
 //             endSuspicion
 
@@ -18,6 +18,8 @@
 constexpr auto responseGrace = 20ms; // The backend server stops at the deadline by itself; its response gets this much longer
 constexpr size_t maximumUnansweredRuns = 1024; // Several times the slots of the largest backend server
 constexpr auto suspicionProbeTimeout = 200ms;  // Of a probe after a suspected crash; tens of times the usual response time
+constexpr double limitRiseFactor = 2;          // A smaller rise of a limit reaches the senders with the next responses
+constexpr auto limitNoticeInterval = 500ms;    // Between two notices of a limit that has ended or risen
 constexpr size_t maximumLoggedAttempts = 8;    // Of the runs that a crash interrupted
 
 } // namespace
@@ -139,6 +141,24 @@
     EventLog::write("backend-server-limit",
         { { "backend_server", m_life.current().instance }, { "named", m_rateLimit.has_value() },
             { "per_second", m_rateLimit.value_or(0) }, { "previous", previous.value_or(0) } });
+    if (m_rateLimit)
+        m_leastRateLimit = std::min(*m_rateLimit, m_leastRateLimit.value_or(*m_rateLimit));
+    const bool rises = m_leastRateLimit && (!m_rateLimit || *m_rateLimit >= limitRiseFactor * *m_leastRateLimit);
+    if (rises && !std::exchange(m_limitNoticePending, true) && !m_limitNoticeWaits)
+        announceLimitRise();
+}
+
+// Senders that hold an outdated limit avoid the backend server and would not find out. A limit that goes up and down costs one
+// notice an interval.
+void EndpointExecutor::announceLimitRise()
+{
+    m_limitNoticeWaits = std::exchange(m_limitNoticePending, false);
+    if (!m_limitNoticeWaits)
+        return;
+    m_leastRateLimit = m_rateLimit;
+    m_limitNoticeTimer.startOnce(limitNoticeInterval, [this] { announceLimitRise(); });
+    if (m_onLimitRise)
+        m_onLimitRise();
 }
 
 void EndpointExecutor::refuse(LiveRun& live, ErrorKind kind, TimePoint now)
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -83,6 +83,30 @@
     return { readOutcome(answer).response, report, reachedBackend, nestedCallFailed };
 }
 
+void addReport(wire::MemberStateT& state, const EndpointReport& report)
+{
+    state.slots = report.limit;
+    state.in_flight = report.running;
+    state.queued = report.queued;
+    state.service_us = toMicroseconds(report.serviceTime);
+    if (report.rateLimit)
+        state.rate_limit = *report.rateLimit;
+    state.rate_wait_us = toMicroseconds(report.rateWait);
+}
+
+EndpointReport readReport(const wire::MemberStateT& state)
+{
+    EndpointReport report;
+    report.limit = std::max(1U, state.slots);
+    report.running = state.in_flight;
+    report.queued = state.queued;
+    report.serviceTime = fromMicroseconds(state.service_us);
+    if (state.rate_limit >= 0)
+        report.rateLimit = state.rate_limit;
+    report.rateWait = fromMicroseconds(state.rate_wait_us);
+    return report;
+}
+
 std::unique_ptr<wire::CrashSuspectT> packCrashSuspect(const CrashSuspect& suspect)
 {
     auto item = std::make_unique<wire::CrashSuspectT>();
--- a/Source/sidecar/MeshFrames.h
+++ b/Source/sidecar/MeshFrames.h
@@ -18,6 +18,7 @@
 struct CrashSuspectT;
 struct FrameT;
 struct GossipT;
+struct MemberStateT;
 struct RecordsT;
 } // namespace wire
 
@@ -31,6 +32,10 @@
 // Leaves out records with an impossible time.
 std::vector<CrashSuspect> readCrashSuspects(std::span<const std::unique_ptr<wire::CrashSuspectT>>);
 
+// The load of the member's backend server, which its state carries.
+void addReport(wire::MemberStateT&, const EndpointReport&);
+EndpointReport readReport(const wire::MemberStateT&);
+
 // Changes of the member list within a frame of records.
 void addMemberUpdate(wire::RecordsT&, const MemberUpdate&);
 MemberUpdate readMemberUpdate(const wire::RecordsT&);
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -89,7 +89,7 @@
     state->zone = m_own.zone;
     state->address = m_own.address;
     state->service = m_own.service;
-    state->slots = report.limit;
+    addReport(*state, report);
     state->state = static_cast<uint8_t>(report.leaving ? State::Leaving
             : report.available                         ? State::Available
                                                        : State::Unavailable);
@@ -141,10 +141,9 @@
             EventLog::write("member-state-foreign", { { "member", state->member }, { "from", link.peer() } });
             continue;
         }
-        EndpointReport report;
+        auto report = readReport(*state);
         report.available = state->state == static_cast<uint8_t>(State::Available);
         report.leaving = state->state == static_cast<uint8_t>(State::Leaving);
-        report.limit = std::max(1U, state->slots);
         MeshMember member;
         member.name = state->member;
         member.zone = state->zone;
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -67,6 +67,7 @@
     m_sync.setFormerLeaveHandler([this](const EndpointLeave& former) { m_executor.setFormerLeave(former); });
     m_executor.setChangeHandler([this] { onBackendServerChange(); });
     m_executor.setSuspectsHandler([this] { m_links.broadcastCrashSuspects(m_crashSuspects.takeChanges(WallClock::now())); });
+    m_executor.setLimitRiseHandler([this] { m_links.broadcastState(); });
     m_executor.setLeaveHandler([this] { m_sync.storeLeave(m_executor.currentLeave(), [](bool) {}); });
 }
 
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -1486,6 +1486,11 @@
   std::string left_instance{};
   uint64_t left_started_by = 0;
   std::vector<std::unique_ptr<shallot::wire::CrashSuspectT>> crash_suspects{};
+  uint32_t in_flight = 0;
+  uint32_t queued = 0;
+  uint64_t service_us = 0;
+  double rate_limit = -1.0;
+  uint64_t rate_wait_us = 0;
   MemberStateT() = default;
   MemberStateT(const MemberStateT &o);
   MemberStateT(MemberStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1506,7 +1511,12 @@
     VT_SLOTS = 16,
     VT_LEFT_INSTANCE = 18,
     VT_LEFT_STARTED_BY = 20,
-    VT_CRASH_SUSPECTS = 22
+    VT_CRASH_SUSPECTS = 22,
+    VT_IN_FLIGHT = 24,
+    VT_QUEUED = 26,
+    VT_SERVICE_US = 28,
+    VT_RATE_LIMIT = 30,
+    VT_RATE_WAIT_US = 32
   };
   const flatbuffers::String *member() const {
     return GetPointer<const flatbuffers::String *>(VT_MEMBER);
@@ -1538,6 +1548,21 @@
   const flatbuffers::Vector<flatbuffers::Offset<shallot::wire::CrashSuspect>> *crash_suspects() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<shallot::wire::CrashSuspect>> *>(VT_CRASH_SUSPECTS);
   }
+  uint32_t in_flight() const {
+    return GetField<uint32_t>(VT_IN_FLIGHT, 0);
+  }
+  uint32_t queued() const {
+    return GetField<uint32_t>(VT_QUEUED, 0);
+  }
+  uint64_t service_us() const {
+    return GetField<uint64_t>(VT_SERVICE_US, 0);
+  }
+  double rate_limit() const {
+    return GetField<double>(VT_RATE_LIMIT, -1.0);
+  }
+  uint64_t rate_wait_us() const {
+    return GetField<uint64_t>(VT_RATE_WAIT_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_MEMBER) &&
@@ -1557,6 +1582,11 @@
            VerifyOffset(verifier, VT_CRASH_SUSPECTS) &&
            verifier.VerifyVector(crash_suspects()) &&
            verifier.VerifyVectorOfTables(crash_suspects()) &&
+           VerifyField<uint32_t>(verifier, VT_IN_FLIGHT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_QUEUED, 4) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE_US, 8) &&
+           VerifyField<double>(verifier, VT_RATE_LIMIT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RATE_WAIT_US, 8) &&
            verifier.EndTable();
   }
   MemberStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1598,6 +1628,21 @@
   void add_crash_suspects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::CrashSuspect>>> crash_suspects) {
     fbb_.AddOffset(MemberState::VT_CRASH_SUSPECTS, crash_suspects);
   }
+  void add_in_flight(uint32_t in_flight) {
+    fbb_.AddElement<uint32_t>(MemberState::VT_IN_FLIGHT, in_flight, 0);
+  }
+  void add_queued(uint32_t queued) {
+    fbb_.AddElement<uint32_t>(MemberState::VT_QUEUED, queued, 0);
+  }
+  void add_service_us(uint64_t service_us) {
+    fbb_.AddElement<uint64_t>(MemberState::VT_SERVICE_US, service_us, 0);
+  }
+  void add_rate_limit(double rate_limit) {
+    fbb_.AddElement<double>(MemberState::VT_RATE_LIMIT, rate_limit, -1.0);
+  }
+  void add_rate_wait_us(uint64_t rate_wait_us) {
+    fbb_.AddElement<uint64_t>(MemberState::VT_RATE_WAIT_US, rate_wait_us, 0);
+  }
   explicit MemberStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1621,10 +1666,20 @@
     uint32_t slots = 0,
     flatbuffers::Offset<flatbuffers::String> left_instance = 0,
     uint64_t left_started_by = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::CrashSuspect>>> crash_suspects = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::CrashSuspect>>> crash_suspects = 0,
+    uint32_t in_flight = 0,
+    uint32_t queued = 0,
+    uint64_t service_us = 0,
+    double rate_limit = -1.0,
+    uint64_t rate_wait_us = 0) {
   MemberStateBuilder builder_(_fbb);
+  builder_.add_rate_wait_us(rate_wait_us);
+  builder_.add_rate_limit(rate_limit);
+  builder_.add_service_us(service_us);
   builder_.add_left_started_by(left_started_by);
   builder_.add_version(version);
+  builder_.add_queued(queued);
+  builder_.add_in_flight(in_flight);
   builder_.add_crash_suspects(crash_suspects);
   builder_.add_left_instance(left_instance);
   builder_.add_slots(slots);
@@ -1652,7 +1707,12 @@
     uint32_t slots = 0,
     const char *left_instance = nullptr,
     uint64_t left_started_by = 0,
-    const std::vector<flatbuffers::Offset<shallot::wire::CrashSuspect>> *crash_suspects = nullptr) {
+    const std::vector<flatbuffers::Offset<shallot::wire::CrashSuspect>> *crash_suspects = nullptr,
+    uint32_t in_flight = 0,
+    uint32_t queued = 0,
+    uint64_t service_us = 0,
+    double rate_limit = -1.0,
+    uint64_t rate_wait_us = 0) {
   auto member__ = member ? _fbb.CreateString(member) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -1670,7 +1730,12 @@
       slots,
       left_instance__,
       left_started_by,
-      crash_suspects__);
+      crash_suspects__,
+      in_flight,
+      queued,
+      service_us,
+      rate_limit,
+      rate_wait_us);
 }
 
 flatbuffers::Offset<MemberState> CreateMemberState(flatbuffers::FlatBufferBuilder &_fbb, const MemberStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3776,7 +3841,12 @@
         service(o.service),
         slots(o.slots),
         left_instance(o.left_instance),
-        left_started_by(o.left_started_by) {
+        left_started_by(o.left_started_by),
+        in_flight(o.in_flight),
+        queued(o.queued),
+        service_us(o.service_us),
+        rate_limit(o.rate_limit),
+        rate_wait_us(o.rate_wait_us) {
   crash_suspects.reserve(o.crash_suspects.size());
   for (const auto &crash_suspects_ : o.crash_suspects) { crash_suspects.emplace_back((crash_suspects_) ? new shallot::wire::CrashSuspectT(*crash_suspects_) : nullptr); }
 }
@@ -3792,6 +3862,11 @@
   std::swap(left_instance, o.left_instance);
   std::swap(left_started_by, o.left_started_by);
   std::swap(crash_suspects, o.crash_suspects);
+  std::swap(in_flight, o.in_flight);
+  std::swap(queued, o.queued);
+  std::swap(service_us, o.service_us);
+  std::swap(rate_limit, o.rate_limit);
+  std::swap(rate_wait_us, o.rate_wait_us);
   return *this;
 }
 
@@ -3814,6 +3889,11 @@
   { auto _e = left_instance(); if (_e) _o->left_instance = _e->str(); }
   { auto _e = left_started_by(); _o->left_started_by = _e; }
   { auto _e = crash_suspects(); if (_e) { _o->crash_suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crash_suspects[_i] = std::unique_ptr<shallot::wire::CrashSuspectT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = in_flight(); _o->in_flight = _e; }
+  { auto _e = queued(); _o->queued = _e; }
+  { auto _e = service_us(); _o->service_us = _e; }
+  { auto _e = rate_limit(); _o->rate_limit = _e; }
+  { auto _e = rate_wait_us(); _o->rate_wait_us = _e; }
 }
 
 inline flatbuffers::Offset<MemberState> MemberState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3834,6 +3914,11 @@
   auto _left_instance = _o->left_instance.empty() ? 0 : _fbb.CreateString(_o->left_instance);
   auto _left_started_by = _o->left_started_by;
   auto _crash_suspects = _o->crash_suspects.size() ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::CrashSuspect>> (_o->crash_suspects.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashSuspect(*__va->__fbb, __va->__o->crash_suspects[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _in_flight = _o->in_flight;
+  auto _queued = _o->queued;
+  auto _service_us = _o->service_us;
+  auto _rate_limit = _o->rate_limit;
+  auto _rate_wait_us = _o->rate_wait_us;
   return shallot::wire::CreateMemberState(
       _fbb,
       _member,
@@ -3845,7 +3930,12 @@
       _slots,
       _left_instance,
       _left_started_by,
-      _crash_suspects);
+      _crash_suspects,
+      _in_flight,
+      _queued,
+      _service_us,
+      _rate_limit,
+      _rate_wait_us);
 }
 
 inline CrashReportT *CrashReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/NamedRateLimitTest.cpp
+++ b/Tests/NamedRateLimitTest.cpp
@@ -55,6 +55,12 @@
         m_mesh.runFor(duration);
     }
 
+    void sendThrough(size_t daemon, size_t count)
+    {
+        for (size_t i = 0; i < count; ++i)
+            m_exchanges.push_back(m_mesh.send(daemon, { "GET", "/read/limited", {}, {} }));
+    }
+
     // The most that the backend server received in any window from that time on.
     size_t mostInWindow(size_t endpoint, TimePoint from) const
     {
@@ -175,5 +181,25 @@
     }
 }
 
+// One daemon learns of the end; the other one sends nothing until then, and many requests at once afterwards.
+TEST(NamedRateLimit, TheEndOfALimitIsToldToTheOtherDaemons)
+{
+    constexpr size_t burst = 30;
+    LimitedMesh load({ "zone-a/alpha", "zone-a/alpha", "zone-a/alpha" }, { 0 });
+    load.setLimit(0);
+    load.setRunTime(runTime);
+    ASSERT_TRUE(load.mesh().waitUntilServing());
+    load.sendFor(settlingTime);
+    load.setNaming(false);
+    for (int i = 0; i < 100; ++i) {
+        load.sendThrough(0, 1);
+        load.mesh().runFor(Duration(timeToRecover) / 100);
+    }
+    const auto before = load.arrivalCount(0);
+    load.sendThrough(1, burst);
+    load.mesh().runFor(1s);
+    EXPECT_GE(load.arrivalCount(0) - before, burst / 6); // Half of an equal share
+}
+
 } // namespace
 } // namespace shallot
