--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -20,6 +20,7 @@
 struct AnswerT;
 }
 
+class BodyRelay;
 class CrashSuspects;
 class MeshView;
 class MeshLinks;
@@ -36,6 +37,7 @@
     EndpointExecutor& executor;
     DistributedRateLimiter& rateLimiter;
     MeshMetrics& metrics;
+    BodyRelay& bodies;
     CrashSuspects& crashSuspects;
     std::string ownName;
 };
