--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -94,15 +94,7 @@
     if (!isOpen() || !m_started)
         return;
     const uint32_t writable = m_connecting || m_writeBlocked ? static_cast<uint32_t>(EPOLLOUT) : 0U;
-    const bool reads = !m_connecting && (!m_readPaused || m_finishing);
-    SocketPoller::shared().watch(m_watcher, (reads ? static_cast<uint32_t>(EPOLLIN) : 0U) | writable);
-}
-
-void StreamSocket::setReadPaused(bool paused)
-{
-    if (paused == std::exchange(m_readPaused, paused))
-        return;
-    updateWatch();
+    SocketPoller::shared().watch(m_watcher, (m_connecting ? 0U : static_cast<uint32_t>(EPOLLIN)) | writable);
 }
 
 void StreamSocket::onReady(uint32_t events)
@@ -116,8 +108,6 @@
         closeAndNotify(StreamEnd::Reset);
         return;
     }
-    if ((events & EPOLLOUT) && isOpen() && !pendingBytes() && !m_finishing && m_callbacks.onDrained)
-        m_callbacks.onDrained();
     if (isOpen() && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
         readAvailable();
 }
@@ -229,14 +219,6 @@
         onClosed(end);
 }
 
-void StreamSocket::reset()
-{
-    const linger resetOnClose { 1, 0 };
-    if (isOpen())
-        setsockopt(m_watcher.descriptor, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
-    close();
-}
-
 // Does not clear the callbacks, because one of them may be on the call stack.
 void StreamSocket::close()
 {
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -27,7 +27,6 @@
         std::function<void(std::span<const uint8_t>)> onData;
         std::function<void()> onConnected;       // Only for outgoing connections
         std::function<void(StreamEnd)> onClosed; // Called once
-        std::function<void()> onDrained {};      // The write buffer is empty again
     };
 
     // Takes ownership of a connected, non-blocking socket.
@@ -41,16 +40,12 @@
     // Sends what the kernel accepts at once and buffers the rest. False when the connection is closed or finishing, or when the
     // data would overflow the buffer, which closes the connection.
     bool write(std::string_view);
-    // While paused, received data stays in the kernel.
-    void setReadPaused(bool);
     // Sends the buffered data, shuts down the sending side and discards received data until the peer closes.
     void finish();
     // Reads the data in the kernel's receive buffer at once instead of in the next iteration of the main loop.
     void readNow();
     // Closes the connection; onClosed is not called.
     void close();
-    // As close(), but the peer sees a reset instead of an orderly end.
-    void reset();
     // Sets TCP_USER_TIMEOUT: sent data that stays unacknowledged for longer closes the connection.
     void setUserTimeout(Duration);
     bool isOpen() const { return m_watcher.descriptor >= 0; }
@@ -75,7 +70,6 @@
     bool m_connecting { false };
     bool m_writeBlocked { false }; // The kernel's send buffer is full
     bool m_finishing { false };
-    bool m_readPaused { false };
 };
 
 } // namespace shallot
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -1,13 +1,11 @@
 // Index of this file
 //   Validation:   isUnambiguousHeaderSection
 //   Parsing:      onData, readRequests, readHeaderSection, readBody, dispatchRequest
-//   Responses:    respond, completeResponse, sendBody, breakBody, reject
+//   Responses:    respond, reject
 //   Closing:      abort, closeWhenIdle, enforceTimeouts, onSocketClosed
 
 #include "net/StrictHTTPConnection.h"
 
-#include "core/EventLog.h"
-#include "net/BodyStream.h"
 #include "net/StreamSocket.h"
 
 #include <algorithm>
@@ -20,7 +18,6 @@
 constexpr size_t maximumPipelinedBytes = 256 * 1024; // Received while a request is being served; more closes the connection
 constexpr size_t bufferCheckBytes = 64 * 1024;       // Above this size mayBufferMore() is consulted
 constexpr auto firstRequestTimeout = std::chrono::milliseconds(500); // While draining; many times the network delay
-constexpr size_t bodyPieceBytes = 64 * 1024;         // Of a response that is still arriving, in the socket's buffer at a time
 constexpr auto lingerTimeout = std::chrono::seconds(2); // For the client to read on, or to close, after the last response
 
 // http_parser accepts white space before the colon and drops it; other parsers differ, so it must be rejected here.
@@ -100,18 +97,14 @@
 
 StrictHTTPConnection::~StrictHTTPConnection()
 {
-    if (m_body) {
-        m_body->setConsumer(nullptr);
-        m_body->abandon();
-    }
     m_socket->close();
 }
 
 void StrictHTTPConnection::start(TimePoint now)
 {
     m_phaseStart = now;
-    m_socket->start({ [this](std::span<const uint8_t> bytes) { onData(bytes); }, nullptr,
-        [this](StreamEnd end) { onSocketClosed(end); }, [this] { sendBody(); } });
+    m_socket->start(
+        { [this](std::span<const uint8_t> bytes) { onData(bytes); }, nullptr, [this](StreamEnd end) { onSocketClosed(end); } });
 }
 
 // Parsing
@@ -274,19 +267,13 @@
 
 void StrictHTTPConnection::respond(const HTTPResponse& response, bool close, TimePoint now)
 {
-    if (!m_serving || m_body || !m_socket->isOpen()) {
-        if (response.rest)
-            response.rest->abandon();
+    if (!m_serving || !m_socket->isOpen())
         return;
-    }
     const RefPtr<StrictHTTPConnection> protect(this);
+    m_serving = false;
     m_currentBodyBytes = 0;
     m_phaseStart = now;
-    const bool bodiless = response.status == 204 || response.status == 304;
-    const bool hasBody = !bodiless && m_parser.method != HTTP_HEAD;
-    m_bodyLength = response.rest ? response.bodyLength : static_cast<int64_t>(response.body.size());
     close = close || !m_keepAlive || m_draining;
-    m_closeAfterResponse = close;
     std::string text;
     text.reserve(256 + response.body.size());
     text += "HTTP/1.1 " + std::to_string(response.status) + " " + reasonPhrase(response.status) + "\r\n";
@@ -298,35 +285,16 @@
         text += value;
         text += "\r\n";
     }
+    const bool bodiless = response.status == 204 || response.status == 304;
     if (!bodiless)
-        text += "Content-Length: " + std::to_string(m_bodyLength) + "\r\n";
+        text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
     if (close)
         text += "Connection: close\r\n";
     text += "\r\n";
-    if (hasBody)
+    if (!bodiless && m_parser.method != HTTP_HEAD)
         text += response.body;
     m_socket->write(text);
-    if (!response.rest) {
-        completeResponse();
-        return;
-    }
-    if (!hasBody) {
-        response.rest->abandon();
-        completeResponse();
-        return;
-    }
-    m_body = response.rest;
-    m_bodySent = response.body.size();
-    m_body->setConsumer([this] { sendBody(); });
-    sendBody();
-}
-
-void StrictHTTPConnection::completeResponse()
-{
-    m_serving = false;
-    if (!m_socket->isOpen())
-        return;
-    if (m_closeAfterResponse) {
+    if (close) {
         m_closing = true;
         m_socket->finish();
         return;
@@ -335,41 +303,6 @@
         readRequests();
 }
 
-// The socket's buffer holds one piece, so a client that reads slowly stalls its own body only.
-void StrictHTTPConnection::sendBody()
-{
-    const RefPtr<StrictHTTPConnection> protect(this);
-    while (m_body && m_socket->isOpen() && !m_socket->pendingBytes()) {
-        const auto body = m_body;
-        const auto piece = body->take(bodyPieceBytes);
-        if (!piece.empty()) {
-            m_bodySent += piece.size();
-            if (m_bodySent > static_cast<uint64_t>(m_bodyLength))
-                return breakBody("the body is longer than announced");
-            m_phaseStart = MonotonicClock::now();
-            m_socket->write(piece);
-            continue;
-        }
-        if (!body->isFinished())
-            return;
-        if (!body->result())
-            return breakBody(body->result().error().detail.c_str());
-        if (m_bodySent < static_cast<uint64_t>(m_bodyLength))
-            return breakBody("the body is shorter than announced");
-        m_body = nullptr;
-        m_phaseStart = MonotonicClock::now();
-        completeResponse();
-    }
-}
-
-// The client must not take what it has for a complete body.
-void StrictHTTPConnection::breakBody(const char* reason)
-{
-    EventLog::write("response-broken", { { "client", m_peerHost }, { "bytes", m_bodySent }, { "reason", reason } });
-    m_socket->reset();
-    onSocketClosed(StreamEnd::Reset);
-}
-
 void StrictHTTPConnection::reject(uint16_t status, const char* reason)
 {
     m_input.clear();
@@ -412,17 +345,9 @@
 
 void StrictHTTPConnection::enforceTimeouts(TimePoint now)
 {
-    if (!m_socket->isOpen() || (m_serving && !m_body))
+    if (m_serving || !m_socket->isOpen())
         return;
     const RefPtr<StrictHTTPConnection> protect(this);
-    if (m_body) {
-        const auto unsent = m_socket->pendingBytes();
-        if (unsent != std::exchange(m_unsentBytes, unsent))
-            m_phaseStart = now;
-        if (unsent && now - m_phaseStart > m_limits.idleTimeout)
-            breakBody("the client reads nothing");
-        return;
-    }
     // A client that is still reading the last response is given time, however slow it is.
     if (m_closing && m_socket->pendingBytes() != std::exchange(m_unsentBytes, m_socket->pendingBytes()))
         m_phaseStart = now;
@@ -445,10 +370,6 @@
 {
     const RefPtr<StrictHTTPConnection> protect(this);
     m_socket->close();
-    if (const auto body = std::exchange(m_body, nullptr)) {
-        body->setConsumer(nullptr);
-        body->abandon();
-    }
     if (std::exchange(m_serving, false) && m_callbacks.onDisconnect)
         m_callbacks.onDisconnect(*this);
     if (const auto onClosed = std::exchange(m_callbacks.onClosed, nullptr))
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -39,8 +39,7 @@
     ~StrictHTTPConnection();
 
     void start(TimePoint now);
-    // Responds to the request in progress and closes the connection if `close`; later calls do nothing. A body that is still
-    // arriving is sent on as the client reads it; if it breaks off, the connection is reset.
+    // Responds to the request in progress and closes the connection if `close`; later calls do nothing.
     void respond(const HTTPResponse&, bool close, TimePoint now);
     // Closes the connection without a response.
     void abort();
@@ -63,9 +62,6 @@
     void readBody();
     void reject(uint16_t status, const char* reason);
     void dispatchRequest();
-    void sendBody();
-    void completeResponse();
-    void breakBody(const char* reason);
     bool appendBody(std::string_view);
     void closeIfIdle(TimePoint now);
     static const http_parser_settings& parserSettings();
@@ -82,10 +78,6 @@
     HeaderCollector m_collector;
     bool m_messageComplete { false };
     size_t m_unsentBytes { 0 };             // Of the last response, at the last check
-    RefPtr<BodyStream> m_body;              // Of the response, while it is being sent
-    uint64_t m_bodySent { 0 };              // Bytes of it
-    int64_t m_bodyLength { 0 };             // As announced to the client
-    bool m_closeAfterResponse { false };
     size_t m_currentBodyBytes { 0 };        // Body size of the request being served
     const char* m_rejectReason { nullptr }; // Why the body is rejected; null while it is not
     uint16_t m_rejectStatus { 0 };
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "core/ByteBudget.h"
 #include "core/RefCounted.h"
 #include "mesh/AnsweredRequests.h"
 #include "mesh/CrashSuspects.h"
@@ -37,7 +36,6 @@
 public:
     // `service` is the configured service of the instance; announcements override it.
     EndpointExecutor(const MeshSettings&, const SocketAddress& backendServer, const std::string& service, CrashSuspects&);
-    ~EndpointExecutor();
 
     // Calls the completion exactly once unless the call is cancelled. Returns the call's id.
     uint64_t submit(MeshCall, TimePoint now, MeshCompletion);
@@ -70,8 +68,6 @@
     // Of the backend server, if it is verified; otherwise the configured one.
     const std::string& service() const { return m_life.service(); }
     size_t inProgress() const { return m_calls.size(); }
-    // Of the response bodies that this process holds while they are passed on.
-    ByteBudget& responseBudget() { return m_responseBudget; }
     // Requests per second that the backend server takes from all instances together; empty: it names no limit.
     std::optional<double> rateLimit() const { return m_rateLimit; }
     // Called when the backend server turns out to leave other than by a notice to this daemon.
@@ -88,7 +84,6 @@
         MeshCall call;
         MeshCompletion completion;
         std::string attemptID;
-        RefPtr<BodyStream> stream;   // The rest of the response's body, once the response has been passed on
         uint64_t fingerprint { 0 };  // See requestFingerprint(); computed only when needed
         size_t heldBodyBytes { 0 };  // Counted in m_heldBodyBytes
         uint32_t knownCrashes { 0 }; // Of this request, when the run started
@@ -119,8 +114,6 @@
     void send(LiveRun&, Duration maximumIdle);
     void onResponse(uint64_t id, Result<HTTPResponse>);
     void finish(LiveRun&, Result<HTTPResponse>, bool reachedBackend, TimePoint now);
-    void streamResponse(LiveRun&, HTTPResponse, TimePoint now);
-    void complete(LiveRun&, Result<HTTPResponse>, bool reachedBackend, TimePoint now);
     void recordUnanswered(LiveRun&, TimePoint now);
     void recordAnswered(LiveRun&, uint16_t status);
     void recordStateHeaders(const HTTPResponse&, TimePoint sentAt, TimePoint now);
@@ -143,7 +136,6 @@
     CrashSuspects& m_crashSuspects;
     std::string m_host;
     EndpointLife m_life;
-    ByteBudget m_responseBudget;
     HTTPPool m_pool;
     HTTPPool m_probePool;
     EndpointQueue m_queue;
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -1,13 +1,11 @@
 // Index of this file
-//   Runs:     run, send, onResponse, recordStateHeaders, recordRateLimit, announceLimitRise, finish,
-//             complete, streamResponse, refuse, cancel, onDeadline
+//   Runs:     run, send, onResponse, recordStateHeaders, recordRateLimit, announceLimitRise, finish, refuse, cancel, onDeadline
 //   Crashes:  recordUnanswered, recordAnswered, recordCrash, suspectCrash, probeSuspectedCrash, onSuspicionProbe, concludeCrash,
 //             endSuspicion
 
 #include "core/Digest.h"
 #include "core/EventLog.h"
 #include "mesh/MeshSettings.h"
-#include "net/BodyStream.h"
 #include "platform/RequestCodec.h"
 #include "sidecar/EndpointExecutor.h"
 
@@ -92,8 +90,6 @@
         return;
     }
     const auto responseClass = platform::classifyResponse(*response);
-    if (response->rest && responseClass != platform::ResponseClass::Valid)
-        response->rest->abandon();
     endSuspicion(now);
     if (responseClass == platform::ResponseClass::Valid || responseClass == platform::ResponseClass::NotExecuted)
         recordStateHeaders(*response, live->started, now);
@@ -103,10 +99,7 @@
         recordAnswered(*live, response->status);
         m_queue.recordServiceTime(now - live->started);
         platform::removeInternalHeaders(*response);
-        if (response->rest)
-            streamResponse(*live, std::move(*response), now);
-        else
-            finish(*live, std::move(response), true, now);
+        finish(*live, std::move(response), true, now);
         break;
     case platform::ResponseClass::NotExecuted:
         finish(*live, fail(ErrorKind::BackendRefused, "refused with status " + std::to_string(response->status)), true, now);
@@ -202,41 +195,13 @@
         m_running.erase(live.attemptID);
         m_loadShedder.recordEnd(context.route, context.priority);
     }
-    complete(live, std::move(response), reachedBackend, now);
-    runNext(now);
-}
-
-void EndpointExecutor::complete(LiveRun& live, Result<HTTPResponse> response, bool reachedBackend, TimePoint now)
-{
-    const auto completion = std::exchange(live.completion, nullptr);
-    if (!completion) {
-        if (response && response->rest)
-            response->rest->abandon();
-        return;
+    if (const auto completion = std::exchange(live.completion, nullptr)) {
+        auto ownReport = report(now);
+        ownReport.pressure
+            = std::max(m_queue.pressure(context.priority, now), m_loadShedder.pressure(context.route, context.priority, now));
+        completion({ std::move(response), ownReport, reachedBackend, live.nestedCallFailed });
     }
-    const auto& context = live.call.context;
-    auto ownReport = report(now);
-    ownReport.pressure
-        = std::max(m_queue.pressure(context.priority, now), m_loadShedder.pressure(context.route, context.priority, now));
-    completion({ std::move(response), ownReport, reachedBackend, live.nestedCallFailed });
-}
-
-// The backend server is busy with the run until its body has arrived, however long that takes: the deadline is that of the answer.
-void EndpointExecutor::streamResponse(LiveRun& live, HTTPResponse response, TimePoint now)
-{
-    const RefPtr<LiveRun> protect(&live);
-    const auto id = live.item.id;
-    m_deadlines.remove(id);
-    const auto stream = live.stream = response.rest;
-    complete(live, std::move(response), true, now);
-    const auto onEnd = [this, id] {
-        if (const auto found = m_calls.find(id); found != m_calls.end())
-            finish(*RefPtr<LiveRun>(found->second), fail(ErrorKind::Cancelled), true, MonotonicClock::now());
-    };
-    if (stream->isEnded())
-        onEnd();
-    else
-        stream->setEndHandler(onEnd);
+    runNext(now);
 }
 
 void EndpointExecutor::cancel(uint64_t id)
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -13,7 +13,6 @@
 #include "mesh/MeshSettings.h"
 #include "platform/RequestCodec.h"
 #include "policy/CrashFingerprints.h"
-#include "sidecar/BodyRelay.h"
 #include "sidecar/DistributedRateLimiter.h"
 #include "sidecar/MeshFrames.h"
 #include "sidecar/MeshLinks.h"
@@ -229,11 +228,8 @@
         const RefPtr<PendingRequest> protect(&pending);
         const auto executorCallID
             = m_dependencies.executor.submit(call, now, [this, pending = protect, attempt](MeshOutcome outcome) {
-                  if (pending->attempt != attempt || !pending->attemptInProgress) {
-                      if (outcome.response && outcome.response->rest)
-                          outcome.response->rest->abandon();
+                  if (pending->attempt != attempt || !pending->attemptInProgress)
                       return;
-                  }
                   onOutcome(*pending, std::move(outcome), MonotonicClock::now());
               });
         if (pending.attempt == attempt)
@@ -280,16 +276,10 @@
 void MeshIngress::onResponse(PeerLink& link, wire::AnswerT& answerFrame)
 {
     const auto found = m_attempts.find(answerFrame.id);
-    if (found == m_attempts.end() || found->second->link.get() != &link) {
-        if (answerFrame.more)
-            link.send(makeCancelFrame(answerFrame.id));
+    if (found == m_attempts.end() || found->second->link.get() != &link)
         return;
-    }
     const auto pending = found->second;
-    auto outcome = readMeshOutcome(answerFrame);
-    if (outcome.response && answerFrame.more)
-        outcome.response->rest = m_dependencies.bodies.receive(link, answerFrame.id, outcome.response->body.size());
-    onOutcome(*pending, std::move(outcome), MonotonicClock::now());
+    onOutcome(*pending, readMeshOutcome(answerFrame), MonotonicClock::now());
 }
 
 void MeshIngress::onLinkClosed(PeerLink& link)
@@ -345,8 +335,7 @@
 
 bool MeshIngress::mayRetry(PendingRequest& pending, const MeshOutcome& outcome, TimePoint now)
 {
-    // A long answer is not kept for the case that the retry brings none.
-    if (pending.deadline <= now || (outcome.response && outcome.response->rest))
+    if (pending.deadline <= now)
         return false;
     const bool mayHaveExecuted = outcome.response || !isNotExecuted(outcome.response.error());
     if (mayHaveExecuted && !pending.call.context.idempotent)
@@ -394,11 +383,8 @@
 void MeshIngress::respond(PendingRequest& pending, Result<HTTPResponse> response, TimePoint now)
 {
     const RefPtr<PendingRequest> protect(&pending);
-    if (!m_pending.erase(pending.id)) {
-        if (response && response->rest)
-            response->rest->abandon();
+    if (!m_pending.erase(pending.id))
         return;
-    }
     if (pending.parent && (!response || response->status >= 500))
         m_dependencies.executor.recordFailedNestedCall(*pending.parent);
     const bool crashSuspect = !response && response.error().kind == ErrorKind::CrashSuspect;
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -20,7 +20,6 @@
 struct AnswerT;
 }
 
-class BodyRelay;
 class CrashSuspects;
 class MeshView;
 class MeshLinks;
@@ -37,7 +36,6 @@
     EndpointExecutor& executor;
     DistributedRateLimiter& rateLimiter;
     MeshMetrics& metrics;
-    BodyRelay& bodies;
     CrashSuspects& crashSuspects;
     std::string ownName;
 };
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -58,8 +58,7 @@
     , m_crashSuspects(settings)
     , m_executor(settings, m_instance.backendServer, m_instance.service, m_crashSuspects)
     , m_rateLimiter(settings, m_view, m_links, m_own.name)
-    , m_bodies(m_executor.responseBudget())
-    , m_ingress({ settings, m_view, m_links, m_executor, m_rateLimiter, m_metrics, m_bodies, m_crashSuspects, m_own.name })
+    , m_ingress({ settings, m_view, m_links, m_executor, m_rateLimiter, m_metrics, m_crashSuspects, m_own.name })
     , m_store(m_instance.store)
     , m_sync(settings, m_view, m_links, m_store, m_crashSuspects, m_own)
 {
@@ -117,8 +116,7 @@
         if (now >= earliest && !std::exchange(m_stoppedAccepting, true))
             m_ingress.stopAccepting();
         // An open connection may carry a request that is still arriving, or the last bytes of a response.
-        const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
-            && !m_bodies.outgoing();
+        const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty();
         if (idle || now >= closeBy)
             finishLeaving();
     });
@@ -240,10 +238,6 @@
         m_ingress.onResponse(link, *response);
     else if (const auto* cancel = frame.body.AsCancel())
         cancelCall(link, *cancel);
-    else if (const auto* part = frame.body.AsBodyPart())
-        m_bodies.onPart(link, *part);
-    else if (const auto* credit = frame.body.AsBodyCredit())
-        m_bodies.onCredit(link, *credit);
     else if (const auto* requests = frame.body.AsLoanRequests())
         m_rateLimiter.onRequests(link, *requests, now);
     else if (const auto* grants = frame.body.AsLoans())
@@ -268,8 +262,6 @@
             *done = true;
             peer->send(makeMeshAnswerFrame(id, outcome));
             m_served.erase(*executorCallID);
-            if (outcome.response && outcome.response->rest)
-                m_bodies.send(peer, id, outcome.response->rest, outcome.response->body.size());
         });
     if (!*done)
         m_served[*executorCallID] = { peer, id, idempotent };
@@ -277,7 +269,6 @@
 
 void Sidecar::cancelCall(PeerLink& link, const wire::CancelT& cancel)
 {
-    m_bodies.onCancel(link, cancel.id);
     for (auto it = m_served.begin(); it != m_served.end(); ++it) {
         if (it->second.link.get() != &link || it->second.id != cancel.id)
             continue;
@@ -300,7 +291,6 @@
         m_executor.cancel(executorCallID);
     }
     m_ingress.onLinkClosed(link);
-    m_bodies.onLinkClosed(link);
 }
 
 // Changes
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -4,7 +4,6 @@
 #include "mesh/MeshSettings.h"
 #include "net/Timer.h"
 #include "platform/InstanceSettings.h"
-#include "sidecar/BodyRelay.h"
 #include "sidecar/DistributedRateLimiter.h"
 #include "sidecar/EndpointExecutor.h"
 #include "sidecar/MeshIngress.h"
@@ -70,7 +69,6 @@
     EndpointExecutor m_executor;
     DistributedRateLimiter m_rateLimiter;
     MeshMetrics m_metrics;
-    BodyRelay m_bodies;
     MeshIngress m_ingress;
     platform::StoreClient m_store;
     MeshSync m_sync;
