--- a/Makefile
+++ b/Makefile
@@ -18,11 +18,15 @@
 SOAK_SEEDS ?= 1 2
 SOAK_SECONDS ?= 8
 
+# make stops   planned stops under callers that keep their connections; STOP_SEEDS="1 2 3" STOP_SECONDS=n
+STOP_SEEDS ?= 1 2
+STOP_SECONDS ?= 10
+
 # make review  cases of an independent review against the deploy file's build; REVIEW_CASES="1 5" REVIEW_PLAYS=n
 REVIEW_CASES ?= 1 2 3 4 5
 REVIEW_PLAYS ?= 1
 
-.PHONY: setup all run test fuzz faults soak review bench lint format clean
+.PHONY: setup all run test fuzz faults soak stops review bench lint format clean
 
 all: $(BUILD)/CMakeCache.txt
 	@cmake --build $(BUILD)
@@ -49,6 +53,9 @@
 soak: all
 	@status=0; for seed in $(SOAK_SEEDS); do $(BUILD)/shallot-soak $(BUILD)/shallot-sidecar $$seed $(SOAK_SECONDS) || status=1; done; exit $$status
 
+stops: all
+	@status=0; for seed in $(STOP_SEEDS); do $(BUILD)/shallot-stops $(BUILD)/shallot-sidecar $$seed $(STOP_SECONDS) || status=1; done; exit $$status
+
 review:
 	@sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)" >/dev/null
 	@review/build.sh
--- /dev/null
+++ b/Tests/soak/KeptConnection.cpp
@@ -0,0 +1,64 @@
+#include "KeptConnection.h"
+
+#include <charconv>
+
+namespace shallot {
+
+KeptConnection::KeptConnection(const SocketAddress& address, Callbacks callbacks)
+    : m_callbacks(std::move(callbacks))
+    , m_socket(StreamSocket::connect(address))
+{
+    if (m_socket)
+        m_socket->start(
+            { [this](std::span<const uint8_t> bytes) { onData(bytes); }, nullptr, [this](StreamEnd) { onClosed(); } });
+}
+
+KeptConnection::~KeptConnection()
+{
+    if (m_socket)
+        m_socket->close();
+}
+
+void KeptConnection::send(const std::string& text, std::vector<std::string> ids)
+{
+    // A connection that the other side has just closed carries nothing.
+    if (!isOpen())
+        return;
+    m_pending.insert(m_pending.end(), ids.begin(), ids.end());
+    m_socket->write(text);
+}
+
+void KeptConnection::onData(std::span<const uint8_t> bytes)
+{
+    m_input.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+    while (!m_pending.empty() && readAnswer()) { }
+}
+
+bool KeptConnection::readAnswer()
+{
+    const auto end = m_input.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return false;
+    size_t length = 0;
+    if (const auto at = m_input.find("Content-Length: "); at < end)
+        std::from_chars(m_input.data() + at + 16, m_input.data() + end, length);
+    if (m_input.size() < end + 4 + length)
+        return false;
+    uint16_t status = 0;
+    std::from_chars(m_input.data() + 9, m_input.data() + 12, status);
+    const auto body = m_input.substr(end + 4, length);
+    m_input.erase(0, end + 4 + length);
+    const auto id = m_pending.front();
+    m_pending.pop_front();
+    m_callbacks.onAnswer(id, status, body);
+    return true;
+}
+
+void KeptConnection::onClosed()
+{
+    const std::vector<std::string> ids(m_pending.begin(), m_pending.end());
+    m_pending.clear();
+    m_callbacks.onEnd(ids);
+}
+
+} // namespace shallot
