Log why links end and which connections are cut

The incident's hypotheses could not be told apart: the reason of a link's end was a debug line, and a connection that was closed on requests that had arrived left no line.

--- a/Source/net/PeerLink.cpp
+++ b/Source/net/PeerLink.cpp
@@ -153,6 +153,8 @@
     const RefPtr<PeerLink> protect(this);
     m_handshakeTimer.stop();
     m_socket->close();
+    if (m_endReason.empty())
+        m_endReason = reason;
     SHALLOT_LOG(DEBUG, "link") << "Link to " << (m_peer.empty() ? "unknown peer" : m_peer) << " ended: " << reason << ".";
     if (const auto onClosed = std::exchange(m_callbacks.onClosed, nullptr))
         onClosed(*this);
--- a/Source/net/PeerLink.h
+++ b/Source/net/PeerLink.h
@@ -49,6 +49,8 @@
     bool isOpen() const;
     const std::string& peer() const { return m_peer; }
     uint64_t bytesSent() const { return m_bytesSent; }
+    // Why the link was closed; empty while it is open.
+    const std::string& endReason() const { return m_endReason; }
 
 private:
     void onData(std::span<const uint8_t>);
@@ -68,6 +70,7 @@
     Timer m_handshakeTimer;
     std::string m_nonce;
     std::string m_peer;
+    std::string m_endReason;
     std::vector<std::string> m_pendingFrames;
     uint64_t m_bytesSent { 0 };
     bool m_initiator { false };
--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -151,7 +151,9 @@
             closeAndNotify(StreamEnd::Clean);
             return;
         }
-        if (!m_finishing)
+        if (m_finishing)
+            m_discardedBytes += static_cast<size_t>(size);
+        else
             m_callbacks.onData({ chunk.data(), static_cast<size_t>(size) });
         if (static_cast<size_t>(size) < chunk.size())
             return;
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -51,6 +51,8 @@
     bool isOpen() const { return m_watcher.descriptor >= 0; }
     bool isConnecting() const { return m_connecting; }
     size_t pendingBytes() const { return m_pending.size() - m_pendingOffset; }
+    // Bytes that arrived after finish().
+    size_t discardedBytes() const { return m_discardedBytes; }
     // IP address of the peer; empty when unknown.
     std::string peerHost() const;
 
@@ -66,6 +68,7 @@
     Callbacks m_callbacks;
     std::string m_pending;
     size_t m_pendingOffset { 0 };
+    size_t m_discardedBytes { 0 };
     bool m_started { false };
     bool m_connecting { false };
     bool m_writeBlocked { false }; // The kernel's send buffer is full
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -6,6 +6,7 @@
 
 #include "net/StrictHTTPConnection.h"
 
+#include "core/EventLog.h"
 #include "net/StreamSocket.h"
 
 #include <algorithm>
@@ -295,6 +296,8 @@
         text += response.body;
     m_socket->write(text);
     if (close) {
+        if (!m_input.empty())
+            logCut("closed after a response", m_input.size());
         m_closing = true;
         m_socket->finish();
         return;
@@ -315,8 +318,18 @@
 
 // Closing
 
+// Requests that end without an answer are rare and always worth a line.
+void StrictHTTPConnection::logCut(const char* reason, size_t unreadBytes) const
+{
+    EventLog::write("connection-cut",
+        { { "caller", m_peerHost }, { "reason", reason }, { "serving", m_serving }, { "unread_bytes", unreadBytes },
+            { "draining", m_draining } });
+}
+
 void StrictHTTPConnection::abort()
 {
+    if (m_socket->isOpen() && (m_serving || !m_input.empty()))
+        logCut("aborted", m_input.size());
     m_socket->close();
     onSocketClosed(StreamEnd::Reset);
 }
@@ -370,6 +383,8 @@
 {
     const RefPtr<StrictHTTPConnection> protect(this);
     m_socket->close();
+    if (m_socket->discardedBytes())
+        logCut("sent after the close", m_socket->discardedBytes());
     if (std::exchange(m_serving, false) && m_callbacks.onDisconnect)
         m_callbacks.onDisconnect(*this);
     if (const auto onClosed = std::exchange(m_callbacks.onClosed, nullptr))
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -64,6 +64,7 @@
     void dispatchRequest();
     bool appendBody(std::string_view);
     void closeIfIdle(TimePoint now);
+    void logCut(const char* reason, size_t unreadBytes) const;
     static const http_parser_settings& parserSettings();
     static StrictHTTPConnection& from(http_parser* parser) { return *static_cast<StrictHTTPConnection*>(parser->data); }
 
--- a/Source/net/StrictHTTPServer.cpp
+++ b/Source/net/StrictHTTPServer.cpp
@@ -1,5 +1,6 @@
 #include "net/StrictHTTPServer.h"
 
+#include "core/EventLog.h"
 #include "net/StreamSocket.h"
 
 #include <numeric>
@@ -34,8 +35,10 @@
 
 void StrictHTTPServer::accept(RefPtr<StreamSocket> socket)
 {
-    if (m_connections.size() >= maximumConnections)
+    if (m_connections.size() >= maximumConnections) {
+        EventLog::write("connection-refused", { { "caller", socket->peerHost() }, { "open", m_connections.size() } });
         return;
+    }
     auto connection = makeRef<StrictHTTPConnection>(std::move(socket), m_limits,
         StrictHTTPConnection::Callbacks {
             [this](StrictHTTPConnection& from, HTTPRequest request) {
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -160,6 +160,9 @@
 {
     const auto monitor = m_monitors[&link];
     m_monitors.erase(&link);
+    EventLog::write("link-ended",
+        { { "peer", link.peer() }, { "address", monitor.address }, { "reason", link.endReason() },
+            { "established", link.isEstablished() }, { "calls", monitor.outstanding } });
     if (!monitor.address.empty())
         m_callbacks.onUnreachable(monitor.address, monitor.lastReceivedAt);
     m_callbacks.onClosed(link);
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -125,7 +125,9 @@
 void Sidecar::finishLeaving()
 {
     m_leaveTimer.stop();
-    EventLog::write("stop", { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() } });
+    EventLog::write("stop",
+        { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() },
+            { "runs", m_executor.inProgress() }, { "open_connections", m_ingress.openConnections() } });
     EventLog::flush();
     if (m_onLeaveCompleted)
         m_onLeaveCompleted();
