--- a/Tests/GracefulShutdownTest.cpp
+++ b/Tests/GracefulShutdownTest.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace shallot {
@@ -49,6 +50,13 @@
         return size > 0 ? std::string(bytes.data(), static_cast<size_t>(size)) : std::string();
     }
     bool hasEnded() const { return m_ended; }
+    // Shuts down the sending side, as a caller that has no further requests.
+    void finishSending() const { ::shutdown(m_descriptor, SHUT_WR); }
+    // Whether the bytes could be sent.
+    bool trySend(std::string_view text) const
+    {
+        return ::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0 || errno == EAGAIN;
+    }
 
 private:
     int m_descriptor;
@@ -68,10 +76,25 @@
                  else
                      connection->respond({ 200, {}, request.body + "!" }, false, MonotonicClock::now());
              },
-                nullptr });
+                [this](StrictHTTPConnection&) { ++disconnects; } });
         EXPECT_TRUE(started.has_value());
     }
 
+    // Receives until that many responses have arrived or the connection has ended; returns how many did.
+    size_t receiveResponses(BlockingCaller& caller, size_t count)
+    {
+        std::string received;
+        size_t responses = 0;
+        runUntil([&] {
+            received += caller.receive();
+            responses = 0;
+            for (size_t at = 0; (at = received.find("HTTP/1.1 200", at)) != std::string::npos; ++at)
+                ++responses;
+            return caller.hasEnded() || (responses >= count && received.ends_with("!"));
+        });
+        return responses;
+    }
+
     bool runUntil(const std::function<bool()>& condition)
     {
         const auto end = MonotonicClock::now() + 4s;
@@ -99,6 +122,7 @@
     StrictHTTPServer server;
     RefPtr<StrictHTTPConnection> held;
     size_t requests { 0 };
+    size_t disconnects { 0 };
 };
 
 const std::string get = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -169,6 +193,100 @@
     EXPECT_TRUE(runUntil([&] { return refused; }));
 }
 
+const std::string getHeld = "GET /held HTTP/1.1\r\nHost: a\r\n\r\n";
+
+TEST_F(GracefulShutdown, PipelinedRequestsAreAnsweredBeforeTheConnectionCloses)
+{
+    BlockingCaller caller(address);
+    caller.send(getHeld + get + get);
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    server.startDraining();
+    held->respond({ 200, {}, "late!" }, true, MonotonicClock::now());
+    EXPECT_EQ(receiveResponses(caller, 3), 3U);
+    EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
+}
+
+TEST_F(GracefulShutdown, ARequestThatArrivesBeforeTheLastResponseIsWrittenIsAnswered)
+{
+    BlockingCaller caller(address);
+    caller.send(getHeld);
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    server.startDraining();
+    caller.send(get);
+    held->respond({ 200, {}, "late!" }, true, MonotonicClock::now());
+    EXPECT_EQ(receiveResponses(caller, 2), 2U);
+    EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
+}
+
+TEST_F(GracefulShutdown, ALargeRequestBehindOneInProgressEndsNeither)
+{
+    constexpr size_t bodyBytes = 2 * 1024 * 1024;
+    BlockingCaller caller(address);
+    caller.send(getHeld);
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    const std::string upload = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+        + std::string(bodyBytes, 'x');
+    std::thread sender([&] { caller.send(upload); });
+    runUntil([ticks = 0]() mutable { return ++ticks > 40; });
+    EXPECT_EQ(disconnects, 0U);
+    held->respond({ 200, {}, "late!" }, false, MonotonicClock::now());
+    EXPECT_EQ(receiveResponses(caller, 2), 2U);
+    sender.join();
+}
+
+TEST_F(GracefulShutdown, ManyPipelinedRequestsAreAnsweredInBoundedStackSpace)
+{
+    constexpr size_t pipelined = 9000; // Less than what is buffered behind a request in progress
+    BlockingCaller caller(address);
+    std::string text = getHeld;
+    for (size_t i = 0; i < pipelined; ++i)
+        text += get;
+    std::thread sender([&] { caller.send(text); });
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    runUntil([ticks = 0]() mutable { return ++ticks > 40; });
+    held->respond({ 200, {}, "late!" }, false, MonotonicClock::now());
+    EXPECT_EQ(receiveResponses(caller, pipelined + 1), pipelined + 1);
+    sender.join();
+}
+
+TEST_F(GracefulShutdown, ACallerThatHasFinishedSendingIsAnswered)
+{
+    BlockingCaller caller(address);
+    caller.send(getHeld + get);
+    caller.finishSending();
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    runUntil([ticks = 0]() mutable { return ++ticks > 20; });
+    EXPECT_EQ(disconnects, 0U);
+    held->respond({ 200, {}, "late!" }, false, MonotonicClock::now());
+    EXPECT_EQ(receiveResponses(caller, 2), 2U);
+    EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
+}
+
+TEST_F(GracefulShutdown, ACallerThatHasClosedItsConnectionIsNoticed)
+{
+    auto caller = std::make_unique<BlockingCaller>(address);
+    caller->send(getHeld);
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    caller.reset();
+    const auto closedAt = MonotonicClock::now();
+    EXPECT_TRUE(runUntil([&] { return disconnects == 1; }));
+    EXPECT_LT(MonotonicClock::now() - closedAt, 500ms);
+}
+
+TEST_F(GracefulShutdown, ACallerThatStillSendsReceivesItsRejectionAndNoReset)
+{
+    BlockingCaller caller(address);
+    caller.send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n");
+    bool sent = true;
+    const auto end = MonotonicClock::now() + 3s; // Longer than the server lingers for a client that is silent
+    runUntil([&] {
+        sent = sent && caller.trySend(std::string(1000, 'x'));
+        return !sent || MonotonicClock::now() > end;
+    });
+    EXPECT_TRUE(sent);
+    EXPECT_TRUE(receiveResponse(caller).starts_with("HTTP/1.1 413"));
+}
+
 TEST_F(GracefulShutdown, AResponseThatIsBeingReadSlowlyIsDeliveredCompletely)
 {
     constexpr size_t bodyBytes = 28 * 1024 * 1024; // Several times what the kernel buffers
