Read each frame of a link with the limits that the one before it left

Callers got 502, or a retry for idempotent requests, within a millisecond though nobody had begun the request; all calls of the link shared that end.

Cause: PeerLink handed a whole chunk to the reader before it handled the frames in it. A daemon that reads the proof of a new link together with the first calls applied the handshake's limits to them: a compressed frame, or one of more than 4 KB, ended the link. Class: a state change within a batch that was parsed with the state before it. The reader now returns one frame at a time.

--- a/Source/net/PeerLink.cpp
+++ b/Source/net/PeerLink.cpp
@@ -60,19 +60,18 @@
 void PeerLink::onData(std::span<const uint8_t> bytes)
 {
     const RefPtr<PeerLink> protect(this);
-    auto frames = m_reader.read(bytes);
-    if (!frames) {
-        fail(frames.error().detail.c_str());
-        return;
-    }
-    for (auto& frame : *frames) {
-        if (!isOpen())
+    m_reader.append(bytes);
+    while (isOpen()) {
+        const auto frame = m_reader.next();
+        if (!frame) {
+            fail(frame.error().detail.c_str());
             return;
-        if (m_established) {
-            m_callbacks.onFrame(*this, *frame);
-            continue;
         }
-        if (!onHandshakeFrame(*frame)) {
+        if (!*frame)
+            return;
+        if (m_established) {
+            m_callbacks.onFrame(*this, **frame);
+        } else if (!onHandshakeFrame(**frame)) {
             fail("the handshake failed");
             return;
         }
--- a/Source/wire/FrameReader.cpp
+++ b/Source/wire/FrameReader.cpp
@@ -17,31 +17,33 @@
 
 } // namespace
 
-Result<std::vector<std::unique_ptr<wire::FrameT>>> FrameReader::read(std::span<const uint8_t> bytes)
+void FrameReader::append(std::span<const uint8_t> bytes)
 {
+    m_buffer.erase(m_buffer.begin(), m_buffer.begin() + static_cast<ptrdiff_t>(m_consumed));
+    m_consumed = 0;
     m_buffer.insert(m_buffer.end(), bytes.begin(), bytes.end());
-    std::vector<std::unique_ptr<wire::FrameT>> frames;
-    size_t consumed = 0;
-    while (m_buffer.size() - consumed >= lengthBytes) {
-        uint32_t length = 0;
-        std::memcpy(&length, m_buffer.data() + consumed, lengthBytes);
-        const bool compressed = length & compressedFlag;
-        length &= ~compressedFlag;
-        if (length > m_maximumBytes)
-            return fail(ErrorKind::TooLarge, "a frame of " + std::to_string(length) + " bytes exceeds the limit");
-        if (m_buffer.size() - consumed - lengthBytes < length)
-            break;
-        const auto alignedFrame = copyFrame(consumed + lengthBytes, length, compressed);
-        if (!alignedFrame)
-            return tl::unexpected(alignedFrame.error());
-        flatbuffers::Verifier verifier(alignedFrame->data(), alignedFrame->size(), maximumTableDepth, maximumTables);
-        if (!wire::VerifyFrameBuffer(verifier))
-            return fail(ErrorKind::BadRequest, "the frame failed verification");
-        frames.push_back(std::unique_ptr<wire::FrameT>(wire::GetFrame(alignedFrame->data())->UnPack()));
-        consumed += lengthBytes + length;
-    }
-    m_buffer.erase(m_buffer.begin(), m_buffer.begin() + static_cast<ptrdiff_t>(consumed));
-    return frames;
+}
+
+Result<std::unique_ptr<wire::FrameT>> FrameReader::next()
+{
+    if (bufferedBytes() < lengthBytes)
+        return nullptr;
+    uint32_t length = 0;
+    std::memcpy(&length, m_buffer.data() + m_consumed, lengthBytes);
+    const bool compressed = length & compressedFlag;
+    length &= ~compressedFlag;
+    if (length > m_maximumBytes)
+        return fail(ErrorKind::TooLarge, "a frame of " + std::to_string(length) + " bytes exceeds the limit");
+    if (bufferedBytes() - lengthBytes < length)
+        return nullptr;
+    const auto alignedFrame = copyFrame(m_consumed + lengthBytes, length, compressed);
+    if (!alignedFrame)
+        return tl::unexpected(alignedFrame.error());
+    flatbuffers::Verifier verifier(alignedFrame->data(), alignedFrame->size(), maximumTableDepth, maximumTables);
+    if (!wire::VerifyFrameBuffer(verifier))
+        return fail(ErrorKind::BadRequest, "the frame failed verification");
+    m_consumed += lengthBytes + length;
+    return std::unique_ptr<wire::FrameT>(wire::GetFrame(alignedFrame->data())->UnPack());
 }
 
 // Returns a copy, because FlatBuffers requires alignment, which the position in the stream does not guarantee.
--- a/Source/wire/FrameReader.h
+++ b/Source/wire/FrameReader.h
@@ -26,13 +26,15 @@
     {
     }
 
-    // Consumes the bytes and returns the frames that they complete. BadRequest for an invalid frame, TooLarge for a frame that
-    // exceeds the maximum size, Internal when decompression is not available.
-    Result<std::vector<std::unique_ptr<wire::FrameT>>> read(std::span<const uint8_t>);
+    void append(std::span<const uint8_t>);
+    // The next frame; null when more bytes are needed. The limit and the compressor in force at this call apply to it, since a
+    // frame may change them for those behind it. BadRequest for an invalid frame, TooLarge for a frame that exceeds the maximum
+    // size, Internal when decompression is not available.
+    Result<std::unique_ptr<wire::FrameT>> next();
     void setMaximumBytes(size_t bytes) { m_maximumBytes = bytes; }
     // Without a compressor, a compressed frame is an error. The compressor must outlive the reader.
     void setCompressor(FrameCompressor* compressor) { m_compressor = compressor; }
-    size_t bufferedBytes() const { return m_buffer.size(); }
+    size_t bufferedBytes() const { return m_buffer.size() - m_consumed; }
 
 private:
     Result<std::vector<uint8_t>> copyFrame(size_t position, size_t length, bool compressed);
@@ -40,6 +42,7 @@
     size_t m_maximumBytes;
     FrameCompressor* m_compressor { nullptr };
     std::vector<uint8_t> m_buffer;
+    size_t m_consumed { 0 }; // Of the buffer, by frames returned
 };
 
 // Serializes a frame with its length prefix, as sent on the wire.
--- a/Tests/FrameReaderTest.cpp
+++ b/Tests/FrameReaderTest.cpp
@@ -39,14 +39,29 @@
     return packFrame(frame);
 }
 
+// All frames that these bytes complete.
+Result<std::vector<std::unique_ptr<wire::FrameT>>> readAll(FrameReader& reader, std::span<const uint8_t> bytes)
+{
+    reader.append(bytes);
+    std::vector<std::unique_ptr<wire::FrameT>> frames;
+    while (true) {
+        auto frame = reader.next();
+        if (!frame)
+            return tl::unexpected(frame.error());
+        if (!*frame)
+            return frames;
+        frames.push_back(std::move(*frame));
+    }
+}
+
 TEST(FrameReader, ReadsFramesSplitAtEveryByte)
 {
     // Regression: frames with 64-bit fields failed verification, because the length prefix shifted their alignment.
     const auto stream = callFrame(1) + answerFrame(2, 1.5F) + callFrame(3);
     for (size_t split = 0; split <= stream.size(); ++split) {
         FrameReader reader;
-        auto first = reader.read(bytesOf(stream).subspan(0, split));
-        auto second = reader.read(bytesOf(stream).subspan(split));
+        auto first = readAll(reader, bytesOf(stream).subspan(0, split));
+        auto second = readAll(reader, bytesOf(stream).subspan(split));
         ASSERT_TRUE(first && second);
         ASSERT_EQ(first->size() + second->size(), 3U);
         EXPECT_EQ(reader.bufferedBytes(), 0U);
@@ -63,8 +78,8 @@
     for (size_t split = 0; split <= stream.size(); ++split) {
         FrameReader reader;
         reader.setCompressor(&receiver);
-        auto first = reader.read(bytesOf(stream).subspan(0, split));
-        auto second = reader.read(bytesOf(stream).subspan(split));
+        auto first = readAll(reader, bytesOf(stream).subspan(0, split));
+        auto second = readAll(reader, bytesOf(stream).subspan(split));
         ASSERT_TRUE(first && second);
         for (auto& frame : *second)
             first->push_back(std::move(frame));
@@ -80,25 +95,25 @@
     FrameCompressor otherDictionary("another dictionary");
     const auto compressed = compressPackedFrame(callFrame(1), sender);
     FrameReader withoutCompressor;
-    EXPECT_FALSE(withoutCompressor.read(bytesOf(compressed)));
+    EXPECT_FALSE(readAll(withoutCompressor, bytesOf(compressed)));
     FrameReader withOtherDictionary;
     withOtherDictionary.setCompressor(&otherDictionary);
-    EXPECT_FALSE(withOtherDictionary.read(bytesOf(compressed)));
+    EXPECT_FALSE(readAll(withOtherDictionary, bytesOf(compressed)));
     FrameReader small(150); // Larger than the compressed frame, smaller than what it holds
     small.setCompressor(&sender);
-    EXPECT_FALSE(small.read(bytesOf(compressed)));
+    EXPECT_FALSE(readAll(small, bytesOf(compressed)));
     std::mt19937 random(5);
     for (int i = 0; i < 2000; ++i) {
         auto broken = compressed;
         broken[4 + random() % (broken.size() - 4)] ^= static_cast<char>(1 + random() % 255);
         FrameReader reader;
         reader.setCompressor(&sender);
-        (void)reader.read(bytesOf(broken)); // Must neither crash nor hang; the checksum detects nearly all mutations
-        reader.read(bytesOf(compressed));
+        (void)readAll(reader, bytesOf(broken)); // Must neither crash nor hang; the checksum detects nearly all mutations
+        readAll(reader, bytesOf(compressed));
     }
     FrameReader again;
     again.setCompressor(&sender);
-    EXPECT_TRUE(again.read(bytesOf(compressed)));
+    EXPECT_TRUE(readAll(again, bytesOf(compressed)));
 }
 
 TEST(FrameReader, FramesThatWouldNotShrinkStayUncompressed)
@@ -123,7 +138,7 @@
     const uint32_t length = 1001;
     std::string bytes(4, '\0');
     std::memcpy(bytes.data(), &length, 4);
-    const auto frames = reader.read(bytesOf(bytes));
+    const auto frames = readAll(reader, bytesOf(bytes));
     ASSERT_FALSE(frames);
     EXPECT_EQ(frames.error().kind, ErrorKind::TooLarge);
 }
@@ -137,7 +152,7 @@
         for (int i = 0; i < mutations; ++i)
             stream[random() % stream.size()] = static_cast<char>(random());
         FrameReader reader(4096);
-        const auto frames = reader.read(bytesOf(stream));
+        const auto frames = readAll(reader, bytesOf(stream));
         const auto kind = frames ? ErrorKind::None : frames.error().kind;
         EXPECT_TRUE(kind == ErrorKind::None || kind == ErrorKind::BadRequest || kind == ErrorKind::TooLarge);
         EXPECT_LE(reader.bufferedBytes(), stream.size());
