Answer callers that have finished sending

A caller that shut down its sending side behind its request never got an answer: the end of its data was taken for the end of the connection.

Whether it has closed the connection or only its sending side cannot be told from the end of its data. An interim response, which clients of HTTP/1.1 skip, makes a closed one send a reset at once; the request is cancelled then, as before, and goes on otherwise. A caller of HTTP/1.0, which may not get interim responses, still counts as gone.

GracefulShutdown.ACallerThatHasFinishedSendingIsAnswered failed before; ACallerThatHasClosedItsConnectionIsNoticed passes before and after.

--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -93,7 +93,7 @@
 {
     if (!isOpen() || !m_started)
         return;
-    const bool reads = !m_connecting && !m_readPaused;
+    const bool reads = !m_connecting && !m_readPaused && !m_peerFinished;
     const uint32_t readable = reads ? static_cast<uint32_t>(EPOLLIN) : 0U;
     const uint32_t writable = m_connecting || m_writeBlocked ? static_cast<uint32_t>(EPOLLOUT) : 0U;
     SocketPoller::shared().watch(m_watcher, readable | writable | static_cast<uint32_t>(EPOLLERR));
@@ -118,7 +118,7 @@
     }
     if (!isOpen())
         return;
-    if (m_readPaused && (events & (EPOLLHUP | EPOLLERR)))
+    if ((m_readPaused || m_peerFinished) && (events & (EPOLLHUP | EPOLLERR)))
         closeAndNotify(StreamEnd::Reset);
     else if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
         readAvailable();
@@ -145,7 +145,7 @@
 void StreamSocket::readNow()
 {
     const RefPtr<StreamSocket> protect(this);
-    if (isOpen() && m_started && !m_connecting && !m_readPaused)
+    if (isOpen() && m_started && !m_connecting && !m_readPaused && !m_peerFinished)
         readAvailable();
 }
 
@@ -160,7 +160,11 @@
             return;
         }
         if (!size) {
-            closeAndNotify(StreamEnd::Clean);
+            m_peerFinished = !m_finishing && m_callbacks.onPeerFinished && m_callbacks.onPeerFinished();
+            if (m_peerFinished)
+                updateWatch();
+            else
+                closeAndNotify(StreamEnd::Clean);
             return;
         }
         if (m_finishing)
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -27,6 +27,8 @@
         std::function<void(std::span<const uint8_t>)> onData;
         std::function<void()> onConnected;       // Only for outgoing connections
         std::function<void(StreamEnd)> onClosed; // Called once
+        // The peer shut down its sending side. Returns whether the connection stays open for sending; unset: it does not.
+        std::function<bool()> onPeerFinished;
     };
 
     // Takes ownership of a connected, non-blocking socket.
@@ -77,6 +79,7 @@
     bool m_writeBlocked { false }; // The kernel's send buffer is full
     bool m_finishing { false };
     bool m_readPaused { false };
+    bool m_peerFinished { false };
 };
 
 } // namespace shallot
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -2,7 +2,7 @@
 //   Validation:   isUnambiguousHeaderSection
 //   Parsing:      onData, readRequests, readRequest, readHeaderSection, dispatchRequest
 //   Responses:    respond, reject
-//   Closing:      abort, closeWhenIdle, enforceTimeouts, onSocketClosed
+//   Closing:      abort, closeWhenIdle, enforceTimeouts, onPeerFinished, onSocketClosed
 
 #include "net/StrictHTTPConnection.h"
 
@@ -109,6 +109,7 @@
         [this](std::span<const uint8_t> bytes) { onData(bytes); },
         nullptr,
         [this](StreamEnd end) { onSocketClosed(end); },
+        [this] { return onPeerFinished(); },
     });
 }
 
@@ -143,6 +144,8 @@
             const RefPtr<StrictHTTPConnection> protect(this);
             readRequests();
         });
+    else if (m_inputEnded && canRead())
+        finishSocket(); // The rest is no complete request
     if (m_socket->isOpen() && !m_closing)
         m_socket->setReadPaused(unparsed().size() > maximumPipelinedBytes);
 }
@@ -302,7 +305,7 @@
     if (!m_serving || !m_socket->isOpen())
         return;
     const RefPtr<StrictHTTPConnection> protect(this);
-    close = close || m_draining;
+    close = close || m_draining || m_inputEnded;
     // A request in the kernel's receive buffer was sent before the client could know of the close.
     if (close && m_keepAlive && unparsed().empty())
         m_socket->readNow();
@@ -435,6 +438,21 @@
         abort();
 }
 
+// Whether the client has closed the connection or only its sending side shows when something is sent to it: an interim response,
+// which clients of HTTP/1.1 skip, makes one that is gone reset the connection.
+bool StrictHTTPConnection::onPeerFinished()
+{
+    m_inputEnded = true;
+    if (!m_serving && unparsed().empty())
+        return false;
+    if (m_parser.http_major != 1 || m_parser.http_minor < 1)
+        return false;
+    m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+    if (!m_serving && !m_reading)
+        readRequests();
+    return true;
+}
+
 void StrictHTTPConnection::onSocketClosed(StreamEnd)
 {
     const RefPtr<StrictHTTPConnection> protect(this);
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -58,6 +58,7 @@
 
 private:
     void onData(std::span<const uint8_t>);
+    bool onPeerFinished();
     void onSocketClosed(StreamEnd);
     void readRequests();
     bool readRequest();
@@ -92,7 +93,8 @@
     const char* m_rejectReason { nullptr }; // Why the body is rejected; null while it is not
     uint16_t m_rejectStatus { 0 };
     bool m_serving { false };
-    bool m_reading { false }; // readRequests() is on the call stack
+    bool m_reading { false };    // readRequests() is on the call stack
+    bool m_inputEnded { false }; // The client sends nothing more
     bool m_keepAlive { true };
     bool m_hasServed { false }; // Has received a complete request
     bool m_draining { false };  // Closes after the next response
