Linger for clients that are still sending a rejected request

A rejection (408, 413, 503) could be lost: 2 s after it the socket was closed on bytes that the client was still sending, and the reset overtakes the answer. What arrives is now discarded for as long as a body may take.

GracefulShutdown.ACallerThatStillSendsReceivesItsRejectionAndNoReset failed before (reset after 2.5 s).

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -20,7 +20,7 @@
 constexpr size_t maximumRequestsPerTurn = 64;        // Of one connection, if they are answered at once
 constexpr size_t bufferCheckBytes = 64 * 1024;       // Above this size mayBufferMore() is consulted
 constexpr auto firstRequestTimeout = std::chrono::milliseconds(500); // While draining; many times the network delay
-constexpr auto lingerTimeout = std::chrono::seconds(2); // For the client to read on, or to close, after the last response
+constexpr auto lingerTimeout = std::chrono::seconds(2); // For the client to read or send on, or to close, after the last response
 
 // http_parser accepts white space before the colon and drops it; other parsers differ, so it must be rejected here.
 bool hasValidHeaderNames(std::string_view headerSection)
@@ -404,6 +404,7 @@
 void StrictHTTPConnection::finishSocket()
 {
     m_closing = true;
+    m_closedAt = m_phaseStart;
     m_resumeTimer.stop();
     m_socket->finish();
 }
@@ -429,10 +430,13 @@
     }
 }
 
-// A client that is still reading the last response is given time, however slow it is.
+// A client that is still reading the last response is given time, however slow it is, and one that is still sending as long as a
+// body may take: a close before it is done would be a reset, which may overtake the response.
 void StrictHTTPConnection::enforceLinger(TimePoint now)
 {
-    if (m_socket->pendingBytes() != std::exchange(m_unsentBytes, m_socket->pendingBytes()))
+    const bool hasRead = m_socket->pendingBytes() != std::exchange(m_unsentBytes, m_socket->pendingBytes());
+    const bool hasSent = m_socket->discardedBytes() != std::exchange(m_discardedBytes, m_socket->discardedBytes());
+    if (hasRead || (hasSent && now - m_closedAt < m_limits.bodyTimeout))
         m_phaseStart = now;
     if (now - m_phaseStart > lingerTimeout)
         abort();
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -89,6 +89,8 @@
     HeaderCollector m_collector;
     bool m_messageComplete { false };
     size_t m_unsentBytes { 0 };             // Of the last response, at the last check
+    size_t m_discardedBytes { 0 };          // That arrived after the last response, at the last check
+    TimePoint m_closedAt {};                // When the last response was passed to the socket
     size_t m_currentBodyBytes { 0 };        // Body size of the request being served
     const char* m_rejectReason { nullptr }; // Why the body is rejected; null while it is not
     uint16_t m_rejectStatus { 0 };
