Reject requests on connections beyond the maximum instead of dropping them

Up to 200 further connections now get 503 to their first request, which has not run, and each is logged.

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -234,6 +234,10 @@
         reject(413, "the body is too large");
         return false;
     }
+    if (m_refused) {
+        reject(503, "too many connections");
+        return false;
+    }
     if (framing.expectsContinue && !m_messageComplete)
         m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
     m_phaseStart = MonotonicClock::now();
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -23,6 +23,7 @@
     Duration headerTimeout { std::chrono::seconds(3) }; // From the first to the last byte of a header section; then 408
     Duration bodyTimeout { std::chrono::seconds(20) };  // From the end of the header section to the end of the body; then 408
     Duration idleTimeout { std::chrono::seconds(15) };  // Without a request; then the connection is closed
+    size_t maximumConnections { 3000 }; // Further ones are rejected with status 503. Peers share the instance's 4,100 descriptors
 };
 
 // HTTP/1.1 connection of one client, serving one request at a time. Rejects every message that two parsers could interpret
@@ -48,6 +49,8 @@
     // Rejects a request whose header section or body is overdue, and closes an idle connection, or one whose client does not read
     // the last response, after its timeout.
     void enforceTimeouts(TimePoint now);
+    // Rejects the first request with status 503 and closes the connection.
+    void refuse() { m_refused = true; }
     // Closes the connection after the requests received so far have been served, or at once if there are none. A connection that
     // has not carried a request yet stays open for a short time to receive its first one.
     void closeWhenIdle();
@@ -97,6 +100,7 @@
     bool m_serving { false };
     bool m_reading { false };    // readRequests() is on the call stack
     bool m_inputEnded { false }; // The client sends nothing more
+    bool m_refused { false };    // No request is served
     bool m_keepAlive { true };
     bool m_hasServed { false }; // Has received a complete request
     bool m_draining { false };  // Closes after the next response
--- a/Source/net/StrictHTTPServer.cpp
+++ b/Source/net/StrictHTTPServer.cpp
@@ -12,7 +12,7 @@
 
 constexpr auto timeoutCheckInterval = std::chrono::milliseconds(500); // Maximum delay of the timeouts, which last seconds
 constexpr size_t maximumBufferedBytes = 32 * 1024 * 1024; // Of all request bodies; a fifth of the smallest instance's memory
-constexpr size_t maximumConnections = 3000;               // The smallest instance has 4,100 descriptors, which peers share
+constexpr size_t maximumRefusedConnections = 200;         // Open until their first request is answered with 503
 
 } // namespace
 
@@ -35,10 +35,11 @@
 
 void StrictHTTPServer::accept(RefPtr<StreamSocket> socket)
 {
-    if (m_connections.size() >= maximumConnections) {
+    const bool isRefused = m_connections.size() >= m_limits.maximumConnections;
+    if (isRefused)
         EventLog::write("connection-refused", { { "caller", socket->peerHost() }, { "open", m_connections.size() } });
+    if (m_connections.size() >= m_limits.maximumConnections + maximumRefusedConnections)
         return;
-    }
     auto connection = makeRef<StrictHTTPConnection>(std::move(socket), m_limits,
         StrictHTTPConnection::Callbacks {
             [this](StrictHTTPConnection& from, HTTPRequest request) {
@@ -55,6 +56,8 @@
             },
             [this] { return mayBufferMore(); },
         });
+    if (isRefused)
+        connection->refuse();
     intrusive_ptr_add_ref(connection.get());
     m_connections.insert(connection.get());
     connection->start(MonotonicClock::now());
--- a/Tests/StrictHTTPTest.cpp
+++ b/Tests/StrictHTTPTest.cpp
@@ -156,6 +156,18 @@
         EXPECT_EQ(requests[i].target, "/" + std::to_string(i + 1));
 }
 
+TEST_F(StrictHTTP, ARequestOnAConnectionBeyondTheMaximumIsRejectedAndNotLost)
+{
+    limits.maximumConnections = 1;
+    server.setLimits(limits);
+    const auto first = StreamSocket::connect(address);
+    first->start({ [](std::span<const uint8_t>) {}, nullptr, nullptr });
+    runUntil([this] { return server.connectionCount() == 1; });
+    const auto beyond = exchange({ "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n" });
+    EXPECT_EQ(beyond.status(), 503U);
+    EXPECT_TRUE(requests.empty());
+}
+
 TEST_F(StrictHTTP, IncompleteHeaderSectionsTimeOutWithoutAffectingOthers)
 {
     std::vector<RefPtr<StreamSocket>> incomplete;
