Answer what is open when the shutdown time is over, and serve calls of local runs until then

Callers saw closed connections when a daemon reached the end of its shutdown time: requests that waited for a backend server, and runs, ended with the process. And the runs of the local backend server failed on the way there, since their calls were refused from 2.6 s after the signal on.

Cause: the end was planned for connections, not for the requests behind them: none of them knew when the process would end. Now each request that arrives while the daemon leaves has its end as its latest deadline, a queued one must start in the first half of the time left or is refused as not run, callers that still come after they were told are refused, the listener stays open for calls while local runs last, and what is open 0.7 s before the kill is answered: 503 if it has not run, 502 otherwise.

ShutdownEnd.*, four tests, failed before: connections closed without a response (3), a refused connection for a nested call (1).

--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Announcements:  recordAnnouncement, onNewRun, recordLeave, verifyInstance, onProbe, isAvailable
+//   Announcements:  recordAnnouncement, onNewRun, recordLeave, verifyInstance, onProbe, isAvailable, startLeaving
 //   Admission:      submit, checkAdmission, checkCrashSuspicion, reserveBodyBytes, runNext, findParent, recordPressure
 // The runs at the backend server are in EndpointExecutorRuns.cpp.
 
@@ -185,9 +185,16 @@
     return true;
 }
 
-void EndpointExecutor::startLeaving()
+void EndpointExecutor::startLeaving(TimePoint now, TimePoint endBy)
 {
     m_leaving = true;
+    m_lastStart = now + (endBy - now) / 2;
+    for (const auto& [id, live] : m_calls) {
+        if (live->running)
+            continue;
+        live->item.deadline = std::min(live->item.deadline, m_lastStart);
+        m_deadlines.set(id, live->item.deadline);
+    }
     // Members must learn of the leave even if no backend server was available.
     if (!updateAvailability() && m_onChange)
         m_onChange();
@@ -200,7 +207,8 @@
     const auto& call = live.call;
     if (!m_life.isAnnounced() || call.service != m_life.current().service)
         return ErrorKind::NoBackendServer;
-    if (!isAvailable(now))
+    const bool mayStart = live.queued ? now < m_lastStart : !m_leaving;
+    if (!m_life.isAvailable(now) || !mayStart)
         return ErrorKind::Draining;
     if (call.context.remaining <= Duration::zero())
         return ErrorKind::ExpiredInQueue;
@@ -282,6 +290,7 @@
         run(*live, now);
         break;
     case QueueDecision::Wait:
+        live->queued = true;
         m_queue.push(live->item);
         m_deadlines.set(id, live->item.deadline);
         runNext(now);
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -58,8 +58,10 @@
     EndpointLeave currentLeave() const { return m_life.currentLeave(); }
     // Paths of the health endpoints by service. The first probe also substitutes for announcements not received yet.
     void setHealthPaths(std::map<std::string, std::string>);
-    // Refuses new calls; those queued or running continue.
-    void startLeaving();
+    // Refuses new calls. Those running continue, and those queued if they start in the first half of the time until the end.
+    void startLeaving(TimePoint now, TimePoint endBy);
+    // Refuses what is queued and ends what is running, with its outcome unknown.
+    void endAll(TimePoint now);
     // Detects a backend server that has been silent for too long.
     void tick() { updateAvailability(); }
 
@@ -91,6 +93,7 @@
         TimePoint deadline {};
         TimePoint submitted {};
         TimePoint started {};
+        bool queued { false }; // Since it was admitted, until it runs
         bool running { false };
         bool mayResend { false };        // Its request is kept while it runs
         bool nestedCallFailed { false }; // A nested call of this run failed
@@ -170,7 +173,8 @@
     Timer m_suspicionTimer;
     TimePoint m_probeSentAt {};
     bool m_leaving { false };
-    std::string m_formerService; // With m_wasAvailable, what the last call of the change handler reported
+    TimePoint m_lastStart { TimePoint::max() }; // Of a queued call, while leaving
+    std::string m_formerService;                // With m_wasAvailable, what the last call of the change handler reported
     bool m_wasAvailable { false };
 };
 
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -219,6 +219,22 @@
     finish(*live, fail(ErrorKind::Cancelled), true, now);
 }
 
+void EndpointExecutor::endAll(TimePoint now)
+{
+    m_lastStart = std::min(m_lastStart, now);
+    std::vector<RefPtr<LiveRun>> open;
+    for (const auto& [id, live] : m_calls)
+        open.push_back(live);
+    for (const auto& live : open) {
+        if (!live->running) {
+            refuse(*live, ErrorKind::Draining, now);
+            continue;
+        }
+        m_pool.abandon(live->item.id);
+        finish(*live, fail(ErrorKind::BackendFailed, "the shutdown time of this daemon is over"), true, now);
+    }
+}
+
 void EndpointExecutor::onDeadline(uint64_t id)
 {
     const auto found = m_calls.find(id);
@@ -227,7 +243,7 @@
     const auto live = found->second;
     const auto now = MonotonicClock::now();
     if (!live->running) {
-        refuse(*live, ErrorKind::ExpiredInQueue, now);
+        refuse(*live, now >= m_lastStart ? ErrorKind::Draining : ErrorKind::ExpiredInQueue, now);
         return;
     }
     recordUnanswered(*live, now);
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -3,6 +3,7 @@
 //   Attempts:   dispatch, send, endAttempt, cancelAttempt
 //   Outcomes:   onResponse, onLinkClosed, onOutcome, mayRetry
 //   Responses:  retryAfterFor, respond, logCompletion, onDisconnect, onDeadline
+//   Shutdown:   startLeaving, endAll
 
 #include "sidecar/MeshIngress.h"
 
@@ -27,6 +28,7 @@
 namespace {
 
 constexpr auto responseGrace = 40ms;      // The daemon beside the backend server has the same deadline; its response goes first
+constexpr auto restartRetryAfter = 1s;    // The next process at this address is usually up by then
 constexpr auto startupRetryAfter = 300ms; // No configuration yet or no backend server available; about one announcement interval
 
 bool isNotExecuted(const Error& error)
@@ -135,9 +137,11 @@
     context.route = route->name;
     context.idempotent = route->idempotent;
     const auto timeLimit = std::min(caller->timeLimit.value_or(route->timeLimit), route->timeLimit);
-    pending.deadline = now + timeLimit;
     if (caller->key.empty())
         pending.parent = m_dependencies.executor.findParent(caller->attemptID, timeLimit, now);
+    if (m_refusesCallers && !pending.parent)
+        return tl::unexpected(Error { ErrorKind::Draining, "this daemon is stopping", restartRetryAfter });
+    pending.deadline = std::min(now + timeLimit, m_endBy);
     context.priority = pending.parent ? nestedCallPriority(pending.parent->priority)
                                       : priorityOfRank(view.routes()->rankOf(*route, pending.organisation));
     context.hops = pending.parent ? static_cast<uint8_t>(pending.parent->hops + 1) : 0;
@@ -335,7 +339,7 @@
 
 bool MeshIngress::mayRetry(PendingRequest& pending, const MeshOutcome& outcome, TimePoint now)
 {
-    if (pending.deadline <= now)
+    if (pending.deadline <= now || now >= m_endBy)
         return false;
     const bool mayHaveExecuted = outcome.response || !isNotExecuted(outcome.response.error());
     if (mayHaveExecuted && !pending.call.context.idempotent)
@@ -451,4 +455,26 @@
             MonotonicClock::now());
 }
 
+// Shutdown
+
+void MeshIngress::startLeaving(TimePoint endBy)
+{
+    m_leaving = true;
+    m_endBy = endBy;
+}
+
+void MeshIngress::endAll(TimePoint now)
+{
+    m_endBy = std::min(m_endBy, now);
+    std::vector<RefPtr<PendingRequest>> open;
+    for (const auto& [id, pending] : m_pending)
+        open.push_back(pending);
+    for (const auto& pending : open) {
+        if (pending->attemptInProgress)
+            respond(*pending, fail(ErrorKind::BackendFailed, "the shutdown time of this daemon is over"), now);
+        else
+            respond(*pending, pending->earlierResponse ? *pending->earlierResponse : fail(ErrorKind::Draining), now);
+    }
+}
+
 } // namespace shallot
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -47,8 +47,12 @@
     explicit MeshIngress(MeshIngressDependencies);
 
     Result<void> start(const SocketAddress&);
-    // Closes each connection after its next response.
-    void startLeaving() { m_leaving = true; }
+    // Closes each connection when its requests are answered, and ends further requests by that time.
+    void startLeaving(TimePoint endBy);
+    // Serves only calls of the local backend server's runs from now on.
+    void refuseCallers() { m_refusesCallers = true; }
+    // Responds to all open requests.
+    void endAll(TimePoint now);
     // Accepts no new requests; those in progress continue.
     void stopAccepting() { m_server.startDraining(); }
     void applyLimits(const CallerLimits&);
@@ -114,6 +118,8 @@
     DeadlineQueue m_deadlines;
     uint64_t m_nextID { 1 };
     bool m_leaving { false };
+    bool m_refusesCallers { false };
+    TimePoint m_endBy { TimePoint::max() }; // While leaving
 };
 
 } // namespace shallot
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Start and leave:  Sidecar, start, leave, finishLeaving, applySettings
+//   Start and leave:  Sidecar, start, leave, stopAcceptingWhenDue, endRequests, finishLeaving, applySettings
 //   Local servers:    handleControl, checkAnnouncement, handleReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, cancelCall
 //   Changes:          onBackendServerChange, onConfiguration
@@ -25,7 +25,8 @@
 constexpr uint64_t ticksPerFlush = 2; // Flushes the event log every half second
 constexpr auto readinessPropagation = 2600ms; // Two readiness probes, one per second, plus network latency
 constexpr auto leaveCheckInterval = 100ms;
-constexpr auto shutdownMargin = 700ms; // Reserved at the end of the shutdown time for sending the last responses
+constexpr auto shutdownMargin = 700ms;    // Reserved at the end of the shutdown time for sending the last responses
+constexpr auto lastResponsesTime = 200ms; // Of that, for the responses to the requests that are still open
 
 } // namespace
 
@@ -106,28 +107,55 @@
     EventLog::write("leave", { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() } });
     // The next owners receive the ledgers before other members learn that this one leaves.
     m_rateLimiter.handOver(MonotonicClock::now());
-    m_executor.startLeaving();
-    m_ingress.startLeaving();
-    const auto closeBy = MonotonicClock::now() + m_instance.shutdownTime - shutdownMargin;
+    const auto now = MonotonicClock::now();
+    const auto endBy = now + std::max<Duration>(m_instance.shutdownTime - shutdownMargin, Duration::zero());
+    m_executor.startLeaving(now, endBy);
+    m_ingress.startLeaving(endBy);
     // Callers learn of the leave from the readiness probe; until then they are served.
-    const auto earliest = MonotonicClock::now() + readinessPropagation;
-    m_leaveTimer.startRepeating(leaveCheckInterval, [this, closeBy, earliest] {
+    m_refuseCallersAt = now + readinessPropagation;
+    m_leaveTimer.startRepeating(leaveCheckInterval, [this, endBy] {
         const auto now = MonotonicClock::now();
-        if (now >= earliest && !std::exchange(m_stoppedAccepting, true))
-            m_ingress.stopAccepting();
+        if (now >= endBy) {
+            endRequests();
+            return;
+        }
+        stopAcceptingWhenDue(now);
         // An open connection may carry a request that is still arriving, or the last bytes of a response.
         const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty();
-        if (idle || now >= closeBy)
+        if (idle)
             finishLeaving();
     });
 }
 
+// The runs of the local backend server may still make calls, which arrive here as well.
+void Sidecar::stopAcceptingWhenDue(TimePoint now)
+{
+    if (m_stoppedAccepting || now < m_refuseCallersAt)
+        return;
+    m_ingress.refuseCallers();
+    if (m_executor.inProgress())
+        return;
+    m_stoppedAccepting = true;
+    m_ingress.stopAccepting();
+}
+
+// The shutdown time is nearly over: what is still open gets a response instead of a closed connection.
+void Sidecar::endRequests()
+{
+    EventLog::write("shutdown-time-over", { { "open_requests", m_ingress.inProgress() }, { "runs", m_executor.inProgress() } });
+    m_executor.endAll(MonotonicClock::now());
+    m_ingress.endAll(MonotonicClock::now());
+    if (!std::exchange(m_stoppedAccepting, true))
+        m_ingress.stopAccepting();
+    m_leaveTimer.startOnce(lastResponsesTime, [this] { finishLeaving(); });
+}
+
 void Sidecar::finishLeaving()
 {
     m_leaveTimer.stop();
     EventLog::write("stop",
-        { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() },
-            { "runs", m_executor.inProgress() }, { "open_connections", m_ingress.openConnections() } });
+        { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() }, { "runs", m_executor.inProgress() },
+            { "open_connections", m_ingress.openConnections() } });
     EventLog::flush();
     if (m_onLeaveCompleted)
         m_onLeaveCompleted();
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -59,6 +59,8 @@
     void onBackendServerChange();
     void onConfiguration();
     void tick();
+    void stopAcceptingWhenDue(TimePoint now);
+    void endRequests();
     void finishLeaving();
 
     platform::InstanceSettings m_instance;
@@ -81,6 +83,7 @@
     uint64_t m_ticks { 0 };
     bool m_leaving { false };
     bool m_stoppedAccepting { false };
+    TimePoint m_refuseCallersAt {}; // While leaving: all callers know of it then
     bool m_wasReady { false };
 };
 
--- /dev/null
+++ b/Tests/ShutdownEndTest.cpp
@@ -0,0 +1,109 @@
+// What becomes of the requests that a daemon has taken when its shutdown time is over.
+
+#include "SidecarHarness.h"
+
+#include "platform/Names.h"
+
+#include <gtest/gtest.h>
+
+namespace shallot {
+namespace {
+
+using namespace std::chrono_literals;
+
+class ShutdownEnd : public testing::Test {
+protected:
+    explicit ShutdownEnd(const std::vector<std::string>& locations = { "zone-a/alpha", "zone-a/beta" })
+        : mesh(locations)
+    {
+    }
+
+    void SetUp() override
+    {
+        mesh.timeLimit = 8;
+        mesh.writeConfiguration(2);
+        ASSERT_TRUE(mesh.waitUntilServing());
+        mesh.runFor(300ms);
+        mesh.endpoint(0).setScript([this](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+            held.emplace_back(connection, request);
+        });
+    }
+
+    void leave(size_t daemon)
+    {
+        mesh.daemon(daemon).setLeaveCompletedHandler([this] { hasLeft = true; });
+        mesh.daemon(daemon).leave();
+    }
+
+    SidecarHarness mesh;
+    std::vector<std::pair<RefPtr<StrictHTTPConnection>, HTTPRequest>> held; // Runs at the backend server of daemon 0
+    bool hasLeft { false };
+};
+
+TEST_F(ShutdownEnd, QueuedRequestsAreRefusedAndRunningOnesAnsweredBeforeTheProcessEnds)
+{
+    mesh.setShutdownTime(0, 2s);
+    std::vector<std::shared_ptr<SidecarHarness::Exchange>> exchanges;
+    for (size_t i = 0; i < 8; ++i)
+        exchanges.push_back(mesh.send(0, { "POST", "/order/1", {}, {} }));
+    mesh.runFor(300ms);
+    const auto running = held.size();
+    ASSERT_GE(running, 2U);
+    ASSERT_LT(running, exchanges.size());
+    leave(0);
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    mesh.stop(0);
+    mesh.runFor(100ms);
+    size_t refused = 0;
+    size_t failed = 0;
+    for (const auto& exchange : exchanges) {
+        EXPECT_TRUE(exchange->done);
+        refused += exchange->status() == 503 ? 1 : 0;
+        failed += exchange->status() == 502 ? 1 : 0;
+    }
+    EXPECT_EQ(refused, exchanges.size() - running);
+    EXPECT_EQ(failed, running);
+    EXPECT_EQ(held.size(), running);
+}
+
+TEST_F(ShutdownEnd, RequestsAtOtherDaemonsAreAnsweredBeforeTheProcessEnds)
+{
+    mesh.setShutdownTime(1, 2s);
+    const auto before = mesh.send(1, { "POST", "/order/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    leave(1);
+    const auto after = mesh.send(1, { "POST", "/order/2", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    mesh.stop(1);
+    mesh.runFor(100ms);
+    EXPECT_GE(before->status(), 500);
+    EXPECT_GE(after->status(), 500);
+}
+
+TEST_F(ShutdownEnd, NestedCallsOfRunsAtALeavingDaemonAreServed)
+{
+    const auto parent = mesh.send(1, { "GET", "/read/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    leave(0);
+    mesh.runFor(3200ms); // Callers have been told by then
+    const std::string id(findHeader(held.front().second.headers, platform::header::attemptID));
+    const auto nested = mesh.send(0, { "GET", "/inner/1", { { std::string(platform::header::attemptID), id + ".1" } }, {} }, "");
+    EXPECT_EQ(mesh.wait(nested).status(), 200);
+    EndpointStandin::respond(*held.front().first, held.front().second);
+    EXPECT_EQ(mesh.wait(parent).status(), 200);
+    EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+}
+
+TEST_F(ShutdownEnd, RequestsThatArriveLateInAShutdownAreRefused)
+{
+    const auto parent = mesh.send(1, { "GET", "/read/1", {}, {} }); // Keeps the daemon from leaving
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    leave(0);
+    mesh.runFor(3200ms);
+    EXPECT_EQ(mesh.fetch(0, "/inner/2", "").status(), 503);
+    EndpointStandin::respond(*held.front().first, held.front().second);
+    EXPECT_EQ(mesh.wait(parent).status(), 200);
+}
+
+} // namespace
+} // namespace shallot
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -210,6 +210,13 @@
     return instance;
 }
 
+void SidecarHarness::setShutdownTime(size_t daemon, Duration time)
+{
+    auto instance = instanceSettings(daemon);
+    instance.shutdownTime = time;
+    m_daemons[daemon]->applySettings(instance);
+}
+
 SocketAddress SidecarHarness::peersAddress(size_t daemon) const
 {
     return address(daemon, peerPort);
@@ -217,10 +224,10 @@
 
 void SidecarHarness::writeConfiguration(uint64_t version, const std::string& keys, double rate)
 {
-    const auto route = [](const char* prefix, const char* service, const char* kind, bool open) {
+    const auto route = [this](const char* prefix, const char* service, const char* kind, bool open) {
         return std::string(R"({"name":"route-)") + service + kind + R"(","path_prefix":")" + prefix + R"(","kind":")" + kind
-            + R"(","timeout_s":1.5,"target_latency_s":1,"priority":1,"service":")" + service + R"(","attempts":2,"anonymous":)"
-            + (open ? "true" : "false") + "}";
+            + R"(","timeout_s":)" + std::to_string(timeLimit) + R"(,"target_latency_s":1,"priority":1,"service":")" + service
+            + R"(","attempts":2,"anonymous":)" + (open ? "true" : "false") + "}";
     };
     const std::string document = R"({"version":"r)" + std::to_string(version)
         + R"(","services":[{"name":"alpha","health_path":"/health","max_connections":100},)"
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -104,6 +104,8 @@
     Sidecar& daemon(size_t index) { return *m_daemons[index]; }
     EndpointStandin& endpoint(size_t index) { return *m_endpoints[index]; }
     StoreStandin& store() { return *m_store; }
+    // Time between the request to stop and the kill, of a running daemon.
+    void setShutdownTime(size_t daemon, Duration);
     // Starts a daemon that was stopped or whose start was deferred.
     void start(size_t index);
     void stop(size_t index) { m_daemons[index].reset(); }
@@ -113,6 +115,7 @@
     SocketAddress peersAddress(size_t daemon) const;
 
     MeshSettings settings;
+    double timeLimit { 1.5 }; // Of all routes, in seconds, from the next configuration on
 
 private:
     SocketAddress address(size_t daemon, uint16_t offset) const;
