Keep a connection alive while its interim response is written

The daemon read and wrote a connection that had been freed, and may end with all of its requests, when a client pipelined a request and closed its socket before it read the response in front of it.

Cause: onPeerFinished() sends an interim response to a client that has finished sending. If the client has answered an earlier response with a reset, that write fails at once, the connection's end drops its last reference, and onPeerFinished() goes on. It now holds a reference, as the other callbacks do.

GracefulShutdown.ACallerThatResetsItsConnectionBehindAPipelinedRequestIsNotUsedAfterItsEnd failed before under the address sanitizer: heap-use-after-free in onPeerFinished, freed by onSocketClosed below its write().

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -450,6 +450,7 @@
 // which clients of HTTP/1.1 skip, makes one that is gone reset the connection.
 bool StrictHTTPConnection::onPeerFinished()
 {
+    const RefPtr<StrictHTTPConnection> protect(this);
     m_inputEnded = true;
     if (!m_serving && unparsed().empty())
         return false;
--- a/Tests/GracefulShutdownTest.cpp
+++ b/Tests/GracefulShutdownTest.cpp
@@ -76,7 +76,10 @@
                  else
                      connection->respond({ 200, {}, request.body + "!" }, false, MonotonicClock::now());
              },
-                [this](StrictHTTPConnection&) { ++disconnects; } });
+                [this](StrictHTTPConnection&) {
+                    ++disconnects;
+                    held = nullptr;
+                } });
         EXPECT_TRUE(started.has_value());
     }
 
@@ -273,6 +276,19 @@
     EXPECT_LT(MonotonicClock::now() - closedAt, 500ms);
 }
 
+TEST_F(GracefulShutdown, ACallerThatResetsItsConnectionBehindAPipelinedRequestIsNotUsedAfterItsEnd)
+{
+    auto caller = std::make_unique<BlockingCaller>(address);
+    caller->send(getHeld);
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    caller->send(getHeld);
+    caller.reset();
+    // The response is answered with a reset before the second request and the end behind it are read.
+    std::exchange(held, nullptr)->respond({ 200, {}, "late!" }, false, MonotonicClock::now());
+    EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
+    EXPECT_EQ(disconnects, 1U);
+}
+
 TEST_F(GracefulShutdown, ACallerThatStillSendsReceivesItsRejectionAndNoReset)
 {
     BlockingCaller caller(address);
