Send the rest of a response to a caller that finishes sending while it reads

Callers that shut down their sending side while they read a long response got its beginning: 8.0 of 28 MB in the test, and a closed connection.

Cause: the end of the caller's input was kept apart from the end of the connection only while a request was being served. Behind the last response, or in a planned close, it still closed the socket with what it had not sent yet. Now the connection closes when the rest is sent. A caller that is gone answers it with a reset, and one that stops reading is cut off after the linger time as before.

GracefulShutdown.AResponseIsNotCutWhenTheCallerFinishesSendingWhileItReads failed before, with and without a close by the server; it passes now (address and undefined-behaviour sanitizers).

--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -160,7 +160,7 @@
             return;
         }
         if (!size) {
-            m_peerFinished = !m_finishing && m_callbacks.onPeerFinished && m_callbacks.onPeerFinished();
+            m_peerFinished = m_finishing ? pendingBytes() != 0 : m_callbacks.onPeerFinished && m_callbacks.onPeerFinished();
             if (m_peerFinished)
                 updateWatch();
             else
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -42,7 +42,8 @@
     // Sends what the kernel accepts at once and buffers the rest. False when the connection is closed or finishing, or when the
     // data would overflow the buffer, which closes the connection.
     bool write(std::string_view);
-    // Sends the buffered data, shuts down the sending side and discards received data until the peer closes.
+    // Sends the buffered data, also to a peer that has shut down its sending side, then shuts down the own sending side and
+    // discards received data until the peer closes.
     void finish();
     // While paused, received data stays in the kernel, so that the peer has to wait. The end of the connection is noticed only
     // if it is a reset.
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -452,8 +452,12 @@
 {
     const RefPtr<StrictHTTPConnection> protect(this);
     m_inputEnded = true;
-    if (!m_serving && unparsed().empty())
-        return false;
+    if (!m_serving && unparsed().empty()) {
+        if (!m_socket->pendingBytes())
+            return false;
+        finishSocket();
+        return true;
+    }
     if (m_parser.http_major != 1 || m_parser.http_minor < 1)
         return false;
     m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
--- a/Tests/GracefulShutdownTest.cpp
+++ b/Tests/GracefulShutdownTest.cpp
@@ -289,6 +289,26 @@
     EXPECT_EQ(disconnects, 1U);
 }
 
+TEST_F(GracefulShutdown, AResponseIsNotCutWhenTheCallerFinishesSendingWhileItReads)
+{
+    constexpr size_t bodyBytes = 28 * 1024 * 1024; // Several times what the kernel buffers
+    for (const bool close : { false, true }) {
+        BlockingCaller reader(address, 64 * 1024);
+        reader.send(getHeld);
+        ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+        std::exchange(held, nullptr)->respond({ 200, {}, std::string(bodyBytes, 'x') }, close, MonotonicClock::now());
+        reader.finishSending();
+        size_t received = 0;
+        EXPECT_TRUE(runUntil([&] {
+            for (auto bytes = reader.receive().size(); bytes; bytes = reader.receive().size())
+                received += bytes;
+            return reader.hasEnded();
+        })) << close;
+        EXPECT_GT(received, bodyBytes) << close;
+        EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); })) << close;
+    }
+}
+
 TEST_F(GracefulShutdown, ACallerThatStillSendsReceivesItsRejectionAndNoReset)
 {
     BlockingCaller caller(address);
