Send the body of a rejection behind a HEAD request

Callers whose malformed or late request followed a HEAD request on the same connection got a rejection with a length and without the body.

Cause: whether a response has a body was read from the parser, which still held the method of the request before when the header section was rejected before it was parsed. The method is now reset with each response.

StrictHTTP.ARejectionBehindAHeadRequestIsComplete failed before and passes now (sanitizers).

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -338,6 +338,7 @@
     text += "\r\n";
     if (!bodiless && m_parser.method != HTTP_HEAD)
         text += response.body;
+    m_parser.method = HTTP_GET; // Until the next header section is parsed; it may be rejected before
     m_socket->write(text);
     if (close) {
         if (!unparsed().empty())
--- a/Tests/StrictHTTPTest.cpp
+++ b/Tests/StrictHTTPTest.cpp
@@ -131,6 +131,14 @@
     EXPECT_TRUE(requests.empty());
 }
 
+TEST_F(StrictHTTP, ARejectionBehindAHeadRequestIsComplete)
+{
+    const auto result = exchange({ "HEAD /a HTTP/1.1\r\nHost: a\r\n\r\nGET /b HTTP/1.1\r\nHost : a\r\n\r\n" }, 3);
+    EXPECT_EQ(requests.size(), 1U);
+    EXPECT_TRUE(result.closed);
+    EXPECT_TRUE(result.received.ends_with("ambiguous\n")) << result.received;
+}
+
 TEST_F(StrictHTTP, ParsesARequestSplitAtEveryByte)
 {
     const std::string message = "POST /a/b?c HTTP/1.1\r\nHost: a\r\nX-A: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
