Serve pipelined requests only as fast as their responses are read

Callers that pipeline requests with long responses and read slowly lost their connection, with all requests on it, once 32 MB of responses were waiting.

Cause: requests that had arrived were served one after the other, whether or not the client read the responses; the write buffer's limit closed the connection. Above 1 MB of unsent responses the next request now waits until they are sent. It is not late meanwhile: the header and body time-outs do not apply, and a client that reads nothing for the idle time-out is cut off.

--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -116,6 +116,8 @@
         closeAndNotify(StreamEnd::Reset);
         return;
     }
+    if ((events & EPOLLOUT) && !pendingBytes() && m_callbacks.onFlushed)
+        m_callbacks.onFlushed();
     if (!isOpen())
         return;
     if ((m_readPaused || m_peerFinished) && (events & (EPOLLHUP | EPOLLERR)))
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -29,6 +29,7 @@
         std::function<void(StreamEnd)> onClosed; // Called once
         // The peer shut down its sending side. Returns whether the connection stays open for sending; unset: it does not.
         std::function<bool()> onPeerFinished;
+        std::function<void()> onFlushed; // What the kernel did not take at once has been sent
     };
 
     // Takes ownership of a connected, non-blocking socket.
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -2,7 +2,7 @@
 //   Validation:   isUnambiguousHeaderSection
 //   Parsing:      onData, readRequests, readRequest, readHeaderSection, dispatchRequest
 //   Responses:    respond, reject
-//   Closing:      abort, closeWhenIdle, enforceTimeouts, onPeerFinished, onSocketClosed
+//   Closing:      abort, closeWhenIdle, enforceTimeouts, onPeerFinished, onFlushed, onSocketClosed
 
 #include "net/StrictHTTPConnection.h"
 
@@ -18,6 +18,7 @@
 
 constexpr size_t maximumPipelinedBytes = 256 * 1024; // Received while a request is being served; the rest waits in the kernel
 constexpr size_t maximumRequestsPerTurn = 64;        // Of one connection, if they are answered at once
+constexpr size_t maximumUnsentBytes = 1024 * 1024;   // Of responses; then further pipelined requests wait
 constexpr size_t bufferCheckBytes = 64 * 1024;       // Above this size mayBufferMore() is consulted
 constexpr auto firstRequestTimeout = std::chrono::milliseconds(500); // While draining; many times the network delay
 constexpr auto lingerTimeout = std::chrono::seconds(2); // For the client to read or send on, or to close, after the last response
@@ -110,6 +111,7 @@
         nullptr,
         [this](StreamEnd end) { onSocketClosed(end); },
         [this] { return onPeerFinished(); },
+        [this] { onFlushed(); },
     });
 }
 
@@ -135,7 +137,7 @@
     if (std::exchange(m_reading, true))
         return;
     size_t count = 0;
-    const auto canRead = [this] { return !m_serving && !m_closing && m_socket->isOpen(); };
+    const auto canRead = [this] { return !m_serving && !m_closing && !m_waitsForReader && m_socket->isOpen(); };
     while (canRead() && count < maximumRequestsPerTurn && readRequest())
         ++count;
     m_reading = false;
@@ -345,6 +347,7 @@
             logCut("closed after a response", unparsed().size());
         finishSocket();
     } else {
+        m_waitsForReader = m_socket->pendingBytes() > maximumUnsentBytes;
         readRequests();
     }
 }
@@ -423,6 +426,10 @@
         enforceLinger(now);
         return;
     }
+    if (m_waitsForReader && !unparsed().empty()) {
+        enforceReading(now);
+        return;
+    }
     const auto age = now - m_phaseStart;
     if (m_collector.headersComplete) {
         if (age > m_limits.bodyTimeout)
@@ -435,6 +442,15 @@
     }
 }
 
+// Requests behind responses that the client does not read are not late themselves.
+void StrictHTTPConnection::enforceReading(TimePoint now)
+{
+    if (m_socket->pendingBytes() != std::exchange(m_unsentBytes, m_socket->pendingBytes()))
+        m_phaseStart = now;
+    if (now - m_phaseStart > m_limits.idleTimeout)
+        abort();
+}
+
 // A client that is still reading the last response is given time, however slow it is, and one that is still sending as long as a
 // body may take: a close before it is done would be a reset, which may overtake the response.
 void StrictHTTPConnection::enforceLinger(TimePoint now)
@@ -467,6 +483,13 @@
     return true;
 }
 
+void StrictHTTPConnection::onFlushed()
+{
+    const RefPtr<StrictHTTPConnection> protect(this);
+    if (std::exchange(m_waitsForReader, false))
+        readRequests();
+}
+
 void StrictHTTPConnection::onSocketClosed(StreamEnd)
 {
     const RefPtr<StrictHTTPConnection> protect(this);
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -62,6 +62,7 @@
 private:
     void onData(std::span<const uint8_t>);
     bool onPeerFinished();
+    void onFlushed();
     void onSocketClosed(StreamEnd);
     void readRequests();
     bool readRequest();
@@ -73,6 +74,7 @@
     void consume(size_t bytes);
     bool isIdle() const;
     void closeIfIdle(TimePoint now);
+    void enforceReading(TimePoint now);
     void enforceLinger(TimePoint now);
     void finishSocket();
     void logCut(const char* reason, size_t unreadBytes) const;
@@ -98,9 +100,10 @@
     const char* m_rejectReason { nullptr }; // Why the body is rejected; null while it is not
     uint16_t m_rejectStatus { 0 };
     bool m_serving { false };
-    bool m_reading { false };    // readRequests() is on the call stack
-    bool m_inputEnded { false }; // The client sends nothing more
-    bool m_refused { false };    // No request is served
+    bool m_reading { false };        // readRequests() is on the call stack
+    bool m_inputEnded { false };     // The client sends nothing more
+    bool m_waitsForReader { false }; // Further requests wait until the client has read the responses
+    bool m_refused { false };        // No request is served
     bool m_keepAlive { true };
     bool m_hasServed { false }; // Has received a complete request
     bool m_draining { false };  // Closes after the next response
--- a/Tests/GracefulShutdownTest.cpp
+++ b/Tests/GracefulShutdownTest.cpp
@@ -52,6 +52,17 @@
     bool hasEnded() const { return m_ended; }
     // Shuts down the sending side, as a caller that has no further requests.
     void finishSending() const { ::shutdown(m_descriptor, SHUT_WR); }
+    // Waits until the bytes are sent or the connection has ended.
+    void trySendAll(std::string_view text) const
+    {
+        while (!text.empty()) {
+            const auto sent = ::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL);
+            if (sent <= 0)
+                return;
+            text.remove_prefix(static_cast<size_t>(sent));
+        }
+    }
+    void disconnect() const { ::shutdown(m_descriptor, SHUT_RDWR); }
     // Whether the bytes could be sent.
     bool trySend(std::string_view text) const
     {
@@ -309,6 +320,29 @@
     }
 }
 
+TEST_F(GracefulShutdown, PipelinedResponsesThatAreReadSlowlyDoNotOverflowTheConnection)
+{
+    constexpr size_t pipelined = 48;
+    constexpr size_t bodyBytes = 1024 * 1024; // Together more than the write buffer and the kernel hold
+    BlockingCaller caller(address, 256 * 1024);
+    const std::string upload = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+        + std::string(bodyBytes, 'x');
+    std::thread sender([&] {
+        for (size_t i = 0; i < pipelined; ++i)
+            caller.trySendAll(upload);
+    });
+    runUntil([end = MonotonicClock::now() + 1500ms] { return MonotonicClock::now() > end; });
+    size_t received = 0;
+    EXPECT_TRUE(runUntil([&] {
+        for (auto bytes = caller.receive().size(); bytes; bytes = caller.receive().size())
+            received += bytes;
+        return caller.hasEnded() || received > pipelined * bodyBytes;
+    }));
+    EXPECT_GT(received, pipelined * bodyBytes);
+    caller.disconnect();
+    sender.join();
+}
+
 TEST_F(GracefulShutdown, ACallerThatStillSendsReceivesItsRejectionAndNoReset)
 {
     BlockingCaller caller(address);
