Refuse a long queue without recursion

A daemon with a long queue at the end of its shutdown time, or whose backend server is replaced, may end with a stack overflow, and with all of its requests.

Cause: finish() starts the next queued request, and where that one is refused, finish() is called again below it, so the stack grew by three frames with each queued request. runNext() now returns when it is already on the call stack; the loop there goes on.

ShutdownQueue.ALongQueueIsRefusedInBoundedStackSpace, 20,000 calls, failed before (AddressSanitizer: stack-overflow) and passes now. The depth at which a build without sanitizers overflows was not measured.

--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -304,6 +304,9 @@
 
 void EndpointExecutor::runNext(TimePoint now)
 {
+    // A refusal calls back; a loop instead of recursion keeps the stack small however long the queue is.
+    if (std::exchange(m_emptyingQueue, true))
+        return;
     while (auto* item = m_queue.popIfFree(now)) {
         const auto live = m_calls.at(item->id);
         // The backend server may have changed since the call was queued; even its service may be another one.
@@ -315,6 +318,7 @@
         else
             run(*live, now);
     }
+    m_emptyingQueue = false;
     if (const auto wait = m_queue.nextStartIn(now); wait > Duration::zero() && m_queue.queued())
         m_rateTimer.startOnce(wait, [this] { runNext(MonotonicClock::now()); });
 }
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -173,6 +173,7 @@
     Timer m_suspicionTimer;
     TimePoint m_probeSentAt {};
     bool m_leaving { false };
+    bool m_emptyingQueue { false };             // runNext() is on the call stack
     TimePoint m_lastStart { TimePoint::max() }; // Of a queued call, while leaving
     std::string m_formerService;                // With m_wasAvailable, what the last call of the change handler reported
     bool m_wasAvailable { false };
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -2,7 +2,10 @@
 
 #include "SidecarHarness.h"
 
+#include "TestPorts.h"
+#include "mesh/MeshSettings.h"
 #include "platform/Names.h"
+#include "sidecar/EndpointExecutor.h"
 
 #include <gtest/gtest.h>
 
@@ -105,5 +108,42 @@
     EXPECT_EQ(mesh.wait(parent).status(), 200);
 }
 
+TEST(ShutdownQueue, ALongQueueIsRefusedInBoundedStackSpace)
+{
+    constexpr size_t calls = 20'000;
+    const SocketAddress backendServer { "127.0.0.1", nextBasePort() };
+    StrictHTTPServer server;
+    ASSERT_TRUE(server.start(backendServer, {}, {}).has_value());
+    const MeshSettings settings;
+    CrashSuspects suspects(settings);
+    EndpointExecutor executor(settings, backendServer, "alpha", suspects);
+    const auto now = MonotonicClock::now();
+    executor.setFormerLeave({});
+    // A run that announces itself again is confirmed.
+    executor.recordAnnouncement({ "a", 1000, 1, "alpha", backendServer }, now);
+    executor.recordAnnouncement({ "b", 2000, 1, "alpha", backendServer }, now);
+    executor.recordAnnouncement({ "b", 2000, 2, "alpha", backendServer }, now);
+    ASSERT_TRUE(executor.isAvailable(now));
+    size_t refused = 0;
+    size_t ended = 0;
+    for (size_t i = 0; i < calls; ++i) {
+        MeshCall call;
+        call.service = "alpha";
+        call.context.remaining = 1h;
+        call.context.priority = nestedCallPriority(0);
+        call.request.method = "GET";
+        call.request.target = "/" + std::to_string(i);
+        executor.submit(std::move(call), now, [&](const MeshOutcome& outcome) {
+            const bool isRefused = !outcome.response && outcome.response.error().kind == ErrorKind::Draining;
+            ++(isRefused ? refused : ended);
+        });
+    }
+    ASSERT_EQ(executor.inProgress(), calls);
+    executor.startLeaving(now, now);
+    executor.endAll(now);
+    EXPECT_EQ(refused, calls - 1);
+    EXPECT_EQ(ended, 1U);
+}
+
 } // namespace
 } // namespace shallot
