Harsher soak of planned stops

Callers that have finished sending, chunked bodies that arrive slowly, header sections that are cut in two, requests that are sent while others wait, nested calls of backend servers through their own daemon, settings files that change with and without SIGHUP, limits of callers and a route that come and go with the configuration, signals as soon as a daemon listens, SIGTERM twice; more daemons than one range of test ports holds (SHALLOT_STOPS_DAEMONS).

Checks are added: a daemon that runs beyond its shutdown time is killed, as the platform does it; a connection that ends without a stop, that is refused before two readiness probes were missed, or that closes on a request that is still being sent; a leaving daemon that says that it is ready; bytes that no request waits for; bodies on their way to the backend server.

The excuse for a run in the last sixth of the shutdown time also holds for the daemon beside the backend server: the rule names the run and the SIGTERM, and with a shutdown time of 4.5 s such runs exist.

--- a/Tests/soak/KeptConnection.h
+++ b/Tests/soak/KeptConnection.h
@@ -8,10 +8,11 @@
 
 namespace shallot {
 
-// A caller's kept connection that may carry pipelined requests. Reads responses with a named length only.
+// A caller's kept connection that may carry pipelined requests. Connects at once; reads responses with a named length only.
 class KeptConnection {
 public:
     struct Callbacks {
+        // Without an id: bytes that no request waits for.
         std::function<void(const std::string& id, uint16_t status, const std::string& body)> onAnswer;
         std::function<void(const std::vector<std::string>& ids)> onEnd; // The requests that were not answered, maybe none
     };
@@ -19,9 +20,13 @@
     KeptConnection(const SocketAddress&, Callbacks);
     ~KeptConnection();
 
-    // Sends the text of requests with these ids at once.
+    // Sends the text of requests with these ids, or the first part of it.
     void send(const std::string& text, std::vector<std::string> ids);
-    bool isOpen() const { return m_socket && m_socket->isOpen(); }
+    void sendMore(const std::string& text);
+    // Shuts down the sending side and goes on to read.
+    void finishSending();
+    // Whether requests can be sent on it.
+    bool isOpen() const { return m_socket && m_socket->isOpen() && !m_sendingFinished; }
     // Requests that are not answered.
     size_t pending() const { return m_pending.size(); }
 
@@ -34,6 +39,8 @@
     RefPtr<StreamSocket> m_socket;
     std::string m_input;
     std::deque<std::string> m_pending;
+    int m_descriptor { -1 }; // Owned by the socket
+    bool m_sendingFinished { false };
 };
 
 } // namespace shallot
--- a/Tests/soak/stops.cpp
+++ b/Tests/soak/stops.cpp
@@ -1,9 +1,18 @@
-// Planned work on real shallot-sidecar processes: stops, reloads and configuration changes in series that overlap, under callers
-// that keep their connections, pipeline requests and send large bodies. Checks that no request that a daemon has read ends
-// without an answer, and that no run is broken off.
+// Planned work on real shallot-sidecar processes: stops, also right after a start, reloads with other settings and configuration
+// changes in series that overlap, under callers that keep their connections, pipeline requests, send large or slow bodies and
+// parts of header sections, or finish sending before they read; backend servers make nested calls. Checks that no request that a
+// daemon has read ends without an answer, that no run is broken off, that no connection ends without a stop, and that a daemon
+// has ended when its shutdown time is over.
 //
 //   shallot-stops PROGRAM SEED SECONDS
 //
+// Index of this file
+//   Processes:       configure, makeDaemon, writeSettings, start, reap, probeReadiness
+//   Planned work:    act, reload, stopOne, requestStop
+//   Backend servers: serve, callNested, respondDue, breakOff, announce
+//   Callers:         sendDue, sendBatch, sendParts, onAnswer, onEnd, isExcused
+//   Result:          reportCase, report
+//
 // Prints one line and exits with 0 if no check failed. SHALLOT_STOPS_DAEMONS and SHALLOT_STOPS_CALLERS set the numbers of daemons
 // and of callers beside each one; with SHALLOT_SOAK_KEEP set the processes' logs are kept in that folder.
 
@@ -22,6 +31,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <sstream>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -34,14 +44,22 @@
 
 constexpr size_t zoneCount = 3;
 constexpr uint16_t portsPerDaemon = 5;
-constexpr auto shutdownTime = 6s;
+constexpr size_t daemonsPerFleet = (portsPerFleet - 2) / portsPerDaemon; // The first port is the store's, the last one a lock
+constexpr std::array<Duration, 3> shutdownTimes { 4500ms, 6000ms, 8000ms };
 constexpr auto actionInterval = 500ms; // Mean time between two stops, reloads or changes
 constexpr auto settlingTime = 1500ms;  // After the start, before the first request
 constexpr auto answerSlack = 200ms;    // A request that was sent earlier than this before its connection ended has been read
 constexpr auto excusedArrival = 3s;    // After SIGTERM; runs of requests sent later must be complete at the end
-constexpr auto excusedEnd = shutdownTime * 5 / 6; // After SIGTERM; a run that goes on until then may be broken off
-constexpr auto restartDelay = 400ms;              // At most
+constexpr auto restartDelay = 400ms;   // At most
+constexpr auto closeDelay = 20ms;      // Until the callers have seen that the connections of an ended process are closed
+constexpr auto probeInterval = 1s;     // Of the readiness probes
+constexpr unsigned probesUntilOut = 2; // Unanswered in a row; then callers start no connections
+constexpr auto latestReady = 2s;       // After SIGTERM; two probes later, at 4 s, the daemon must count as out
+constexpr auto applyTime = 2s;         // Until a change of the configuration is in force everywhere
+constexpr auto longestPause = 1600ms;  // Of a caller; four fifths of the shortest idle time-out
+constexpr auto longestPart = 1s;       // Until the rest of a header section; below the shortest header time-out
 constexpr size_t largeBodyBytes = 60'000;
+constexpr size_t chunkBytes = 700;
 constexpr size_t maximumReportedCases = 12;
 
 enum Port : uint16_t { Callers, Ready, Control, Peers, Backend };
@@ -60,8 +78,8 @@
         , m_random(seed)
         , m_daemonCount(numberFromEnvironment("SHALLOT_STOPS_DAEMONS", 9))
         , m_callerCount(numberFromEnvironment("SHALLOT_STOPS_CALLERS", 4 + m_random() % 12))
-        , m_basePort(nextBasePort())
-        , m_store({ "127.0.0.1", m_basePort })
+        , m_basePorts(firstPorts(m_daemonCount))
+        , m_store({ "127.0.0.1", m_basePorts.front() })
     {
         configure();
         for (size_t i = 0; i < m_daemonCount; ++i)
@@ -83,11 +101,11 @@
     {
         const auto start = MonotonicClock::now();
         const auto actionsEnd = start + length;
-        const auto end = actionsEnd + shutdownTime;
+        const auto end = actionsEnd + shutdownTimes.back();
         TimePoint nextAction = start + 2 * settlingTime;
         TimePoint nextAnnouncement = start;
-        while (MonotonicClock::now() < end) {
-            const auto now = MonotonicClock::now();
+        for (auto now = start, before = start; now < end; before = now, now = MonotonicClock::now()) {
+            m_longestTurn = std::max(m_longestTurn, now - before);
             if (now >= nextAnnouncement) {
                 nextAnnouncement = now + 300ms;
                 for (auto& daemon : m_daemons)
@@ -98,6 +116,7 @@
                 act();
             }
             reap(now);
+            probeReadiness(now);
             respondDue(now);
             if (now > start + settlingTime && now < end - 1s)
                 sendDue(now);
@@ -111,8 +130,12 @@
 private:
     struct Attempt {
         size_t daemon { 0 };
-        TimePoint sent {};
-        TimePoint started {}; // At a backend server; TimePoint(): not
+        size_t backend { 0 };   // The last one that ran it
+        TimePoint firstSent {}; // Its first byte
+        TimePoint sent {};      // Its last byte; TimePoint(): not yet
+        size_t bodyBytes { 0 };
+        const char* delivery { "" };
+        bool changing { false }; // Its route comes and goes
         unsigned runs { 0 };
         unsigned openRuns { 0 };
         uint16_t status { 0 }; // 0: none yet
@@ -122,6 +145,10 @@
     struct Caller {
         std::unique_ptr<KeptConnection> connection;
         TimePoint nextBatch {};
+        std::deque<std::string> parts; // Of a request that is sent slowly
+        std::string partsID;
+        TimePoint nextPart {};
+        Duration partInterval {};
     };
 
     struct DaemonProcess {
@@ -129,21 +156,39 @@
         pid_t pid { 0 };
         TimePoint stopRequested {}; // TimePoint(): it is not leaving
         TimePoint startAt {};       // While it is not running
+        Duration shutdownTime {};   // In its settings file
+        Duration timeToStop {};     // The shutdown time of the stop
+        int signalAtStart { 0 };    // Sent as soon as it listens; 0: none
+        bool isReady { false };     // It has been, in this run
+        unsigned unansweredProbes { probesUntilOut };
+        TimePoint nextProbe {};
+        uint64_t openProbe { 0 }; // 0: none
         std::unique_ptr<StrictHTTPServer> backend;
         HTTPPool control;
+        HTTPPool probes;
         std::vector<Caller> connections;
+        std::vector<std::unique_ptr<KeptConnection>> nestedConnections;
         uint64_t sequence { 0 };
     };
 
     struct Run {
-        TimePoint due {};
+        TimePoint due {}; // TimePoint::max(): waits for a nested call
         RefPtr<StrictHTTPConnection> connection;
         std::string attempt;
     };
 
     SocketAddress address(size_t daemon, uint16_t port) const
     {
-        return { "127.0.0.1", static_cast<uint16_t>(m_basePort + 1 + daemon * portsPerDaemon + port) };
+        const auto base = m_basePorts[daemon / daemonsPerFleet];
+        return { "127.0.0.1", static_cast<uint16_t>(base + 1 + daemon % daemonsPerFleet * portsPerDaemon + port) };
+    }
+
+    static std::vector<uint16_t> firstPorts(size_t daemonCount)
+    {
+        std::vector<uint16_t> ports;
+        for (size_t i = 0; i < daemonCount; i += daemonsPerFleet)
+            ports.push_back(nextBasePort());
+        return ports;
     }
 
     Duration randomUpTo(Duration maximum)
@@ -151,19 +196,28 @@
         return Duration(static_cast<int64_t>(m_random() % static_cast<uint64_t>(maximum.count())));
     }
 
-    // Each version moves weights between two routes that stay valid, so that no request is refused by a change.
+    // Processes
+
+    // Each version changes time limits and limits of callers, which all requests stay within, and may add or remove one route.
     void configure()
     {
-        const auto route = [this](const char* prefix, const char* kind) {
-            return std::string(R"({"name":")") + kind + R"(","path_prefix":")" + prefix + R"(","kind":")" + kind
+        const auto route = [this](const char* prefix, const char* kind, const char* open = "false") {
+            return std::string(R"({"name":")") + prefix + R"(","path_prefix":")" + prefix + R"(","kind":")" + kind
                 + R"(","timeout_s":)" + (m_version % 2 ? "8" : "9")
-                + R"(,"target_latency_s":2,"priority":1,"service":"alpha","attempts":2,"anonymous":false})";
+                + R"(,"target_latency_s":2,"priority":1,"service":"alpha","attempts":2,"anonymous":)" + open + "}";
         };
+        const auto choose = [this](const char* one, const char* other) { return m_random() % 2 ? one : other; };
+        if (std::exchange(m_hasChangingRoute, m_random() % 2 == 0) != m_hasChangingRoute)
+            m_routeChanged = MonotonicClock::now();
         m_store.put(std::string(platform::store::operatorTopic), std::string(platform::store::configurationKey),
             R"({"version":"r)" + std::to_string(++m_version)
                 + R"(","services":[{"name":"alpha","health_path":"/health","max_connections":100}],)"
-                + R"("tenants":[{"name":"school","api_keys":["key-1"]}],"virtual_hosts":[{"host":"app","paths":[)"
-                + route("/read/", "idempotent") + "," + route("/order/", "non_idempotent") + "]}]}");
+                + R"("tenants":[{"name":"school","api_keys":["key-1"]}],"limits":{"max_header_bytes":)" + choose("2048", "65536")
+                + R"(,"max_body_bytes":)" + choose("65536", "4000000") + R"(,"header_timeout_s":)" + choose("2", "5")
+                + R"(,"idle_timeout_s":)" + choose("2", "15") + R"(},"virtual_hosts":[{"host":"app","paths":[)"
+                + route("/read/", "idempotent") + "," + route("/order/", "non_idempotent") + ","
+                + route("/inner/", "idempotent", "true") + (m_hasChangingRoute ? "," + route("/changing/", "idempotent") : "")
+                + "]}]}");
     }
 
     std::unique_ptr<DaemonProcess> makeDaemon(size_t index)
@@ -171,6 +225,7 @@
         auto daemon = std::make_unique<DaemonProcess>();
         daemon->index = index;
         daemon->control.setAddress(address(index, Control));
+        daemon->probes.setAddress(address(index, Ready));
         daemon->connections.resize(m_callerCount);
         daemon->backend = std::make_unique<StrictHTTPServer>();
         const auto started = daemon->backend->start(address(index, Backend), {},
@@ -179,25 +234,36 @@
              },
                 [this](StrictHTTPConnection& connection) { breakOff(connection); } });
         g_assert(started);
-        std::ofstream(settingsPath(index)) << "node=daemon-" << index << "\nzone=zone-" << index % zoneCount
-                                           << "\nservice=alpha\n"
-                                           << "listen.outbound=" << address(index, Callers).toString()
-                                           << "\nlisten.ready=" << address(index, Ready).toString()
-                                           << "\nlisten.control=" << address(index, Control).toString()
-                                           << "\napp=" << address(index, Backend).toString()
-                                           << "\ninternal_port_range=" << address(index, Peers).port << ","
-                                           << address(index, Peers).port << "\nplatform.addr=127.0.0.1:" << m_basePort
-                                           << "\nheartbeat_s=0.3\nbounds.grace_s=" << toSeconds(shutdownTime)
-                                           << "\nbounds.revoke_s=5\n";
+        writeSettings(*daemon);
         start(*daemon);
         return daemon;
     }
 
+    void writeSettings(DaemonProcess& daemon)
+    {
+        const auto index = daemon.index;
+        const auto path = settingsPath(index);
+        daemon.shutdownTime = shutdownTimes[m_random() % shutdownTimes.size()];
+        std::ofstream(path + ".new") << "node=daemon-" << index << "\nzone=zone-" << index % zoneCount << "\nservice=alpha\n"
+                                     << "listen.outbound=" << address(index, Callers).toString()
+                                     << "\nlisten.ready=" << address(index, Ready).toString()
+                                     << "\nlisten.control=" << address(index, Control).toString()
+                                     << "\napp=" << address(index, Backend).toString()
+                                     << "\ninternal_port_range=" << address(index, Peers).port << ","
+                                     << address(index, Peers).port << "\nplatform.addr=127.0.0.1:" << m_basePorts.front()
+                                     << "\nheartbeat_s=0.3\nbounds.grace_s=" << toSeconds(daemon.shutdownTime)
+                                     << "\nbounds.revoke_s=5\n";
+        std::rename((path + ".new").c_str(), path.c_str());
+    }
+
     std::string settingsPath(size_t index) const { return m_folder + "/settings-" + std::to_string(index); }
 
     void start(DaemonProcess& daemon)
     {
         daemon.stopRequested = {};
+        daemon.isReady = false;
+        const auto kind = m_random() % 10;
+        daemon.signalAtStart = m_attempts.empty() || kind > 4 ? 0 : kind ? SIGHUP : SIGTERM;
         daemon.pid = fork();
         if (daemon.pid)
             return;
@@ -213,15 +279,51 @@
     void reap(TimePoint now)
     {
         for (auto& daemon : m_daemons) {
+            const bool isLeaving = daemon->stopRequested != TimePoint();
+            if (daemon->pid && isLeaving && now >= daemon->stopRequested + daemon->timeToStop) {
+                kill(daemon->pid, SIGKILL);
+                fail("daemon-" + std::to_string(daemon->index) + " was still running when its shutdown time was over");
+            }
             int status = 0;
             if (daemon->pid && waitpid(daemon->pid, &status, WNOHANG) > 0) {
-                if (!WIFEXITED(status) || WEXITSTATUS(status) || daemon->stopRequested == TimePoint())
+                if (!WIFEXITED(status) || WEXITSTATUS(status) || !isLeaving)
                     fail("daemon-" + std::to_string(daemon->index) + " exited, wait status " + std::to_string(status));
                 daemon->pid = 0;
-                daemon->startAt = now + randomUpTo(restartDelay);
+                daemon->startAt = now + closeDelay + randomUpTo(restartDelay);
             }
             if (!daemon->pid && now >= daemon->startAt)
                 start(*daemon);
+            // The peers' listener is the first one.
+            if (daemon->signalAtStart && KeptConnection(address(daemon->index, Peers), {}).isOpen()) {
+                if (std::exchange(daemon->signalAtStart, 0) == SIGTERM)
+                    requestStop(*daemon);
+                else
+                    kill(daemon->pid, SIGHUP);
+            }
+        }
+    }
+
+    void probeReadiness(TimePoint now)
+    {
+        for (auto& daemon : m_daemons) {
+            if (now < daemon->nextProbe)
+                continue;
+            daemon->nextProbe = now + probeInterval;
+            if (const auto open = std::exchange(daemon->openProbe, ++m_nextID)) {
+                daemon->probes.abandon(open);
+                ++daemon->unansweredProbes;
+            }
+            const auto id = daemon->openProbe;
+            daemon->probes.send(id, { "GET", std::string(platform::path::readiness), { { "Host", "r" } }, {} },
+                [this, &daemon = *daemon, now, id](const Result<HTTPResponse>& response) {
+                    if (daemon.openProbe == id)
+                        daemon.openProbe = 0;
+                    const bool isReady = response && response->status == 200;
+                    daemon.unansweredProbes = isReady ? 0 : daemon.unansweredProbes + 1;
+                    daemon.isReady |= isReady;
+                    if (isReady && daemon.stopRequested != TimePoint() && now > daemon.stopRequested + latestReady)
+                        fail("daemon-" + std::to_string(daemon.index) + " is leaving and says that it is ready");
+                });
         }
     }
 
@@ -230,36 +332,60 @@
     void act()
     {
         ++m_actions;
-        switch (m_random() % 6) {
+        switch (m_random() % 8) {
         case 0:
         case 1:
         case 2:
-            stopOne();
+            stopOne(*m_daemons[m_random() % m_daemonCount]);
             break;
         case 3:
         case 4:
             for (auto i = m_random() % 5; i-- > 0;) {
                 auto& daemon = *m_daemons[m_random() % m_daemonCount];
-                if (daemon.pid)
+                if (daemon.pid && !daemon.signalAtStart)
                     kill(daemon.pid, SIGHUP);
             }
             break;
         case 5:
+            reload(*m_daemons[m_random() % m_daemonCount]);
+            break;
+        case 6:
+        case 7:
             configure();
             break;
         }
     }
 
+    // The settings of a process that leaves stay as they are.
+    void reload(DaemonProcess& daemon)
+    {
+        if (!daemon.pid || daemon.signalAtStart || daemon.stopRequested != TimePoint())
+            return;
+        writeSettings(daemon);
+        if (m_random() % 2)
+            kill(daemon.pid, SIGHUP);
+        if (m_random() % 2)
+            stopOne(daemon);
+    }
+
     // At most a third of the daemons leave at the same time. One that leaves may get the signal again.
-    void stopOne()
+    void stopOne(DaemonProcess& daemon)
     {
-        auto& daemon = *m_daemons[m_random() % m_daemonCount];
         const auto leaving = static_cast<size_t>(std::count_if(
             m_daemons.begin(), m_daemons.end(), [](const auto& other) { return other->stopRequested != TimePoint(); }));
-        if (!daemon.pid || (daemon.stopRequested == TimePoint() && leaving >= m_daemonCount / 3))
+        if (!daemon.pid || daemon.signalAtStart || (daemon.stopRequested == TimePoint() && leaving >= m_daemonCount / 3))
             return;
-        if (daemon.stopRequested == TimePoint())
+        requestStop(daemon);
+        if (m_random() % 4 == 0)
+            kill(daemon.pid, SIGTERM);
+    }
+
+    void requestStop(DaemonProcess& daemon)
+    {
+        if (daemon.stopRequested == TimePoint()) {
             daemon.stopRequested = MonotonicClock::now();
+            daemon.timeToStop = daemon.shutdownTime;
+        }
         kill(daemon.pid, SIGTERM);
     }
 
@@ -282,14 +408,52 @@
         }
         auto& attempt = found->second;
         ++attempt.openRuns;
-        attempt.started = now;
+        attempt.backend = index;
+        if (request.body != std::string(attempt.bodyBytes, 'b'))
+            fail("a backend server received another body than the caller's: " + id);
         if (++attempt.runs > 1 && !attempt.idempotent)
             fail("a non-idempotent request ran more than once: " + id);
         if (attempt.status == 503 || attempt.status == 429)
             fail("a request ran after its caller got 503 or 429: " + id);
         const auto kind = m_random() % 20;
         const Duration longest = kind == 0 ? Duration(2500ms) : kind < 4 ? Duration(600ms) : Duration(60ms);
-        m_runs.push_back({ now + randomUpTo(longest), connection, id });
+        const bool callsOthers = id.find('.') == std::string::npos && m_random() % 5 == 0;
+        m_runs.push_back({ callsOthers ? TimePoint::max() : now + randomUpTo(longest), connection, id });
+        if (callsOthers)
+            callNested(*m_daemons[index], id, std::string(findHeader(request.headers, platform::header::deadline)), now);
+    }
+
+    void callNested(DaemonProcess& daemon, const std::string& parent, const std::string& milliseconds, TimePoint now)
+    {
+        const auto id = parent + "." + std::to_string(m_attempts[parent].runs);
+        auto& attempt = m_attempts[id];
+        attempt.daemon = daemon.index;
+        attempt.delivery = "nested";
+        attempt.firstSent = attempt.sent = now;
+        auto& connections = daemon.nestedConnections;
+        std::erase_if(connections, [](const auto& connection) { return !connection->isOpen() && !connection->pending(); });
+        const auto isFree = [](const auto& connection) { return connection->isOpen() && !connection->pending(); };
+        auto found = std::find_if(connections.begin(), connections.end(), isFree);
+        if (found == connections.end())
+            found = connections.insert(connections.end(), connect(daemon));
+        if (!(*found)->isOpen()) {
+            if (!isExcused(m_attempts[parent]))
+                reportCase("nested call of a run refused", id);
+            endNested(id);
+            return;
+        }
+        (*found)->send("GET /inner/ HTTP/1.1\r\nHost: app\r\n" + std::string(platform::header::attemptID) + ": " + id + "\r\n"
+                + std::string(platform::header::deadline) + ": " + milliseconds + "\r\n\r\n",
+            { id });
+    }
+
+    void endNested(const std::string& id)
+    {
+        const auto parent = id.substr(0, id.find('.'));
+        for (auto& run : m_runs) {
+            if (parent != id && run.attempt == parent && run.due == TimePoint::max())
+                run.due = MonotonicClock::now();
+        }
     }
 
     void respondDue(TimePoint now)
@@ -334,51 +498,134 @@
     {
         for (auto& daemon : m_daemons) {
             for (auto& caller : daemon->connections) {
-                if (now < caller.nextBatch || (caller.connection && caller.connection->pending()))
+                if (!caller.parts.empty())
+                    sendParts(caller, now);
+                if (now < caller.nextBatch || !caller.parts.empty())
                     continue;
-                // Callers start no connection to a daemon that is not ready for longer than the readiness probes take.
-                const bool isGone = !daemon->pid || (daemon->stopRequested != TimePoint() && now > daemon->stopRequested + 2s);
-                const bool isOpen = caller.connection && caller.connection->isOpen();
-                caller.nextBatch = now + randomUpTo(60ms);
-                if (!isOpen && isGone)
+                caller.nextBatch = now + randomUpTo(m_random() % 16 ? Duration(60ms) : longestPause);
+                // Some send on while they wait, so that requests arrive at any moment of a close.
+                if (caller.connection && caller.connection->pending()) {
+                    if (caller.connection->isOpen() && m_random() % 4 == 0)
+                        sendBatch(*daemon, caller, now);
                     continue;
-                if (!isOpen)
-                    connect(*daemon, caller);
+                }
+                if (!caller.connection || !caller.connection->isOpen()) {
+                    // Callers start no connection to a daemon that has missed two readiness probes.
+                    if (daemon->unansweredProbes >= probesUntilOut)
+                        continue;
+                    caller.connection = connect(*daemon);
+                    if (!caller.connection->isOpen()) {
+                        fail("daemon-" + std::to_string(daemon->index) + " refused a connection before it was out");
+                        continue;
+                    }
+                }
                 sendBatch(*daemon, caller, now);
             }
         }
     }
 
-    void connect(const DaemonProcess& daemon, Caller& caller)
+    std::unique_ptr<KeptConnection> connect(const DaemonProcess& daemon)
     {
-        caller.connection = std::make_unique<KeptConnection>(address(daemon.index, Callers),
+        return std::make_unique<KeptConnection>(address(daemon.index, Callers),
             KeptConnection::Callbacks {
                 [this](const std::string& id, uint16_t status, const std::string& body) { onAnswer(id, status, body); },
                 [this](const std::vector<std::string>& ids) { onEnd(ids); },
             });
     }
 
-    // A third of the batches are pipelined.
+    std::string addAttempt(const DaemonProcess& daemon, const char* delivery, TimePoint now)
+    {
+        auto id = "attempt-" + std::to_string(++m_nextID);
+        auto& attempt = m_attempts[id];
+        attempt.daemon = daemon.index;
+        attempt.delivery = delivery;
+        attempt.firstSent = now;
+        attempt.idempotent = m_random() % 2;
+        attempt.changing = attempt.idempotent && m_random() % 8 == 0;
+        return id;
+    }
+
+    std::string head(const std::string& id, const std::string& framing)
+    {
+        const auto& attempt = m_attempts[id];
+        const char* line = attempt.changing ? "PUT /changing/" : attempt.idempotent ? "PUT /read/" : "POST /order/";
+        return std::string(line) + " HTTP/1.1\r\nHost: app\r\n" + std::string(platform::header::attemptID) + ": " + id + "\r\n"
+            + std::string(platform::header::key) + ": key-1\r\n" + framing + "\r\n\r\n";
+    }
+
+    // A third of the batches are pipelined. One in six requests is sent slowly, one batch in eight by callers that then finish.
     void sendBatch(const DaemonProcess& daemon, Caller& caller, TimePoint now)
     {
+        const auto kind = m_random() % 12;
+        if (kind < 2) {
+            sendSlowly(daemon, caller, kind, now);
+            return;
+        }
         std::string text;
         std::vector<std::string> ids;
+        const bool finishes = m_random() % 8 == 0;
         for (size_t count = m_random() % 3 ? 1 : 2 + m_random() % 2; count; --count) {
-            ids.push_back("attempt-" + std::to_string(++m_nextID));
+            ids.push_back(addAttempt(daemon, finishes ? "half-closed" : "kept", now));
             auto& attempt = m_attempts[ids.back()];
-            attempt.daemon = daemon.index;
             attempt.sent = now;
-            attempt.idempotent = m_random() % 2;
-            const std::string body(m_random() % 8 ? m_random() % 200 : largeBodyBytes, 'b');
-            text += std::string(attempt.idempotent ? "PUT /read/" : "POST /order/") + " HTTP/1.1\r\nHost: app\r\n"
-                + std::string(platform::header::attemptID) + ": " + ids.back() + "\r\n" + std::string(platform::header::key)
-                + ": key-1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            attempt.bodyBytes = m_random() % 8 ? m_random() % 200 : largeBodyBytes;
+            text
+                += head(ids.back(), "Content-Length: " + std::to_string(attempt.bodyBytes)) + std::string(attempt.bodyBytes, 'b');
         }
         caller.connection->send(text, std::move(ids));
+        if (finishes)
+            caller.connection->finishSending();
+    }
+
+    // A chunked body in several parts, or a header section in two.
+    void sendSlowly(const DaemonProcess& daemon, Caller& caller, unsigned kind, TimePoint now)
+    {
+        const bool isChunked = kind == 0;
+        const auto id = addAttempt(daemon, isChunked ? "slow body" : "cut header section", now);
+        if (isChunked) {
+            caller.parts.push_back(head(id, "Transfer-Encoding: chunked"));
+            const auto chunks = 2 + m_random() % 7;
+            m_attempts[id].bodyBytes = chunks * chunkBytes;
+            std::ostringstream chunk;
+            chunk << std::hex << chunkBytes << "\r\n" << std::string(chunkBytes, 'b') << "\r\n";
+            caller.parts.insert(caller.parts.end(), chunks, chunk.str());
+            caller.parts.emplace_back("0\r\n\r\n");
+        } else {
+            const auto text = head(id, "Content-Length: 0");
+            const auto cut = 1 + m_random() % (text.size() - 1);
+            caller.parts = { text.substr(0, cut), text.substr(cut) };
+        }
+        caller.partsID = id;
+        caller.partInterval = randomUpTo(isChunked ? Duration(500ms) : longestPart);
+        caller.nextPart = now + caller.partInterval;
+        caller.connection->send(caller.parts.front(), { id });
+        caller.parts.pop_front();
+    }
+
+    void sendParts(Caller& caller, TimePoint now)
+    {
+        if (!caller.connection->pending()) { // Answered early, or the connection ended
+            caller.parts.clear();
+            caller.connection.reset();
+            return;
+        }
+        if (now < caller.nextPart)
+            return;
+        caller.nextPart = now + caller.partInterval;
+        const auto part = caller.parts.front();
+        caller.parts.pop_front();
+        if (caller.parts.empty())
+            m_attempts[caller.partsID].sent = now;
+        caller.connection->sendMore(part);
     }
 
     void onAnswer(const std::string& id, uint16_t status, const std::string& body)
     {
+        if (id.empty()) {
+            fail("a caller got bytes that no request waits for: " + body.substr(0, 60));
+            return;
+        }
+        endNested(id);
         auto& attempt = m_attempts[id];
         attempt.status = status;
         ++m_statuses[status];
@@ -386,7 +633,10 @@
             fail("a caller got an unexpected response body: " + id);
         if ((status == 503 || status == 429) && attempt.runs)
             fail("a caller got 503 or 429 for a request that ran: " + id);
-        if (status == 200 || status == 503 || status == 429)
+        const bool routeIsSettled = attempt.firstSent > m_routeChanged + applyTime;
+        if (attempt.changing && status == (m_hasChangingRoute ? 404 : 200) && routeIsSettled)
+            reportCase("handled by an old configuration", id);
+        if (status == 200 || status == 503 || status == 429 || (attempt.changing && status == 404))
             return;
         if (!isExcused(attempt))
             reportCase(attempt.openRuns ? "broken off" : attempt.runs ? "failed after its run" : "failed without a run", id);
@@ -396,20 +646,36 @@
     {
         const auto now = MonotonicClock::now();
         for (const auto& id : ids) {
+            endNested(id);
             const auto& attempt = m_attempts[id];
+            const auto& daemon = *m_daemons[attempt.daemon];
+            const bool isLeaving = daemon.stopRequested != TimePoint();
             ++m_statuses[0];
-            const bool wasRead = attempt.runs || now - attempt.sent > answerSlack;
-            if (wasRead && !isExcused(attempt))
-                reportCase(attempt.runs ? "lost after it was passed on" : "lost after it was read", id);
+            if (attempt.runs || (attempt.sent != TimePoint() && now - attempt.sent > answerSlack)) {
+                if (!isExcused(attempt))
+                    reportCase(attempt.runs ? "lost after it was passed on" : "lost after it was read", id);
+            } else if (!isLeaving) {
+                reportCase("closed without a stop", id);
+            } else if (attempt.sent != TimePoint() || now - attempt.firstSent <= answerSlack) {
+                ++m_crossings;
+            } else if (now >= daemon.stopRequested + daemon.timeToStop * 5 / 6) {
+                ++m_unfinished;
+            } else {
+                reportCase("closed while it was sent", id);
+            }
         }
     }
 
+    // A run that goes on in the last sixth of the shutdown time may be broken off, by the daemon that took the request or by the
+    // one beside the backend server.
     bool isExcused(const Attempt& attempt) const
     {
-        const auto stopped = m_daemons[attempt.daemon]->stopRequested;
         const auto now = MonotonicClock::now();
-        return stopped != TimePoint() && attempt.openRuns && attempt.sent <= stopped + excusedArrival
-            && now >= stopped + excusedEnd;
+        const auto isEnding = [&attempt, now](const DaemonProcess& daemon) {
+            return daemon.stopRequested != TimePoint() && attempt.sent <= daemon.stopRequested + excusedArrival
+                && now >= daemon.stopRequested + daemon.timeToStop * 5 / 6;
+        };
+        return attempt.openRuns && (isEnding(*m_daemons[attempt.daemon]) || isEnding(*m_daemons[attempt.backend]));
     }
 
     // Result
@@ -423,9 +689,11 @@
         const auto& attempt = m_attempts[id];
         const auto now = MonotonicClock::now();
         const auto stopped = m_daemons[attempt.daemon]->stopRequested;
-        std::cerr << "FAILED " << kind << ": " << id << " at daemon-" << attempt.daemon << ", status " << attempt.status
-                  << ", sent " << toSeconds(now - attempt.sent) << " s ago, " << attempt.runs << " runs, " << attempt.openRuns
-                  << " open, " << (m_brokenOff.count(id) ? "closed at its backend server, " : "")
+        std::cerr << "FAILED " << kind << ": " << id << " (" << attempt.delivery << ") at daemon-" << attempt.daemon
+                  << ", status " << attempt.status << ", sent "
+                  << toSeconds(now - (attempt.sent == TimePoint() ? attempt.firstSent : attempt.sent)) << " s ago, "
+                  << attempt.runs << " runs, " << attempt.openRuns << " open, "
+                  << (m_brokenOff.count(id) ? "closed at its backend server, " : "")
                   << (stopped == TimePoint() ? std::string("no stop")
                                              : std::to_string(toSeconds(now - stopped)) + " s after SIGTERM")
                   << "\n";
@@ -442,6 +710,8 @@
         std::cout << "actions " << m_actions << " callers " << m_callerCount << " requests " << m_attempts.size() << " answered";
         for (const auto& [status, count] : m_statuses)
             std::cout << " " << status << ":" << count;
+        std::cout << ", crossed the close " << m_crossings << ", not sent whole by the end " << m_unfinished << ", longest turn "
+                  << toSeconds(m_longestTurn) << " s";
         for (const auto& [kind, count] : m_cases)
             std::cout << ", " << kind << " " << count;
         std::cout << (m_failed ? " FAILED\n" : " ok\n");
@@ -453,7 +723,7 @@
     std::mt19937 m_random;
     size_t m_daemonCount;
     size_t m_callerCount; // Beside each daemon
-    uint16_t m_basePort;
+    std::vector<uint16_t> m_basePorts;
     StoreStandin m_store;
     std::vector<std::unique_ptr<DaemonProcess>> m_daemons;
     std::map<std::string, Attempt> m_attempts;
@@ -462,6 +732,11 @@
     std::map<uint16_t, size_t> m_statuses;
     std::map<std::string, size_t> m_cases;
     uint64_t m_version { 0 };
+    bool m_hasChangingRoute { false };
+    TimePoint m_routeChanged {};
+    size_t m_crossings { 0 };  // Ended at a stop within the answer slack of their last byte
+    size_t m_unfinished { 0 }; // Ended with the shutdown time, before their last byte was sent
+    Duration m_longestTurn {}; // Of the main loop; the checks of the readiness probes assume less than half a second
     uint64_t m_nextID { 0 };
     size_t m_actions { 0 };
     size_t m_reported { 0 };
