Hold back signals until their handlers are installed

A reload that falls on a start ends a daemon that callers are about to use, and connections that wait to be accepted are reset.

Cause: the handlers were installed after the settings had been read and the listeners opened.

SIGTERM, SIGINT and SIGHUP are blocked first thing and unblocked once their handlers are installed; until then the kernel holds them. What remains is the time before main().

Failed before: SidecarProcess.AReloadDuringTheStartDoesNotEndIt (wait status 1), AStopDuringTheStartIsAnOrderlyOne (15): the process reads its settings from a pipe, so the signal always falls into the start.

--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -57,6 +57,15 @@
     return settings;
 }
 
+sigset_t handledSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int signal : { SIGTERM, SIGINT, SIGHUP })
+        sigaddset(&signals, signal);
+    return signals;
+}
+
 gboolean onTerminate(gpointer data)
 {
     static_cast<shallot::Sidecar*>(data)->leave();
@@ -114,6 +123,9 @@
 
 int run(int argc, char** argv)
 {
+    // The default action would end the process; signals wait until their handlers are installed.
+    const auto signals = handledSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     const auto flags = readFlags(argc, argv);
     const auto instance = shallot::platform::readInstanceSettings();
     if (!instance) {
@@ -144,6 +156,7 @@
             g_unix_signal_add(SIGTERM, onTerminate, &sidecar);
             g_unix_signal_add(SIGINT, onTerminate, &sidecar);
             g_unix_signal_add(SIGHUP, onReload, &sidecar);
+            pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
             const SettingsWatch watch(sidecar);
             g_main_loop_run(loop);
         }
--- /dev/null
+++ b/Tests/SidecarProcessTest.cpp
@@ -0,0 +1,130 @@
+// Signals and changes of the settings around the start and the stop of a shallot-sidecar process.
+
+#include "TestPorts.h"
+#include "core/Time.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <gio/gio.h>
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace shallot {
+namespace {
+
+using namespace std::chrono_literals;
+
+class SidecarProcess : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "shallot-process-XXXXXX").string();
+        ASSERT_NE(mkdtemp(pattern.data()), nullptr);
+        folder = pattern;
+        settings = folder / "settings";
+    }
+
+    void TearDown() override
+    {
+        if (pid) {
+            kill(pid, SIGKILL);
+            waitpid(pid, nullptr, 0);
+        }
+        std::filesystem::remove_all(folder);
+    }
+
+    void writeSettings(const std::filesystem::path& path, const std::string& shutdownTime) const
+    {
+        const auto at = [this](unsigned port) { return "127.0.0.1:" + std::to_string(basePort + port); };
+        std::ofstream(path) << "node=daemon\nzone=zone\nservice=alpha\nlisten.outbound=" << at(1) << "\nlisten.ready=" << at(2)
+                            << "\nlisten.control=" << at(3) << "\napp=" << at(4) << "\ninternal_port_range=" << basePort + 5
+                            << "," << basePort + 5 << "\nplatform.addr=" << at(6) << "\nbounds.grace_s=" << shutdownTime << "\n";
+    }
+
+    void start()
+    {
+        const auto program = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "shallot-sidecar";
+        pid = fork();
+        if (pid)
+            return;
+        setenv("SHALLOTTRACK_CONFIG", settings.c_str(), 1);
+        setenv("SHALLOT_PEER_SECRET", "a secret of the test", 1);
+        if (!std::freopen("/dev/null", "w", stdout))
+            _exit(126);
+        execl(program.c_str(), program.c_str(), nullptr);
+        _exit(127);
+    }
+
+    static bool waitUntil(const std::function<bool()>& condition, Duration timeout = 5s)
+    {
+        const auto end = MonotonicClock::now() + timeout;
+        while (!condition()) {
+            if (MonotonicClock::now() > end)
+                return false;
+            std::this_thread::sleep_for(5ms);
+        }
+        return true;
+    }
+
+    // Returns while the process reads its settings from a pipe, which then end.
+    bool startAndSignalBeforeItListens(int signal)
+    {
+        if (mkfifo(settings.c_str(), S_IRUSR | S_IWUSR))
+            return false;
+        start();
+        int pipe = -1;
+        if (!waitUntil([&] { return (pipe = open(settings.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC)) >= 0; }))
+            return false;
+        kill(pid, signal);
+        const auto file = folder / "file";
+        writeSettings(file, "3");
+        std::ifstream text(file);
+        const std::string content((std::istreambuf_iterator<char>(text)), {});
+        const bool written = write(pipe, content.data(), content.size()) == static_cast<ssize_t>(content.size());
+        std::filesystem::rename(file, settings);
+        close(pipe);
+        return written;
+    }
+
+    bool hasEnded() { return waitpid(pid, &status, WNOHANG) == pid && std::exchange(pid, 0); }
+
+    bool listens() const
+    {
+        GSocketClient* client = g_socket_client_new();
+        GSocketConnection* connection
+            = g_socket_client_connect_to_host(client, "127.0.0.1", static_cast<guint16>(basePort + 1), nullptr, nullptr);
+        const bool connected = connection != nullptr;
+        g_clear_object(&connection);
+        g_object_unref(client);
+        return connected;
+    }
+
+    uint16_t basePort { nextBasePort() };
+    std::filesystem::path folder;
+    std::filesystem::path settings;
+    pid_t pid { 0 };
+    int status { 0 };
+};
+
+TEST_F(SidecarProcess, AReloadDuringTheStartDoesNotEndIt)
+{
+    ASSERT_TRUE(startAndSignalBeforeItListens(SIGHUP));
+    EXPECT_TRUE(waitUntil([this] { return listens(); }));
+    EXPECT_FALSE(hasEnded()) << "wait status " << status;
+}
+
+TEST_F(SidecarProcess, AStopDuringTheStartIsAnOrderlyOne)
+{
+    ASSERT_TRUE(startAndSignalBeforeItListens(SIGTERM));
+    ASSERT_TRUE(waitUntil([this] { return hasEnded(); }));
+    EXPECT_TRUE(WIFEXITED(status) && !WEXITSTATUS(status)) << "wait status " << status;
+}
+
+} // namespace
+} // namespace shallot
