Read the settings again at SIGTERM

Cause: the file may change without a signal, which is noticed up to 2 s later, and a SIGHUP that is pending with SIGTERM is handled after it. The leave keeps to the earlier shutdown time, whether the new one is shorter or longer.

SIGTERM reads the file before the leave begins. Failed before: SidecarProcess.AStopObservesAShutdownTimeThatHasJustBecomeShorter.

--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -66,12 +66,6 @@
     return signals;
 }
 
-gboolean onTerminate(gpointer data)
-{
-    static_cast<shallot::Sidecar*>(data)->leave();
-    return G_SOURCE_CONTINUE;
-}
-
 // Keeps the settings in force when the new ones cannot be read.
 void reloadSettings(shallot::Sidecar& sidecar)
 {
@@ -81,6 +75,14 @@
         shallot::EventLog::write("reload-refused", { { "detail", instance.error().detail } });
 }
 
+gboolean onTerminate(gpointer data)
+{
+    auto& sidecar = *static_cast<shallot::Sidecar*>(data);
+    reloadSettings(sidecar); // They may have changed without a signal, and a pending SIGHUP is handled after this signal
+    sidecar.leave();
+    return G_SOURCE_CONTINUE;
+}
+
 gboolean onReload(gpointer data)
 {
     reloadSettings(*static_cast<shallot::Sidecar*>(data));
--- a/Tests/SidecarProcessTest.cpp
+++ b/Tests/SidecarProcessTest.cpp
@@ -126,5 +126,15 @@
     EXPECT_TRUE(WIFEXITED(status) && !WEXITSTATUS(status)) << "wait status " << status;
 }
 
+TEST_F(SidecarProcess, AStopObservesAShutdownTimeThatHasJustBecomeShorter)
+{
+    writeSettings(settings, "8");
+    start();
+    ASSERT_TRUE(waitUntil([this] { return listens(); }));
+    writeSettings(settings, "1.5");
+    kill(pid, SIGTERM);
+    EXPECT_TRUE(waitUntil([this] { return hasEnded(); }, 1500ms));
+}
+
 } // namespace
 } // namespace shallot
