Soak of planned stops: a nested call may end at the deadline that it names

The rule LOST does not count a request whose deadline was reached, and only requests that name one are excused so. A daemon that runs beyond its shutdown time is reported once.

--- a/Tests/soak/stops.cpp
+++ b/Tests/soak/stops.cpp
@@ -130,9 +130,10 @@
 private:
     struct Attempt {
         size_t daemon { 0 };
-        size_t backend { 0 };   // The last one that ran it
-        TimePoint firstSent {}; // Its first byte
-        TimePoint sent {};      // Its last byte; TimePoint(): not yet
+        size_t backend { 0 };                    // The last one that ran it
+        TimePoint firstSent {};                  // Its first byte
+        TimePoint sent {};                       // Its last byte; TimePoint(): not yet
+        TimePoint deadline { TimePoint::max() }; // That it names
         size_t bodyBytes { 0 };
         const char* delivery { "" };
         bool changing { false }; // Its route comes and goes
@@ -283,6 +284,7 @@
             if (daemon->pid && isLeaving && now >= daemon->stopRequested + daemon->timeToStop) {
                 kill(daemon->pid, SIGKILL);
                 fail("daemon-" + std::to_string(daemon->index) + " was still running when its shutdown time was over");
+                daemon->timeToStop = 1h;
             }
             int status = 0;
             if (daemon->pid && waitpid(daemon->pid, &status, WNOHANG) > 0) {
@@ -430,6 +432,7 @@
         attempt.daemon = daemon.index;
         attempt.delivery = "nested";
         attempt.firstSent = attempt.sent = now;
+        attempt.deadline = now + std::chrono::milliseconds(std::strtoul(milliseconds.c_str(), nullptr, 10));
         auto& connections = daemon.nestedConnections;
         std::erase_if(connections, [](const auto& connection) { return !connection->isOpen() && !connection->pending(); });
         const auto isFree = [](const auto& connection) { return connection->isOpen() && !connection->pending(); };
@@ -666,8 +669,8 @@
         }
     }
 
-    // A run that goes on in the last sixth of the shutdown time may be broken off, by the daemon that took the request or by the
-    // one beside the backend server.
+    // The deadline that it names is reached. Or the run goes on in the last sixth of the shutdown time, when it may be broken
+    // off, by the daemon that took the request or by the one beside the backend server.
     bool isExcused(const Attempt& attempt) const
     {
         const auto now = MonotonicClock::now();
@@ -675,7 +678,8 @@
             return daemon.stopRequested != TimePoint() && attempt.sent <= daemon.stopRequested + excusedArrival
                 && now >= daemon.stopRequested + daemon.timeToStop * 5 / 6;
         };
-        return attempt.openRuns && (isEnding(*m_daemons[attempt.daemon]) || isEnding(*m_daemons[attempt.backend]));
+        return now >= attempt.deadline
+            || (attempt.openRuns && (isEnding(*m_daemons[attempt.daemon]) || isEnding(*m_daemons[attempt.backend])));
     }
 
     // Result
