Soak of planned stops: a run that ends in the last sixth of the shutdown time; details of crossings

The rule excuses a request at which the endpoint 'was still at work in the last sixth of grace_s': the time of the run decides, not the order of two events of one millisecond. Runs that end before the last sixth stay unexcused.

Requests that cross a close are printed, so that they can be traced.

--- a/Tests/soak/stops.cpp
+++ b/Tests/soak/stops.cpp
@@ -134,6 +134,7 @@
         TimePoint firstSent {};                  // Its first byte
         TimePoint sent {};                       // Its last byte; TimePoint(): not yet
         TimePoint deadline { TimePoint::max() }; // That it names
+        TimePoint runEnded {};                   // The last run
         size_t bodyBytes { 0 };
         const char* delivery { "" };
         bool changing { false }; // Its route comes and goes
@@ -469,6 +470,7 @@
             const auto run = m_runs[i];
             m_runs.erase(m_runs.begin() + static_cast<ptrdiff_t>(i));
             --m_attempts[run.attempt].openRuns;
+            m_attempts[run.attempt].runEnded = now;
             const HTTPHeaders headers { { std::string(platform::header::attemptID), run.attempt },
                 { std::string(platform::header::seal), "seal" } };
             run.connection->respond({ 200, headers, "answer to " + run.attempt }, false, now);
@@ -661,6 +663,7 @@
                 reportCase("closed without a stop", id);
             } else if (attempt.sent != TimePoint() || now - attempt.firstSent <= answerSlack) {
                 ++m_crossings;
+                print("crossed the close", id);
             } else if (now >= daemon.stopRequested + daemon.timeToStop * 5 / 6) {
                 ++m_unfinished;
             } else {
@@ -674,12 +677,12 @@
     bool isExcused(const Attempt& attempt) const
     {
         const auto now = MonotonicClock::now();
-        const auto isEnding = [&attempt, now](const DaemonProcess& daemon) {
+        const auto atWorkUntil = attempt.openRuns ? now : attempt.runEnded;
+        const auto isEnding = [&attempt, atWorkUntil](const DaemonProcess& daemon) {
             return daemon.stopRequested != TimePoint() && attempt.sent <= daemon.stopRequested + excusedArrival
-                && now >= daemon.stopRequested + daemon.timeToStop * 5 / 6;
+                && atWorkUntil >= daemon.stopRequested + daemon.timeToStop * 5 / 6;
         };
-        return now >= attempt.deadline
-            || (attempt.openRuns && (isEnding(*m_daemons[attempt.daemon]) || isEnding(*m_daemons[attempt.backend])));
+        return now >= attempt.deadline || isEnding(*m_daemons[attempt.daemon]) || isEnding(*m_daemons[attempt.backend]);
     }
 
     // Result
@@ -688,13 +691,17 @@
     {
         ++m_cases[kind];
         m_failed = true;
-        if (m_reported++ >= maximumReportedCases)
-            return;
+        if (m_reported++ < maximumReportedCases)
+            print("FAILED " + kind, id);
+    }
+
+    void print(const std::string& kind, const std::string& id)
+    {
         const auto& attempt = m_attempts[id];
         const auto now = MonotonicClock::now();
         const auto stopped = m_daemons[attempt.daemon]->stopRequested;
-        std::cerr << "FAILED " << kind << ": " << id << " (" << attempt.delivery << ") at daemon-" << attempt.daemon
-                  << ", status " << attempt.status << ", sent "
+        std::cerr << kind << ": " << id << " (" << attempt.delivery << ") at daemon-" << attempt.daemon << ", status "
+                  << attempt.status << ", sent "
                   << toSeconds(now - (attempt.sent == TimePoint() ? attempt.firstSent : attempt.sent)) << " s ago, "
                   << attempt.runs << " runs, " << attempt.openRuns << " open, "
                   << (m_brokenOff.count(id) ? "closed at its backend server, " : "")
