More port ranges for tests that run at the same time

SidecarPath.ALeaveOfABackendServerSurvivesARestart ended with 'no free ports for a test fleet' while several test runs were on the machine: a process keeps each range that it takes until its end, and there were 40. Now 85, from port 24000, clear of the ranges of the scripts.

--- a/Tests/TestPorts.cpp
+++ b/Tests/TestPorts.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr uint16_t firstPort = 10'000; // Below the kernel's range of ephemeral ports
-constexpr uint16_t fleetSlots = 40;
+constexpr uint16_t firstPort = 24'000; // Below the kernel's range of ephemeral ports
+constexpr uint16_t fleetSlots = 85;
 
 } // namespace
 
