Tell peers at a planned end that no further call is begun

A daemon that ended after a leave closed its links while calls to it were on their way.

Cause: only the daemon beside the backend server knows what it has begun, and it closed without a word.

Now the last message on each link is GoAway, as in HTTP/2: no call on this link that is not answered by now has been or will be begun. The sender dispatches these calls elsewhere as after any refusal, without the retry budget, and closes the link. The daemon that ends accepts no link and begins no call after that message, and waits up to 100 ms for its peers to close, so that the message isn't overtaken by a reset. The promise holds since it is made only when no call of a peer is queued or running, or after EndpointExecutor::endAll(), which answers each of them.

--- a/Source/daemon/Daemon.cpp
+++ b/Source/daemon/Daemon.cpp
@@ -138,6 +138,7 @@
     case wire::Body::NONE:
     case wire::Body::Hello:
     case wire::Body::Proof:
+    case wire::Body::GoAway: // Of the sidecar
         break;
     }
 }
--- a/Source/net/PeerLinks.cpp
+++ b/Source/net/PeerLinks.cpp
@@ -88,14 +88,18 @@
     }
 }
 
+std::vector<RefPtr<PeerLink>> PeerLinks::links() const
+{
+    std::vector<RefPtr<PeerLink>> links(m_accepted.begin(), m_accepted.end());
+    for (const auto& [address, link] : m_outgoing)
+        links.push_back(link);
+    return links;
+}
+
 void PeerLinks::closeAll()
 {
     m_listener.stop();
-    const auto outgoing = m_outgoing;
-    for (const auto& [address, link] : outgoing)
-        link->close();
-    const auto accepted = m_accepted;
-    for (const auto& link : accepted)
+    for (const auto& link : links())
         link->close();
 }
 
--- a/Source/net/PeerLinks.h
+++ b/Source/net/PeerLinks.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace shallot {
 
@@ -27,7 +28,11 @@
     // Returns the open link to the address ("IP:port") or opens one. Null when the address is blocked or invalid, or when the
     // connection fails at once.
     RefPtr<PeerLink> linkTo(const std::string& address);
+    // Accepts no new links.
+    void stopListening() { m_listener.stop(); }
     void closeAll();
+    // Incoming and outgoing ones, with those whose handshake has not completed.
+    std::vector<RefPtr<PeerLink>> links() const;
 
     // Fault injection, until the set is replaced: closes the outgoing links to these addresses or members, opens no new ones to
     // the addresses and drops frames from the members.
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -1,7 +1,7 @@
 // Index of this file
 //   Arrival:    handle, admit, checkRequest, checkCrashSuspicion, authenticate
 //   Attempts:   dispatch, send, endAttempt, cancelAttempt
-//   Outcomes:   onResponse, onLinkClosed, onOutcome, mayRetry
+//   Outcomes:   onResponse, onGoAway, onLinkClosed, attemptsOn, onOutcome, mayRetry
 //   Responses:  retryAfterFor, respond, logCompletion, onDisconnect, onDeadline
 //   Shutdown:   startLeaving, endAll
 
@@ -286,19 +286,34 @@
     onOutcome(*pending, readMeshOutcome(answerFrame), MonotonicClock::now());
 }
 
-void MeshIngress::onLinkClosed(PeerLink& link)
+std::vector<RefPtr<MeshIngress::PendingRequest>> MeshIngress::attemptsOn(const PeerLink& link) const
 {
-    std::vector<RefPtr<PendingRequest>> interrupted;
+    std::vector<RefPtr<PendingRequest>> found;
     for (const auto& [attempt, pending] : m_attempts) {
         if (pending->link.get() == &link)
-            interrupted.push_back(pending);
+            found.push_back(pending);
     }
+    return found;
+}
+
+void MeshIngress::onGoAway(PeerLink& link)
+{
+    const auto now = MonotonicClock::now();
+    auto report = EndpointReport {};
+    report.available = false;
+    report.leaving = true;
+    for (const auto& pending : attemptsOn(link))
+        onOutcome(*pending, { fail(ErrorKind::Draining, pending->member + " has ended"), report, false }, now);
+}
+
+void MeshIngress::onLinkClosed(PeerLink& link)
+{
     const auto now = MonotonicClock::now();
-    for (const auto& pending : interrupted) {
+    auto report = EndpointReport {};
+    report.available = false;
+    for (const auto& pending : attemptsOn(link)) {
         const bool wasSent = link.isEstablished();
         const auto kind = wasSent ? ErrorKind::BackendFailed : ErrorKind::NoBackendServer;
-        auto report = EndpointReport {};
-        report.available = false;
         onOutcome(*pending, { fail(kind, "the link to " + pending->member + " was lost"), report, wasSent }, now);
     }
 }
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -58,6 +58,8 @@
     void applyLimits(const CallerLimits&);
 
     void onResponse(PeerLink&, wire::AnswerT&);
+    // The daemon at the other end begins no call on this link that it has not answered.
+    void onGoAway(PeerLink&);
     void onLinkClosed(PeerLink&);
     size_t inProgress() const { return m_pending.size(); }
     size_t openConnections() const { return m_server.connectionCount(); }
@@ -98,6 +100,7 @@
     bool send(PendingRequest&, RemoteEndpoint&, TimePoint now);
     void onOutcome(PendingRequest&, MeshOutcome, TimePoint now);
     bool mayRetry(PendingRequest&, const MeshOutcome&, TimePoint now);
+    std::vector<RefPtr<PendingRequest>> attemptsOn(const PeerLink&) const;
     void endAttempt(PendingRequest&);
     void cancelAttempt(PendingRequest&);
     Duration retryAfterFor(const PendingRequest&, Duration capacityAfter) const;
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -125,6 +125,15 @@
         sendState(*link, false, suspects);
 }
 
+void MeshLinks::goAway()
+{
+    m_links.stopListening();
+    wire::FrameT frame;
+    frame.body.Set(wire::GoAwayT());
+    for (const auto& link : m_links.links())
+        link->send(frame);
+}
+
 void MeshLinks::onFrame(PeerLink& link, wire::FrameT& frame)
 {
     auto& monitor = m_monitors[&link];
--- a/Source/sidecar/MeshLinks.h
+++ b/Source/sidecar/MeshLinks.h
@@ -40,6 +40,8 @@
     void broadcastState();
     // The same with records of requests that crash backend servers.
     void broadcastCrashSuspects(const std::vector<CrashSuspect>&);
+    // Tells every linked daemon that this one begins no further call, and accepts no new links. They close their links then.
+    void goAway();
     void setOwnService(const std::string& service) { m_own.service = service; }
     void tick(TimePoint now);
     void closeAll() { m_links.closeAll(); }
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,7 +1,8 @@
 // Index of this file
-//   Start and leave:  Sidecar, start, leave, stopAcceptingWhenDue, endRequests, finishLeaving, applySettings
+//   Start and leave:  Sidecar, start, leave, stopAcceptingWhenDue, endRequests, finishLeaving, endWhenPeersHaveClosed,
+//                    applySettings
 //   Local servers:    handleControl, checkAnnouncement, handleReadiness, isReady
-//   Peers:            onFrame, onLinkClosed, serveCall, cancelCall
+//   Peers:            onFrame, onLinkClosed, serveCall, cancelCall, onGoAway
 //   Changes:          onBackendServerChange, onConfiguration
 //   Time:             tick
 
@@ -27,6 +28,8 @@
 constexpr auto leaveCheckInterval = 100ms;
 constexpr auto shutdownMargin = 700ms;    // Reserved at the end of the shutdown time for sending the last responses
 constexpr auto lastResponsesTime = 200ms; // Of that, for the responses to the requests that are still open
+constexpr auto peersCloseTime = 100ms;    // Of that, until the peers have closed their links; several round trips between zones
+constexpr auto peersCloseCheckInterval = 5ms;
 
 } // namespace
 
@@ -150,8 +153,19 @@
     m_leaveTimer.startOnce(lastResponsesTime, [this] { finishLeaving(); });
 }
 
+// Calls that are on their way to this daemon would count as "may have run" if it closed the links without a word.
 void Sidecar::finishLeaving()
 {
+    m_beginsNoCalls = true;
+    m_links.goAway();
+    const auto latest = MonotonicClock::now() + peersCloseTime;
+    m_leaveTimer.startRepeating(peersCloseCheckInterval, [this, latest] { endWhenPeersHaveClosed(latest); });
+}
+
+void Sidecar::endWhenPeersHaveClosed(TimePoint latest)
+{
+    if (m_links.linkCount() && MonotonicClock::now() < latest)
+        return;
     m_leaveTimer.stop();
     EventLog::write("stop",
         { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() }, { "runs", m_executor.inProgress() },
@@ -268,6 +282,8 @@
         m_ingress.onResponse(link, *response);
     else if (const auto* cancel = frame.body.AsCancel())
         cancelCall(link, *cancel);
+    else if (frame.body.AsGoAway())
+        onGoAway(link);
     else if (const auto* requests = frame.body.AsLoanRequests())
         m_rateLimiter.onRequests(link, *requests, now);
     else if (const auto* grants = frame.body.AsLoans())
@@ -280,6 +296,8 @@
 
 void Sidecar::serveCall(PeerLink& link, wire::CallT& frame)
 {
+    if (m_beginsNoCalls)
+        return; // The sender dispatches it elsewhere when it reads this daemon's last message
     const RefPtr<PeerLink> peer(&link);
     const auto id = frame.id;
     auto call = readMeshCall(frame);
@@ -309,6 +327,13 @@
     }
 }
 
+void Sidecar::onGoAway(PeerLink& link)
+{
+    EventLog::write("link-goes-away", { { "peer", link.peer() } });
+    m_ingress.onGoAway(link);
+    link.close();
+}
+
 void Sidecar::onLinkClosed(PeerLink& link)
 {
     std::vector<uint64_t> orphans;
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -55,6 +55,7 @@
     void onLinkClosed(PeerLink&);
     void serveCall(PeerLink&, wire::CallT&);
     void cancelCall(PeerLink&, const wire::CancelT&);
+    void onGoAway(PeerLink&);
 
     void onBackendServerChange();
     void onConfiguration();
@@ -62,6 +63,7 @@
     void stopAcceptingWhenDue(TimePoint now);
     void endRequests();
     void finishLeaving();
+    void endWhenPeersHaveClosed(TimePoint latest);
 
     platform::InstanceSettings m_instance;
     MeshMember m_own;
@@ -83,6 +85,7 @@
     uint64_t m_ticks { 0 };
     bool m_leaving { false };
     bool m_stoppedAccepting { false };
+    bool m_beginsNoCalls { false }; // The peers have been told so
     TimePoint m_refuseCallersAt {}; // While leaving: all callers know of it then
     bool m_wasReady { false };
 };
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -40,6 +40,10 @@
 struct CancelBuilder;
 struct CancelT;
 
+struct GoAway;
+struct GoAwayBuilder;
+struct GoAwayT;
+
 struct CrashSuspect;
 struct CrashSuspectBuilder;
 struct CrashSuspectT;
@@ -119,11 +123,12 @@
   PromiseRequest = 11,
   Promise = 12,
   ClaimQuery = 13,
+  GoAway = 14,
   MIN = NONE,
-  MAX = ClaimQuery
+  MAX = GoAway
 };
 
-inline const Body (&EnumValuesBody())[14] {
+inline const Body (&EnumValuesBody())[15] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -138,13 +143,14 @@
     Body::Loans,
     Body::PromiseRequest,
     Body::Promise,
-    Body::ClaimQuery
+    Body::ClaimQuery,
+    Body::GoAway
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[15] = {
+  static const char * const names[16] = {
     "NONE",
     "Hello",
     "Proof",
@@ -159,13 +165,14 @@
     "PromiseRequest",
     "Promise",
     "ClaimQuery",
+    "GoAway",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ClaimQuery)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::GoAway)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -226,6 +233,10 @@
   static const Body enum_value = Body::ClaimQuery;
 };
 
+template<> struct BodyTraits<shallot::wire::GoAway> {
+  static const Body enum_value = Body::GoAway;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -282,6 +293,10 @@
   static const Body enum_value = Body::ClaimQuery;
 };
 
+template<> struct BodyUnionTraits<shallot::wire::GoAwayT> {
+  static const Body enum_value = Body::GoAway;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -416,6 +431,14 @@
     return type == Body::ClaimQuery ?
       reinterpret_cast<const shallot::wire::ClaimQueryT *>(value) : nullptr;
   }
+  shallot::wire::GoAwayT *AsGoAway() {
+    return type == Body::GoAway ?
+      reinterpret_cast<shallot::wire::GoAwayT *>(value) : nullptr;
+  }
+  const shallot::wire::GoAwayT *AsGoAway() const {
+    return type == Body::GoAway ?
+      reinterpret_cast<const shallot::wire::GoAwayT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -1354,6 +1377,51 @@
 
 flatbuffers::Offset<Cancel> CreateCancel(flatbuffers::FlatBufferBuilder &_fbb, const CancelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct GoAwayT : public flatbuffers::NativeTable {
+  typedef GoAway TableType;
+};
+
+struct GoAway FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GoAwayT NativeTableType;
+  typedef GoAwayBuilder Builder;
+  struct Traits;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           verifier.EndTable();
+  }
+  GoAwayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(GoAwayT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<GoAway> Pack(flatbuffers::FlatBufferBuilder &_fbb, const GoAwayT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct GoAwayBuilder {
+  typedef GoAway Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit GoAwayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<GoAway> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<GoAway>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<GoAway> CreateGoAway(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  GoAwayBuilder builder_(_fbb);
+  return builder_.Finish();
+}
+
+struct GoAway::Traits {
+  using type = GoAway;
+  static auto constexpr Create = CreateGoAway;
+};
+
+flatbuffers::Offset<GoAway> CreateGoAway(flatbuffers::FlatBufferBuilder &_fbb, const GoAwayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct CrashSuspectT : public flatbuffers::NativeTable {
   typedef CrashSuspect TableType;
   uint64_t fingerprint = 0;
@@ -3331,6 +3399,9 @@
   const shallot::wire::ClaimQuery *body_as_ClaimQuery() const {
     return body_type() == shallot::wire::Body::ClaimQuery ? static_cast<const shallot::wire::ClaimQuery *>(body()) : nullptr;
   }
+  const shallot::wire::GoAway *body_as_GoAway() const {
+    return body_type() == shallot::wire::Body::GoAway ? static_cast<const shallot::wire::GoAway *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3395,6 +3466,10 @@
   return body_as_ClaimQuery();
 }
 
+template<> inline const shallot::wire::GoAway *Frame::body_as<shallot::wire::GoAway>() const {
+  return body_as_GoAway();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3794,6 +3869,29 @@
       _id);
 }
 
+inline GoAwayT *GoAway::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<GoAwayT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void GoAway::UnPackTo(GoAwayT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<GoAway> GoAway::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GoAwayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateGoAway(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<GoAway> CreateGoAway(flatbuffers::FlatBufferBuilder &_fbb, const GoAwayT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GoAwayT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return shallot::wire::CreateGoAway(
+      _fbb);
+}
+
 inline CrashSuspectT *CrashSuspect::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<CrashSuspectT>();
   UnPackTo(_o.get(), _resolver);
@@ -4618,6 +4716,10 @@
       auto ptr = reinterpret_cast<const shallot::wire::ClaimQuery *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::GoAway: {
+      auto ptr = reinterpret_cast<const shallot::wire::GoAway *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4689,6 +4791,10 @@
       auto ptr = reinterpret_cast<const shallot::wire::ClaimQuery *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::GoAway: {
+      auto ptr = reinterpret_cast<const shallot::wire::GoAway *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4748,6 +4854,10 @@
       auto ptr = reinterpret_cast<const shallot::wire::ClaimQueryT *>(value);
       return CreateClaimQuery(_fbb, ptr, _rehasher).Union();
     }
+    case Body::GoAway: {
+      auto ptr = reinterpret_cast<const shallot::wire::GoAwayT *>(value);
+      return CreateGoAway(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4806,6 +4916,10 @@
       value = new shallot::wire::ClaimQueryT(*reinterpret_cast<shallot::wire::ClaimQueryT *>(u.value));
       break;
     }
+    case Body::GoAway: {
+      value = new shallot::wire::GoAwayT(*reinterpret_cast<shallot::wire::GoAwayT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4878,6 +4992,11 @@
       delete ptr;
       break;
     }
+    case Body::GoAway: {
+      auto ptr = reinterpret_cast<shallot::wire::GoAwayT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
