--- a/Source/daemon/Daemon.cpp
+++ b/Source/daemon/Daemon.cpp
@@ -138,7 +138,9 @@
     case wire::Body::NONE:
     case wire::Body::Hello:
     case wire::Body::Proof:
-    case wire::Body::GoAway: // Of the sidecar
+    case wire::Body::GoAway: // Frames of the sidecar
+    case wire::Body::CallQuery:
+    case wire::Body::CallState:
         break;
     }
 }
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -54,6 +54,16 @@
     // Without an announcement for this long, three announcement intervals, a backend server counts as unavailable.
     Duration announcementTimeout { 5s };
 
+    // Calls whose link has ended
+    Duration callQueryTimeout { 200ms }; // Until the answer to a query on a new link; tens of round trips between zones
+    // How long a call runs on without a link. Longer than the query takes; a run whose caller left must end within 0.5 s.
+    Duration detachedCallLifetime { 300ms };
+    Duration servedCallLifetime { 2s }; // Of what is known of a call that ended; a silent link is closed after 1.25 s
+    size_t maximumServedCallRecords { 20'000 };
+    size_t maximumKeptOutcomeBytes { 1024 * 1024 };
+    // How long ids of a sender's process are remembered; longer than the time limit of any call.
+    Duration servedProcessLifetime { 900s };
+
     // Requests that crash backend servers
     // A run that ended without a response is followed by a probe unless the backend server responds to another one before.
     Duration crashProbeDelay { 50ms };
--- /dev/null
+++ b/Source/mesh/ServedCalls.cpp
@@ -0,0 +1,153 @@
+#include "mesh/ServedCalls.h"
+
+#include "mesh/MeshSettings.h"
+
+#include <algorithm>
+
+namespace shallot {
+
+namespace {
+
+constexpr size_t bytesPerOutcome = 512; // Beside headers and body
+
+size_t bytesOf(const MeshOutcome& outcome)
+{
+    size_t bytes = bytesPerOutcome;
+    if (!outcome.response)
+        return bytes + outcome.response.error().detail.size();
+    for (const auto& [name, value] : outcome.response->headers)
+        bytes += name.size() + value.size();
+    return bytes + outcome.response->body.size();
+}
+
+} // namespace
+
+// A record that was forgotten may be of a call that ran, or of one that its sender was told would not be begun. So up to the
+// latest forgotten id nothing is claimed of a call without a record, and it is not begun.
+bool ServedCalls::isForgotten(const ServedCallKey& key) const
+{
+    const auto found = m_forgotten.find({ key.sender, key.boot });
+    return found != m_forgotten.end() && key.id <= found->second.latestID;
+}
+
+bool ServedCalls::begin(const ServedCallKey& key, TimePoint now)
+{
+    expire(now);
+    if (isForgotten(key))
+        return false;
+    return m_records.try_emplace(key).second;
+}
+
+void ServedCalls::end(const ServedCallKey& key, std::optional<MeshOutcome> outcome, TimePoint now)
+{
+    const auto found = m_records.find(key);
+    if (found == m_records.end() || found->second.state != State::Open)
+        return;
+    auto& record = found->second;
+    record.state = State::Ended;
+    m_detached.erase(key);
+    m_closed.emplace_back(now, key);
+    const auto bytes = outcome ? bytesOf(*outcome) : 0;
+    if (outcome && bytes <= m_settings.maximumKeptOutcomeBytes) {
+        record.outcome = std::move(outcome);
+        record.bytes = bytes;
+        m_keptBytes += bytes;
+        m_kept.push_back(key);
+    }
+    while (m_keptBytes > m_settings.maximumKeptOutcomeBytes) {
+        if (const auto oldest = m_records.find(m_kept.front()); oldest != m_records.end())
+            dropOutcome(oldest->second);
+        m_kept.pop_front();
+    }
+    expire(now);
+}
+
+void ServedCalls::dropOutcome(Record& record)
+{
+    record.outcome.reset();
+    m_keptBytes -= std::exchange(record.bytes, 0);
+}
+
+void ServedCalls::detach(const ServedCallKey& key, TimePoint now)
+{
+    if (const auto found = m_records.find(key); found != m_records.end() && found->second.state == State::Open)
+        m_detached.try_emplace(key, now);
+}
+
+ServedCallState ServedCalls::query(const ServedCallKey& key, TimePoint now)
+{
+    expire(now);
+    if (const auto found = m_records.find(key); found != m_records.end()) {
+        switch (found->second.state) {
+        case State::Open:
+            m_detached.erase(key);
+            return ServedCallState::InProgress;
+        case State::Ended:
+            return found->second.outcome ? ServedCallState::Ended : ServedCallState::Unknown;
+        case State::Refused:
+            return ServedCallState::NotBegun;
+        }
+    }
+    if (isForgotten(key))
+        return ServedCallState::Unknown;
+    m_records[key].state = State::Refused;
+    m_closed.emplace_back(now, key);
+    return ServedCallState::NotBegun;
+}
+
+const MeshOutcome* ServedCalls::outcomeOf(const ServedCallKey& key) const
+{
+    const auto found = m_records.find(key);
+    return found != m_records.end() && found->second.outcome ? &*found->second.outcome : nullptr;
+}
+
+std::vector<ServedCallKey> ServedCalls::takeAbandoned(TimePoint now)
+{
+    std::vector<ServedCallKey> abandoned;
+    for (const auto& [key, since] : m_detached) {
+        if (now - since >= m_settings.detachedCallLifetime)
+            abandoned.push_back(key);
+    }
+    for (const auto& key : abandoned)
+        end(key, std::nullopt, now);
+    return abandoned;
+}
+
+std::optional<TimePoint> ServedCalls::nextAbandonment() const
+{
+    std::optional<TimePoint> next;
+    for (const auto& [key, since] : m_detached)
+        next = std::min(next.value_or(TimePoint::max()), since + m_settings.detachedCallLifetime);
+    return next;
+}
+
+void ServedCalls::forgetOldest(TimePoint now)
+{
+    const auto key = m_closed.front().second;
+    m_closed.pop_front();
+    auto& forgotten = m_forgotten[{ key.sender, key.boot }];
+    forgotten.latestID = std::max(forgotten.latestID, key.id);
+    forgotten.changedAt = now;
+    if (const auto found = m_records.find(key); found != m_records.end()) {
+        dropOutcome(found->second);
+        m_records.erase(found);
+    }
+}
+
+void ServedCalls::expire(TimePoint now)
+{
+    while (!m_closed.empty()
+        && (now - m_closed.front().first >= m_settings.servedCallLifetime
+            || m_closed.size() > m_settings.maximumServedCallRecords))
+        forgetOldest(now);
+    while (!m_kept.empty() && !outcomeOf(m_kept.front()))
+        m_kept.pop_front();
+    // The entry of a process matters while a call of it may be asked for or arrive; checked rarely, since there are few of them.
+    if (now < m_processesCheckedAt + m_settings.servedProcessLifetime / 2)
+        return;
+    m_processesCheckedAt = now;
+    std::erase_if(
+        m_forgotten, [this, now](const auto& item) { return now - item.second.changedAt >= m_settings.servedProcessLifetime; });
+}
+
+} // namespace shallot
--- a/Source/net/PeerLink.cpp
+++ b/Source/net/PeerLink.cpp
@@ -53,6 +53,7 @@
     hello.member = m_identity.member;
     hello.zone = m_identity.zone;
     hello.nonce = m_nonce;
+    hello.boot = m_identity.boot;
     frame.body.Set(std::move(hello));
     sendNow(frame);
 }
@@ -88,9 +89,9 @@
 }
 
 // The role is part of the authenticated text, which prevents reflection attacks.
-std::string PeerLink::proofMAC(const std::string& nonce, const std::string& member, bool byInitiator) const
+std::string PeerLink::proofMAC(const std::string& nonce, const std::string& member, uint64_t boot, bool byInitiator) const
 {
-    return hmacHex(m_identity.secret, nonce + (byInitiator ? "|initiator|" : "|acceptor|") + member);
+    return hmacHex(m_identity.secret, nonce + (byInitiator ? "|initiator|" : "|acceptor|") + std::to_string(boot) + "|" + member);
 }
 
 bool PeerLink::onHello(const wire::HelloT& hello)
@@ -98,10 +99,11 @@
     if (!m_peer.empty() || hello.member.empty() || hello.member == m_identity.member)
         return false;
     m_peer = hello.member;
+    m_peerBoot = hello.boot;
     m_compresses = m_compressor && hello.zone != m_identity.zone;
     wire::FrameT frame;
     wire::ProofT proof;
-    proof.mac = proofMAC(hello.nonce, m_identity.member, m_initiator);
+    proof.mac = proofMAC(hello.nonce, m_identity.member, m_identity.boot, m_initiator);
     frame.body.Set(std::move(proof));
     sendNow(frame);
     return true;
@@ -109,7 +111,7 @@
 
 bool PeerLink::onProof(const wire::ProofT& proof)
 {
-    if (m_peer.empty() || !equalConstantTime(proof.mac, proofMAC(m_nonce, m_peer, !m_initiator)))
+    if (m_peer.empty() || !equalConstantTime(proof.mac, proofMAC(m_nonce, m_peer, m_peerBoot, !m_initiator)))
         return false;
     m_established = true;
     m_handshakeTimer.stop();
--- a/Source/net/PeerLink.h
+++ b/Source/net/PeerLink.h
@@ -23,7 +23,8 @@
 struct PeerIdentity {
     std::string member;
     std::string zone;
-    std::string secret; // Shared by all daemons of the fleet; peers prove that they know it
+    std::string secret;  // Shared by all daemons of the fleet; peers prove that they know it
+    uint64_t boot { 0 }; // Of this process, if the ids in its frames are to be told from those of an earlier one
 };
 
 // One authenticated connection to another daemon. Frames passed to send() during the handshake are sent when it has completed.
@@ -48,6 +49,7 @@
     bool isEstablished() const { return m_established; }
     bool isOpen() const;
     const std::string& peer() const { return m_peer; }
+    uint64_t peerBoot() const { return m_peerBoot; }
     uint64_t bytesSent() const { return m_bytesSent; }
     // Why the link was closed; empty while it is open.
     const std::string& endReason() const { return m_endReason; }
@@ -57,7 +59,7 @@
     bool onHandshakeFrame(const wire::FrameT&);
     bool onHello(const wire::HelloT&);
     bool onProof(const wire::ProofT&);
-    std::string proofMAC(const std::string& nonce, const std::string& member, bool byInitiator) const;
+    std::string proofMAC(const std::string& nonce, const std::string& member, uint64_t boot, bool byInitiator) const;
     void sendNow(const wire::FrameT&);
     void write(std::string packed);
     void fail(const char* reason);
@@ -70,6 +72,7 @@
     Timer m_handshakeTimer;
     std::string m_nonce;
     std::string m_peer;
+    uint64_t m_peerBoot { 0 };
     std::string m_endReason;
     std::vector<std::string> m_pendingFrames;
     uint64_t m_bytesSent { 0 };
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -59,6 +59,26 @@
     return frame;
 }
 
+wire::FrameT makeCallQueryFrame(uint64_t id, uint64_t boot)
+{
+    wire::CallQueryT query;
+    query.id = id;
+    query.boot = boot;
+    wire::FrameT frame;
+    frame.body.Set(query);
+    return frame;
+}
+
+wire::FrameT makeCallStateFrame(uint64_t id, ServedCallState state)
+{
+    wire::CallStateT message;
+    message.id = id;
+    message.state = static_cast<uint8_t>(state);
+    wire::FrameT frame;
+    frame.body.Set(message);
+    return frame;
+}
+
 MeshCall readMeshCall(wire::CallT& call)
 {
     MeshCall result;
--- a/Source/sidecar/MeshFrames.h
+++ b/Source/sidecar/MeshFrames.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mesh/MeshCall.h"
+#include "mesh/ServedCalls.h"
 
 #include <memory>
 #include <span>
@@ -25,6 +26,8 @@
 // Conversion between the mesh's calls, outcomes and member updates and the frames of the peer link.
 wire::FrameT makeMeshCallFrame(uint64_t id, const MeshCall&);
 wire::FrameT makeMeshAnswerFrame(uint64_t id, const MeshOutcome&);
+wire::FrameT makeCallQueryFrame(uint64_t id, uint64_t boot);
+wire::FrameT makeCallStateFrame(uint64_t id, ServedCallState);
 MeshCall readMeshCall(wire::CallT&);
 MeshOutcome readMeshOutcome(wire::AnswerT&);
 
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -2,6 +2,7 @@
 //   Arrival:    handle, admit, checkRequest, checkCrashSuspicion, authenticate
 //   Attempts:   dispatch, send, endAttempt, cancelAttempt
 //   Outcomes:   onResponse, onGoAway, onLinkClosed, attemptsOn, onOutcome, mayRetry
+//   Lost links: queryAttempt, onCallState, onQueryTimeout, loseAttempt
 //   Responses:  retryAfterFor, respond, logCompletion, onDisconnect, onDeadline
 //   Shutdown:   startLeaving, endAll
 
@@ -28,6 +29,7 @@
 namespace {
 
 constexpr auto responseGrace = 40ms;      // The daemon beside the backend server has the same deadline; its response goes first
+constexpr unsigned maximumQueries = 3;    // On successive new links
 constexpr auto restartRetryAfter = 1s;    // The next process at this address is usually up by then
 constexpr auto startupRetryAfter = 300ms; // No configuration yet or no backend server available; about one announcement interval
 
@@ -41,6 +43,7 @@
 MeshIngress::MeshIngress(MeshIngressDependencies dependencies)
     : m_dependencies(std::move(dependencies))
     , m_deadlines([this](uint64_t id) { onDeadline(id); })
+    , m_queryDeadlines([this](uint64_t id) { onQueryTimeout(id); })
 {
 }
 
@@ -223,6 +226,7 @@
     call.targetLatency = pending.targetTime > now ? pending.targetTime - now : Duration::zero();
     pending.attempt = m_nextID++;
     pending.member = endpoint.member.name;
+    pending.address = endpoint.member.address;
     pending.attemptInProgress = true;
     const auto attempt = pending.attempt;
     if (endpoint.member.name == m_dependencies.ownName) {
@@ -257,6 +261,8 @@
     if (!std::exchange(pending.attemptInProgress, false))
         return;
     m_attempts.erase(pending.attempt);
+    if (std::exchange(pending.awaitsState, false))
+        m_queryDeadlines.remove(pending.id);
     m_dependencies.view.endpoints().recordCompleted(pending.member);
     if (pending.link)
         m_dependencies.links.removeOutstanding(*pending.link);
@@ -302,8 +308,13 @@
     auto report = EndpointReport {};
     report.available = false;
     report.leaving = true;
-    for (const auto& pending : attemptsOn(link))
-        onOutcome(*pending, { fail(ErrorKind::Draining, pending->member + " has ended"), report, false }, now);
+    for (const auto& pending : attemptsOn(link)) {
+        // The promise does not cover a call that was sent on another link.
+        if (pending->awaitsState)
+            loseAttempt(*pending, now);
+        else
+            onOutcome(*pending, { fail(ErrorKind::Draining, pending->member + " has ended"), report, false }, now);
+    }
 }
 
 void MeshIngress::onLinkClosed(PeerLink& link)
@@ -312,10 +323,77 @@
     auto report = EndpointReport {};
     report.available = false;
     for (const auto& pending : attemptsOn(link)) {
-        const bool wasSent = link.isEstablished();
-        const auto kind = wasSent ? ErrorKind::BackendFailed : ErrorKind::NoBackendServer;
-        onOutcome(*pending, { fail(kind, "the link to " + pending->member + " was lost"), report, wasSent }, now);
+        const bool wasSent = link.isEstablished() || pending->awaitsState;
+        if (!wasSent)
+            onOutcome(*pending, { fail(ErrorKind::NoBackendServer, "no link to " + pending->member), report, false }, now);
+        else if (!queryAttempt(*pending, link, now))
+            loseAttempt(*pending, now);
+    }
+}
+
+// Only the daemon beside the backend server knows whether it has begun the call. It is asked on a new link.
+bool MeshIngress::queryAttempt(PendingRequest& pending, const PeerLink& ended, TimePoint now)
+{
+    // After the deadline it may have forgotten the call.
+    if (pending.deadline <= now)
+        return false;
+    if (!std::exchange(pending.awaitsState, true)) {
+        pending.memberBoot = ended.peerBoot();
+        pending.queries = 0;
+        pending.queryUntil = std::min(now + m_dependencies.settings.callQueryTimeout, pending.deadline);
+        m_queryDeadlines.set(pending.id, pending.queryUntil);
+    }
+    if (now >= pending.queryUntil || ++pending.queries > maximumQueries)
+        return false;
+    auto link = m_dependencies.links.linkTo(pending.address);
+    if (!link || !link->send(makeCallQueryFrame(pending.attempt, pending.memberBoot)))
+        return false;
+    pending.link = link;
+    m_dependencies.links.addOutstanding(*link);
+    return true;
+}
+
+void MeshIngress::onCallState(PeerLink& link, const wire::CallStateT& message)
+{
+    const auto found = m_attempts.find(message.id);
+    if (found == m_attempts.end() || found->second->link.get() != &link || !found->second->awaitsState)
+        return;
+    const auto pending = found->second;
+    const auto now = MonotonicClock::now();
+    const auto state = static_cast<ServedCallState>(message.state);
+    if (state == ServedCallState::InProgress) {
+        pending->awaitsState = false;
+        m_queryDeadlines.remove(pending->id);
+        return;
     }
+    if (state != ServedCallState::NotBegun || pending->deadline <= now) {
+        loseAttempt(*pending, now);
+        return;
+    }
+    const auto* endpoint = m_dependencies.view.endpoints().find(pending->member);
+    const auto report = endpoint ? endpoint->report : EndpointReport {};
+    onOutcome(*pending, { fail(ErrorKind::NoBackendServer, "the call did not reach " + pending->member), report, false }, now);
+}
+
+void MeshIngress::onQueryTimeout(uint64_t id)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end() || !found->second->awaitsState)
+        return;
+    const auto pending = found->second;
+    const auto link = pending->link;
+    const auto attempt = pending->attempt;
+    loseAttempt(*pending, MonotonicClock::now());
+    // The query may still arrive, and the call would go on.
+    if (link)
+        link->send(makeCancelFrame(attempt));
+}
+
+void MeshIngress::loseAttempt(PendingRequest& pending, TimePoint now)
+{
+    auto report = EndpointReport {};
+    report.available = false;
+    onOutcome(pending, { fail(ErrorKind::BackendFailed, "the link to " + pending.member + " was lost"), report, true }, now);
 }
 
 void MeshIngress::onOutcome(PendingRequest& pending, MeshOutcome outcome, TimePoint now)
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -18,7 +18,8 @@
 
 namespace wire {
 struct AnswerT;
-}
+struct CallStateT;
+} // namespace wire
 
 class CrashSuspects;
 class MeshView;
@@ -58,6 +59,8 @@
     void applyLimits(const CallerLimits&);
 
     void onResponse(PeerLink&, wire::AnswerT&);
+    // Responds to the query for a call whose link had ended.
+    void onCallState(PeerLink&, const wire::CallStateT&);
     // The daemon at the other end begins no call on this link that it has not answered.
     void onGoAway(PeerLink&);
     void onLinkClosed(PeerLink&);
@@ -83,7 +86,12 @@
         unsigned backendsReached { 0 }; // Backend servers that received the request
         uint64_t attempt { 0 };         // Current attempt; responses to earlier ones are ignored
         std::string member;             // Target of the current attempt
+        std::string address;            // Of that member
         RefPtr<PeerLink> link;          // Null while the local executor runs the attempt
+        uint64_t memberBoot { 0 };      // Process that got the attempt; set when its link ends
+        bool awaitsState { false };     // The member is asked on a new link what became of the attempt
+        TimePoint queryUntil {};
+        unsigned queries { 0 };
         uint64_t executorCallID { 0 };
         std::optional<Result<HTTPResponse>> earlierResponse; // May have executed; a later "not executed" must not replace it
         bool attemptInProgress { false };
@@ -101,6 +109,9 @@
     void onOutcome(PendingRequest&, MeshOutcome, TimePoint now);
     bool mayRetry(PendingRequest&, const MeshOutcome&, TimePoint now);
     std::vector<RefPtr<PendingRequest>> attemptsOn(const PeerLink&) const;
+    bool queryAttempt(PendingRequest&, const PeerLink& ended, TimePoint now);
+    void onQueryTimeout(uint64_t id);
+    void loseAttempt(PendingRequest&, TimePoint now);
     void endAttempt(PendingRequest&);
     void cancelAttempt(PendingRequest&);
     Duration retryAfterFor(const PendingRequest&, Duration capacityAfter) const;
@@ -119,6 +130,7 @@
     std::map<std::pair<std::string, RequestOrigin>, RetryBudgetShare> m_retryBudgets; // By service and origin
     ScheduledRetries m_scheduledRetries;
     DeadlineQueue m_deadlines;
+    DeadlineQueue m_queryDeadlines;
     uint64_t m_nextID { 1 };
     bool m_leaving { false };
     bool m_refusesCallers { false };
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -2,13 +2,15 @@
 //   Start and leave:  Sidecar, start, leave, stopAcceptingWhenDue, endRequests, finishLeaving, endWhenPeersHaveClosed,
 //                    applySettings
 //   Local servers:    handleControl, checkAnnouncement, handleReadiness, isReady
-//   Peers:            onFrame, onLinkClosed, serveCall, cancelCall, onGoAway
+//   Peers:            onFrame, onLinkClosed, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
+//                    scheduleAbandonment, onGoAway
 //   Changes:          onBackendServerChange, onConfiguration
 //   Time:             tick
 
 #include "sidecar/Sidecar.h"
 
 #include "core/EventLog.h"
+#include "core/RequestID.h"
 #include "core/Version.h"
 #include "daemon/CallFrames.h"
 #include "platform/AnnouncementCodec.h"
@@ -36,8 +38,9 @@
 Sidecar::Sidecar(platform::InstanceSettings instance, const MeshSettings& settings, std::string peerSecret)
     : m_instance(std::move(instance))
     , m_own { m_instance.instance, m_instance.zone, m_instance.peers.toString(), m_instance.service }
+    , m_boot(makeRandomRequestID().low)
     , m_view(settings, m_instance.zone)
-    , m_links({ m_own.name, m_own.zone, std::move(peerSecret) }, m_own,
+    , m_links({ m_own.name, m_own.zone, std::move(peerSecret), m_boot }, m_own,
           { [this](PeerLink& link, wire::FrameT& frame) { onFrame(link, frame); }, [this](PeerLink& link) { onLinkClosed(link); },
               [this](const std::string& address, TimePoint since) {
                   const auto now = MonotonicClock::now();
@@ -65,6 +68,7 @@
     , m_ingress({ settings, m_view, m_links, m_executor, m_rateLimiter, m_metrics, m_crashSuspects, m_own.name })
     , m_store(m_instance.store)
     , m_sync(settings, m_view, m_links, m_store, m_crashSuspects, m_own)
+    , m_servedCalls(settings)
 {
     m_view.updateMember(m_own);
     m_view.setConfigurationHandler([this] { onConfiguration(); });
@@ -281,7 +285,11 @@
     else if (auto* response = frame.body.AsAnswer())
         m_ingress.onResponse(link, *response);
     else if (const auto* cancel = frame.body.AsCancel())
-        cancelCall(link, *cancel);
+        cancelCall({ link.peer(), link.peerBoot(), cancel->id });
+    else if (const auto* query = frame.body.AsCallQuery())
+        onCallQuery(link, *query);
+    else if (const auto* state = frame.body.AsCallState())
+        m_ingress.onCallState(link, *state);
     else if (frame.body.AsGoAway())
         onGoAway(link);
     else if (const auto* requests = frame.body.AsLoanRequests())
@@ -298,33 +306,74 @@
 {
     if (m_beginsNoCalls)
         return; // The sender dispatches it elsewhere when it reads this daemon's last message
-    const RefPtr<PeerLink> peer(&link);
-    const auto id = frame.id;
-    auto call = readMeshCall(frame);
-    const bool idempotent = call.context.idempotent;
-    // The completion may be called before submit() returns, when the call id is not known yet.
-    auto done = std::make_shared<bool>(false);
-    auto executorCallID = std::make_shared<uint64_t>(0);
-    *executorCallID = m_executor.submit(
-        std::move(call), MonotonicClock::now(), [this, peer, id, done, executorCallID](const MeshOutcome& outcome) {
-            *done = true;
-            peer->send(makeMeshAnswerFrame(id, outcome));
-            m_served.erase(*executorCallID);
-        });
-    if (!*done)
-        m_served[*executorCallID] = { peer, id, idempotent };
+    const auto now = MonotonicClock::now();
+    const ServedCallKey key { link.peer(), link.peerBoot(), frame.id };
+    if (!m_servedCalls.begin(key, now)) {
+        EventLog::write("call-late", { { "peer", key.sender }, { "call", key.id } });
+        link.send(makeMeshAnswerFrame(key.id, { fail(ErrorKind::NoBackendServer, "it arrived late"), m_executor.report(now) }));
+        return;
+    }
+    // The completion may be called before submit() returns.
+    m_served[key] = { &link, 0 };
+    const auto executorCallID
+        = m_executor.submit(readMeshCall(frame), now, [this, key](MeshOutcome outcome) { answerCall(key, std::move(outcome)); });
+    if (const auto found = m_served.find(key); found != m_served.end())
+        found->second.executorCallID = executorCallID;
 }
 
-void Sidecar::cancelCall(PeerLink& link, const wire::CancelT& cancel)
+// The outcome is kept as well, since the answer is lost if the link ends now.
+void Sidecar::answerCall(const ServedCallKey& key, MeshOutcome outcome)
 {
-    for (auto it = m_served.begin(); it != m_served.end(); ++it) {
-        if (it->second.link.get() != &link || it->second.id != cancel.id)
-            continue;
-        const auto executorCallID = it->first;
-        m_served.erase(it);
-        m_executor.cancel(executorCallID);
+    const auto found = m_served.find(key);
+    if (found == m_served.end())
+        return;
+    const auto link = found->second.link;
+    m_served.erase(found);
+    const auto frame = makeMeshAnswerFrame(key.id, outcome);
+    m_servedCalls.end(key, std::move(outcome), MonotonicClock::now());
+    if (link)
+        link->send(frame);
+}
+
+void Sidecar::cancelCall(const ServedCallKey& key)
+{
+    const auto found = m_served.find(key);
+    if (found == m_served.end())
+        return;
+    const auto executorCallID = found->second.executorCallID;
+    m_served.erase(found);
+    m_servedCalls.end(key, std::nullopt, MonotonicClock::now());
+    m_executor.cancel(executorCallID);
+}
+
+void Sidecar::onCallQuery(PeerLink& link, const wire::CallQueryT& query)
+{
+    const ServedCallKey key { link.peer(), link.peerBoot(), query.id };
+    const auto state = query.boot == m_boot ? m_servedCalls.query(key, MonotonicClock::now()) : ServedCallState::Unknown;
+    EventLog::write("call-queried", { { "peer", key.sender }, { "call", key.id }, { "state", static_cast<int>(state) } });
+    if (state == ServedCallState::Ended) {
+        if (const auto* outcome = m_servedCalls.outcomeOf(key))
+            link.send(makeMeshAnswerFrame(key.id, *outcome));
         return;
     }
+    if (const auto found = m_served.find(key); found != m_served.end())
+        found->second.link = &link;
+    link.send(makeCallStateFrame(key.id, state));
+}
+
+// A caller that is gone must not keep its run going, so the sender of a call has only a short time to ask for it.
+void Sidecar::cancelAbandonedCalls()
+{
+    const auto now = MonotonicClock::now();
+    for (const auto& key : m_servedCalls.takeAbandoned(now))
+        cancelCall(key);
+    scheduleAbandonment(now);
+}
+
+void Sidecar::scheduleAbandonment(TimePoint now)
+{
+    if (const auto next = m_servedCalls.nextAbandonment())
+        m_abandonmentTimer.startOnce(std::max(*next - now, Duration::zero()), [this] { cancelAbandonedCalls(); });
 }
 
 void Sidecar::onGoAway(PeerLink& link)
@@ -336,15 +385,14 @@
 
 void Sidecar::onLinkClosed(PeerLink& link)
 {
-    std::vector<uint64_t> orphans;
-    for (const auto& [executorCallID, served] : m_served) {
-        if (served.link.get() == &link)
-            orphans.push_back(executorCallID);
-    }
-    for (const auto executorCallID : orphans) {
-        m_served.erase(executorCallID);
-        m_executor.cancel(executorCallID);
+    const auto now = MonotonicClock::now();
+    for (auto& [key, served] : m_served) {
+        if (served.link.get() != &link)
+            continue;
+        served.link = nullptr;
+        m_servedCalls.detach(key, now);
     }
+    scheduleAbandonment(now);
     m_ingress.onLinkClosed(link);
 }
 
@@ -381,6 +429,7 @@
     m_links.tick(now);
     m_rateLimiter.sendHeartbeats(now);
     m_sync.tick(now);
+    m_servedCalls.expire(now);
     if (++m_ticks % ticksPerFlush)
         return;
     m_executor.tick();
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -2,6 +2,7 @@
 
 #include "mesh/CrashSuspects.h"
 #include "mesh/MeshSettings.h"
+#include "mesh/ServedCalls.h"
 #include "net/Timer.h"
 #include "platform/InstanceSettings.h"
 #include "sidecar/DistributedRateLimiter.h"
@@ -13,11 +14,12 @@
 #include "sidecar/MeshView.h"
 
 #include <functional>
-#include <unordered_map>
+#include <map>
 
 namespace shallot {
 
 namespace wire {
+struct CallQueryT;
 struct CallT;
 struct CancelT;
 } // namespace wire
@@ -41,9 +43,8 @@
 private:
     // A call that a peer sent and that is queued or running at the local backend server.
     struct ServedCall {
-        RefPtr<PeerLink> link;
-        uint64_t id { 0 }; // Chosen by the peer
-        bool idempotent { true };
+        RefPtr<PeerLink> link; // Null since it has ended
+        uint64_t executorCallID { 0 };
     };
 
     void handleControl(const RefPtr<StrictHTTPConnection>&, const HTTPRequest&);
@@ -54,7 +55,11 @@
     void onFrame(PeerLink&, wire::FrameT&);
     void onLinkClosed(PeerLink&);
     void serveCall(PeerLink&, wire::CallT&);
-    void cancelCall(PeerLink&, const wire::CancelT&);
+    void answerCall(const ServedCallKey&, MeshOutcome);
+    void cancelCall(const ServedCallKey&);
+    void onCallQuery(PeerLink&, const wire::CallQueryT&);
+    void cancelAbandonedCalls();
+    void scheduleAbandonment(TimePoint now);
     void onGoAway(PeerLink&);
 
     void onBackendServerChange();
@@ -67,6 +72,7 @@
 
     platform::InstanceSettings m_instance;
     MeshMember m_own;
+    uint64_t m_boot; // Identity of this process
     MeshView m_view;
     MeshLinks m_links;
     CrashSuspects m_crashSuspects;
@@ -80,7 +86,9 @@
     StrictHTTPServer m_readiness;
     Timer m_tick;
     Timer m_leaveTimer;
-    std::unordered_map<uint64_t, ServedCall> m_served; // By the executor's call id
+    Timer m_abandonmentTimer;
+    ServedCalls m_servedCalls;
+    std::map<ServedCallKey, ServedCall> m_served;
     std::function<void()> m_onLeaveCompleted;
     uint64_t m_ticks { 0 };
     bool m_leaving { false };
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -44,6 +44,14 @@
 struct GoAwayBuilder;
 struct GoAwayT;
 
+struct CallQuery;
+struct CallQueryBuilder;
+struct CallQueryT;
+
+struct CallState;
+struct CallStateBuilder;
+struct CallStateT;
+
 struct CrashSuspect;
 struct CrashSuspectBuilder;
 struct CrashSuspectT;
@@ -124,11 +132,13 @@
   Promise = 12,
   ClaimQuery = 13,
   GoAway = 14,
+  CallQuery = 15,
+  CallState = 16,
   MIN = NONE,
-  MAX = GoAway
+  MAX = CallState
 };
 
-inline const Body (&EnumValuesBody())[15] {
+inline const Body (&EnumValuesBody())[17] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -144,13 +154,15 @@
     Body::PromiseRequest,
     Body::Promise,
     Body::ClaimQuery,
-    Body::GoAway
+    Body::GoAway,
+    Body::CallQuery,
+    Body::CallState
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[16] = {
+  static const char * const names[18] = {
     "NONE",
     "Hello",
     "Proof",
@@ -166,13 +178,15 @@
     "Promise",
     "ClaimQuery",
     "GoAway",
+    "CallQuery",
+    "CallState",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::GoAway)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CallState)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -237,6 +251,14 @@
   static const Body enum_value = Body::GoAway;
 };
 
+template<> struct BodyTraits<shallot::wire::CallQuery> {
+  static const Body enum_value = Body::CallQuery;
+};
+
+template<> struct BodyTraits<shallot::wire::CallState> {
+  static const Body enum_value = Body::CallState;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -297,6 +319,14 @@
   static const Body enum_value = Body::GoAway;
 };
 
+template<> struct BodyUnionTraits<shallot::wire::CallQueryT> {
+  static const Body enum_value = Body::CallQuery;
+};
+
+template<> struct BodyUnionTraits<shallot::wire::CallStateT> {
+  static const Body enum_value = Body::CallState;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -439,6 +469,22 @@
     return type == Body::GoAway ?
       reinterpret_cast<const shallot::wire::GoAwayT *>(value) : nullptr;
   }
+  shallot::wire::CallQueryT *AsCallQuery() {
+    return type == Body::CallQuery ?
+      reinterpret_cast<shallot::wire::CallQueryT *>(value) : nullptr;
+  }
+  const shallot::wire::CallQueryT *AsCallQuery() const {
+    return type == Body::CallQuery ?
+      reinterpret_cast<const shallot::wire::CallQueryT *>(value) : nullptr;
+  }
+  shallot::wire::CallStateT *AsCallState() {
+    return type == Body::CallState ?
+      reinterpret_cast<shallot::wire::CallStateT *>(value) : nullptr;
+  }
+  const shallot::wire::CallStateT *AsCallState() const {
+    return type == Body::CallState ?
+      reinterpret_cast<const shallot::wire::CallStateT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -534,6 +580,7 @@
   std::string member{};
   std::string zone{};
   std::string nonce{};
+  uint64_t boot = 0;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -543,7 +590,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_MEMBER = 4,
     VT_ZONE = 6,
-    VT_NONCE = 8
+    VT_NONCE = 8,
+    VT_BOOT = 10
   };
   const flatbuffers::String *member() const {
     return GetPointer<const flatbuffers::String *>(VT_MEMBER);
@@ -554,6 +602,9 @@
   const flatbuffers::String *nonce() const {
     return GetPointer<const flatbuffers::String *>(VT_NONCE);
   }
+  uint64_t boot() const {
+    return GetField<uint64_t>(VT_BOOT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_MEMBER) &&
@@ -562,6 +613,7 @@
            verifier.VerifyString(zone()) &&
            VerifyOffsetRequired(verifier, VT_NONCE) &&
            verifier.VerifyString(nonce()) &&
+           VerifyField<uint64_t>(verifier, VT_BOOT, 8) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -582,6 +634,9 @@
   void add_nonce(flatbuffers::Offset<flatbuffers::String> nonce) {
     fbb_.AddOffset(Hello::VT_NONCE, nonce);
   }
+  void add_boot(uint64_t boot) {
+    fbb_.AddElement<uint64_t>(Hello::VT_BOOT, boot, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -600,8 +655,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> member = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
-    flatbuffers::Offset<flatbuffers::String> nonce = 0) {
+    flatbuffers::Offset<flatbuffers::String> nonce = 0,
+    uint64_t boot = 0) {
   HelloBuilder builder_(_fbb);
+  builder_.add_boot(boot);
   builder_.add_nonce(nonce);
   builder_.add_zone(zone);
   builder_.add_member(member);
@@ -617,7 +674,8 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *member = nullptr,
     const char *zone = nullptr,
-    const char *nonce = nullptr) {
+    const char *nonce = nullptr,
+    uint64_t boot = 0) {
   auto member__ = member ? _fbb.CreateString(member) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto nonce__ = nonce ? _fbb.CreateString(nonce) : 0;
@@ -625,7 +683,8 @@
       _fbb,
       member__,
       zone__,
-      nonce__);
+      nonce__,
+      boot);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1422,6 +1481,144 @@
 
 flatbuffers::Offset<GoAway> CreateGoAway(flatbuffers::FlatBufferBuilder &_fbb, const GoAwayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct CallQueryT : public flatbuffers::NativeTable {
+  typedef CallQuery TableType;
+  uint64_t id = 0;
+  uint64_t boot = 0;
+};
+
+struct CallQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CallQueryT NativeTableType;
+  typedef CallQueryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_BOOT = 6
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint64_t boot() const {
+    return GetField<uint64_t>(VT_BOOT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint64_t>(verifier, VT_BOOT, 8) &&
+           verifier.EndTable();
+  }
+  CallQueryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CallQueryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CallQuery> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CallQueryBuilder {
+  typedef CallQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(CallQuery::VT_ID, id, 0);
+  }
+  void add_boot(uint64_t boot) {
+    fbb_.AddElement<uint64_t>(CallQuery::VT_BOOT, boot, 0);
+  }
+  explicit CallQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CallQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CallQuery>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CallQuery> CreateCallQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint64_t boot = 0) {
+  CallQueryBuilder builder_(_fbb);
+  builder_.add_boot(boot);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct CallQuery::Traits {
+  using type = CallQuery;
+  static auto constexpr Create = CreateCallQuery;
+};
+
+flatbuffers::Offset<CallQuery> CreateCallQuery(flatbuffers::FlatBufferBuilder &_fbb, const CallQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CallStateT : public flatbuffers::NativeTable {
+  typedef CallState TableType;
+  uint64_t id = 0;
+  uint8_t state = 0;
+};
+
+struct CallState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CallStateT NativeTableType;
+  typedef CallStateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_STATE = 6
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           verifier.EndTable();
+  }
+  CallStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CallStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CallState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CallStateBuilder {
+  typedef CallState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(CallState::VT_ID, id, 0);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(CallState::VT_STATE, state, 0);
+  }
+  explicit CallStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CallState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CallState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CallState> CreateCallState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint8_t state = 0) {
+  CallStateBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+struct CallState::Traits {
+  using type = CallState;
+  static auto constexpr Create = CreateCallState;
+};
+
+flatbuffers::Offset<CallState> CreateCallState(flatbuffers::FlatBufferBuilder &_fbb, const CallStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct CrashSuspectT : public flatbuffers::NativeTable {
   typedef CrashSuspect TableType;
   uint64_t fingerprint = 0;
@@ -3402,6 +3599,12 @@
   const shallot::wire::GoAway *body_as_GoAway() const {
     return body_type() == shallot::wire::Body::GoAway ? static_cast<const shallot::wire::GoAway *>(body()) : nullptr;
   }
+  const shallot::wire::CallQuery *body_as_CallQuery() const {
+    return body_type() == shallot::wire::Body::CallQuery ? static_cast<const shallot::wire::CallQuery *>(body()) : nullptr;
+  }
+  const shallot::wire::CallState *body_as_CallState() const {
+    return body_type() == shallot::wire::Body::CallState ? static_cast<const shallot::wire::CallState *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3470,6 +3673,14 @@
   return body_as_GoAway();
 }
 
+template<> inline const shallot::wire::CallQuery *Frame::body_as<shallot::wire::CallQuery>() const {
+  return body_as_CallQuery();
+}
+
+template<> inline const shallot::wire::CallState *Frame::body_as<shallot::wire::CallState>() const {
+  return body_as_CallState();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3550,6 +3761,7 @@
   { auto _e = member(); if (_e) _o->member = _e->str(); }
   { auto _e = zone(); if (_e) _o->zone = _e->str(); }
   { auto _e = nonce(); if (_e) _o->nonce = _e->str(); }
+  { auto _e = boot(); _o->boot = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3563,11 +3775,13 @@
   auto _member = _fbb.CreateString(_o->member);
   auto _zone = _fbb.CreateString(_o->zone);
   auto _nonce = _fbb.CreateString(_o->nonce);
+  auto _boot = _o->boot;
   return shallot::wire::CreateHello(
       _fbb,
       _member,
       _zone,
-      _nonce);
+      _nonce,
+      _boot);
 }
 
 inline ProofT *Proof::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3892,6 +4106,64 @@
       _fbb);
 }
 
+inline CallQueryT *CallQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CallQueryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CallQuery::UnPackTo(CallQueryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = boot(); _o->boot = _e; }
+}
+
+inline flatbuffers::Offset<CallQuery> CallQuery::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCallQuery(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CallQuery> CreateCallQuery(flatbuffers::FlatBufferBuilder &_fbb, const CallQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CallQueryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _boot = _o->boot;
+  return shallot::wire::CreateCallQuery(
+      _fbb,
+      _id,
+      _boot);
+}
+
+inline CallStateT *CallState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CallStateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CallState::UnPackTo(CallStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = state(); _o->state = _e; }
+}
+
+inline flatbuffers::Offset<CallState> CallState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCallState(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CallState> CreateCallState(flatbuffers::FlatBufferBuilder &_fbb, const CallStateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CallStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _state = _o->state;
+  return shallot::wire::CreateCallState(
+      _fbb,
+      _id,
+      _state);
+}
+
 inline CrashSuspectT *CrashSuspect::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<CrashSuspectT>();
   UnPackTo(_o.get(), _resolver);
@@ -4720,6 +4992,14 @@
       auto ptr = reinterpret_cast<const shallot::wire::GoAway *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::CallQuery: {
+      auto ptr = reinterpret_cast<const shallot::wire::CallQuery *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::CallState: {
+      auto ptr = reinterpret_cast<const shallot::wire::CallState *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4795,6 +5075,14 @@
       auto ptr = reinterpret_cast<const shallot::wire::GoAway *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::CallQuery: {
+      auto ptr = reinterpret_cast<const shallot::wire::CallQuery *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::CallState: {
+      auto ptr = reinterpret_cast<const shallot::wire::CallState *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4858,6 +5146,14 @@
       auto ptr = reinterpret_cast<const shallot::wire::GoAwayT *>(value);
       return CreateGoAway(_fbb, ptr, _rehasher).Union();
     }
+    case Body::CallQuery: {
+      auto ptr = reinterpret_cast<const shallot::wire::CallQueryT *>(value);
+      return CreateCallQuery(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::CallState: {
+      auto ptr = reinterpret_cast<const shallot::wire::CallStateT *>(value);
+      return CreateCallState(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4920,6 +5216,14 @@
       value = new shallot::wire::GoAwayT(*reinterpret_cast<shallot::wire::GoAwayT *>(u.value));
       break;
     }
+    case Body::CallQuery: {
+      value = new shallot::wire::CallQueryT(*reinterpret_cast<shallot::wire::CallQueryT *>(u.value));
+      break;
+    }
+    case Body::CallState: {
+      value = new shallot::wire::CallStateT(*reinterpret_cast<shallot::wire::CallStateT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4997,6 +5301,16 @@
       delete ptr;
       break;
     }
+    case Body::CallQuery: {
+      auto ptr = reinterpret_cast<shallot::wire::CallQueryT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::CallState: {
+      auto ptr = reinterpret_cast<shallot::wire::CallStateT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -48,11 +48,51 @@
         mesh.runFor(300ms);
     }
 
+    // Runs at the backend servers stay open until answerRuns().
+    void holdRuns()
+    {
+        for (size_t i = 0; i < sender; ++i) {
+            mesh.endpoint(i).setScript([this](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+                held.emplace_back(connection, request);
+            });
+        }
+    }
+
+    void answerRuns()
+    {
+        for (const auto& [connection, request] : std::exchange(held, {}))
+            EndpointStandin::respond(*connection, request);
+    }
+
     std::shared_ptr<SidecarHarness::Exchange> sendOrder() { return mesh.send(sender, { "POST", "/order/1", {}, {} }); }
 
+    void forAllRelays(const std::function<void(LinkRelay&)>& action)
+    {
+        for (const auto& relay : relays)
+            action(*relay);
+    }
+
+    bool isAnyHeld(size_t (LinkRelay::*bytes)() const) const
+    {
+        for (size_t i = 0; i < sender; ++i) {
+            if ((*relays[i].*bytes)())
+                return true;
+        }
+        return false;
+    }
+
     SidecarHarness mesh;
     size_t sender;
     std::vector<std::unique_ptr<LinkRelay>> relays;
+    std::vector<std::pair<RefPtr<StrictHTTPConnection>, HTTPRequest>> held;
+};
+
+class LinkEndOneBackendServer : public LinkEnd {
+protected:
+    LinkEndOneBackendServer()
+        : LinkEnd({ "zone-a/alpha", "zone-a/beta" })
+    {
+    }
 };
 
 TEST_F(LinkEnd, CallsOnTheWayToADaemonThatEndsAreServedElsewhere)
@@ -77,5 +117,128 @@
     EXPECT_EQ(mesh.executionCount("/order/1"), exchanges.size());
 }
 
+TEST_F(LinkEnd, ACallThatNeverArrivedIsServedElsewhere)
+{
+    forAllRelays([](LinkRelay& relay) { relay.holdToTarget(true); });
+    const auto exchange = sendOrder();
+    ASSERT_TRUE(mesh.runUntil([this] { return isAnyHeld(&LinkRelay::heldToTarget); }));
+    mesh.runFor(20ms);
+    forAllRelays([](LinkRelay& relay) {
+        relay.reset();
+        relay.holdToTarget(false);
+    });
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
+}
+
+TEST_F(LinkEnd, ACallThatArrivesAfterItWasSentElsewhereIsNotRun)
+{
+    forAllRelays([](LinkRelay& relay) { relay.holdToTarget(true); });
+    const auto exchange = sendOrder();
+    ASSERT_TRUE(mesh.runUntil([this] { return isAnyHeld(&LinkRelay::heldToTarget); }));
+    mesh.runFor(20ms);
+    forAllRelays([](LinkRelay& relay) { relay.resetInitiators(); });
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    forAllRelays([](LinkRelay& relay) { relay.holdToTarget(false); });
+    mesh.runFor(300ms);
+    EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
+}
+
+TEST_F(LinkEnd, ACallThatRunsIsAnsweredOverANewLink)
+{
+    holdRuns();
+    const auto exchange = sendOrder();
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    forAllRelays([](LinkRelay& relay) { relay.reset(); });
+    mesh.runFor(600ms); // Longer than a run whose caller is gone may continue
+    answerRuns();
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
+}
+
+TEST_F(LinkEndOneBackendServer, CallsThatWaitAreAnsweredOverANewLink)
+{
+    holdRuns();
+    std::vector<std::shared_ptr<SidecarHarness::Exchange>> exchanges;
+    for (int i = 0; i < 6; ++i)
+        exchanges.push_back(sendOrder());
+    mesh.runFor(200ms);
+    ASSERT_GE(held.size(), 1U);
+    ASSERT_LT(held.size(), exchanges.size());
+    forAllRelays([](LinkRelay& relay) { relay.reset(); });
+    mesh.runFor(600ms);
+    EXPECT_TRUE(mesh.runUntil([this] {
+        answerRuns();
+        return mesh.executionCount("/order/1") >= 6;
+    }));
+    answerRuns();
+    for (const auto& exchange : exchanges)
+        EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    EXPECT_EQ(mesh.executionCount("/order/1"), exchanges.size());
+}
+
+TEST_F(LinkEnd, AnAnswerLostWithItsLinkIsSentAgain)
+{
+    forAllRelays([](LinkRelay& relay) { relay.holdFromTarget(true); });
+    const auto exchange = sendOrder();
+    ASSERT_TRUE(mesh.runUntil([this] { return mesh.executionCount("/order/1") == 1; }));
+    mesh.runFor(100ms);
+    ASSERT_TRUE(isAnyHeld(&LinkRelay::heldFromTarget));
+    forAllRelays([](LinkRelay& relay) {
+        relay.reset();
+        relay.holdFromTarget(false);
+    });
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
+}
+
+TEST_F(LinkEndOneBackendServer, ACallAtAKilledDaemonMayHaveRun)
+{
+    holdRuns();
+    const auto exchange = sendOrder();
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    mesh.stop(0);
+    EXPECT_EQ(mesh.wait(exchange).status(), 502);
+    EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
+}
+
+// The daemon that is asked is another process at the same address, which does not know the call.
+TEST_F(LinkEndOneBackendServer, ACallAtARestartedDaemonMayHaveRun)
+{
+    holdRuns();
+    const auto exchange = sendOrder();
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    mesh.stop(0);
+    mesh.start(0);
+    EXPECT_EQ(mesh.wait(exchange).status(), 502);
+    EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
+}
+
+TEST_F(LinkEndOneBackendServer, ARunWhoseSenderIsGoneEndsWithinHalfASecond)
+{
+    holdRuns();
+    mesh.send(sender, { "GET", "/read/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    const auto before = mesh.endpoint(0).disconnectCount();
+    mesh.stop(sender);
+    mesh.runFor(500ms);
+    EXPECT_EQ(mesh.endpoint(0).disconnectCount(), before + 1);
+}
+
+// Its caller disconnects after the link has ended.
+TEST_F(LinkEndOneBackendServer, ACallOnANewLinkCanBeCancelled)
+{
+    holdRuns();
+    mesh.send(sender, { "GET", "/read/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    const auto before = mesh.endpoint(0).disconnectCount();
+    forAllRelays([](LinkRelay& relay) { relay.reset(); });
+    mesh.runFor(400ms);
+    EXPECT_EQ(mesh.endpoint(0).disconnectCount(), before);
+    mesh.disconnectCaller();
+    mesh.runFor(200ms);
+    EXPECT_EQ(mesh.endpoint(0).disconnectCount(), before + 1);
+}
+
 } // namespace
 } // namespace shallot
--- /dev/null
+++ b/Tests/ServedCallsFuzzTest.cpp
@@ -0,0 +1,186 @@
+// Calls over the ends of their links, in any order of arrivals, queries, ends and pauses: a call that may run once runs once.
+
+#include "mesh/MeshSettings.h"
+#include "mesh/ServedCalls.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <set>
+
+namespace shallot {
+namespace {
+
+constexpr TimePoint start { 1000s };
+constexpr size_t actionsPerCase = 200;
+using Actions = std::vector<std::pair<int, int>>;
+
+ServedCallKey keyOf(uint64_t id)
+{
+    return { "daemon-1", 1, id };
+}
+
+MeshOutcome outcomeWith(const std::string& body)
+{
+    return { HTTPResponse { 200, {}, body }, {}, true };
+}
+
+MeshSettings smallSettings()
+{
+    MeshSettings settings;
+    settings.maximumServedCallRecords = 5;
+    settings.maximumKeptOutcomeBytes = 3000;
+    return settings;
+}
+
+// One sender and the daemon that it calls. Calls on their way arrive late or never, and in any order.
+class Model {
+public:
+    void send() { m_onTheWay.insert(m_nextID++); }
+
+    void arrive(size_t choice)
+    {
+        if (m_onTheWay.empty())
+            return;
+        const auto id = *std::next(m_onTheWay.begin(), static_cast<ptrdiff_t>(choice % m_onTheWay.size()));
+        m_onTheWay.erase(id);
+        if (!m_calls.begin(keyOf(id), m_now))
+            return;
+        RC_ASSERT(!m_begun.contains(id));
+        RC_ASSERT(!m_elsewhere.contains(id));
+        m_begun.insert(id);
+        m_open[id] = TimePoint::max();
+    }
+
+    void end(size_t choice)
+    {
+        if (m_open.empty())
+            return;
+        const auto id = std::next(m_open.begin(), static_cast<ptrdiff_t>(choice % m_open.size()))->first;
+        m_open.erase(id);
+        m_calls.end(keyOf(id), outcomeWith(std::to_string(id)), m_now);
+    }
+
+    void breakLink()
+    {
+        for (auto& [id, since] : m_open) {
+            m_calls.detach(keyOf(id), m_now);
+            since = std::min(since, m_now);
+        }
+    }
+
+    void query(size_t choice)
+    {
+        const auto id = choice % m_nextID;
+        switch (m_calls.query(keyOf(id), m_now)) {
+        case ServedCallState::NotBegun:
+            RC_ASSERT(!m_begun.contains(id));
+            m_elsewhere.insert(id);
+            break;
+        case ServedCallState::InProgress:
+            RC_ASSERT(m_open.contains(id));
+            m_open[id] = TimePoint::max();
+            break;
+        case ServedCallState::Ended:
+            RC_ASSERT(m_begun.contains(id) && !m_open.contains(id));
+            RC_ASSERT(m_calls.outcomeOf(keyOf(id)) != nullptr);
+            RC_ASSERT(m_calls.outcomeOf(keyOf(id))->response->body == std::to_string(id));
+            break;
+        case ServedCallState::Unknown:
+            RC_ASSERT(!m_open.contains(id));
+            break;
+        }
+    }
+
+    void wait(Duration duration)
+    {
+        m_now += duration;
+        for (const auto& key : m_calls.takeAbandoned(m_now)) {
+            RC_ASSERT(m_open.contains(key.id));
+            RC_ASSERT(m_now - m_open[key.id] >= m_settings.detachedCallLifetime);
+            m_open.erase(key.id);
+        }
+        m_calls.expire(m_now);
+        for (const auto& [id, since] : m_open)
+            RC_ASSERT(since == TimePoint::max() || m_now - since < m_settings.detachedCallLifetime);
+        RC_ASSERT(m_calls.nextAbandonment().value_or(TimePoint::max()) > m_now);
+    }
+
+    void checkBounds() const
+    {
+        RC_ASSERT(m_calls.keptBytes() <= m_settings.maximumKeptOutcomeBytes);
+        RC_ASSERT(m_calls.recordCount() <= m_open.size() + m_settings.maximumServedCallRecords + 1);
+    }
+
+private:
+    const MeshSettings m_settings { smallSettings() };
+    ServedCalls m_calls { m_settings };
+    TimePoint m_now { start };
+    uint64_t m_nextID { 1 };
+    std::set<uint64_t> m_onTheWay;
+    std::map<uint64_t, TimePoint> m_open; // Since when without a link
+    std::set<uint64_t> m_begun;
+    std::set<uint64_t> m_elsewhere; // The sender was told that they were not begun
+};
+
+TEST(ServedCallsFuzz, ACallRunsHereOrElsewhereAndEachCallEnds)
+{
+    const bool passed = rc::check([] {
+        Model model;
+        const auto action = rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 1 << 16));
+        const auto actions = rc::gen::noShrink(rc::gen::container<Actions>(actionsPerCase, action));
+        for (const auto& [kind, number] : *rc::gen::resize(rc::kNominalSize, actions)) {
+            const auto choice = static_cast<size_t>(number);
+            switch (kind) {
+            case 0:
+            case 1:
+                model.send();
+                break;
+            case 2:
+            case 3:
+                model.arrive(choice);
+                break;
+            case 4:
+                model.end(choice);
+                break;
+            case 5:
+                model.breakLink();
+                break;
+            case 6:
+                model.query(choice);
+                break;
+            default:
+                model.wait(Duration(number * 40));
+            }
+            model.checkBounds();
+        }
+    });
+    EXPECT_TRUE(passed);
+}
+
+TEST(ServedCalls, AnotherProcessOfTheSenderIsNotConfusedWithTheFormerOne)
+{
+    const MeshSettings settings;
+    ServedCalls calls(settings);
+    EXPECT_TRUE(calls.begin({ "daemon-1", 1, 7 }, start));
+    calls.end({ "daemon-1", 1, 7 }, outcomeWith("of the former process"), start);
+    EXPECT_EQ(calls.query({ "daemon-1", 2, 7 }, start), ServedCallState::NotBegun);
+    EXPECT_EQ(calls.query({ "daemon-2", 1, 7 }, start), ServedCallState::NotBegun);
+    EXPECT_EQ(calls.query({ "daemon-1", 1, 7 }, start), ServedCallState::Ended);
+    EXPECT_FALSE(calls.begin({ "daemon-1", 2, 7 }, start));
+}
+
+TEST(ServedCalls, NothingIsClaimedOfCallsThatMayHaveBeenForgotten)
+{
+    const MeshSettings settings;
+    ServedCalls calls(settings);
+    EXPECT_TRUE(calls.begin(keyOf(7), start));
+    calls.end(keyOf(7), outcomeWith("done"), start);
+    const auto later = start + settings.servedCallLifetime;
+    EXPECT_EQ(calls.query(keyOf(7), later), ServedCallState::Unknown);
+    EXPECT_EQ(calls.query(keyOf(6), later), ServedCallState::Unknown);
+    EXPECT_FALSE(calls.begin(keyOf(6), later));
+    EXPECT_EQ(calls.query(keyOf(8), later), ServedCallState::NotBegun);
+}
+
+} // namespace
+} // namespace shallot
