Read what arrived behind a full buffer before a connection closes

Cause: more than 256 KB of requests behind the one at work pause the reading; the pause ends only after the turn that answers them. The last of them was answered in that same turn, with an empty buffer, and the look into the kernel's buffer before the close did nothing on a paused socket.

The pause ends before that look: the buffer is empty by then. Failed before: GracefulShutdown.ARequestBehindAFullBufferIsAnsweredBeforeTheConnectionCloses (5 of 6 responses).

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -313,8 +313,10 @@
     const RefPtr<StrictHTTPConnection> protect(this);
     close = close || m_draining || m_inputEnded;
     // A request in the kernel's receive buffer was sent before the client could know of the close.
-    if (close && m_keepAlive && unparsed().empty())
+    if (close && m_keepAlive && unparsed().empty()) {
+        m_socket->setReadPaused(false); // The requests that filled the buffer may all have been answered in this turn
         m_socket->readNow();
+    }
     if (!m_serving || !m_socket->isOpen())
         return;
     close = !m_keepAlive || (close && unparsed().empty());
--- a/Tests/GracefulShutdownTest.cpp
+++ b/Tests/GracefulShutdownTest.cpp
@@ -248,6 +248,22 @@
     sender.join();
 }
 
+TEST_F(GracefulShutdown, ARequestBehindAFullBufferIsAnsweredBeforeTheConnectionCloses)
+{
+    const std::string body(64 * 1024, 'x'); // Four of them are just more than what is buffered
+    const std::string upload
+        = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    BlockingCaller caller(address);
+    std::thread sender([&] { caller.send(getHeld + upload + upload + upload + upload); });
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    runUntil([end = MonotonicClock::now() + 300ms] { return MonotonicClock::now() > end; });
+    sender.join();
+    caller.send(get);
+    server.startDraining();
+    held->respond({ 200, {}, "late!" }, true, MonotonicClock::now());
+    EXPECT_EQ(receiveResponses(caller, 6), 6U);
+}
+
 TEST_F(GracefulShutdown, ManyPipelinedRequestsAreAnsweredInBoundedStackSpace)
 {
     constexpr size_t pipelined = 9000; // Less than what is buffered behind a request in progress
