LinkEnd: an established link to each daemon before the plays, and no news of the leave on links of either side

Two of the plays could start before the sender had a link to every daemon, so that a call went another way than the one that the play breaks.

--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -5,6 +5,7 @@
 
 #include "platform/Names.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace shallot {
@@ -46,6 +47,12 @@
         mesh.writeConfiguration(2);
         ASSERT_TRUE(mesh.waitUntilServing());
         mesh.runFor(300ms);
+        for (size_t i = 0; i < sender; ++i) { // So that the sender has an established link to each
+            const auto before = mesh.endpoint(i).requests().size();
+            ASSERT_TRUE(mesh.runUntil([this, i, before] {
+                return mesh.fetch(sender, "/read/link").status() == 200 && mesh.endpoint(i).requests().size() > before;
+            }));
+        }
     }
 
     // Runs at the backend servers stay open until answerRuns().
@@ -66,6 +73,13 @@
 
     std::shared_ptr<SidecarHarness::Exchange> sendOrder() { return mesh.send(sender, { "POST", "/order/1", {}, {} }); }
 
+    std::vector<std::shared_ptr<SidecarHarness::Exchange>> sendOrders(size_t count)
+    {
+        std::vector<std::shared_ptr<SidecarHarness::Exchange>> exchanges(count);
+        std::generate(exchanges.begin(), exchanges.end(), [this] { return sendOrder(); });
+        return exchanges;
+    }
+
     void forAllRelays(const std::function<void(LinkRelay&)>& action)
     {
         for (const auto& relay : relays)
@@ -98,20 +112,20 @@
 TEST_F(LinkEnd, CallsOnTheWayToADaemonThatEndsAreServedElsewhere)
 {
     mesh.setShutdownTime(0, 2s);
-    relays[0]->holdFromTarget(true); // The sender must not learn of the leave before
+    relays[0]->holdFromTarget(true); // The sender must not learn of the leave before, on a link of either side
+    relays[sender]->holdToTarget(true);
     relays[0]->holdToTarget(true);
     bool hasLeft = false;
     mesh.daemon(0).setLeaveCompletedHandler([&hasLeft] { hasLeft = true; });
     mesh.daemon(0).leave();
     mesh.runFor(1s);
-    std::vector<std::shared_ptr<SidecarHarness::Exchange>> exchanges;
-    for (int i = 0; i < 8; ++i)
-        exchanges.push_back(sendOrder());
+    const auto exchanges = sendOrders(8);
     mesh.runFor(100ms);
     EXPECT_GT(relays[0]->heldToTarget(), 0U);
     ASSERT_TRUE(mesh.runUntil([&hasLeft] { return hasLeft; }));
     mesh.stop(0);
     relays[0]->holdFromTarget(false);
+    relays[sender]->holdToTarget(false);
     for (const auto& exchange : exchanges)
         EXPECT_EQ(mesh.wait(exchange).status(), 200);
     EXPECT_EQ(mesh.executionCount("/order/1"), exchanges.size());
@@ -159,9 +173,7 @@
 TEST_F(LinkEndOneBackendServer, CallsThatWaitAreAnsweredOverANewLink)
 {
     holdRuns();
-    std::vector<std::shared_ptr<SidecarHarness::Exchange>> exchanges;
-    for (int i = 0; i < 6; ++i)
-        exchanges.push_back(sendOrder());
+    const auto exchanges = sendOrders(6);
     mesh.runFor(200ms);
     ASSERT_GE(held.size(), 1U);
     ASSERT_LT(held.size(), exchanges.size());
