Send the last answers of links before the process ends

Callers at other daemons got 502 for requests that had been run, when the daemon beside the backend server ended with their responses still in the write buffer of a link.

Cause: a planned stop ended when no connection of a caller was open and no call was being served; an answer that was passed to a link counted as delivered. The process now also waits, within its shutdown time, until the kernel has taken what established links have to send.

--- a/Source/net/PeerLink.cpp
+++ b/Source/net/PeerLink.cpp
@@ -34,6 +34,11 @@
     m_socket->close();
 }
 
+size_t PeerLink::unsentBytes() const
+{
+    return m_established && isOpen() ? m_socket->pendingBytes() : 0;
+}
+
 bool PeerLink::isOpen() const
 {
     return m_socket->isOpen();
--- a/Source/net/PeerLink.h
+++ b/Source/net/PeerLink.h
@@ -51,6 +51,8 @@
     const std::string& peer() const { return m_peer; }
     uint64_t peerBoot() const { return m_peerBoot; }
     uint64_t bytesSent() const { return m_bytesSent; }
+    // Bytes that the kernel has not taken yet; zero before the handshake is complete.
+    size_t unsentBytes() const;
     // Why the link was closed; empty while it is open.
     const std::string& endReason() const { return m_endReason; }
 
--- a/Source/net/PeerLinks.cpp
+++ b/Source/net/PeerLinks.cpp
@@ -4,6 +4,8 @@
 #include "wire/FrameCompressor.h"
 #include "wire/Frames_generated.h"
 
+#include <algorithm>
+
 namespace shallot {
 
 namespace {
@@ -113,4 +115,10 @@
     return total;
 }
 
+bool PeerLinks::hasUnsentBytes() const
+{
+    return std::any_of(m_outgoing.begin(), m_outgoing.end(), [](const auto& item) { return item.second->unsentBytes() > 0; })
+        || std::any_of(m_accepted.begin(), m_accepted.end(), [](const auto& link) { return link->unsentBytes() > 0; });
+}
+
 } // namespace shallot
--- a/Source/net/PeerLinks.h
+++ b/Source/net/PeerLinks.h
@@ -41,6 +41,8 @@
     const PeerIdentity& identity() const { return m_identity; }
     size_t linkCount() const { return m_outgoing.size() + m_accepted.size(); }
     uint64_t bytesSent() const;
+    // Whether frames on established links wait for the kernel to take them.
+    bool hasUnsentBytes() const;
 
 private:
     RefPtr<PeerLink> makeLink(RefPtr<StreamSocket>, bool initiator);
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -127,8 +127,9 @@
             return;
         }
         stopAcceptingWhenDue(now);
-        // An open connection may carry a request that is still arriving, or the last bytes of a response.
-        const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty();
+        // An open connection may carry a request that is still arriving, or the last bytes of a response, and so may a link.
+        const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
+            && !m_links.hasUnsentBytes();
         if (idle)
             finishLeaving();
     });
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -4,8 +4,13 @@
 
 #include "TestPorts.h"
 #include "mesh/MeshSettings.h"
+#include "net/Listener.h"
+#include "net/PeerLinks.h"
+#include "net/StreamSocket.h"
 #include "platform/Names.h"
 #include "sidecar/EndpointExecutor.h"
+#include "sidecar/MeshFrames.h"
+#include "wire/Frames_generated.h"
 
 #include <gtest/gtest.h>
 
@@ -108,6 +113,80 @@
     EXPECT_EQ(mesh.wait(parent).status(), 200);
 }
 
+// Stops reading from a daemon when asked to, as a peer that is slow.
+class SlowRelay {
+public:
+    SlowRelay(const SocketAddress& own, const SocketAddress& target)
+    {
+        const auto started = m_listener.start(own, [this, target](RefPtr<StreamSocket> socket) {
+            m_initiator = std::move(socket);
+            m_daemon = StreamSocket::connect(target);
+            forward(*m_initiator, *m_daemon);
+            forward(*m_daemon, *m_initiator);
+        });
+        EXPECT_TRUE(started.has_value());
+    }
+    void setPaused(bool paused) { m_daemon->setReadPaused(paused); }
+
+private:
+    static void forward(StreamSocket& from, StreamSocket& to)
+    {
+        from.start({ [&to](std::span<const uint8_t> bytes) {
+                        to.write({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
+                    },
+            nullptr, [&to](StreamEnd) { to.close(); } });
+    }
+
+    Listener m_listener;
+    RefPtr<StreamSocket> m_initiator;
+    RefPtr<StreamSocket> m_daemon;
+};
+
+TEST_F(ShutdownEnd, AnswersThatALinkHasNotSentYetAreNotLostWithTheProcess)
+{
+    constexpr size_t calls = 6;
+    constexpr size_t bodyBytes = 3 * 1024 * 1024 + 900'000; // Together more than the kernel holds
+    const auto answer = [](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+        EndpointStandin::respond(*connection, request, 200, std::string(bodyBytes, 'x'));
+    };
+    mesh.setShutdownTime(0, 12s);
+    const SocketAddress address { "127.0.0.1", nextBasePort() };
+    SlowRelay relay(address, mesh.peersAddress(0));
+    size_t answers = 0;
+    bool closed = false;
+    PeerLinks peer({ "slow", "zone-a", "a secret of the tests" },
+        { [&](PeerLink&, wire::FrameT& frame) {
+             if (auto* answer = frame.body.AsAnswer())
+                 answers += readMeshOutcome(*answer).response ? 1 : 0;
+         },
+            [&](PeerLink&) { closed = true; } });
+    const auto link = peer.linkTo(address.toString());
+    ASSERT_TRUE(mesh.runUntil([&] { return link->isEstablished(); }));
+    for (uint64_t i = 1; i <= calls; ++i) {
+        MeshCall call;
+        call.service = "alpha";
+        call.context.remaining = 8s;
+        const std::string attempt = "slow-" + std::to_string(i);
+        call.request = { "GET", "/read/1", { { "Host", "app" }, { std::string(platform::header::attemptID), attempt } }, {} };
+        EXPECT_TRUE(link->send(makeMeshCallFrame(i, call)));
+    }
+    mesh.runFor(300ms);
+    leave(0);
+    mesh.runFor(2400ms); // Shortly before it stops accepting requests and ends
+    relay.setPaused(true);
+    mesh.endpoint(0).setScript(answer);
+    for (const auto& [connection, request] : held)
+        answer(connection, request);
+    mesh.runFor(1s);
+    EXPECT_FALSE(hasLeft);
+    if (hasLeft)
+        mesh.stop(0);
+    relay.setPaused(false);
+    EXPECT_TRUE(mesh.runUntil([&] { return answers == calls || closed; }));
+    EXPECT_EQ(answers, calls);
+    EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+}
+
 TEST(ShutdownQueue, ALongQueueIsRefusedInBoundedStackSpace)
 {
     constexpr size_t calls = 20'000;
