--- a/Tests/SidecarProcessTest.cpp
+++ b/Tests/SidecarProcessTest.cpp
@@ -131,9 +131,10 @@
     writeSettings(settings, "8");
     start();
     ASSERT_TRUE(waitUntil([this] { return listens(); }));
-    writeSettings(settings, "1.5");
+    writeSettings(settings, "2.4");
     kill(pid, SIGTERM);
-    EXPECT_TRUE(waitUntil([this] { return hasEnded(); }, 1500ms));
+    EXPECT_TRUE(waitUntil([this] { return hasEnded(); }, 2400ms));
+    EXPECT_TRUE(WIFEXITED(status) && !WEXITSTATUS(status)) << "wait status " << status;
 }
 
 } // namespace
