Use a short shutdown time up to its last sixth

Seen: with a shutdown time of 2 s a run was broken off and answered 502 at 1.3 s. By reading: the reserve at the end was 700 ms whatever the shutdown time, so below 4.2 s runs ended before the last sixth, in which alone the rule LOST excuses it.

The reserve is a sixth of the shutdown time, 700 ms at most; the time for the last responses and the interval of the checks are parts of it. From 4.2 s on nothing changes but the last responses' 233 instead of 200 ms.

--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -26,11 +26,14 @@
 
 constexpr auto tickInterval = 250ms;  // Monitors links, sends ledger heartbeats; equals MeshSettings::ledgerHeartbeatInterval
 constexpr uint64_t ticksPerFlush = 2; // Flushes the event log every half second
-constexpr auto readinessPropagation = 2600ms; // Two readiness probes, one per second, plus network latency
-constexpr auto leaveCheckInterval = 100ms;
-constexpr auto shutdownMargin = 700ms;    // Reserved at the end of the shutdown time for sending the last responses
-constexpr auto lastResponsesTime = 200ms; // Of that, for the responses to the requests that are still open
-constexpr auto peersCloseTime = 100ms;    // Of that, until the peers have closed their links; several round trips between zones
+constexpr auto readinessPropagation = 2600ms;     // Two readiness probes, one per second, plus network latency
+constexpr auto leaveCheckInterval = 100ms;        // At most
+constexpr auto leaveChecksInMargin = 4;           // At least
+constexpr Duration maximumShutdownMargin = 700ms; // Reserved at the end of the shutdown time for sending the last responses
+constexpr auto shutdownMarginDivisor = 6;         // Of the shutdown time, at most: runs are not broken off before the last sixth
+constexpr auto lastResponsesDivisor = 3;          // Of the margin, for the responses to the requests that are still open
+constexpr auto peersCloseTime
+    = 100ms; // Of the margin, until the peers have closed their links; several round trips between zones
 constexpr auto peersCloseCheckInterval = 5ms;
 
 } // namespace
@@ -115,12 +118,14 @@
     // The next owners receive the ledgers before other members learn that this one leaves.
     m_rateLimiter.handOver(MonotonicClock::now());
     const auto now = MonotonicClock::now();
-    const auto endBy = now + std::max<Duration>(m_instance.shutdownTime - shutdownMargin, Duration::zero());
+    const auto margin = std::min(maximumShutdownMargin, m_instance.shutdownTime / shutdownMarginDivisor);
+    const auto endBy = now + m_instance.shutdownTime - margin;
+    m_lastResponsesTime = margin / lastResponsesDivisor;
     m_executor.startLeaving(now, endBy);
     m_ingress.startLeaving(endBy);
     // Callers learn of the leave from the readiness probe; until then they are served.
     m_refuseCallersAt = now + readinessPropagation;
-    m_leaveTimer.startRepeating(leaveCheckInterval, [this, endBy] {
+    m_leaveTimer.startRepeating(std::min<Duration>(leaveCheckInterval, margin / leaveChecksInMargin), [this, endBy] {
         const auto now = MonotonicClock::now();
         if (now >= endBy) {
             endRequests();
@@ -155,7 +160,7 @@
     m_ingress.endAll(MonotonicClock::now());
     if (!std::exchange(m_stoppedAccepting, true))
         m_ingress.stopAccepting();
-    m_leaveTimer.startOnce(lastResponsesTime, [this] { finishLeaving(); });
+    m_leaveTimer.startOnce(m_lastResponsesTime, [this] { finishLeaving(); });
 }
 
 // Calls that are on their way to this daemon would count as "may have run" if it closed the links without a word.
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -88,6 +88,21 @@
     EXPECT_GE(after->status(), 500);
 }
 
+TEST_F(ShutdownEnd, ARunIsNotBrokenOffBeforeTheLastSixthOfAShortShutdownTime)
+{
+    constexpr Duration shutdownTime = 2s;
+    mesh.setShutdownTime(0, shutdownTime);
+    const auto exchange = mesh.send(1, { "POST", "/order/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    leave(0);
+    const auto end = MonotonicClock::now() + shutdownTime;
+    mesh.runFor(shutdownTime * 5 / 6 - 50ms);
+    EndpointStandin::respond(*held.front().first, held.front().second);
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    EXPECT_LT(MonotonicClock::now(), end);
+}
+
 TEST_F(ShutdownEnd, NestedCallsOfRunsAtALeavingDaemonAreServed)
 {
     const auto parent = mesh.send(1, { "GET", "/read/1", {}, {} });
--- a/Tests/soak/stops.cpp
+++ b/Tests/soak/stops.cpp
@@ -45,7 +45,7 @@
 constexpr size_t zoneCount = 3;
 constexpr uint16_t portsPerDaemon = 5;
 constexpr size_t daemonsPerFleet = (portsPerFleet - 2) / portsPerDaemon; // The first port is the store's, the last one a lock
-constexpr std::array<Duration, 3> shutdownTimes { 4500ms, 6000ms, 8000ms };
+constexpr std::array<Duration, 4> shutdownTimes { 3000ms, 4500ms, 6000ms, 8000ms };
 constexpr auto actionInterval = 500ms; // Mean time between two stops, reloads or changes
 constexpr auto settlingTime = 1500ms;  // After the start, before the first request
 constexpr auto answerSlack = 200ms;    // A request that was sent earlier than this before its connection ended has been read
