Refuse requests that are read when the shutdown time is over

Cause: below a shutdown time of 3.3 s the end comes before callers are refused at 2.6 s. The answer to the request at work lets the next one be read, which was passed on and ended at once as one that may have run.

The end refuses callers first: the next request gets 503. Failed before: ShutdownEnd.ARequestBehindOneThatEndsWithAShortShutdownTimeIsNotPassedOn (502 twice).

--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -156,6 +156,7 @@
 void Sidecar::endRequests()
 {
     EventLog::write("shutdown-time-over", { { "open_requests", m_ingress.inProgress() }, { "runs", m_executor.inProgress() } });
+    m_ingress.refuseCallers(); // Requests behind those that end now are read next
     m_executor.endAll(MonotonicClock::now());
     m_ingress.endAll(MonotonicClock::now());
     if (!std::exchange(m_stoppedAccepting, true))
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -103,6 +103,27 @@
     EXPECT_LT(MonotonicClock::now(), end);
 }
 
+TEST_F(ShutdownEnd, ARequestBehindOneThatEndsWithAShortShutdownTimeIsNotPassedOn)
+{
+    mesh.setShutdownTime(0, 2s);
+    const auto request = [](const std::string& line, const std::string& id) {
+        return line + " HTTP/1.1\r\nHost: app\r\n" + std::string(platform::header::attemptID) + ": " + id + "\r\n"
+            + std::string(platform::header::key) + ": key-1\r\nContent-Length: 0\r\n\r\n";
+    };
+    std::string received;
+    const auto socket = StreamSocket::connect(mesh.callersAddress(0));
+    socket->start(
+        { [&received](std::span<const uint8_t> bytes) { received.append(bytes.begin(), bytes.end()); }, nullptr, nullptr });
+    socket->write(request("POST /order/1", "first") + request("GET /inner/2", "second"));
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    leave(0);
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    mesh.runFor(100ms);
+    EXPECT_NE(received.find("HTTP/1.1 502"), std::string::npos);
+    EXPECT_NE(received.find("HTTP/1.1 503"), std::string::npos) << received;
+    socket->close();
+}
+
 TEST_F(ShutdownEnd, NestedCallsOfRunsAtALeavingDaemonAreServed)
 {
     const auto parent = mesh.send(1, { "GET", "/read/1", {}, {} });
