--- a/Source/net/HTTPPool.cpp
+++ b/Source/net/HTTPPool.cpp
@@ -43,8 +43,10 @@
     auto connection = HTTPConnection::connect(m_address,
         { [this] { return bufferedBytes() < maximumBufferedBytes; }, [this](HTTPConnection& connection) { onIdle(connection); },
             [this](HTTPConnection& connection) { onClosed(connection); } });
-    if (connection)
+    if (connection) {
         connection->setAcceptsCloseDelimited(m_acceptsCloseDelimited);
+        connection->setBodyBudget(m_bodyBudget);
+    }
     return connection;
 }
 
@@ -67,7 +69,10 @@
         request,
         [this, id, connection = connection.get(), completion = std::move(completion)](Result<HTTPResponse> response) {
             const RefPtr<HTTPConnection> protect(connection);
-            m_busy.erase(id);
+            if (response && response->rest)
+                m_streaming[connection] = id;
+            else
+                m_busy.erase(id);
             completion(std::move(response));
         },
         std::move(matcher));
@@ -76,10 +81,15 @@
 void HTTPPool::onIdle(HTTPConnection& connection)
 {
     m_idle.push_back({ &connection, MonotonicClock::now() });
+    if (const auto found = m_streaming.find(&connection); found != m_streaming.end()) {
+        m_busy.erase(found->second);
+        m_streaming.erase(found);
+    }
 }
 
 void HTTPPool::onClosed(HTTPConnection& connection)
 {
+    m_streaming.erase(&connection);
     std::erase_if(m_idle, [&connection](const auto& item) { return item.connection.get() == &connection; });
     std::erase_if(m_busy, [&connection](const auto& item) { return item.second.get() == &connection; });
 }
--- a/Source/net/HTTPPool.h
+++ b/Source/net/HTTPPool.h
@@ -18,6 +18,8 @@
 
     void setAddress(const SocketAddress&);
     void setAcceptsCloseDelimited(bool accepts) { m_acceptsCloseDelimited = accepts; }
+    // See HTTPConnection::setBodyBudget(). The exchange of a response whose body still arrives stays in progress until its end.
+    void setBodyBudget(ByteBudget* budget) { m_bodyBudget = budget; }
     // Starts an exchange that `id`, chosen by the user of the pool, identifies in abandon(). A connection that has been idle for
     // longer than `maximumIdle` is not reused. Completes at once with NoBackendServer when the socket cannot be created.
     void send(uint64_t id, const HTTPRequest&, Completion, HTTPConnection::ResponseMatcher = nullptr,
@@ -37,6 +39,7 @@
 
     SocketAddress m_address;
     bool m_acceptsCloseDelimited { false };
+    ByteBudget* m_bodyBudget { nullptr };
     struct IdleConnection {
         RefPtr<HTTPConnection> connection;
         TimePoint since;
@@ -44,6 +47,7 @@
 
     std::vector<IdleConnection> m_idle; // Most recently used last
     std::unordered_map<uint64_t, RefPtr<HTTPConnection>> m_busy;
+    std::unordered_map<HTTPConnection*, uint64_t> m_streaming; // Busy ones whose response has been passed on; their exchanges
 };
 
 } // namespace shallot
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -20,6 +20,7 @@
 struct AnswerT;
 }
 
+class BodyRelay;
 class CrashSuspects;
 class MeshView;
 class MeshLinks;
@@ -36,6 +37,7 @@
     EndpointExecutor& executor;
     DistributedRateLimiter& rateLimiter;
     MeshMetrics& metrics;
+    BodyRelay& bodies;
     CrashSuspects& crashSuspects;
     std::string ownName;
 };
@@ -96,6 +98,7 @@
     void admit(const RefPtr<PendingRequest>&, TimePoint now);
     void dispatch(PendingRequest&, TimePoint now);
     bool send(PendingRequest&, RemoteEndpoint&, TimePoint now);
+    void receiveBody(PeerLink&, uint64_t id, Result<HTTPResponse>&);
     void onOutcome(PendingRequest&, MeshOutcome, TimePoint now);
     bool mayRetry(PendingRequest&, const MeshOutcome&, TimePoint now);
     void endAttempt(PendingRequest&);
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Start and leave:  Sidecar, start, leave, stopAcceptingWhenDue, endRequests, finishLeaving, applySettings
+//   Start and leave:  Sidecar, ~Sidecar, start, leave, stopAcceptingWhenDue, endRequests, finishLeaving, applySettings
 //   Local servers:    handleControl, checkAnnouncement, handleReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, cancelCall
 //   Changes:          onBackendServerChange, onConfiguration
@@ -59,7 +59,8 @@
     , m_crashSuspects(settings)
     , m_executor(settings, m_instance.backendServer, m_instance.service, m_crashSuspects)
     , m_rateLimiter(settings, m_view, m_links, m_own.name)
-    , m_ingress({ settings, m_view, m_links, m_executor, m_rateLimiter, m_metrics, m_crashSuspects, m_own.name })
+    , m_bodies(m_executor.responseBudget())
+    , m_ingress({ settings, m_view, m_links, m_executor, m_rateLimiter, m_metrics, m_bodies, m_crashSuspects, m_own.name })
     , m_store(m_instance.store)
     , m_sync(settings, m_view, m_links, m_store, m_crashSuspects, m_own)
 {
@@ -72,6 +73,11 @@
     m_executor.setLeaveHandler([this] { m_sync.storeLeave(m_executor.currentLeave(), [](bool) {}); });
 }
 
+Sidecar::~Sidecar()
+{
+    m_executor.ignoreBodyEnds();
+}
+
 // Start and leave
 
 Result<void> Sidecar::start()
@@ -121,7 +127,8 @@
         }
         stopAcceptingWhenDue(now);
         // An open connection may carry a request that is still arriving, or the last bytes of a response.
-        const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty();
+        const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
+            && !m_bodies.outgoing();
         if (idle)
             finishLeaving();
     });
@@ -268,6 +275,10 @@
         m_ingress.onResponse(link, *response);
     else if (const auto* cancel = frame.body.AsCancel())
         cancelCall(link, *cancel);
+    else if (const auto* part = frame.body.AsBodyPart())
+        m_bodies.onPart(link, *part);
+    else if (const auto* credit = frame.body.AsBodyCredit())
+        m_bodies.onCredit(link, *credit);
     else if (const auto* requests = frame.body.AsLoanRequests())
         m_rateLimiter.onRequests(link, *requests, now);
     else if (const auto* grants = frame.body.AsLoans())
@@ -292,6 +303,8 @@
             *done = true;
             peer->send(makeMeshAnswerFrame(id, outcome));
             m_served.erase(*executorCallID);
+            if (outcome.response && outcome.response->rest)
+                m_bodies.send(peer, id, outcome.response->rest, outcome.response->body.size());
         });
     if (!*done)
         m_served[*executorCallID] = { peer, id, idempotent };
@@ -299,6 +312,7 @@
 
 void Sidecar::cancelCall(PeerLink& link, const wire::CancelT& cancel)
 {
+    m_bodies.onCancel(link, cancel.id);
     for (auto it = m_served.begin(); it != m_served.end(); ++it) {
         if (it->second.link.get() != &link || it->second.id != cancel.id)
             continue;
@@ -321,6 +335,7 @@
         m_executor.cancel(executorCallID);
     }
     m_ingress.onLinkClosed(link);
+    m_bodies.onLinkClosed(link);
 }
 
 // Changes
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -4,6 +4,7 @@
 #include "mesh/MeshSettings.h"
 #include "net/Timer.h"
 #include "platform/InstanceSettings.h"
+#include "sidecar/BodyRelay.h"
 #include "sidecar/DistributedRateLimiter.h"
 #include "sidecar/EndpointExecutor.h"
 #include "sidecar/MeshIngress.h"
@@ -26,6 +27,7 @@
 class Sidecar {
 public:
     Sidecar(platform::InstanceSettings, const MeshSettings&, std::string peerSecret);
+    ~Sidecar();
 
     Result<void> start();
     // Starts a graceful leave: serves open requests until they complete or the shutdown time is nearly over, then calls the
@@ -71,6 +73,7 @@
     EndpointExecutor m_executor;
     DistributedRateLimiter m_rateLimiter;
     MeshMetrics m_metrics;
+    BodyRelay m_bodies;
     MeshIngress m_ingress;
     platform::StoreClient m_store;
     MeshSync m_sync;
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -36,6 +36,14 @@
 struct AnswerBuilder;
 struct AnswerT;
 
+struct BodyPart;
+struct BodyPartBuilder;
+struct BodyPartT;
+
+struct BodyCredit;
+struct BodyCreditBuilder;
+struct BodyCreditT;
+
 struct Cancel;
 struct CancelBuilder;
 struct CancelT;
@@ -119,11 +127,13 @@
   PromiseRequest = 11,
   Promise = 12,
   ClaimQuery = 13,
+  BodyPart = 14,
+  BodyCredit = 15,
   MIN = NONE,
-  MAX = ClaimQuery
+  MAX = BodyCredit
 };
 
-inline const Body (&EnumValuesBody())[14] {
+inline const Body (&EnumValuesBody())[16] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -138,13 +148,15 @@
     Body::Loans,
     Body::PromiseRequest,
     Body::Promise,
-    Body::ClaimQuery
+    Body::ClaimQuery,
+    Body::BodyPart,
+    Body::BodyCredit
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[15] = {
+  static const char * const names[17] = {
     "NONE",
     "Hello",
     "Proof",
@@ -159,13 +171,15 @@
     "PromiseRequest",
     "Promise",
     "ClaimQuery",
+    "BodyPart",
+    "BodyCredit",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ClaimQuery)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::BodyCredit)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -226,6 +240,14 @@
   static const Body enum_value = Body::ClaimQuery;
 };
 
+template<> struct BodyTraits<shallot::wire::BodyPart> {
+  static const Body enum_value = Body::BodyPart;
+};
+
+template<> struct BodyTraits<shallot::wire::BodyCredit> {
+  static const Body enum_value = Body::BodyCredit;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -282,6 +304,14 @@
   static const Body enum_value = Body::ClaimQuery;
 };
 
+template<> struct BodyUnionTraits<shallot::wire::BodyPartT> {
+  static const Body enum_value = Body::BodyPart;
+};
+
+template<> struct BodyUnionTraits<shallot::wire::BodyCreditT> {
+  static const Body enum_value = Body::BodyCredit;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -416,6 +446,22 @@
     return type == Body::ClaimQuery ?
       reinterpret_cast<const shallot::wire::ClaimQueryT *>(value) : nullptr;
   }
+  shallot::wire::BodyPartT *AsBodyPart() {
+    return type == Body::BodyPart ?
+      reinterpret_cast<shallot::wire::BodyPartT *>(value) : nullptr;
+  }
+  const shallot::wire::BodyPartT *AsBodyPart() const {
+    return type == Body::BodyPart ?
+      reinterpret_cast<const shallot::wire::BodyPartT *>(value) : nullptr;
+  }
+  shallot::wire::BodyCreditT *AsBodyCredit() {
+    return type == Body::BodyCredit ?
+      reinterpret_cast<shallot::wire::BodyCreditT *>(value) : nullptr;
+  }
+  const shallot::wire::BodyCreditT *AsBodyCredit() const {
+    return type == Body::BodyCredit ?
+      reinterpret_cast<const shallot::wire::BodyCreditT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -1006,6 +1052,8 @@
   bool call_failed = false;
   double rate_limit = -1.0;
   uint64_t rate_wait_us = 0;
+  bool more = false;
+  int64_t whole_length = -1LL;
   AnswerT() = default;
   AnswerT(const AnswerT &o);
   AnswerT(AnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1035,7 +1083,9 @@
     VT_ARRIVED = 34,
     VT_CALL_FAILED = 36,
     VT_RATE_LIMIT = 38,
-    VT_RATE_WAIT_US = 40
+    VT_RATE_WAIT_US = 40,
+    VT_MORE = 42,
+    VT_WHOLE_LENGTH = 44
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1094,6 +1144,12 @@
   uint64_t rate_wait_us() const {
     return GetField<uint64_t>(VT_RATE_WAIT_US, 0);
   }
+  bool more() const {
+    return GetField<uint8_t>(VT_MORE, 0) != 0;
+  }
+  int64_t whole_length() const {
+    return GetField<int64_t>(VT_WHOLE_LENGTH, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1119,6 +1175,8 @@
            VerifyField<uint8_t>(verifier, VT_CALL_FAILED, 1) &&
            VerifyField<double>(verifier, VT_RATE_LIMIT, 8) &&
            VerifyField<uint64_t>(verifier, VT_RATE_WAIT_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_MORE, 1) &&
+           VerifyField<int64_t>(verifier, VT_WHOLE_LENGTH, 8) &&
            verifier.EndTable();
   }
   AnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1187,6 +1245,12 @@
   void add_rate_wait_us(uint64_t rate_wait_us) {
     fbb_.AddElement<uint64_t>(Answer::VT_RATE_WAIT_US, rate_wait_us, 0);
   }
+  void add_more(bool more) {
+    fbb_.AddElement<uint8_t>(Answer::VT_MORE, static_cast<uint8_t>(more), 0);
+  }
+  void add_whole_length(int64_t whole_length) {
+    fbb_.AddElement<int64_t>(Answer::VT_WHOLE_LENGTH, whole_length, -1LL);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1218,8 +1282,11 @@
     bool arrived = false,
     bool call_failed = false,
     double rate_limit = -1.0,
-    uint64_t rate_wait_us = 0) {
+    uint64_t rate_wait_us = 0,
+    bool more = false,
+    int64_t whole_length = -1LL) {
   AnswerBuilder builder_(_fbb);
+  builder_.add_whole_length(whole_length);
   builder_.add_rate_wait_us(rate_wait_us);
   builder_.add_rate_limit(rate_limit);
   builder_.add_pressure_us(pressure_us);
@@ -1235,6 +1302,7 @@
   builder_.add_headers(headers);
   builder_.add_retry_tokens(retry_tokens);
   builder_.add_status(status);
+  builder_.add_more(more);
   builder_.add_call_failed(call_failed);
   builder_.add_arrived(arrived);
   builder_.add_unavailable(unavailable);
@@ -1267,7 +1335,9 @@
     bool arrived = false,
     bool call_failed = false,
     double rate_limit = -1.0,
-    uint64_t rate_wait_us = 0) {
+    uint64_t rate_wait_us = 0,
+    bool more = false,
+    int64_t whole_length = -1LL) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto detail__ = detail ? _fbb.CreateString(detail) : 0;
@@ -1291,11 +1361,217 @@
       arrived,
       call_failed,
       rate_limit,
-      rate_wait_us);
+      rate_wait_us,
+      more,
+      whole_length);
 }
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct BodyPartT : public flatbuffers::NativeTable {
+  typedef BodyPart TableType;
+  uint64_t id = 0;
+  uint64_t offset = 0;
+  std::vector<uint8_t> bytes{};
+  bool last = false;
+  uint8_t error = 0;
+  std::string detail{};
+};
+
+struct BodyPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BodyPartT NativeTableType;
+  typedef BodyPartBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_OFFSET = 6,
+    VT_BYTES = 8,
+    VT_LAST = 10,
+    VT_ERROR = 12,
+    VT_DETAIL = 14
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool last() const {
+    return GetField<uint8_t>(VT_LAST, 0) != 0;
+  }
+  uint8_t error() const {
+    return GetField<uint8_t>(VT_ERROR, 0);
+  }
+  const flatbuffers::String *detail() const {
+    return GetPointer<const flatbuffers::String *>(VT_DETAIL);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           VerifyField<uint8_t>(verifier, VT_LAST, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ERROR, 1) &&
+           VerifyOffset(verifier, VT_DETAIL) &&
+           verifier.VerifyString(detail()) &&
+           verifier.EndTable();
+  }
+  BodyPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(BodyPartT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<BodyPart> Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct BodyPartBuilder {
+  typedef BodyPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(BodyPart::VT_ID, id, 0);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(BodyPart::VT_OFFSET, offset, 0);
+  }
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(BodyPart::VT_BYTES, bytes);
+  }
+  void add_last(bool last) {
+    fbb_.AddElement<uint8_t>(BodyPart::VT_LAST, static_cast<uint8_t>(last), 0);
+  }
+  void add_error(uint8_t error) {
+    fbb_.AddElement<uint8_t>(BodyPart::VT_ERROR, error, 0);
+  }
+  void add_detail(flatbuffers::Offset<flatbuffers::String> detail) {
+    fbb_.AddOffset(BodyPart::VT_DETAIL, detail);
+  }
+  explicit BodyPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BodyPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BodyPart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BodyPart> CreateBodyPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint64_t offset = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0,
+    bool last = false,
+    uint8_t error = 0,
+    flatbuffers::Offset<flatbuffers::String> detail = 0) {
+  BodyPartBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_id(id);
+  builder_.add_detail(detail);
+  builder_.add_bytes(bytes);
+  builder_.add_error(error);
+  builder_.add_last(last);
+  return builder_.Finish();
+}
+
+struct BodyPart::Traits {
+  using type = BodyPart;
+  static auto constexpr Create = CreateBodyPart;
+};
+
+inline flatbuffers::Offset<BodyPart> CreateBodyPartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint64_t offset = 0,
+    const std::vector<uint8_t> *bytes = nullptr,
+    bool last = false,
+    uint8_t error = 0,
+    const char *detail = nullptr) {
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  auto detail__ = detail ? _fbb.CreateString(detail) : 0;
+  return shallot::wire::CreateBodyPart(
+      _fbb,
+      id,
+      offset,
+      bytes__,
+      last,
+      error,
+      detail__);
+}
+
+flatbuffers::Offset<BodyPart> CreateBodyPart(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct BodyCreditT : public flatbuffers::NativeTable {
+  typedef BodyCredit TableType;
+  uint64_t id = 0;
+  uint64_t total = 0;
+};
+
+struct BodyCredit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BodyCreditT NativeTableType;
+  typedef BodyCreditBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_TOTAL = 6
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint64_t total() const {
+    return GetField<uint64_t>(VT_TOTAL, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TOTAL, 8) &&
+           verifier.EndTable();
+  }
+  BodyCreditT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(BodyCreditT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<BodyCredit> Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyCreditT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct BodyCreditBuilder {
+  typedef BodyCredit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(BodyCredit::VT_ID, id, 0);
+  }
+  void add_total(uint64_t total) {
+    fbb_.AddElement<uint64_t>(BodyCredit::VT_TOTAL, total, 0);
+  }
+  explicit BodyCreditBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BodyCredit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BodyCredit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BodyCredit> CreateBodyCredit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint64_t total = 0) {
+  BodyCreditBuilder builder_(_fbb);
+  builder_.add_total(total);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct BodyCredit::Traits {
+  using type = BodyCredit;
+  static auto constexpr Create = CreateBodyCredit;
+};
+
+flatbuffers::Offset<BodyCredit> CreateBodyCredit(flatbuffers::FlatBufferBuilder &_fbb, const BodyCreditT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct CancelT : public flatbuffers::NativeTable {
   typedef Cancel TableType;
   uint64_t id = 0;
@@ -3331,6 +3607,12 @@
   const shallot::wire::ClaimQuery *body_as_ClaimQuery() const {
     return body_type() == shallot::wire::Body::ClaimQuery ? static_cast<const shallot::wire::ClaimQuery *>(body()) : nullptr;
   }
+  const shallot::wire::BodyPart *body_as_BodyPart() const {
+    return body_type() == shallot::wire::Body::BodyPart ? static_cast<const shallot::wire::BodyPart *>(body()) : nullptr;
+  }
+  const shallot::wire::BodyCredit *body_as_BodyCredit() const {
+    return body_type() == shallot::wire::Body::BodyCredit ? static_cast<const shallot::wire::BodyCredit *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3395,6 +3677,14 @@
   return body_as_ClaimQuery();
 }
 
+template<> inline const shallot::wire::BodyPart *Frame::body_as<shallot::wire::BodyPart>() const {
+  return body_as_BodyPart();
+}
+
+template<> inline const shallot::wire::BodyCredit *Frame::body_as<shallot::wire::BodyCredit>() const {
+  return body_as_BodyCredit();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3660,7 +3950,9 @@
         arrived(o.arrived),
         call_failed(o.call_failed),
         rate_limit(o.rate_limit),
-        rate_wait_us(o.rate_wait_us) {
+        rate_wait_us(o.rate_wait_us),
+        more(o.more),
+        whole_length(o.whole_length) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new shallot::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -3685,6 +3977,8 @@
   std::swap(call_failed, o.call_failed);
   std::swap(rate_limit, o.rate_limit);
   std::swap(rate_wait_us, o.rate_wait_us);
+  std::swap(more, o.more);
+  std::swap(whole_length, o.whole_length);
   return *this;
 }
 
@@ -3716,6 +4010,8 @@
   { auto _e = call_failed(); _o->call_failed = _e; }
   { auto _e = rate_limit(); _o->rate_limit = _e; }
   { auto _e = rate_wait_us(); _o->rate_wait_us = _e; }
+  { auto _e = more(); _o->more = _e; }
+  { auto _e = whole_length(); _o->whole_length = _e; }
 }
 
 inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3745,6 +4041,8 @@
   auto _call_failed = _o->call_failed;
   auto _rate_limit = _o->rate_limit;
   auto _rate_wait_us = _o->rate_wait_us;
+  auto _more = _o->more;
+  auto _whole_length = _o->whole_length;
   return shallot::wire::CreateAnswer(
       _fbb,
       _id,
@@ -3765,7 +4063,79 @@
       _arrived,
       _call_failed,
       _rate_limit,
-      _rate_wait_us);
+      _rate_wait_us,
+      _more,
+      _whole_length);
+}
+
+inline BodyPartT *BodyPart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<BodyPartT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void BodyPart::UnPackTo(BodyPartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = bytes(); if (_e) { _o->bytes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->bytes.begin()); } }
+  { auto _e = last(); _o->last = _e; }
+  { auto _e = error(); _o->error = _e; }
+  { auto _e = detail(); if (_e) _o->detail = _e->str(); }
+}
+
+inline flatbuffers::Offset<BodyPart> BodyPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateBodyPart(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<BodyPart> CreateBodyPart(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BodyPartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _offset = _o->offset;
+  auto _bytes = _o->bytes.size() ? _fbb.CreateVector(_o->bytes) : 0;
+  auto _last = _o->last;
+  auto _error = _o->error;
+  auto _detail = _o->detail.empty() ? 0 : _fbb.CreateString(_o->detail);
+  return shallot::wire::CreateBodyPart(
+      _fbb,
+      _id,
+      _offset,
+      _bytes,
+      _last,
+      _error,
+      _detail);
+}
+
+inline BodyCreditT *BodyCredit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<BodyCreditT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void BodyCredit::UnPackTo(BodyCreditT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = total(); _o->total = _e; }
+}
+
+inline flatbuffers::Offset<BodyCredit> BodyCredit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyCreditT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateBodyCredit(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<BodyCredit> CreateBodyCredit(flatbuffers::FlatBufferBuilder &_fbb, const BodyCreditT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BodyCreditT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _total = _o->total;
+  return shallot::wire::CreateBodyCredit(
+      _fbb,
+      _id,
+      _total);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4618,6 +4988,14 @@
       auto ptr = reinterpret_cast<const shallot::wire::ClaimQuery *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::BodyPart: {
+      auto ptr = reinterpret_cast<const shallot::wire::BodyPart *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::BodyCredit: {
+      auto ptr = reinterpret_cast<const shallot::wire::BodyCredit *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4689,6 +5067,14 @@
       auto ptr = reinterpret_cast<const shallot::wire::ClaimQuery *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::BodyPart: {
+      auto ptr = reinterpret_cast<const shallot::wire::BodyPart *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::BodyCredit: {
+      auto ptr = reinterpret_cast<const shallot::wire::BodyCredit *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4748,6 +5134,14 @@
       auto ptr = reinterpret_cast<const shallot::wire::ClaimQueryT *>(value);
       return CreateClaimQuery(_fbb, ptr, _rehasher).Union();
     }
+    case Body::BodyPart: {
+      auto ptr = reinterpret_cast<const shallot::wire::BodyPartT *>(value);
+      return CreateBodyPart(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::BodyCredit: {
+      auto ptr = reinterpret_cast<const shallot::wire::BodyCreditT *>(value);
+      return CreateBodyCredit(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4806,6 +5200,14 @@
       value = new shallot::wire::ClaimQueryT(*reinterpret_cast<shallot::wire::ClaimQueryT *>(u.value));
       break;
     }
+    case Body::BodyPart: {
+      value = new shallot::wire::BodyPartT(*reinterpret_cast<shallot::wire::BodyPartT *>(u.value));
+      break;
+    }
+    case Body::BodyCredit: {
+      value = new shallot::wire::BodyCreditT(*reinterpret_cast<shallot::wire::BodyCreditT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4878,6 +5280,16 @@
       delete ptr;
       break;
     }
+    case Body::BodyPart: {
+      auto ptr = reinterpret_cast<shallot::wire::BodyPartT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::BodyCredit: {
+      auto ptr = reinterpret_cast<shallot::wire::BodyCreditT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
