Let a frame hold the largest request body

A body close to 8 MB ended the link that it was sent on, with all other calls on it: the frame around it, with the request's headers, was larger than the greatest frame. Within a zone frames are not compressed, so no body had to be special for it.

SidecarPath.ABodyOfTheGreatestSizeDoesNotEndTheLinkAndItsOtherCalls failed before (503).

--- a/Source/wire/FrameReader.h
+++ b/Source/wire/FrameReader.h
@@ -16,7 +16,7 @@
 
 class FrameCompressor;
 
-constexpr size_t maximumFrameBytes = 8 * 1024 * 1024;
+constexpr size_t maximumFrameBytes = 9 * 1024 * 1024; // More than the largest request body and its header section
 
 // Splits a byte stream into verified frames. After an error the stream is unusable.
 class FrameReader {
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -257,6 +257,15 @@
     EXPECT_EQ(mesh.wait(mesh.send(1, { "POST", "/order/2", {}, "tiles" })).status(), 503);
 }
 
+TEST(SidecarPath, ABodyOfTheGreatestSizeDoesNotEndTheLinkAndItsOtherCalls)
+{
+    SidecarHarness mesh({ "zone-a/alpha", "zone-a/beta" }); // Frames within a zone are not compressed
+    ASSERT_TRUE(mesh.waitUntilServing());
+    const std::string body(StrictHTTPLimits {}.maximumBodyBytes, 'x');
+    EXPECT_EQ(mesh.wait(mesh.send(1, { "POST", "/upload/1", {}, body })).status(), 200);
+    EXPECT_EQ(mesh.endpoint(0).requests().back().body.size(), body.size());
+}
+
 TEST(SidecarPath, AnUploadIsDeliveredCompletelyAndExecutedOnce)
 {
     SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
