Read a large header section to its end or its limit

A header section of over 256 KB, where the configuration allows more, was never answered: reading pauses above what is buffered behind a request in progress, also while no request was in progress. StrictHTTP.AHeaderSectionLargerThanWhatIsBufferedBehindARequestIsAnswered failed before (no answer in 2 s).

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -148,8 +148,10 @@
         });
     else if (m_inputEnded && canRead())
         finishSocket(); // The rest is no complete request
+    // An incomplete header section, which may be larger, has to arrive.
+    const bool waits = m_serving || m_waitsForReader || count == maximumRequestsPerTurn;
     if (m_socket->isOpen() && !m_closing)
-        m_socket->setReadPaused(unparsed().size() > maximumPipelinedBytes);
+        m_socket->setReadPaused(waits && unparsed().size() > maximumPipelinedBytes);
 }
 
 const http_parser_settings& StrictHTTPConnection::parserSettings()
--- a/Tests/StrictHTTPTest.cpp
+++ b/Tests/StrictHTTPTest.cpp
@@ -131,6 +131,17 @@
     EXPECT_TRUE(requests.empty());
 }
 
+TEST_F(StrictHTTP, AHeaderSectionLargerThanWhatIsBufferedBehindARequestIsAnswered)
+{
+    limits.maximumHeaderBytes = 1024 * 1024;
+    limits.headerTimeout = 2s;
+    server.setLimits(limits);
+    std::string message = "GET /a HTTP/1.1\r\nHost: a\r\n";
+    for (int i = 0; i < 60; ++i)
+        message += "X-" + std::to_string(i) + ": " + std::string(8000, 'x') + "\r\n";
+    EXPECT_EQ(exchange({ message + "\r\n" }).status(), 400U); // The parser takes 80 KB
+}
+
 TEST_F(StrictHTTP, ARejectionBehindAHeadRequestIsComplete)
 {
     const auto result = exchange({ "HEAD /a HTTP/1.1\r\nHost: a\r\n\r\nGET /b HTTP/1.1\r\nHost : a\r\n\r\n" }, 3);
