--- a/Tests/PeerLinkStartTest.cpp
+++ b/Tests/PeerLinkStartTest.cpp
@@ -55,9 +55,9 @@
     size_t bytes;
     bool compressible;
 
-    friend void PrintTo(const BodyCase& body, std::ostream* stream)
+    friend std::ostream& operator<<(std::ostream& stream, const BodyCase& body)
     {
-        *stream << body.bytes << (body.compressible ? "Compressible" : "");
+        return stream << body.bytes << (body.compressible ? "Compressible" : "");
     }
 };
 
