Skip interim responses of a backend server

A backend server that sent 100, 102 or 103 before its response got its run thrown away: callers saw 502 after the run, 40 of 40 in calm, with reloads and with configuration changes. HTTPConnection took the first response of any class for the final one; on a reused connection it ended even sooner, as a response without the attempt's id.

RFC 9110, 15.2: a client reads over all of 1xx but 101. They are skipped before the response is matched to the request, 64 of them and 64 KB in one exchange, and have no body whatever their header section says. 101 and a status below 100 still fail the exchange. A server that ends the connection behind them has not begun a response, so that its crash is suspected; the connection was not a stale one. Store calls and health probes use the same class.

Of the 11 cases of the new test 7 failed before (502, and 504 for status 099); the others are the bounds.

--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -9,6 +9,8 @@
 constexpr size_t maximumResponseBytes = 4 * 1024 * 1024; // Far above the longest responses of the deployments
 constexpr size_t bufferCheckBytes = 64 * 1024;           // mayBufferMore() is consulted once for so many bytes of a body
 constexpr unsigned maximumMismatchedResponses = 8;       // Late responses dropped in one exchange before it fails
+constexpr unsigned maximumInterimResponses = 64;         // Skipped in one exchange before it fails
+constexpr size_t maximumInterimBytes = 64 * 1024;        // Of all of them
 
 std::string formatRequest(const HTTPRequest& request)
 {
@@ -80,6 +82,8 @@
     m_responseStarted = false;
     m_rejectReason = nullptr;
     m_mismatchedResponses = 0;
+    m_interimResponses = 0;
+    m_interimBytes = 0;
     resetParser();
     // While the socket is connecting, the bytes stay in its write buffer and are sent after onConnected().
     m_socket->write(formatRequest(request));
@@ -91,6 +95,7 @@
     m_parser.data = this;
     m_response = {};
     m_complete = false;
+    m_messageBytes = 0;
     m_collector = {};
 }
 
@@ -116,7 +121,7 @@
         result.on_headers_complete = [](http_parser* parser) {
             auto& connection = from(parser);
             connection.m_collector.headersComplete = true;
-            return connection.m_headRequest ? 1 : 0;
+            return connection.m_headRequest || connection.isInterim() ? 1 : 0; // 1: the message has no body
         };
         result.on_body = [](http_parser* parser, const char* at, size_t length) {
             return from(parser).appendBody({ at, length }) ? 0 : 1;
@@ -157,15 +162,31 @@
     return match == ResponseMatch::Matched;
 }
 
+// RFC 9110, 15.2: any number of interim responses may precede the final one. Requires a complete one in the parser.
+void HTTPConnection::skipInterim()
+{
+    m_interimBytes += m_messageBytes;
+    if (m_parser.status_code < HTTP_STATUS_CONTINUE || m_parser.status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
+        m_rejectReason = "the status does not belong to a response to this request";
+    else if (++m_interimResponses > maximumInterimResponses || m_interimBytes > maximumInterimBytes)
+        m_rejectReason = "too many interim responses";
+    m_responseStarted = false;
+}
+
 // Returns true once m_response holds a complete response that belongs to the request. `parsed` receives the bytes consumed.
 bool HTTPConnection::execute(std::string_view bytes, size_t& parsed)
 {
     parsed = 0;
     while (parsed < bytes.size()) {
-        parsed += http_parser_execute(&m_parser, &parserSettings(), bytes.data() + parsed, bytes.size() - parsed);
+        m_responseStarted = true;
+        const auto length = http_parser_execute(&m_parser, &parserSettings(), bytes.data() + parsed, bytes.size() - parsed);
+        parsed += length;
+        m_messageBytes += length;
         if (!m_complete)
             return false;
-        if (matchesRequest())
+        if (isInterim())
+            skipInterim();
+        else if (matchesRequest())
             return true;
         if (m_rejectReason)
             return false;
@@ -182,7 +203,6 @@
         closeAndNotify();
         return;
     }
-    m_responseStarted = true;
     size_t parsed = 0;
     if (execute({ reinterpret_cast<const char*>(bytes.data()), bytes.size() }, parsed)) {
         const bool trailingBytes = parsed < bytes.size();
@@ -200,11 +220,6 @@
 
 void HTTPConnection::completeResponse()
 {
-    const bool interim = m_parser.status_code < 200;
-    if (interim) {
-        failExchange(ErrorKind::BadResponse, "unexpected interim response (status 1xx)");
-        return;
-    }
     if (const auto lifetime = announcedIdleLifetime(m_response.headers); lifetime > Duration::zero())
         m_idleLifetime = lifetime;
     m_used = true;
@@ -249,7 +264,7 @@
     const RefPtr<HTTPConnection> protect(this);
     m_socket->close();
     if (const auto completion = std::exchange(m_completion, nullptr))
-        completion(tl::unexpected(Error { kind, std::move(detail), {}, m_used }));
+        completion(tl::unexpected(Error { kind, std::move(detail), {}, m_used && !m_interimResponses }));
     closeAndNotify();
 }
 
--- a/Source/net/HTTPConnection.h
+++ b/Source/net/HTTPConnection.h
@@ -66,6 +66,8 @@
     void closeAndNotify();
     bool appendBody(std::string_view);
     bool matchesRequest();
+    bool isInterim() const { return m_parser.status_code < HTTP_STATUS_OK; }
+    void skipInterim();
 
     static const http_parser_settings& parserSettings();
     static HTTPConnection& from(http_parser* parser) { return *static_cast<HTTPConnection*>(parser->data); }
@@ -84,6 +86,9 @@
     bool m_headRequest { false };
     const char* m_rejectReason { nullptr }; // Why the response is rejected; null while it is not
     unsigned m_mismatchedResponses { 0 };   // Dropped during the current exchange
+    unsigned m_interimResponses { 0 };      // Skipped during the current exchange
+    size_t m_interimBytes { 0 };
+    size_t m_messageBytes { 0 }; // Parsed of the current response
     bool m_complete { false };
     HeaderCollector m_collector;
 };
--- a/Tests/EndpointResponsesTest.cpp
+++ b/Tests/EndpointResponsesTest.cpp
@@ -178,6 +178,71 @@
         CorruptResponse { "NoResponse", "", false, false }),
     [](const auto& info) { return info.param.name; });
 
+struct InterimResponses {
+    const char* name;
+    std::vector<std::string> pieces; // Written one after the other in front of the final response
+    uint16_t status { 200 };
+    bool closes { false }; // The final response ends with the connection
+};
+
+std::ostream& operator<<(std::ostream& stream, const InterimResponses& responses)
+{
+    return stream << responses.name;
+}
+
+std::string repeat(size_t count, const std::string& text)
+{
+    std::string result;
+    for (size_t i = 0; i < count; ++i)
+        result += text;
+    return result;
+}
+
+class Interim : public EndpointResponses, public testing::WithParamInterface<InterimResponses> { };
+
+TEST_P(Interim, ResponsesDoNotReplaceTheFinalOne)
+{
+    const auto& param = GetParam();
+    std::vector<std::unique_ptr<Timer>> timers;
+    raw->setScript([&](StreamSocket& socket, const std::string& attempt) {
+        const auto unframed = "HTTP/1.1 200 OK\r\n" + attemptHeader + attempt + "\r\n" + sealHeader + "\r\nwhole";
+        for (size_t i = 0; i < param.pieces.size(); ++i) {
+            const bool last = i + 1 == param.pieces.size();
+            const auto final = param.closes ? unframed : RawEndpoint::responseTo(attempt, "whole");
+            timers.push_back(std::make_unique<Timer>());
+            timers.back()->startOnce(
+                i * 10ms, [&, last, connection = RefPtr(&socket), text = param.pieces[i] + (last ? final : "")] {
+                    connection->write(text);
+                    if (last && param.closes)
+                        connection->close();
+                });
+        }
+    });
+    for (int i = 0; i < 4; ++i) { // The later ones on a reused connection
+        const auto& exchange = mesh.wait(mesh.send(1, { "POST", "/order/" + std::to_string(i), {}, "tiles" }));
+        ASSERT_EQ(exchange.status(), param.status);
+        EXPECT_TRUE(param.status != 200 || exchange.response->body == "whole");
+    }
+    EXPECT_TRUE(param.status == 200 || mesh.runUntil([&] { return !raw->openConnections(); }));
+}
+
+const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n";
+const std::string processing = "HTTP/1.1 102 Processing\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(SidecarPath, Interim,
+    testing::Values(InterimResponses { "InOneRead", { "HTTP/1.1 100 Continue\r\n\r\n" + processing + hints } },
+        InterimResponses { "OneAfterTheOther", { processing, hints, processing + processing } },
+        InterimResponses { "SplitOverReads", { "HTTP/1.", "1 103 Early", " Hints\r\nLink: <", "/>\r\n\r", "\n" } },
+        InterimResponses { "OfAnEarlierRequest", { "HTTP/1.1 102 Processing\r\n" + attemptHeader + "earlier\r\n\r\n" } },
+        InterimResponses { "WithALength", { "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n" } },
+        InterimResponses { "ThatAnnounceAClose", { "HTTP/1.1 103 Early Hints\r\nConnection: close\r\n\r\n" } },
+        InterimResponses { "BeforeABodyWithoutLength", { processing, hints }, 200, true },
+        InterimResponses { "SwitchingProtocols", { "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n" }, 502 },
+        InterimResponses { "OfNoKnownClass", { "HTTP/1.1 099 Early\r\n\r\n" }, 502 },
+        InterimResponses { "TooMany", { repeat(70, processing) }, 502 },
+        InterimResponses { "TooLong", { repeat(10, "HTTP/1.1 103 Hints\r\nX: " + std::string(10'000, 'x') + "\r\n\r\n") }, 502 }),
+    [](const auto& info) { return info.param.name; });
+
 struct EndlessResponse {
     const char* name;
     std::string prefix; // Preceded by the attempt's header lines if `sealed`
