Responses with status 204 and 304 have no body

RFC 9112, 6.3: such a response ends with its header section, whatever length that names.

Before: EndpointResponses.AResponseWhoseStatusHasNoBody... failed with 504 for both statuses.

--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -121,7 +121,7 @@
         result.on_headers_complete = [](http_parser* parser) {
             auto& connection = from(parser);
             connection.m_collector.headersComplete = true;
-            return connection.m_headRequest || connection.isInterim() ? 1 : 0; // 1: the message has no body
+            return connection.hasNoBody() ? 1 : 0;
         };
         result.on_body = [](http_parser* parser, const char* at, size_t length) {
             return from(parser).appendBody({ at, length }) ? 0 : 1;
@@ -136,6 +136,13 @@
     return settings;
 }
 
+// RFC 9112, 6.3: whatever the length in the header section, which is that of another representation.
+bool HTTPConnection::hasNoBody() const
+{
+    const auto status = m_parser.status_code;
+    return m_headRequest || isInterim() || status == HTTP_STATUS_NO_CONTENT || status == HTTP_STATUS_NOT_MODIFIED;
+}
+
 bool HTTPConnection::appendBody(std::string_view bytes)
 {
     const auto size = m_response.body.size() + bytes.size();
--- a/Source/net/HTTPConnection.h
+++ b/Source/net/HTTPConnection.h
@@ -68,6 +68,7 @@
     bool matchesRequest();
     bool isInterim() const { return m_parser.status_code < HTTP_STATUS_OK; }
     void skipInterim();
+    bool hasNoBody() const;
 
     static const http_parser_settings& parserSettings();
     static HTTPConnection& from(http_parser* parser) { return *static_cast<HTTPConnection*>(parser->data); }
--- a/Tests/EndpointResponsesTest.cpp
+++ b/Tests/EndpointResponsesTest.cpp
@@ -243,6 +243,17 @@
         InterimResponses { "TooLong", { repeat(10, "HTTP/1.1 103 Hints\r\nX: " + std::string(10'000, 'x') + "\r\n\r\n") }, 502 }),
     [](const auto& info) { return info.param.name; });
 
+TEST_F(EndpointResponses, AResponseWhoseStatusHasNoBodyIsCompleteWithALength)
+{
+    for (const uint16_t status : { 204, 304 }) {
+        raw->setScript([status](StreamSocket& socket, const std::string& attempt) {
+            socket.write("HTTP/1.1 " + std::to_string(status) + " None\r\n" + attemptHeader + attempt + "\r\n" + sealHeader
+                + "Content-Length: 5\r\n\r\n");
+        });
+        EXPECT_EQ(order("/order/1"), status);
+    }
+}
+
 struct EndlessResponse {
     const char* name;
     std::string prefix; // Preceded by the attempt's header lines if `sealed`
