Read what a backend server sent before it reset the connection

A backend server that responds early to a long body and closes with unread bytes resets the connection.

A connection to a backend server whose sending fails with a reset now goes on reading until what has arrived is read, and then ends as reset, so that a body without a length is still not complete. It carries no further request. The sockets of callers keep the former rule: their requests are not wanted once they are gone. onConnected comes before the first send, so that a send that fails no longer counts as "no byte was sent".

--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -60,6 +60,9 @@
         [this](std::span<const uint8_t> bytes) { onData(bytes); },
         [this] { onConnected(); },
         [this](StreamEnd end) { onSocketClosed(end); },
+        nullptr,
+        nullptr,
+        true,
     });
 }
 
@@ -230,7 +233,7 @@
     if (const auto lifetime = announcedIdleLifetime(m_response.headers); lifetime > Duration::zero())
         m_idleLifetime = lifetime;
     m_used = true;
-    const bool reusable = isOpen() && http_should_keep_alive(&m_parser);
+    const bool reusable = m_socket->canSend() && http_should_keep_alive(&m_parser);
     const auto completion = std::exchange(m_completion, nullptr);
     m_matcher = nullptr;
     if (!reusable)
--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -113,7 +113,7 @@
         return;
     }
     if ((events & EPOLLOUT) && !flush()) {
-        closeAndNotify(StreamEnd::Reset);
+        onSendFailed();
         return;
     }
     if ((events & EPOLLOUT) && !pendingBytes() && m_callbacks.onFlushed)
@@ -135,13 +135,29 @@
         return;
     }
     m_connecting = false;
-    if (!flush()) {
+    if (m_callbacks.onConnected)
+        m_callbacks.onConnected();
+    if (!isOpen())
+        return;
+    if (flush())
+        updateWatch();
+    else
+        onSendFailed();
+}
+
+// The peer may have answered before it reset the connection; what has arrived stays readable.
+void StreamSocket::onSendFailed()
+{
+    const bool isReset = errno == EPIPE || errno == ECONNRESET;
+    if (!isReset || !m_callbacks.readsAfterReset) {
         closeAndNotify(StreamEnd::Reset);
         return;
     }
+    m_sendFailed = true;
+    m_pending = {};
+    m_pendingOffset = 0;
+    m_writeBlocked = false;
     updateWatch();
-    if (m_callbacks.onConnected)
-        m_callbacks.onConnected();
 }
 
 void StreamSocket::readNow()
@@ -161,6 +177,10 @@
                 closeAndNotify(StreamEnd::Reset);
             return;
         }
+        if (!size && m_sendFailed) { // The error was reported to the sender
+            closeAndNotify(StreamEnd::Reset);
+            return;
+        }
         if (!size) {
             m_peerFinished = m_finishing ? pendingBytes() != 0 : m_callbacks.onPeerFinished && m_callbacks.onPeerFinished();
             if (m_peerFinished)
@@ -180,7 +200,7 @@
 
 bool StreamSocket::write(std::string_view bytes)
 {
-    if (!isOpen() || m_finishing)
+    if (!canSend())
         return false;
     if (pendingBytes() + bytes.size() > maximumPendingBytes) {
         closeAndNotify(StreamEnd::Reset);
@@ -190,7 +210,7 @@
     if (m_connecting || m_writeBlocked)
         return true;
     if (!flush()) {
-        closeAndNotify(StreamEnd::Reset);
+        onSendFailed();
         return false;
     }
     return true;
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -30,6 +30,7 @@
         // The peer shut down its sending side. Returns whether the connection stays open for sending; unset: it does not.
         std::function<bool()> onPeerFinished;
         std::function<void()> onFlushed; // What the kernel did not take at once has been sent
+        bool readsAfterReset { false };  // What arrived before a reset that ends the sending is read before onClosed
     };
 
     // Takes ownership of a connected, non-blocking socket.
@@ -56,6 +57,7 @@
     // Sets TCP_USER_TIMEOUT: sent data that stays unacknowledged for longer closes the connection.
     void setUserTimeout(Duration);
     bool isOpen() const { return m_watcher.descriptor >= 0; }
+    bool canSend() const { return isOpen() && !m_finishing && !m_sendFailed; }
     bool isConnecting() const { return m_connecting; }
     size_t pendingBytes() const { return m_pending.size() - m_pendingOffset; }
     // Bytes that arrived after finish().
@@ -67,6 +69,7 @@
     void onReady(uint32_t events);
     void readAvailable();
     bool flush();
+    void onSendFailed();
     void finishConnecting();
     void closeAndNotify(StreamEnd);
     void updateWatch();
@@ -79,6 +82,7 @@
     bool m_started { false };
     bool m_connecting { false };
     bool m_writeBlocked { false }; // The kernel's send buffer is full
+    bool m_sendFailed { false };   // The peer has reset the connection; the rest is read
     bool m_finishing { false };
     bool m_readPaused { false };
     bool m_peerFinished { false };
--- a/Tests/EndpointResponsesTest.cpp
+++ b/Tests/EndpointResponsesTest.cpp
@@ -254,6 +254,17 @@
     }
 }
 
+// The close with an unread body resets the connection while the daemon is still sending.
+TEST_F(EndpointResponses, AnEarlyResponseIsDeliveredWhenTheRestOfTheBodyIsNotRead)
+{
+    raw->setScript([](StreamSocket& socket, const std::string& attempt) {
+        socket.write(RawEndpoint::responseTo(attempt, "early"));
+        socket.close();
+    });
+    const HTTPRequest upload { "POST", "/upload/1", {}, std::string(6 * 1024 * 1024, 'b') };
+    EXPECT_EQ(mesh.wait(mesh.send(1, upload)).status(), 200);
+}
+
 struct EndlessResponse {
     const char* name;
     std::string prefix; // Preceded by the attempt's header lines if `sealed`
