A response is not cut while its reader pauses

No line in the log told of it.

enforceLinger closed a connection without progress after 2 s, also while bytes waited for the reader. The reader of a response now has the idle time-out of the configuration, as the reader of pipelined responses already had; a leaving process ends at the end of its shutdown time whatever is open. A cut with unsent bytes is logged, with their number.

AClientThatStopsReadingIsCutOff relied on those 2 s under an idle time-out of 15 s, which nothing asks for: it now sets a time-out of 1 s and keeps its bound of 4 s for the cut. The new test, a pause of 3.5 s, failed before.

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -374,12 +374,12 @@
 {
     EventLog::write("connection-cut",
         { { "caller", m_peerHost }, { "reason", reason }, { "serving", m_serving }, { "unread_bytes", unreadBytes },
-            { "draining", m_draining } });
+            { "unsent_bytes", m_socket->pendingBytes() }, { "draining", m_draining } });
 }
 
 void StrictHTTPConnection::abort()
 {
-    if (m_socket->isOpen() && (m_serving || !unparsed().empty()))
+    if (m_socket->isOpen() && (m_serving || !unparsed().empty() || m_socket->pendingBytes()))
         logCut("aborted", unparsed().size());
     m_socket->close();
     onSocketClosed(StreamEnd::Reset);
@@ -455,15 +455,17 @@
         abort();
 }
 
-// A client that is still reading the last response is given time, however slow it is, and one that is still sending as long as a
-// body may take: a close before it is done would be a reset, which may overtake the response.
+// A client that is still reading the last response is given time, however slow it is, also when it pauses for no longer than it
+// may be idle, and one that is still sending as long as a body may take: a close before it is done would be a reset, which may
+// overtake the response.
 void StrictHTTPConnection::enforceLinger(TimePoint now)
 {
     const bool hasRead = m_socket->pendingBytes() != std::exchange(m_unsentBytes, m_socket->pendingBytes());
     const bool hasSent = m_socket->discardedBytes() != std::exchange(m_discardedBytes, m_socket->discardedBytes());
     if (hasRead || (hasSent && now - m_closedAt < m_limits.bodyTimeout))
         m_phaseStart = now;
-    if (now - m_phaseStart > lingerTimeout)
+    const bool isReading = m_socket->pendingBytes() > 0;
+    if (now - m_phaseStart > (isReading ? std::max<Duration>(lingerTimeout, m_limits.idleTimeout) : lingerTimeout))
         abort();
 }
 
--- a/Tests/GracefulShutdownTest.cpp
+++ b/Tests/GracefulShutdownTest.cpp
@@ -402,8 +402,27 @@
     EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
 }
 
+TEST_F(GracefulShutdown, AResponseIsNotCutWhileItsReaderPausesWithinTheIdleTimeout)
+{
+    constexpr size_t bodyBytes = 12 * 1024 * 1024;
+    BlockingCaller reader(address, 64 * 1024);
+    reader.send(getHeld);
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    server.startDraining();
+    held->respond({ 200, {}, std::string(bodyBytes, 'x') }, false, MonotonicClock::now());
+    runUntil([end = MonotonicClock::now() + 3500ms] { return MonotonicClock::now() > end; });
+    size_t received = 0;
+    EXPECT_TRUE(runUntil([&] {
+        for (auto bytes = reader.receive().size(); bytes; bytes = reader.receive().size())
+            received += bytes;
+        return reader.hasEnded();
+    }));
+    EXPECT_GT(received, bodyBytes);
+}
+
 TEST_F(GracefulShutdown, AClientThatStopsReadingIsCutOff)
 {
+    server.setLimits({ .idleTimeout = 1s });
     BlockingCaller reader(address, 64 * 1024);
     reader.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
     ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
