A failed connect is evidence of a crash only if it was refused

Two conditions counted as "the backend server refuses connections", which ends it and makes its runs crash suspects: a new connection that was reset before the daemon looked (a backend server with too many connections does that), and a socket that the daemon itself could not create.

A reset new connection is now a refusal, and a probe finds out whether the backend server is there. A socket that cannot be created is an overload of this daemon: not run, not arrived, with a time to come back, and no evidence.

Before: both new tests of HTTPPoolTest got NoBackendServer.

--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -253,7 +253,10 @@
 {
     const RefPtr<HTTPConnection> protect(this);
     if (!m_connected) {
-        failExchange(ErrorKind::NoBackendServer, "the server does not accept connections");
+        if (end == StreamEnd::Refused)
+            failExchange(ErrorKind::NoBackendServer, "the server does not accept connections");
+        else
+            failExchange(ErrorKind::BackendRefused, "the server has reset a new connection");
         return;
     }
     if (m_acceptsCloseDelimited && m_completion && m_responseStarted && end == StreamEnd::Clean) {
--- a/Source/net/HTTPPool.cpp
+++ b/Source/net/HTTPPool.cpp
@@ -59,7 +59,7 @@
 {
     auto connection = takeConnection(maximumIdle, MonotonicClock::now());
     if (!connection) {
-        completion(fail(ErrorKind::NoBackendServer, "the socket could not be created"));
+        completion(fail(ErrorKind::Overloaded, "the socket could not be created"));
         return;
     }
     m_busy[id] = connection;
--- a/Source/net/HTTPPool.h
+++ b/Source/net/HTTPPool.h
@@ -19,7 +19,7 @@
     void setAddress(const SocketAddress&);
     void setAcceptsCloseDelimited(bool accepts) { m_acceptsCloseDelimited = accepts; }
     // Starts an exchange that `id`, chosen by the user of the pool, identifies in abandon(). A connection that has been idle for
-    // longer than `maximumIdle` is not reused. Completes at once with NoBackendServer when the socket cannot be created.
+    // longer than `maximumIdle` is not reused. Completes at once with Overloaded when the socket cannot be created.
     void send(uint64_t id, const HTTPRequest&, Completion, HTTPConnection::ResponseMatcher = nullptr,
         Duration maximumIdle = Duration::max());
     // Aborts an exchange: its completion is not called and its connection is closed.
--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -131,7 +131,7 @@
     int error = 0;
     socklen_t length = sizeof error;
     if (getsockopt(m_watcher.descriptor, SOL_SOCKET, SO_ERROR, &error, &length) || error) {
-        closeAndNotify(StreamEnd::Reset);
+        closeAndNotify(error == ECONNRESET ? StreamEnd::Reset : StreamEnd::Refused);
         return;
     }
     m_connecting = false;
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -16,8 +16,9 @@
 
 // How a connection was closed.
 enum class StreamEnd : uint8_t {
-    Clean, // The peer shut down its sending side
-    Reset, // Error, timeout or write buffer overflow
+    Clean,   // The peer shut down its sending side
+    Reset,   // Error, timeout or write buffer overflow
+    Refused, // Nobody accepts connections at the address
 };
 
 // Non-blocking TCP connection on the main loop with a bounded write buffer.
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -84,9 +84,14 @@
             recordUnanswered(*live, now);
             suspectCrash(now);
         }
+        if (response.error().kind == ErrorKind::BackendRefused)
+            suspectCrash(now); // It has too many connections, or nothing but its kernel is there
         if (response.error().kind == ErrorKind::NoBackendServer)
             concludeCrash("refuses connections", now);
-        finish(*live, std::move(response), true, now);
+        const bool isOwnShortage = response.error().kind == ErrorKind::Overloaded;
+        if (isOwnShortage)
+            response.error().retryAfter = m_queue.retryAfter(live->item.priority, now);
+        finish(*live, std::move(response), !isOwnShortage, now);
         return;
     }
     const auto responseClass = platform::classifyResponse(*response);
@@ -347,8 +352,8 @@
         concludeCrash("refuses connections", now);
         return;
     }
-    // A backend server that is slow or frozen is silent, too, so silence is no evidence.
-    if (response.error().kind == ErrorKind::TimedOut) {
+    // A backend server that is slow or frozen is silent, too, so silence is no evidence; nor is an own lack of sockets.
+    if (response.error().kind == ErrorKind::TimedOut || response.error().kind == ErrorKind::Overloaded) {
         endSuspicion(now);
         return;
     }
--- /dev/null
+++ b/Tests/HTTPPoolTest.cpp
@@ -0,0 +1,125 @@
+// Pooled connections to a server whose kernel refuses, resets or closes them, and a process that is out of descriptors.
+
+#include "net/HTTPPool.h"
+#include "TestPorts.h"
+#include "net/StrictHTTPServer.h"
+
+#include <glib.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace shallot {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Leaves this process no free descriptor.
+class DescriptorShortage {
+public:
+    DescriptorShortage()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_limit);
+        const int next = dup(STDIN_FILENO);
+        close(next);
+        const rlimit none { static_cast<rlim_t>(next), m_limit.rlim_max };
+        setrlimit(RLIMIT_NOFILE, &none);
+    }
+    ~DescriptorShortage() { setrlimit(RLIMIT_NOFILE, &m_limit); }
+    DescriptorShortage(const DescriptorShortage&) = delete;
+    DescriptorShortage& operator=(const DescriptorShortage&) = delete;
+
+private:
+    rlimit m_limit {};
+};
+
+class HTTPPoolOverSockets : public testing::Test {
+protected:
+    HTTPPoolOverSockets()
+        : address { "127.0.0.1", nextBasePort() }
+    {
+        pool.setAddress(address);
+    }
+
+    void startServer()
+    {
+        const auto started = server.start(address, {},
+            { [](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) {
+                 connection->respond({ 200, {}, "ok" }, false, MonotonicClock::now());
+             },
+                nullptr });
+        ASSERT_TRUE(started.has_value());
+    }
+
+    void send()
+    {
+        done = false;
+        pool.send(++requestID, { "GET", "/", { { "Host", "a" } }, {} }, [this](Result<HTTPResponse> response) {
+            done = true;
+            result = std::move(response);
+        });
+    }
+
+    // Returns the number of turns of the main loop.
+    size_t runUntil(const std::function<bool()>& condition, Duration timeout = 4s)
+    {
+        size_t turns = 0;
+        Timer end;
+        bool over = false;
+        end.startOnce(timeout, [&over] { over = true; });
+        for (; !over && !condition(); ++turns)
+            g_main_context_iteration(nullptr, TRUE);
+        return turns;
+    }
+
+    SocketAddress address;
+    HTTPPool pool;
+    StrictHTTPServer server;
+    Result<HTTPResponse> result { HTTPResponse() };
+    uint64_t requestID { 0 };
+    bool done { false };
+};
+
+TEST_F(HTTPPoolOverSockets, AServerThatRefusesConnectionsIsNotThere)
+{
+    send();
+    runUntil([this] { return done; });
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().kind, ErrorKind::NoBackendServer);
+}
+
+// A server with too many connections resets further ones; both happen before this process looks.
+TEST_F(HTTPPoolOverSockets, AServerThatResetsANewConnectionIsThereAndHasNotRunTheRequest)
+{
+    const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in native {};
+    native.sin_family = AF_INET;
+    native.sin_port = htons(address.port);
+    native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ASSERT_EQ(::bind(listener, reinterpret_cast<const sockaddr*>(&native), sizeof native), 0);
+    ASSERT_EQ(::listen(listener, 1), 0);
+    send();
+    const int connection = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+    const linger reset { 1, 0 };
+    ASSERT_EQ(::setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof reset), 0);
+    ::close(connection);
+    ::close(listener);
+    runUntil([this] { return done; });
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().kind, ErrorKind::BackendRefused);
+}
+
+TEST_F(HTTPPoolOverSockets, AProcessWithoutDescriptorsDoesNotTakeTheServerForGone)
+{
+    startServer();
+    const DescriptorShortage shortage;
+    send();
+    ASSERT_TRUE(done);
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().kind, ErrorKind::Overloaded);
+}
+
+} // namespace
+} // namespace shallot
