A connection that may not be idle is not reused

"Keep-Alive: timeout=0" was read as "no time-out named", so that its connection was reused for up to 8 s and the next request met its close. The pool now drops it.

--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -2,6 +2,8 @@
 
 #include "net/StreamSocket.h"
 
+#include <optional>
+
 namespace shallot {
 
 namespace {
@@ -29,16 +31,16 @@
     return text;
 }
 
-// Timeout of "Keep-Alive: timeout=N", reduced so that a request still arrives before the server closes the connection. Zero when
+// Timeout of "Keep-Alive: timeout=N", reduced so that a request still arrives before the server closes the connection. None when
 // the header has no timeout.
-Duration announcedIdleLifetime(const HTTPHeaders& headers)
+std::optional<Duration> announcedIdleLifetime(const HTTPHeaders& headers)
 {
     constexpr std::string_view parameter = "timeout=";
     constexpr double safetyFactor = 0.75;
     const auto value = findHeader(headers, "keep-alive");
     const auto at = value.find(parameter);
     if (at == std::string_view::npos)
-        return {};
+        return std::nullopt;
     return fromSeconds(safetyFactor * std::strtod(std::string(value.substr(at + parameter.size())).c_str(), nullptr));
 }
 
@@ -230,8 +232,7 @@
 
 void HTTPConnection::completeResponse()
 {
-    if (const auto lifetime = announcedIdleLifetime(m_response.headers); lifetime > Duration::zero())
-        m_idleLifetime = lifetime;
+    m_idleLifetime = announcedIdleLifetime(m_response.headers).value_or(m_idleLifetime);
     m_used = true;
     const bool reusable = m_socket->canSend() && http_should_keep_alive(&m_parser);
     const auto completion = std::exchange(m_completion, nullptr);
--- a/Tests/EndpointResponsesTest.cpp
+++ b/Tests/EndpointResponsesTest.cpp
@@ -254,6 +254,18 @@
     }
 }
 
+TEST_F(EndpointResponses, AConnectionWithoutIdleTimeIsNotReused)
+{
+    raw->setScript([](StreamSocket& socket, const std::string& attempt) {
+        auto response = RawEndpoint::responseTo(attempt, "whole");
+        socket.write(response.insert(response.find("\r\n") + 2, "Keep-Alive: timeout=0\r\n"));
+    });
+    EXPECT_EQ(order("/order/1"), 200);
+    const auto connections = raw->connectionCount();
+    EXPECT_EQ(order("/order/2"), 200);
+    EXPECT_EQ(raw->connectionCount(), connections + 1);
+}
+
 // The close with an unread body resets the connection while the daemon is still sending.
 TEST_F(EndpointResponses, AnEarlyResponseIsDeliveredWhenTheRestOfTheBodyIsNotRead)
 {
