Don't count a connection as idle while its response is being read

Callers saw: a request that was sent on a kept connection while the response before it was still being read, 12 MB of 28 MB not read yet, was read, dropped and never answered. It happened when that response had been handed to the socket longer ago than the idle timeout, and at a planned stop, 2.6 s after the signal. The response carried no "Connection: close".

Cause: the idle time counted from when the response was handed to the socket, and closeWhenIdle() did not look at what was unsent. The socket was then finished: what arrives behind is discarded.

Now a connection is idle once its response is sent. While draining it closes as soon as the response is sent.

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -400,7 +400,8 @@
 
 bool StrictHTTPConnection::isIdle() const
 {
-    return !m_closing && !m_serving && !m_collector.headersComplete && unparsed().empty() && m_socket->isOpen();
+    return !m_closing && !m_serving && !m_collector.headersComplete && unparsed().empty() && m_socket->isOpen()
+        && !m_socket->pendingBytes();
 }
 
 void StrictHTTPConnection::closeIfIdle(TimePoint now)
@@ -430,7 +431,8 @@
         enforceLinger(now);
         return;
     }
-    if (m_waitsForReader && !unparsed().empty()) {
+    const bool awaitsRequest = !m_collector.headersComplete && unparsed().empty();
+    if (m_socket->pendingBytes() && (awaitsRequest || m_waitsForReader)) {
         enforceReading(now);
         return;
     }
@@ -446,13 +448,19 @@
     }
 }
 
-// Requests behind responses that the client does not read are not late themselves.
+// Requests behind responses that the client does not read are not late themselves, and a connection is not idle before.
 void StrictHTTPConnection::enforceReading(TimePoint now)
 {
     if (m_socket->pendingBytes() != std::exchange(m_unsentBytes, m_socket->pendingBytes()))
         m_phaseStart = now;
-    if (now - m_phaseStart > m_limits.idleTimeout)
-        abort();
+    const auto age = now - m_phaseStart;
+    if (!unparsed().empty()) {
+        if (age > m_limits.idleTimeout)
+            abort();
+    } else if (age > (m_draining ? std::min<Duration>(lingerTimeout, m_limits.idleTimeout) : m_limits.idleTimeout)) {
+        m_phaseStart = now;
+        finishSocket();
+    }
 }
 
 // A client that is still reading the last response is given time, however slow it is, also when it pauses for no longer than it
@@ -494,6 +502,11 @@
     const RefPtr<StrictHTTPConnection> protect(this);
     if (std::exchange(m_waitsForReader, false))
         readRequests();
+    if (!isIdle())
+        return;
+    m_phaseStart = MonotonicClock::now();
+    if (m_draining && m_hasServed)
+        closeIfIdle(m_phaseStart);
 }
 
 void StrictHTTPConnection::onSocketClosed(StreamEnd)
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -51,8 +51,8 @@
     void enforceTimeouts(TimePoint now);
     // Rejects the first request with status 503 and closes the connection.
     void refuse() { m_refused = true; }
-    // Closes the connection after the requests received so far have been served, or at once if there are none. A connection that
-    // has not carried a request yet stays open for a short time to receive its first one.
+    // Closes the connection after the requests received so far have been served and their responses sent. A connection that has
+    // not carried a request yet stays open for a short time to receive its first one.
     void closeWhenIdle();
     bool isServing() const { return m_serving; }
     // Bytes held for the request that is being received or served and for pipelined requests.
--- a/Tests/GracefulShutdownTest.cpp
+++ b/Tests/GracefulShutdownTest.cpp
@@ -420,6 +420,45 @@
     EXPECT_GT(received, bodyBytes);
 }
 
+TEST_F(GracefulShutdown, ARequestBehindAResponseThatIsStillBeingReadIsAnswered)
+{
+    constexpr size_t bodyBytes = 28 * 1024 * 1024;
+    constexpr double bytesPerSecond = 8e6;
+    constexpr auto readTime = 2s; // After the idle timeout, and before the whole body is read
+    StrictHTTPLimits limits;
+    limits.idleTimeout = 1s;
+    server.setLimits(limits);
+    for (const bool drains : { false, true }) {
+        SCOPED_TRACE(drains);
+        BlockingCaller reader(address, 64 * 1024);
+        reader.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+        ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+        std::exchange(held, nullptr)->respond({ 200, {}, std::string(bodyBytes, 'x') + "!" }, false, MonotonicClock::now());
+        if (drains)
+            server.startDraining();
+        size_t read = 0;
+        runUntil([&, start = MonotonicClock::now()] {
+            const auto elapsed = MonotonicClock::now() - start;
+            while (static_cast<double>(read) < bytesPerSecond * toSeconds(elapsed)) {
+                const auto bytes = reader.receive().size();
+                if (!bytes)
+                    break;
+                read += bytes;
+            }
+            return elapsed > readTime;
+        });
+        ASSERT_LT(read, bodyBytes);
+        reader.send("POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\nbehind");
+        std::string received;
+        runUntil([&] {
+            for (auto bytes = reader.receive(); !bytes.empty(); bytes = reader.receive())
+                received = received.substr(received.size() - std::min<size_t>(received.size(), 100)) + bytes;
+            return reader.hasEnded() || received.ends_with("behind!");
+        });
+        EXPECT_TRUE(received.ends_with("behind!"));
+    }
+}
+
 TEST_F(GracefulShutdown, AClientThatStopsReadingIsCutOff)
 {
     server.setLimits({ .idleTimeout = 1s });
