Keep the runs of a restarted backend server at its first announcement

What callers saw: 502 backend-failed in the middle of requests that the backend server was working on, in groups, 0.3 to 1.5 s after it had been restarted under its own name. The daemon also took these runs for ones that a crash had interrupted.

Cause: a backend server that keeps its name serves requests as soon as it listens; the daemon's expected instance is right. Its first announcement, with a later start, ended all connections to the address, whichever run they led to. Now only those end that were opened before the start that the announcement names. A run with another name refuses the requests meant for the former one, so nothing changes there, nor where the start is unknown or not in the past.

The test failed 3 of 3 times before (502, one connection closed), passed 3 of 3 with the change.

--- a/Source/net/HTTPConnection.h
+++ b/Source/net/HTTPConnection.h
@@ -50,6 +50,7 @@
     // Closes the connection; an exchange in progress completes with BackendFailed.
     void terminate();
     bool isOpen() const;
+    TimePoint openedAt() const { return m_openedAt; }
     // Bytes allocated for the body of the response that is being received.
     size_t bufferedBytes() const { return m_response.body.capacity(); }
     // How long the connection may stay idle and still be reused; shorter than the timeout in the server's last response.
@@ -79,6 +80,7 @@
     ResponseMatcher m_matcher;
     http_parser m_parser {};
     HTTPResponse m_response;
+    TimePoint m_openedAt { MonotonicClock::now() };
     bool m_connected { false };
     Duration m_idleLifetime { std::chrono::seconds(8) }; // Until announced; below the usual 10 s of our servers
     bool m_acceptsCloseDelimited { false };
--- a/Source/net/HTTPPool.cpp
+++ b/Source/net/HTTPPool.cpp
@@ -94,13 +94,26 @@
     connection->abandon();
 }
 
-void HTTPPool::reset()
+void HTTPPool::reset(TimePoint openedBefore)
 {
-    const auto idle = std::exchange(m_idle, {});
-    for (const auto& item : idle)
-        item.connection->abandon();
-    const auto busy = std::exchange(m_busy, {});
-    for (const auto& [id, connection] : busy)
+    // Completions may start exchanges, so all connections are taken out before the first of them ends.
+    std::vector<RefPtr<HTTPConnection>> idle;
+    std::erase_if(m_idle, [&idle, openedBefore](const auto& item) {
+        const bool ends = item.connection->openedAt() < openedBefore;
+        if (ends)
+            idle.push_back(item.connection);
+        return ends;
+    });
+    std::vector<RefPtr<HTTPConnection>> busy;
+    std::erase_if(m_busy, [&busy, openedBefore](const auto& item) {
+        const bool ends = item.second->openedAt() < openedBefore;
+        if (ends)
+            busy.push_back(item.second);
+        return ends;
+    });
+    for (const auto& connection : idle)
+        connection->abandon();
+    for (const auto& connection : busy)
         connection->terminate();
 }
 
--- a/Source/net/HTTPPool.h
+++ b/Source/net/HTTPPool.h
@@ -24,8 +24,8 @@
         Duration maximumIdle = Duration::max());
     // Aborts an exchange: its completion is not called and its connection is closed.
     void abandon(uint64_t id);
-    // Closes all connections; exchanges in progress complete with BackendFailed.
-    void reset();
+    // Closes the connections that were opened before that time; exchanges in progress on them complete with BackendFailed.
+    void reset(TimePoint openedBefore = TimePoint::max());
     // Bytes allocated for the bodies of responses that are being received.
     size_t bufferedBytes() const;
     size_t openConnections() const { return m_idle.size() + m_busy.size(); }
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -20,6 +20,16 @@
 constexpr auto probeTimeout = 1s;                // Of a health probe, which usually takes a few milliseconds
 constexpr auto probeInterval = 250ms;            // Until a probe that came too early for an announcement is repeated
 
+// Connections that were opened earlier lead to former runs. One that has kept their name may serve requests before it announces
+// itself; one with another name refuses them. A start that is not in the past says nothing.
+TimePoint firstConnectionOf(const EndpointAnnouncement& run, const std::string& former, TimePoint now)
+{
+    const auto wallClock = WallClock::milliseconds();
+    if (run.instance != former || !run.startedAt || run.startedAt > wallClock)
+        return TimePoint::max();
+    return now - std::chrono::milliseconds(wallClock - run.startedAt);
+}
+
 } // namespace
 
 EndpointExecutor::EndpointExecutor(
@@ -78,7 +88,7 @@
         { { "backend_server", current.instance }, { "service", current.service }, { "slots", current.slots },
             { "replaces", former } });
     // Each run that ends here makes room for a queued call, which must be checked against the new backend server.
-    m_pool.reset();
+    m_pool.reset(firstConnectionOf(current, former, now));
     if (mayHaveCrashed)
         recordCrash(former, "replaced");
     endSuspicion(now);
--- a/Tests/EndpointIdentityTest.cpp
+++ b/Tests/EndpointIdentityTest.cpp
@@ -8,6 +8,8 @@
 namespace shallot {
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr uint64_t laterStart = 900'000; // After that of each stand-in
 constexpr uint64_t earlierStart = 1;     // Before that of each stand-in
 
@@ -82,6 +84,25 @@
     EXPECT_EQ(mesh.endpoint(0).disconnectCount(), 0U);
 }
 
+// Its runs began before its first announcement, since it has the name of the former run.
+TEST(EndpointIdentity, TheFirstAnnouncementOfANextRunDoesNotBreakOffWhatItRuns)
+{
+    SidecarHarness mesh({ "zone-a/alpha", "zone-b/beta" });
+    ASSERT_TRUE(mesh.waitUntilServing());
+    auto& endpoint = mesh.endpoint(0);
+    endpoint.restartUnannounced();
+    mesh.runFor(50ms);
+    std::vector<std::pair<RefPtr<StrictHTTPConnection>, HTTPRequest>> held;
+    endpoint.setScript([&held](const auto& connection, const HTTPRequest& request) { held.emplace_back(connection, request); });
+    const auto running = mesh.send(1, { "POST", "/order/1", {}, "tiles" });
+    ASSERT_TRUE(mesh.runUntil([&] { return !held.empty(); }));
+    endpoint.announce();
+    mesh.runFor(200ms);
+    EXPECT_EQ(endpoint.disconnectCount(), 0U);
+    EndpointStandin::respond(*held.front().first, held.front().second);
+    EXPECT_EQ(mesh.wait(running).status(), 200);
+}
+
 // The leave comes before the first announcement after a restart of the daemon, and an earlier announcement after it.
 TEST(EndpointIdentity, ALateAnnouncementDoesNotRevokeALeave)
 {
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -73,6 +73,15 @@
     });
 }
 
+void EndpointStandin::restartUnannounced()
+{
+    m_server.reset();
+    m_startedAt = WallClock::milliseconds();
+    m_sequence = 0;
+    start();
+    setAnnouncing(false);
+}
+
 void EndpointStandin::announce()
 {
     sendAnnouncement(m_instance, bodyOf(m_service, m_draining ? "draining" : "ready", m_startedAt, ++m_sequence));
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -38,6 +38,8 @@
     // Closes all connections without a response and the address; a new instance announces itself after that time.
     // `acceptsConnections`: until then connections are accepted and closed without a response.
     void crash(Duration downtime, bool acceptsConnections = false);
+    // Ends without a word; the next run serves at once, under the same name, and has not announced itself.
+    void restartUnannounced();
     bool isRunning() const { return m_running; }
     // Frees the address for another stand-in with different behaviour; announcements continue.
     void stopServing() { m_server->startDraining(); }
