Answer the notices that wait for the store before the process ends

What backend servers saw: a notice of their leave that a daemon had read ended with its connection, without an answer.

Cause: the end of a daemon looked at callers, served calls and links, and not at the control port, where a leave waits up to 0.6 s for the store. Now an idle daemon waits for it, and what still waits at the end of the shutdown time gets 503. "stop" says how many those were.

--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,7 +1,7 @@
 // Index of this file
 //   Start and leave:  Sidecar, start, leave, stopAcceptingWhenDue, endRequests, finishLeaving, endWhenPeersHaveClosed,
 //                    applySettings
-//   Local servers:    handleControl, checkAnnouncement, handleReadiness, isReady
+//   Local servers:    handleControl, acknowledge, checkAnnouncement, handleReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
 //                    scheduleAbandonment, onGoAway
 //   Changes:          onBackendServerChange, onConfiguration
@@ -134,7 +134,7 @@
         stopAcceptingWhenDue(now);
         // An open connection may carry a request that is still arriving, or the last bytes of a response, and so may a link.
         const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
-            && !m_links.hasUnsentBytes();
+            && !m_links.hasUnsentBytes() && m_waitingNotices.empty();
         if (idle)
             finishLeaving();
     });
@@ -180,7 +180,9 @@
     m_leaveTimer.stop();
     EventLog::write("stop",
         { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() }, { "runs", m_executor.inProgress() },
-            { "open_connections", m_ingress.openConnections() } });
+            { "open_connections", m_ingress.openConnections() }, { "waiting_notices", m_waitingNotices.size() } });
+    for (const auto& connection : std::exchange(m_waitingNotices, {}))
+        acknowledge(*connection, false);
     EventLog::flush();
     if (m_onLeaveCompleted)
         m_onLeaveCompleted();
@@ -218,17 +220,24 @@
         const auto& leave = std::get<platform::LeaveNotice>(*notice);
         m_executor.recordLeave(leave.instance, leave.startedAt);
     }
-    const auto acknowledge = [connection](bool stored) {
-        const uint16_t status = stored ? 200 : 503;
-        connection->respond({ status, { { "Content-Type", "application/json" } }, "{}" }, false, MonotonicClock::now());
-    };
     // An acknowledged leave must survive a restart of this daemon, so it is acknowledged only if it is stored. It is in force in
     // any case, and the backend server says it again.
     const auto leave = m_executor.currentLeave();
-    if (leave.instance.empty() || m_sync.storedLeave().covers(leave.instance, leave.latestStart))
-        acknowledge(true);
-    else
-        m_sync.storeLeave(leave, acknowledge);
+    if (leave.instance.empty() || m_sync.storedLeave().covers(leave.instance, leave.latestStart)) {
+        acknowledge(*connection, true);
+        return;
+    }
+    m_waitingNotices.insert(connection);
+    m_sync.storeLeave(leave, [this, connection](bool stored) {
+        if (m_waitingNotices.erase(connection))
+            acknowledge(*connection, stored);
+    });
+}
+
+void Sidecar::acknowledge(StrictHTTPConnection& connection, bool stored)
+{
+    const uint16_t status = stored ? 200 : 503;
+    connection.respond({ status, { { "Content-Type", "application/json" } }, "{}" }, false, MonotonicClock::now());
 }
 
 // Only the backend server at this daemon's address, of a service that exists, may change what is known of it.
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 namespace shallot {
 
@@ -48,6 +49,7 @@
     };
 
     void handleControl(const RefPtr<StrictHTTPConnection>&, const HTTPRequest&);
+    static void acknowledge(StrictHTTPConnection& notice, bool stored);
     Result<void> checkAnnouncement(const EndpointAnnouncement&) const;
     void handleReadiness(const RefPtr<StrictHTTPConnection>&, const HTTPRequest&);
     bool isReady(TimePoint now);
@@ -89,6 +91,7 @@
     Timer m_abandonmentTimer;
     ServedCalls m_servedCalls;
     std::map<ServedCallKey, ServedCall> m_served;
+    std::set<RefPtr<StrictHTTPConnection>> m_waitingNotices; // For the store
     std::function<void()> m_onLeaveCompleted;
     uint64_t m_ticks { 0 };
     bool m_leaving { false };
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -149,6 +149,34 @@
     EXPECT_EQ(mesh.wait(parent).status(), 200);
 }
 
+TEST_F(ShutdownEnd, ANoticeThatWaitsForTheStoreIsAnsweredBeforeTheProcessEnds)
+{
+    mesh.store().setMode(StoreStandin::Mode::Unresponsive);
+    leave(0);
+    mesh.runFor(2500ms); // Shortly before it ends
+    EXPECT_FALSE(hasLeft);
+    mesh.endpoint(0).leave();
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    mesh.stop(0);
+    mesh.runFor(100ms);
+    EXPECT_EQ(mesh.endpoint(0).lastNoticeStatus(), 503);
+}
+
+TEST_F(ShutdownEnd, ANoticeThatWaitsForTheStoreWhenTheShutdownTimeIsOverIsAnswered)
+{
+    mesh.setShutdownTime(0, 3s);
+    const auto running = mesh.send(1, { "POST", "/order/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    mesh.store().setMode(StoreStandin::Mode::Unresponsive);
+    leave(0);
+    mesh.runFor(2400ms); // The requests that are open end 0.1 s later
+    mesh.endpoint(0).leave();
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    mesh.stop(0);
+    mesh.runFor(100ms);
+    EXPECT_EQ(mesh.endpoint(0).lastNoticeStatus(), 503);
+}
+
 // Stops reading from a daemon when asked to, as a peer that is slow.
 class SlowRelay {
 public:
