Leave no CMake cache behind when the configuration fails, and install the packages before it

"make" before "make setup" left CMakeCache.txt without build.ninja behind, and each later "make all" failed until the folder was removed. Cause: the cache is the target of the rule, and cmake writes it before it finds out that a package is missing. Tried with -DPKG_CONFIG_EXECUTABLE=/bin/false: before, the second make ended with "loading 'build.ninja': No such file"; now it configures again.

--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,11 @@
 all: $(BUILD)/CMakeCache.txt
 	@cmake --build $(BUILD)
 
+# The packages come first, and a failed configuration leaves no cache behind: a later "make" would take it for a good one.
 $(BUILD)/CMakeCache.txt:
-	@cmake -S . -B $(BUILD) -G $(GENERATOR) -DCMAKE_BUILD_TYPE=RelWithDebInfo $(CMAKE_OPTIONS) >/dev/null
+	@scripts/install-packages
+	@cmake -S . -B $(BUILD) -G $(GENERATOR) -DCMAKE_BUILD_TYPE=RelWithDebInfo $(CMAKE_OPTIONS) >/dev/null \
+		|| { rm -f $(BUILD)/CMakeCache.txt; echo "The build could not be configured; \"make setup\" installs what it needs." >&2; exit 1; }
 
 setup:
 	@scripts/install-packages
