Send no request to members that may be gone while another one answers

Callers saw: 504 after the whole time limit of their route for requests that no backend server had seen, in place of 503 with a time to come back.

A belief had no way back but callers' traffic: once its penalty had passed, an unreachable member was as good as any, and callers' requests were the probes.

A request that was refused for lack of capacity is not sent to members that may be gone, and keeps that refusal with its time.

--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -99,7 +99,7 @@
 }
 
 RemoteEndpoint* RemoteEndpoints::choose(
-    std::string_view service, TimePoint now, const std::vector<std::string>& tried, bool anyZone)
+    std::string_view service, TimePoint now, const std::vector<std::string>& tried, ChoiceConditions conditions)
 {
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
@@ -112,8 +112,11 @@
     for (auto* endpoint : found->second) {
         if (std::find(tried.begin(), tried.end(), endpoint->member.name) != tried.end())
             continue;
-        const bool avoided = endpoint->leaving || std::max(endpoint->avoidUntil, endpoint->suspectUntil) > now;
-        const double cost = expectedSeconds(*endpoint, unknownServiceTime, anyZone, now) * factor(m_random);
+        const bool maybeGone = endpoint->leaving || endpoint->linkFailures;
+        if (maybeGone && conditions.reachableOnly)
+            continue;
+        const bool avoided = maybeGone || std::max(endpoint->avoidUntil, endpoint->suspectUntil) > now;
+        const double cost = expectedSeconds(*endpoint, unknownServiceTime, conditions.anyZone, now) * factor(m_random);
         if (best && (avoided != bestAvoided ? avoided : cost >= bestCost))
             continue;
         best = endpoint;
@@ -269,6 +272,23 @@
     return next;
 }
 
+std::vector<std::string> RemoteEndpoints::takeProbes(size_t count, TimePoint now)
+{
+    std::vector<RemoteEndpoint*> due;
+    for (auto& [name, endpoint] : m_endpoints) {
+        if (endpoint.linkFailures && endpoint.avoidUntil <= now)
+            due.push_back(&endpoint);
+    }
+    std::sort(due.begin(), due.end(), [](const auto* a, const auto* b) { return a->avoidUntil < b->avoidUntil; });
+    due.resize(std::min(due.size(), count));
+    std::vector<std::string> addresses;
+    for (auto* endpoint : due) {
+        endpoint->avoidUntil = now + m_settings.linkPenalty;
+        addresses.push_back(endpoint->member.address);
+    }
+    return addresses;
+}
+
 void RemoteEndpoints::recordReachable(std::string_view name, TimePoint now)
 {
     auto* endpoint = find(name);
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -29,6 +29,12 @@
     TimePoint readerPenaltyUntil {}; // Not chosen as store reader, because its configuration was stale
 };
 
+// What became of a request's earlier attempts.
+struct ChoiceConditions {
+    bool anyZone { false };       // It was not taken: the penalty of other zones is ignored
+    bool reachableOnly { false }; // It was refused for lack of capacity: trying members that may be gone would delay the refusal
+};
+
 // All known members with their endpoints. Balances calls over a service's backend servers by their load reports, and stays in the
 // own availability zone while its backend servers have free capacity, because traffic between zones costs money. Also tracks
 // which members are reachable, and derives store readers and ledger owners from that.
@@ -40,9 +46,9 @@
     void remove(const std::string& name);
     RemoteEndpoint* find(std::string_view name);
 
-    // The endpoint with the lowest expected time to the response, endpoints to avoid last; null if all were tried. `anyZone`
-    // ignores the penalty of other zones, for a request that was refused for lack of capacity.
-    RemoteEndpoint* choose(std::string_view service, TimePoint now, const std::vector<std::string>& tried, bool anyZone = false);
+    // The endpoint with the lowest expected time to the response, endpoints to avoid last; null if all were tried.
+    RemoteEndpoint* choose(
+        std::string_view service, TimePoint now, const std::vector<std::string>& tried, ChoiceConditions conditions = {});
 
     void recordSent(RemoteEndpoint&);
     void recordCompleted(std::string_view name);
@@ -66,6 +72,9 @@
     // The unreachable member of a zone that is due for a probe; null if there is none. Such a member may be back without having
     // contacted this daemon.
     const RemoteEndpoint* nextToProbe(std::string_view zone, TimePoint now) const;
+    // Addresses of unreachable members of any zone that are due for a probe, the longest overdue first. The next one of each is
+    // due after linkPenalty.
+    std::vector<std::string> takeProbes(size_t count, TimePoint now);
 
     void recordLeaving(std::string_view name, bool leaving);
     // Owner of a ledger; null if no member is reachable. Members with different views of the reachable members use different
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -202,14 +202,12 @@
 {
     const RefPtr<PendingRequest> protect(&pending);
     while (true) {
-        auto* endpoint
-            = m_dependencies.view.endpoints().choose(pending.call.service, now, pending.triedMembers, pending.reroutes > 0);
+        auto* endpoint = m_dependencies.view.endpoints().choose(pending.call.service, now, pending.triedMembers,
+            { .anyZone = pending.reroutes > 0, .reachableOnly = pending.refusal.has_value() });
         if (!endpoint) {
-            respond(pending,
-                pending.earlierResponse
-                    ? *pending.earlierResponse
-                    : tl::unexpected(Error { ErrorKind::NoBackendServer, pending.call.service, startupRetryAfter }),
-                now);
+            const auto none
+                = pending.refusal.value_or(Error { ErrorKind::NoBackendServer, pending.call.service, startupRetryAfter });
+            respond(pending, pending.earlierResponse ? *pending.earlierResponse : tl::unexpected(none), now);
             return;
         }
         pending.triedMembers.push_back(endpoint->member.name);
@@ -421,6 +419,8 @@
                 { "arrivals", pending.backendsReached }, { "reroutes", pending.reroutes } });
         if (mayHaveExecuted)
             pending.earlierResponse = std::move(outcome.response);
+        else if (outcome.response.error().kind == ErrorKind::Overloaded)
+            pending.refusal = std::move(outcome.response.error());
         dispatch(pending, now);
         return;
     }
--- a/Tests/MeshDecisionsTest.cpp
+++ b/Tests/MeshDecisionsTest.cpp
@@ -124,7 +124,9 @@
     report("b1", 9, 10, 60ms, start);
     endpoints.recordLeaving("a1", true);
     EXPECT_EQ(choose(start), "a2");
-    EXPECT_EQ(endpoints.choose("s", start, { "a2", "b1" }, true)->member.name, "a1");
+    EXPECT_EQ(choose(start, { "a2", "b1" }), "a1");
+    EXPECT_EQ(endpoints.choose("s", start, { "a2", "b1" }, { .anyZone = true })->member.name, "a1");
+    EXPECT_EQ(endpoints.choose("s", start, { "a2", "b1" }, { .anyZone = true, .reachableOnly = true }), nullptr);
     endpoints.recordLeaving("a1", false);
     EXPECT_EQ(choose(start), "a1");
 }
@@ -136,7 +138,7 @@
     report("a2", 9, 10, 60ms, start); // Nearly full
     report("b1", 0, 10, 60ms, start);
     EXPECT_EQ(choose(start), "a2");
-    EXPECT_EQ(endpoints.choose("s", start, { "a1" }, true)->member.name, "b1");
+    EXPECT_EQ(endpoints.choose("s", start, { "a1" }, { .anyZone = true })->member.name, "b1");
 }
 
 TEST_F(EndpointChoice, AvoidsABackendServerThatHasBecomeMuchSlower)
@@ -175,6 +177,21 @@
     EXPECT_EQ(choose(start), "a1");
 }
 
+TEST_F(EndpointChoice, AMemberThatIsGoneGetsNoRequestWhileAnotherOneAnswers)
+{
+    report("a1", 0, 10, 30ms, start);
+    endpoints.recordUnreachable("a1", start, start);
+    const auto later = start + settings.linkPenaltyMaximum;
+    report("b1", 40, 10, 60ms, later);
+    EXPECT_EQ(choose(later), "b1"); // The daemon finds out itself whether it is back
+    EXPECT_EQ(endpoints.choose("s", later, { "b1" }, { .reachableOnly = true }), nullptr);
+    EXPECT_EQ(endpoints.takeProbes(4, start).size(), 0U);
+    EXPECT_EQ(endpoints.takeProbes(4, later), std::vector<std::string> { "a1:1" });
+    EXPECT_EQ(endpoints.takeProbes(4, later).size(), 0U); // One at a time
+    endpoints.recordReachable("a1", later);
+    EXPECT_EQ(choose(later), "a1");
+}
+
 TEST_F(EndpointChoice, ALongUnreachableMemberHoldsNoShareOfARate)
 {
     EXPECT_EQ(endpoints.countShareHolders(start), 2U);
