End work and wait for its outcomes at two times at the end of a shutdown

Callers saw: 502 "the shutdown time of this daemon is over" for requests that no backend server had seen, in place of 503.

Cause: the end of the shutdown time was both the deadline of the calls and the moment that ended those without an outcome, and requests were passed on until that moment: up to 100 ms after their own deadline, since the end was noticed by a repeating check.

Now no request is passed on from the deadline on (503), and what has no outcome is ended a sixth of the reserve later, 117 ms at most, by a timer of its own. A backend server that ends a run at the deadline it was given answers in that time, too. With a shutdown time of 2 s the steps take 266 of 333 ms of the reserve, before up to 294 ms; with 4.2 s or more 450 of 700 ms, before up to 433 ms.

--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -142,7 +142,7 @@
     const auto timeLimit = std::min(caller->timeLimit.value_or(route->timeLimit), route->timeLimit);
     if (caller->key.empty())
         pending.parent = m_dependencies.executor.findParent(caller->attemptID, timeLimit, now);
-    if (m_refusesCallers && !pending.parent)
+    if ((m_refusesCallers && !pending.parent) || now >= m_endBy)
         return tl::unexpected(Error { ErrorKind::Draining, "this daemon is stopping", restartRetryAfter });
     pending.deadline = std::min(now + timeLimit, m_endBy);
     context.priority = pending.parent ? nestedCallPriority(pending.parent->priority)
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -32,6 +32,7 @@
 constexpr auto leaveChecksInMargin = 4;           // At least
 constexpr Duration maximumShutdownMargin = 700ms; // Reserved at the end of the shutdown time for sending the last responses
 constexpr auto shutdownMarginDivisor = 6;         // Of the shutdown time, at most: runs are not broken off before the last sixth
+constexpr auto lastOutcomesDivisor = 6;           // Of the margin, for the outcomes of calls that have the end as their deadline
 constexpr auto lastResponsesDivisor = 3;          // Of the margin, for the responses to the requests that are still open
 constexpr auto peersCloseTime
     = 100ms; // Of the margin, until the peers have closed their links; several round trips between zones
@@ -126,13 +127,10 @@
     m_ingress.startLeaving(endBy);
     // Callers learn of the leave from the readiness probe; until then they are served.
     m_refuseCallersAt = now + readinessPropagation;
-    m_leaveTimer.startRepeating(std::min<Duration>(leaveCheckInterval, margin / leaveChecksInMargin), [this, endBy] {
-        const auto now = MonotonicClock::now();
-        if (now >= endBy) {
-            endRequests();
-            return;
-        }
-        stopAcceptingWhenDue(now);
+    // Backend servers and other daemons end a call at its deadline by themselves, and their outcome goes first.
+    m_endTimer.startOnce(endBy + margin / lastOutcomesDivisor - now, [this] { endRequests(); });
+    m_leaveTimer.startRepeating(std::min<Duration>(leaveCheckInterval, margin / leaveChecksInMargin), [this] {
+        stopAcceptingWhenDue(MonotonicClock::now());
         // An open connection may carry a request that is still arriving, or the last bytes of a response, and so may a link.
         const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
             && !m_links.hasUnsentBytes() && m_waitingNotices.empty();
@@ -168,6 +166,7 @@
 // Calls that are on their way to this daemon would count as "may have run" if it closed the links without a word.
 void Sidecar::finishLeaving()
 {
+    m_endTimer.stop();
     m_beginsNoCalls = true;
     m_links.goAway();
     const auto latest = MonotonicClock::now() + peersCloseTime;
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -88,6 +88,7 @@
     StrictHTTPServer m_readiness;
     Timer m_tick;
     Timer m_leaveTimer;
+    Timer m_endTimer; // While leaving: until what is open is ended
     Timer m_abandonmentTimer;
     ServedCalls m_servedCalls;
     std::map<ServedCallKey, ServedCall> m_served;
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -124,6 +124,27 @@
     socket->close();
 }
 
+TEST_F(ShutdownEnd, RequestsThatArriveInTheLastMomentDoNotFailWithoutARun)
+{
+    constexpr Duration shutdownTime = 2s;
+    mesh.setShutdownTime(1, shutdownTime);
+    for (size_t i = 0; i < 8; ++i) // All slots are in use, and others wait
+        mesh.send(0, { "GET", "/read/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() >= 2; }));
+    leave(1);
+    mesh.runFor(shutdownTime * 4 / 5);
+    std::vector<std::shared_ptr<SidecarHarness::Exchange>> exchanges;
+    EXPECT_TRUE(mesh.runUntil([&] {
+        exchanges.push_back(mesh.send(1, { "POST", "/order/1", {}, {} }));
+        return hasLeft;
+    }));
+    mesh.stop(1);
+    mesh.runFor(100ms);
+    EXPECT_EQ(mesh.executionCount("/order/1"), 0U);
+    for (const auto& exchange : exchanges)
+        EXPECT_NE(exchange->status(), 502);
+}
+
 TEST_F(ShutdownEnd, NestedCallsOfRunsAtALeavingDaemonAreServed)
 {
     const auto parent = mesh.send(1, { "GET", "/read/1", {}, {} });
