Sample service times from their standard error in each choice

Cause: an average that is known from some twenty runs was compared as if it were certain. Any difference above the random 10% of the cost gave one of equal servers nothing until its recent runs were forgotten.

Now each choice takes a service time at random from within its standard error, 1 / sqrt(recent runs + assumedRuns). What is known from hundreds of runs is chosen as before; what is known from few is tried again now and then, at a bounded cost.

--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -5,6 +5,7 @@
 #include "mesh/MeshSettings.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shallot {
 
@@ -67,18 +68,20 @@
     return best == Duration::max() ? m_settings.assumedServiceTime : best;
 }
 
-double RemoteEndpoints::expectedSeconds(
-    const RemoteEndpoint& endpoint, Duration unknownServiceTime, bool anyZone, TimePoint now) const
+double RemoteEndpoints::sampleExpectedSeconds(
+    const RemoteEndpoint& endpoint, Duration unknownServiceTime, bool anyZone, TimePoint now)
 {
     const auto& report = endpoint.report;
     const bool reported = hasReport(endpoint, now);
     const bool measured = reported && report.serviceTime > Duration::zero();
+    const double runs = measured ? decayed(report.recentRuns, now - endpoint.reportedAt, m_settings.runsLifetime) : 0;
     double service = toSeconds(unknownServiceTime);
     // The one with the longer service time gets few requests, so a time measured during a stall would not be corrected.
-    if (measured) {
-        const double runs = decayed(report.recentRuns, now - endpoint.reportedAt, m_settings.runsLifetime);
+    if (measured)
         service += (toSeconds(report.serviceTime) - service) * runs / (runs + m_settings.assumedRuns);
-    }
+    // A difference within the standard error does not show which server is faster, so each choice samples the times.
+    std::uniform_real_distribution<double> sample(-1, 1);
+    service *= 1 + sample(m_random) / std::sqrt(runs + m_settings.assumedRuns);
     const double limit = std::max(1U, report.limit);
     const double reportedLoad = reported ? report.running + report.queued + endpoint.sentSinceReport : 0;
     const double load = (std::max<double>(reportedLoad, endpoint.outstanding) + 1) / limit;
@@ -116,7 +119,7 @@
         if (maybeGone && conditions.reachableOnly)
             continue;
         const bool avoided = maybeGone || std::max(endpoint->avoidUntil, endpoint->suspectUntil) > now;
-        const double cost = expectedSeconds(*endpoint, unknownServiceTime, conditions.anyZone, now) * factor(m_random);
+        const double cost = sampleExpectedSeconds(*endpoint, unknownServiceTime, conditions.anyZone, now) * factor(m_random);
         if (best && (avoided != bestAvoided ? avoided : cost >= bestCost))
             continue;
         best = endpoint;
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -89,7 +89,7 @@
     const std::map<std::string, RemoteEndpoint, std::less<>>& all() const { return m_endpoints; }
 
 private:
-    double expectedSeconds(const RemoteEndpoint&, Duration unknownServiceTime, bool anyZone, TimePoint now) const;
+    double sampleExpectedSeconds(const RemoteEndpoint&, Duration unknownServiceTime, bool anyZone, TimePoint now);
     Duration typicalServiceTime(const std::vector<RemoteEndpoint*>&, TimePoint now) const;
     bool hasReport(const RemoteEndpoint&, TimePoint now) const;
 
--- a/Tests/MeshDecisionsTest.cpp
+++ b/Tests/MeshDecisionsTest.cpp
@@ -305,6 +305,39 @@
     EXPECT_GE(chosen["stalled"], counted * 3 / 10); // Three fifths of an equal share
 }
 
+// One run in fifty is measured during a stall; a third of the requests are 66.
+TEST(StalledRuns, EqualBackendServersKeepTheirSharesWhenFewRunsTakeLonger)
+{
+    constexpr auto runTime = 20ms;
+    constexpr size_t counted = 200;
+    constexpr size_t leastShare = 40;
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        const MeshSettings settings;
+        RemoteEndpoints endpoints(settings, "zone-a");
+        std::map<std::string, EndpointQueue> queues;
+        std::minstd_rand random(seed);
+        std::bernoulli_distribution isStalled(0.02);
+        TimePoint now = start;
+        for (const std::string name : { "a", "b", "c" }) {
+            endpoints.update({ name, "zone-a", name + ":1", "s" });
+            queues.try_emplace(name, settings).first->second.setSlots(100);
+            endpoints.recordReport(name, queues.at(name).report(true, now), now);
+        }
+        for (int window = 0; window < 20; ++window) {
+            std::map<std::string, size_t> chosen;
+            for (size_t i = 0; i < counted; ++i) {
+                const auto name = endpoints.choose("s", now, {})->member.name;
+                ++chosen[name];
+                now += runTime / 2;
+                queues.at(name).recordServiceTime(isStalled(random) ? 3 * runTime : runTime, now);
+                endpoints.recordReport(name, queues.at(name).report(true, now), now);
+            }
+            for (const auto& [name, queue] : queues)
+                EXPECT_GE(chosen[name], leastShare) << name << ", seed " << seed;
+        }
+    }
+}
+
 TEST(StoreReaders, AreTheSameOnAllMembersAndExcludeUnreachableOnes)
 {
     const MeshSettings settings;
