--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -94,7 +94,7 @@
         unsigned queries { 0 };
         uint64_t executorCallID { 0 };
         std::optional<Result<HTTPResponse>> earlierResponse; // May have executed; a later "not executed" must not replace it
-        std::optional<Error> refusal; // The last one for lack of capacity
+        std::optional<Error> refusal;                        // The last one for lack of capacity
         bool attemptInProgress { false };
         bool hasToken { false }; // A token of the organisation's rate, granted by a ledger
     };
