--- a/Tests/EndpointResponsesTest.cpp
+++ b/Tests/EndpointResponsesTest.cpp
@@ -211,7 +211,7 @@
             const auto final = param.closes ? unframed : RawEndpoint::responseTo(attempt, "whole");
             timers.push_back(std::make_unique<Timer>());
             timers.back()->startOnce(
-                i * 10ms, [&, last, connection = RefPtr(&socket), text = param.pieces[i] + (last ? final : "")] {
+                i * 10ms, [&, last, connection = RefPtr<StreamSocket>(&socket), text = param.pieces[i] + (last ? final : "")] {
                     connection->write(text);
                     if (last && param.closes)
                         connection->close();
