Don't report a request that was sent twice as not run

Callers of idempotent routes could get 503, "not run", for a request that may have begun: one whose reused connection broke within 20 ms is sent again on a new connection, and when that one was refused (503 of the backend server, 421, no connection, no socket) the outcome was the refusal alone. Found by the review by reading; a crash at the start of a run gives exactly this order.

Now such an outcome counts as a failure of the backend server, which promises nothing and is retried within the budget. The test got 503 before.

--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -88,7 +88,7 @@
             suspectCrash(now); // It has too many connections, or nothing but its kernel is there
         if (response.error().kind == ErrorKind::NoBackendServer)
             concludeCrash("refuses connections", now);
-        const bool isOwnShortage = response.error().kind == ErrorKind::Overloaded;
+        const bool isOwnShortage = response.error().kind == ErrorKind::Overloaded && !live->resent;
         if (isOwnShortage)
             response.error().retryAfter = m_queue.retryAfter(live->item.priority, now);
         finish(*live, std::move(response), !isOwnShortage, now);
@@ -177,6 +177,9 @@
 void EndpointExecutor::finish(LiveRun& live, Result<HTTPResponse> response, bool reachedBackend, TimePoint now)
 {
     const RefPtr<LiveRun> protect(&live);
+    // The first sending may have begun, whatever became of the second one.
+    if (live.resent && !response && errorInfo(response.error().kind).execution == ExecutionState::NotExecuted)
+        response = fail(ErrorKind::BackendFailed, "sent twice; " + response.error().detail);
     m_queue.remove(live.item);
     m_calls.erase(live.item.id);
     m_deadlines.remove(live.item.id);
--- a/Tests/EndpointResponsesTest.cpp
+++ b/Tests/EndpointResponsesTest.cpp
@@ -266,6 +266,22 @@
     EXPECT_EQ(raw->connectionCount(), connections + 1);
 }
 
+// The first sending may have run, so "not run" would be untrue.
+TEST_F(EndpointResponses, ARequestThatWasSentTwiceIsNotReportedAsNotRun)
+{
+    raw->setScript([&](StreamSocket& socket, const std::string& attempt) {
+        if (raw->requestCount() % 2 == 0)
+            socket.close();
+        else
+            socket.write("HTTP/1.1 503 Full\r\n" + attemptHeader + attempt + "\r\n" + std::string(platform::header::notExecuted)
+                + ": 1\r\nContent-Length: 0\r\n\r\n");
+    });
+    ASSERT_EQ(raw->requestCount(), 1U); // Of SetUp(); the next one is sent on its connection
+    const auto& exchange = mesh.wait(mesh.send(1, { "GET", "/read/1", {}, {} }));
+    EXPECT_EQ(raw->requestCount(), 3U);
+    EXPECT_EQ(exchange.status(), 502);
+}
+
 // The close with an unread body resets the connection while the daemon is still sending.
 TEST_F(EndpointResponses, AnEarlyResponseIsDeliveredWhenTheRestOfTheBodyIsNotRead)
 {
