Take a backend server with open connections for alive when it refuses a new one

A backend server at its limit of connections resets new ones, the suspicion's probe included, which is always sent on a new connection: after two of them, 50 ms apart, it counted as crashed until its next announcement and its unanswered runs as suspects. A crash ends all connections, so a failed probe is no evidence while others are open. And only a refused connect says that nobody is there; time-outs and unreachable hosts counted as well.

No test shows it.

--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -257,7 +257,7 @@
         if (end == StreamEnd::Refused)
             failExchange(ErrorKind::NoBackendServer, "the server does not accept connections");
         else
-            failExchange(ErrorKind::BackendRefused, "the server has reset a new connection");
+            failExchange(ErrorKind::BackendRefused, "the connection could not be established");
         return;
     }
     if (m_acceptsCloseDelimited && m_completion && m_responseStarted && end == StreamEnd::Clean) {
--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -131,7 +131,7 @@
     int error = 0;
     socklen_t length = sizeof error;
     if (getsockopt(m_watcher.descriptor, SOL_SOCKET, SO_ERROR, &error, &length) || error) {
-        closeAndNotify(error == ECONNRESET ? StreamEnd::Reset : StreamEnd::Refused);
+        closeAndNotify(error == ECONNREFUSED ? StreamEnd::Refused : StreamEnd::Reset);
         return;
     }
     m_connecting = false;
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -360,6 +360,11 @@
         endSuspicion(now);
         return;
     }
+    // A crash ends all connections; a backend server with too many of them refuses new ones.
+    if (m_pool.openConnections()) {
+        endSuspicion(now);
+        return;
+    }
     if (++m_failedProbes >= m_settings.crashProbes)
         concludeCrash("closes connections", now);
     else
