Cut a caller that does not read after the idle time-out, also while draining

A reader now has the idle time-out of the configuration in each state, and is cut then, as one with pipelined requests is; a leaving process ends by its shutdown time whatever is open.

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -453,14 +453,8 @@
 {
     if (m_socket->pendingBytes() != std::exchange(m_unsentBytes, m_socket->pendingBytes()))
         m_phaseStart = now;
-    const auto age = now - m_phaseStart;
-    if (!unparsed().empty()) {
-        if (age > m_limits.idleTimeout)
-            abort();
-    } else if (age > (m_draining ? std::min<Duration>(lingerTimeout, m_limits.idleTimeout) : m_limits.idleTimeout)) {
-        m_phaseStart = now;
-        finishSocket();
-    }
+    if (now - m_phaseStart > m_limits.idleTimeout)
+        abort();
 }
 
 // A client that is still reading the last response is given time, however slow it is, also when it pauses for no longer than it
