Choose members that may be gone last, and probe leaving ones, too

And a member whose leave came on a link that it had made itself was never probed: the end of such a link reports nothing. Choices rank members now; among those that may be gone, those due for a probe come first. APenalisedMemberIsChosenBeforeOneThatMayBeGone failed before.

--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace shallot {
 
@@ -13,6 +14,27 @@
 
 constexpr double costJitter = 0.1; // Random fraction of the cost, so that daemons with the same reports choose differently
 
+// Whether a request to a member is likely to be answered, the best first.
+enum class Prospect : uint8_t {
+    Good,
+    Penalised,   // It refused or failed a request, or its link is unresponsive
+    PerhapsBack, // It was gone, and is due for a probe
+    PerhapsGone,
+};
+
+bool mayBeGone(const RemoteEndpoint& endpoint)
+{
+    return endpoint.leaving || endpoint.linkFailures;
+}
+
+Prospect prospectOf(const RemoteEndpoint& endpoint, TimePoint now)
+{
+    const bool isPenalised = std::max(endpoint.avoidUntil, endpoint.suspectUntil) > now;
+    if (mayBeGone(endpoint))
+        return isPenalised ? Prospect::PerhapsGone : Prospect::PerhapsBack;
+    return isPenalised ? Prospect::Penalised : Prospect::Good;
+}
+
 } // namespace
 
 RemoteEndpoints::RemoteEndpoints(const MeshSettings& settings, std::string ownZone)
@@ -109,22 +131,21 @@
         return nullptr;
     RemoteEndpoint* best = nullptr;
     double bestCost = 0;
-    bool bestAvoided = true;
+    auto bestProspect = Prospect::Good;
     const auto unknownServiceTime = typicalServiceTime(found->second, now);
     std::uniform_real_distribution<double> factor(1, 1 + costJitter);
     for (auto* endpoint : found->second) {
         if (std::find(tried.begin(), tried.end(), endpoint->member.name) != tried.end())
             continue;
-        const bool maybeGone = endpoint->leaving || endpoint->linkFailures;
-        if (maybeGone && conditions.reachableOnly)
+        if (conditions.reachableOnly && mayBeGone(*endpoint))
             continue;
-        const bool avoided = maybeGone || std::max(endpoint->avoidUntil, endpoint->suspectUntil) > now;
+        const auto prospect = prospectOf(*endpoint, now);
         const double cost = sampleExpectedSeconds(*endpoint, unknownServiceTime, conditions.anyZone, now) * factor(m_random);
-        if (best && (avoided != bestAvoided ? avoided : cost >= bestCost))
+        if (best && std::tie(prospect, cost) >= std::tie(bestProspect, bestCost))
             continue;
         best = endpoint;
         bestCost = cost;
-        bestAvoided = avoided;
+        bestProspect = prospect;
     }
     return best;
 }
@@ -279,7 +300,7 @@
 {
     std::vector<RemoteEndpoint*> due;
     for (auto& [name, endpoint] : m_endpoints) {
-        if (endpoint.linkFailures && endpoint.avoidUntil <= now)
+        if (mayBeGone(endpoint) && endpoint.avoidUntil <= now)
             due.push_back(&endpoint);
     }
     std::sort(due.begin(), due.end(), [](const auto* a, const auto* b) { return a->avoidUntil < b->avoidUntil; });
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -72,8 +72,8 @@
     // The unreachable member of a zone that is due for a probe; null if there is none. Such a member may be back without having
     // contacted this daemon.
     const RemoteEndpoint* nextToProbe(std::string_view zone, TimePoint now) const;
-    // Addresses of unreachable members of any zone that are due for a probe, the longest overdue first. The next one of each is
-    // due after linkPenalty.
+    // Addresses of unreachable and leaving members of any zone that are due for a probe, the longest overdue first. The next one
+    // of each is due after linkPenalty.
     std::vector<std::string> takeProbes(size_t count, TimePoint now);
 
     void recordLeaving(std::string_view name, bool leaving);
--- a/Tests/MeshDecisionsTest.cpp
+++ b/Tests/MeshDecisionsTest.cpp
@@ -192,6 +192,18 @@
     EXPECT_EQ(choose(later), "a1");
 }
 
+TEST_F(EndpointChoice, APenalisedMemberIsChosenBeforeOneThatMayBeGone)
+{
+    report("b1", 0, 10, 60ms, start);
+    endpoints.recordFailure("b1", start);
+    endpoints.recordUnreachable("a1", start, start);
+    EXPECT_EQ(choose(start), "b1");
+    endpoints.recordReachable("a1", start);
+    endpoints.recordLeaving("a1", true); // Its link may end without a word
+    EXPECT_EQ(choose(start), "b1");
+    EXPECT_EQ(endpoints.takeProbes(4, start), std::vector<std::string> { "a1:1" });
+}
+
 TEST_F(EndpointChoice, ALongUnreachableMemberHoldsNoShareOfARate)
 {
     EXPECT_EQ(endpoints.countShareHolders(start), 2U);
