End the control port and late dispatches in order

And a request that waited for its rate's ledger was passed on after its deadline: dispatch() refuses it.

--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -201,6 +201,10 @@
 void MeshIngress::dispatch(PendingRequest& pending, TimePoint now)
 {
     const RefPtr<PendingRequest> protect(&pending);
+    if (pending.deadline <= now) {
+        respond(pending, pending.earlierResponse ? *pending.earlierResponse : fail(ErrorKind::ExpiredInQueue), now);
+        return;
+    }
     while (true) {
         auto* endpoint = m_dependencies.view.endpoints().choose(pending.call.service, now, pending.triedMembers,
             { .anyZone = pending.reroutes > 0, .reachableOnly = pending.refusal.has_value() });
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -169,6 +169,7 @@
     m_endTimer.stop();
     m_beginsNoCalls = true;
     m_links.goAway();
+    m_control.startDraining(); // Announcements that have arrived are answered
     const auto latest = MonotonicClock::now() + peersCloseTime;
     m_leaveTimer.startRepeating(peersCloseCheckInterval, [this, latest] { endWhenPeersHaveClosed(latest); });
 }
