Write the last lines of a log to a reader that is behind

Cause: the last flush was one write() that does not block, and what it did not take went with the process. The end of a process now waits up to 50 ms for the reader, out of the time that the shutdown reserves; the main loop still never waits.

--- a/Source/core/EventLog.cpp
+++ b/Source/core/EventLog.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <cstdio>
 #include <fcntl.h>
+#include <poll.h>
 #include <unistd.h>
 #include <utility>
 
@@ -17,6 +18,7 @@
 constexpr size_t flushBytes = 16 * 1024;            // Flushed at this size, so that a killed process loses little
 constexpr double linesPerSecond = 400;              // Above this rate lines are dropped and counted
 constexpr double burstLines = 800;
+constexpr auto lastFlushTime = std::chrono::milliseconds(50); // Part of the time that is reserved at the end of a shutdown
 
 struct State {
     bool isOpen { false };
@@ -144,4 +146,17 @@
     return state().dropped;
 }
 
+void EventLog::flushAtEnd()
+{
+    const auto& buffer = state().buffer;
+    const auto until = MonotonicClock::now() + lastFlushTime;
+    for (flush(); !buffer.empty() && MonotonicClock::now() < until; flush()) {
+        pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+        const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(until - MonotonicClock::now());
+        poll(&output, 1, static_cast<int>(remaining.count()));
+        if (output.revents & (POLLERR | POLLNVAL))
+            return; // Nobody reads
+    }
+}
+
 } // namespace shallot
--- a/Source/core/EventLog.h
+++ b/Source/core/EventLog.h
@@ -54,6 +54,8 @@
     static void write(std::string_view event, std::initializer_list<EventField>);
     // Writes as much of the buffer as standard output accepts.
     static void flush();
+    // Waits up to 50 ms for a reader that is behind; for the last lines of a process.
+    static void flushAtEnd();
     static uint64_t droppedLines();
 };
 
--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -163,7 +163,7 @@
             g_main_loop_run(loop);
         }
     }
-    shallot::EventLog::flush(); // Connections that the end of the process cuts
+    shallot::EventLog::flushAtEnd(); // Connections that the end of the process cuts
     g_main_loop_unref(loop);
     return status;
 }
