HTTPPoolTest: bind its own listener as the others are, beside connections in TIME_WAIT

Test processes share the port ranges, and this listener alone was bound without SO_REUSEADDR, so connections that an earlier test had closed at the port kept it. What the test asks for is unchanged.

--- a/Tests/HTTPPoolTest.cpp
+++ b/Tests/HTTPPoolTest.cpp
@@ -98,6 +98,8 @@
     native.sin_family = AF_INET;
     native.sin_port = htons(address.port);
     native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int on = 1; // Connections of an earlier test at this port may be in TIME_WAIT
+    ASSERT_EQ(::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on), 0);
     ASSERT_EQ(::bind(listener, reinterpret_cast<const sockaddr*>(&native), sizeof native), 0);
     ASSERT_EQ(::listen(listener, 1), 0);
     send();
