Count the shutdown time from the arrival of the signal

A process that handles its signal late set itself an end that lay as much too late, up to behind the kill, with its open requests unanswered. GLib hands signals over by a thread of its own, at default priority, and does not tell when they came. Now the handler records the time and wakes the main loop through a pipe at high priority; the shutdown time counts from there, and "leave" says how long ago the signal came (signalled_s_ago).

The new test handles a signal 2 s late of 3 s. It could not be written before, since leave() took no time: the end was counted from the call.

--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -7,13 +7,19 @@
 #include "platform/InstanceSettings.h"
 #include "sidecar/Sidecar.h"
 
+#include <array>
+#include <atomic>
+#include <cerrno>
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
+#include <fcntl.h>
 #include <glib-unix.h>
 #include <glib.h>
 #include <iostream>
 #include <sys/stat.h>
 #include <tclap/CmdLine.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -75,18 +81,57 @@
         shallot::EventLog::write("reload-refused", { { "detail", instance.error().detail } });
 }
 
-gboolean onTerminate(gpointer data)
+// Set by the handler of the signals, which only wakes the main loop. The shutdown time begins when the signal arrives, and a busy
+// main loop may handle it much later; GLib's signal sources pass through another thread besides and do not tell the time.
+struct ArrivedSignals {
+    std::atomic<int64_t> terminatedAt { 0 }; // Microseconds of MonotonicClock; zero before the first SIGTERM or SIGINT
+    std::atomic<bool> reload { false };
+    int wakeDescriptor { -1 };
+};
+
+ArrivedSignals arrivedSignals;
+
+extern "C" void recordSignal(int signal)
+{
+    const int savedErrno = errno;
+    int64_t none = 0;
+    if (signal == SIGHUP)
+        arrivedSignals.reload = true;
+    else
+        arrivedSignals.terminatedAt.compare_exchange_strong(none, shallot::MonotonicClock::now().time_since_epoch().count());
+    const char wake = 0;
+    [[maybe_unused]] const auto written = ::write(arrivedSignals.wakeDescriptor, &wake, sizeof wake); // A full pipe wakes as well
+    errno = savedErrno;
+}
+
+gboolean onSignals(gint descriptor, GIOCondition, gpointer data)
 {
     auto& sidecar = *static_cast<shallot::Sidecar*>(data);
-    reloadSettings(sidecar); // They may have changed without a signal, and a pending SIGHUP is handled after this signal
-    sidecar.leave();
+    std::array<char, 64> wakes {};
+    while (::read(descriptor, wakes.data(), wakes.size()) > 0) { }
+    const shallot::TimePoint terminatedAt { shallot::Duration(arrivedSignals.terminatedAt) };
+    const bool leaves = terminatedAt != shallot::TimePoint();
+    // The settings may also have changed without a signal.
+    if (arrivedSignals.reload.exchange(false) || leaves)
+        reloadSettings(sidecar);
+    if (leaves)
+        sidecar.leave(terminatedAt);
     return G_SOURCE_CONTINUE;
 }
 
-gboolean onReload(gpointer data)
+bool handleSignals(shallot::Sidecar& sidecar)
 {
-    reloadSettings(*static_cast<shallot::Sidecar*>(data));
-    return G_SOURCE_CONTINUE;
+    std::array<int, 2> wakePipe {};
+    if (pipe2(wakePipe.data(), O_NONBLOCK | O_CLOEXEC))
+        return false;
+    arrivedSignals.wakeDescriptor = wakePipe[1];
+    g_unix_fd_add_full(G_PRIORITY_HIGH, wakePipe[0], G_IO_IN, onSignals, &sidecar, nullptr);
+    struct sigaction action { };
+    action.sa_handler = recordSignal;
+    action.sa_flags = SA_RESTART;
+    for (const int signal : { SIGTERM, SIGINT, SIGHUP })
+        sigaction(signal, &action, nullptr);
+    return true;
 }
 
 // Reloads the settings when their file changes, also without SIGHUP.
@@ -155,9 +200,8 @@
             std::cerr << "shallot-sidecar: " << started.error().detail << "\n";
             status = 1;
         } else {
-            g_unix_signal_add(SIGTERM, onTerminate, &sidecar);
-            g_unix_signal_add(SIGINT, onTerminate, &sidecar);
-            g_unix_signal_add(SIGHUP, onReload, &sidecar);
+            if (!handleSignals(sidecar))
+                std::cerr << "shallot-sidecar: no pipe for signals: " << std::strerror(errno) << "\n";
             pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
             const SettingsWatch watch(sidecar);
             g_main_loop_run(loop);
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -112,21 +112,23 @@
     return {};
 }
 
-void Sidecar::leave()
+void Sidecar::leave(TimePoint signalledAt)
 {
     if (std::exchange(m_leaving, true))
         return;
-    EventLog::write("leave", { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() } });
-    // The next owners receive the ledgers before other members learn that this one leaves.
-    m_rateLimiter.handOver(MonotonicClock::now());
     const auto now = MonotonicClock::now();
+    EventLog::write("leave",
+        { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() },
+            { "signalled_s_ago", toSeconds(now - signalledAt) } });
+    // The next owners receive the ledgers before other members learn that this one leaves.
+    m_rateLimiter.handOver(now);
     const auto margin = std::min(maximumShutdownMargin, m_instance.shutdownTime / shutdownMarginDivisor);
-    const auto endBy = now + m_instance.shutdownTime - margin;
+    const auto endBy = std::max(now, signalledAt + m_instance.shutdownTime - margin);
     m_lastResponsesTime = margin / lastResponsesDivisor;
     m_executor.startLeaving(now, endBy);
     m_ingress.startLeaving(endBy);
     // Callers learn of the leave from the readiness probe; until then they are served.
-    m_refuseCallersAt = now + readinessPropagation;
+    m_refuseCallersAt = signalledAt + readinessPropagation;
     // Backend servers and other daemons end a call at its deadline by themselves, and their outcome goes first.
     m_endTimer.startOnce(endBy + margin / lastOutcomesDivisor - now, [this] { endRequests(); });
     m_leaveTimer.startRepeating(std::min<Duration>(leaveCheckInterval, margin / leaveChecksInMargin), [this] {
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -31,9 +31,9 @@
     Sidecar(platform::InstanceSettings, const MeshSettings&, std::string peerSecret);
 
     Result<void> start();
-    // Starts a graceful leave: serves open requests until they complete or the shutdown time is nearly over, then calls the
-    // handler.
-    void leave();
+    // Starts a graceful leave: serves open requests until they complete or the shutdown time, which began at `signalledAt`, is
+    // nearly over, then calls the handler.
+    void leave(TimePoint signalledAt);
     void setLeaveCompletedHandler(std::function<void()> handler) { m_onLeaveCompleted = std::move(handler); }
     // Applies settings that need no new socket: the shutdown time and the store's address.
     void applySettings(const platform::InstanceSettings&);
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -117,7 +117,7 @@
     relays[0]->holdToTarget(true);
     bool hasLeft = false;
     mesh.daemon(0).setLeaveCompletedHandler([&hasLeft] { hasLeft = true; });
-    mesh.daemon(0).leave();
+    mesh.daemon(0).leave(MonotonicClock::now());
     mesh.runFor(1s);
     const auto exchanges = sendOrders(8);
     mesh.runFor(100ms);
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -40,7 +40,7 @@
     void leave(size_t daemon)
     {
         mesh.daemon(daemon).setLeaveCompletedHandler([this] { hasLeft = true; });
-        mesh.daemon(daemon).leave();
+        mesh.daemon(daemon).leave(MonotonicClock::now());
     }
 
     SidecarHarness mesh;
@@ -198,6 +198,23 @@
     EXPECT_EQ(mesh.endpoint(0).lastNoticeStatus(), 503);
 }
 
+TEST_F(ShutdownEnd, ASignalThatIsHandledLateDoesNotMoveTheEndOfTheProcess)
+{
+    constexpr Duration shutdownTime = 3s;
+    constexpr Duration late = 2s;
+    mesh.setShutdownTime(0, shutdownTime);
+    const auto running = mesh.send(0, { "POST", "/order/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    const auto signalledAt = MonotonicClock::now() - late;
+    mesh.daemon(0).setLeaveCompletedHandler([this] { hasLeft = true; });
+    mesh.daemon(0).leave(signalledAt);
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    EXPECT_LT(MonotonicClock::now(), signalledAt + shutdownTime);
+    mesh.stop(0);
+    mesh.runFor(100ms);
+    EXPECT_EQ(running->status(), 502);
+}
+
 // Stops reading from a daemon when asked to, as a peer that is slow.
 class SlowRelay {
 public:
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -376,7 +376,7 @@
         mesh.runFor(1500ms);
         const auto other = (leaving + 1) % daemons;
         EXPECT_EQ(mesh.fetch(other, "/read/before").status(), 200);
-        mesh.daemon(leaving).leave();
+        mesh.daemon(leaving).leave(MonotonicClock::now());
         mesh.runFor(100ms);
         for (size_t i = 0; i < 20; ++i)
             EXPECT_EQ(mesh.fetch(other, "/read/after").status(), 200) << "daemon " << leaving << " leaves, request " << i;
@@ -452,7 +452,7 @@
     mesh.daemon(1).setLeaveCompletedHandler([&left] { left = true; });
     const auto exchange = mesh.send(1, { "GET", "/read/1", {}, {} });
     ASSERT_TRUE(mesh.runUntil([&] { return !open.empty(); }));
-    mesh.daemon(1).leave();
+    mesh.daemon(1).leave(MonotonicClock::now());
     EXPECT_EQ(mesh.readiness(1), 503);
     mesh.runFor(300ms);
     EXPECT_FALSE(left);
