EndpointResponsesTest: without announcements, which hid what the probes conclude

ABackendServerThatTakesNoMoreConnections... passed without as well, since an announcement put the backend server back into use. Now it gets 503 there, and 200 with it.

--- a/Tests/EndpointResponsesTest.cpp
+++ b/Tests/EndpointResponsesTest.cpp
@@ -277,6 +277,7 @@
     const auto held = mesh.send(1, { "POST", "/order/1", {}, {} });
     ASSERT_TRUE(mesh.runUntil([&] { return running.get() != nullptr; }));
     raw->refuseConnections();
+    mesh.endpoint(0).setAnnouncing(false); // An announcement would end a crash's consequences
     EXPECT_NE(order("/order/2"), 200);
     mesh.runFor(500ms); // Of probes
     running->write(RawEndpoint::responseTo(runningAttempt, "whole"));
