--- a/Source/core/Error.h
+++ b/Source/core/Error.h
@@ -23,4 +23,10 @@
     return tl::unexpected(Error { kind, std::move(detail), {} });
 }
 
+// Whether the request is known not to have run.
+inline bool isNotExecuted(const Error& error)
+{
+    return errorInfo(error.kind).execution == ExecutionState::NotExecuted;
+}
+
 } // namespace shallot
--- a/Source/daemon/CallRouter.cpp
+++ b/Source/daemon/CallRouter.cpp
@@ -13,11 +13,6 @@
 // The callee enforces the time limit too; its response gets this much longer to arrive.
 constexpr auto responseGrace = 5ms;
 
-bool wasNotExecuted(const Error& error)
-{
-    return errorInfo(error.kind).execution == ExecutionState::NotExecuted;
-}
-
 } // namespace
 
 CallRouter::CallRouter(
@@ -166,9 +161,9 @@
         return;
     }
     const auto& error = outcome.response.error();
-    if (!wasNotExecuted(error))
+    if (!isNotExecuted(error))
         call->uncertainError = error;
-    if (wasNotExecuted(error))
+    if (isNotExecuted(error))
         m_endpoints.recordRefusal(call->member, now);
     else
         m_endpoints.recordFailure(call->member, now);
@@ -205,9 +200,9 @@
     m_calls.erase(call->id);
     if (!response) {
         auto& error = response.error();
-        if (wasNotExecuted(error) && call->uncertainError.kind != ErrorKind::None)
+        if (isNotExecuted(error) && call->uncertainError.kind != ErrorKind::None)
             error = call->uncertainError;
-        const bool notExecuted = wasNotExecuted(error);
+        const bool notExecuted = isNotExecuted(error);
         ++(notExecuted ? m_counters.refused : m_counters.failed);
         if (!notExecuted && !call->context.idempotent)
             error.kind = ErrorKind::OutcomeUnknown;
--- a/Source/daemon/RequestDeduplicator.cpp
+++ b/Source/daemon/RequestDeduplicator.cpp
@@ -144,7 +144,7 @@
         return;
     auto& record = found->second;
     auto waiters = std::exchange(record.waiters, {});
-    const bool notExecuted = !response && errorInfo(response.error().kind).execution == ExecutionState::NotExecuted;
+    const bool notExecuted = !response && isNotExecuted(response.error());
     if (notExecuted) {
         release(record, now);
         record.state = State::Abandoned;
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -178,7 +178,7 @@
 {
     const RefPtr<LiveRun> protect(&live);
     // The first sending may have begun, whatever became of the second one.
-    if (live.resent && !response && errorInfo(response.error().kind).execution == ExecutionState::NotExecuted)
+    if (live.resent && !response && isNotExecuted(response.error()))
         response = fail(ErrorKind::BackendFailed, "sent twice; " + response.error().detail);
     m_queue.remove(live.item);
     m_calls.erase(live.item.id);
