--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -199,9 +199,10 @@
         if (const auto started = sidecar.start(); !started) {
             std::cerr << "shallot-sidecar: " << started.error().detail << "\n";
             status = 1;
+        } else if (!handleSignals(sidecar)) {
+            std::cerr << "shallot-sidecar: no pipe for signals: " << std::strerror(errno) << "\n";
+            status = 1;
         } else {
-            if (!handleSignals(sidecar))
-                std::cerr << "shallot-sidecar: no pipe for signals: " << std::strerror(errno) << "\n";
             pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
             const SettingsWatch watch(sidecar);
             g_main_loop_run(loop);
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -26,7 +26,7 @@
 
 constexpr auto tickInterval = 250ms;  // Monitors links, sends ledger heartbeats; equals MeshSettings::ledgerHeartbeatInterval
 constexpr uint64_t ticksPerFlush = 2; // Flushes the event log every half second
-constexpr size_t probesPerTick = 4;   // Of unreachable members: 16 a second at most
+constexpr size_t probesPerTick = 4;   // Of members that may be gone: 16 a second at most
 constexpr auto readinessPropagation = 2600ms;     // Two readiness probes, one per second, plus network latency
 constexpr auto leaveCheckInterval = 100ms;        // At most
 constexpr auto leaveChecksInMargin = 4;           // At least
