LinkEndStalledDaemon: a call at a daemon that stands still is lost with its link (fails)

Callers see: 502 "the link to ... was lost" some 1.4 s after the daemon beside their backend server has stopped to respond, though the run goes on, or has ended within its time limit.

--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -204,6 +204,38 @@
     EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
 }
 
+// The run ends while the daemon beside it can't be reached, or afterwards.
+class LinkEndStalledDaemon : public LinkEndOneBackendServer, public testing::WithParamInterface<bool> { };
+
+TEST_P(LinkEndStalledDaemon, ACallIsAnsweredWhenTheDaemonGoesOn)
+{
+    const bool endsMeanwhile = GetParam();
+    holdRuns();
+    const auto order = sendOrder();
+    const auto read = mesh.send(sender, { "GET", "/read/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 2; }));
+    forAllRelays([](LinkRelay& relay) {
+        relay.holdToTarget(true);
+        relay.holdFromTarget(true);
+    });
+    mesh.runFor(1s);
+    if (endsMeanwhile)
+        answerRuns();
+    mesh.runFor(1500ms);
+    forAllRelays([](LinkRelay& relay) {
+        relay.holdToTarget(false);
+        relay.holdFromTarget(false);
+    });
+    mesh.runFor(400ms);
+    answerRuns();
+    EXPECT_EQ(mesh.wait(order).status(), 200);
+    EXPECT_EQ(mesh.wait(read).status(), 200);
+    EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
+    EXPECT_EQ(mesh.executionCount("/read/1"), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Runs, LinkEndStalledDaemon, testing::Bool());
+
 TEST_F(LinkEndOneBackendServer, ACallAtAKilledDaemonMayHaveRun)
 {
     holdRuns();
