Let a call outlive its link until its outcome, its deadline or the end of its daemon

Callers saw: 502 "the link to ... was lost" for calls at a daemon that had stood still for over a second (a busy or migrated instance), though their runs went on or had ended within their time limit.

Cause: a call whose link had ended was asked for on a new link for 200 ms. A daemon that stands still accepts no link in that time.

Change: the sender asks until the deadline, over one new link after the other. A refused connection, three connections in a row that are closed before their handshake, or another process at the address show that the daemon is gone. A request that may run more than once is sent to another backend server after 200 ms as before, if there is one and the retry budget allows it. What ended is known at its daemon until its deadline instead of for 2 s, within the same bounds. A daemon that ends answers the queries that have reached it.

Why this works: only the daemon beside the backend server knows what became of a call, and it keeps calls without a link for 300 ms after it notices the end of that link, so that it is asked in time when it goes on. ServedCalls decides as before: at most one run, and "not begun" is never said of a call that runs or will run.

--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -59,10 +59,14 @@
     Duration announcementTimeout { 5s };
 
     // Calls whose link has ended
-    Duration callQueryTimeout { 200ms }; // Until the answer to a query on a new link; tens of round trips between zones
+    // Until a call that may run more than once is sent elsewhere if its daemon does not tell what became of it; tens of round
+    // trips between zones.
+    Duration callQueryTimeout { 200ms };
+    Duration callQueryInterval { 50ms }; // Between two links to a daemon that is asked; below detachedCallLifetime
     // How long a call runs on without a link. Longer than the query takes; a run whose caller left must end within 0.5 s.
     Duration detachedCallLifetime { 300ms };
-    Duration servedCallLifetime { 2s }; // Of what is known of a call that ended; a silent link is closed after 1.25 s
+    // How long a call is known that its sender was told would not begin; what ended is known until its deadline.
+    Duration refusedCallLifetime { 2s };
     size_t maximumServedCallRecords { 20'000 };
     size_t maximumKeptOutcomeBytes { 1024 * 1024 };
     // How long ids of a sender's process are remembered; longer than the time limit of any call.
--- a/Source/mesh/ServedCalls.cpp
+++ b/Source/mesh/ServedCalls.cpp
@@ -30,12 +30,21 @@
     return found != m_forgotten.end() && key.id <= found->second.latestID;
 }
 
-bool ServedCalls::begin(const ServedCallKey& key, TimePoint now)
+bool ServedCalls::begin(const ServedCallKey& key, TimePoint deadline, TimePoint now)
 {
     expire(now);
     if (isForgotten(key))
         return false;
-    return m_records.try_emplace(key).second;
+    const auto [record, isNew] = m_records.try_emplace(key);
+    if (isNew)
+        record->second.deadline = deadline;
+    return isNew;
+}
+
+void ServedCalls::close(const ServedCallKey& key, Record& record, State state, TimePoint knownUntil)
+{
+    record.state = state;
+    m_closed.emplace(knownUntil, key);
 }
 
 void ServedCalls::end(const ServedCallKey& key, std::optional<MeshOutcome> outcome, TimePoint now)
@@ -44,9 +53,8 @@
     if (found == m_records.end() || found->second.state != State::Open)
         return;
     auto& record = found->second;
-    record.state = State::Ended;
+    close(key, record, State::Ended, record.deadline);
     m_detached.erase(key);
-    m_closed.emplace_back(now, key);
     const auto bytes = outcome ? bytesOf(*outcome) : 0;
     if (outcome && bytes <= m_settings.maximumKeptOutcomeBytes) {
         record.outcome = std::move(outcome);
@@ -90,8 +98,7 @@
     }
     if (isForgotten(key))
         return ServedCallState::Unknown;
-    m_records[key].state = State::Refused;
-    m_closed.emplace_back(now, key);
+    close(key, m_records[key], State::Refused, now + m_settings.refusedCallLifetime);
     return ServedCallState::NotBegun;
 }
 
@@ -121,10 +128,10 @@
     return next;
 }
 
-void ServedCalls::forgetOldest(TimePoint now)
+void ServedCalls::forgetNext(TimePoint now)
 {
-    const auto key = m_closed.front().second;
-    m_closed.pop_front();
+    const auto key = m_closed.begin()->second;
+    m_closed.erase(m_closed.begin());
     auto& forgotten = m_forgotten[{ key.sender, key.boot }];
     forgotten.latestID = std::max(forgotten.latestID, key.id);
     forgotten.changedAt = now;
@@ -136,10 +143,8 @@
 
 void ServedCalls::expire(TimePoint now)
 {
-    while (!m_closed.empty()
-        && (now - m_closed.front().first >= m_settings.servedCallLifetime
-            || m_closed.size() > m_settings.maximumServedCallRecords))
-        forgetOldest(now);
+    while (!m_closed.empty() && (now >= m_closed.begin()->first || m_closed.size() > m_settings.maximumServedCallRecords))
+        forgetNext(now);
     while (!m_kept.empty() && !outcomeOf(m_kept.front()))
         m_kept.pop_front();
     // The entry of a process matters while a call of it may be asked for or arrive; checked rarely, since there are few of them.
--- a/Source/mesh/ServedCalls.h
+++ b/Source/mesh/ServedCalls.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace shallot {
@@ -37,8 +38,8 @@
     {
     }
 
-    // Whether an arriving call may be begun; it counts as begun then.
-    bool begin(const ServedCallKey&, TimePoint now);
+    // Whether an arriving call may be begun; it counts as begun then. Its sender asks for it until the deadline.
+    bool begin(const ServedCallKey&, TimePoint deadline, TimePoint now);
     // Without an outcome it was cancelled.
     void end(const ServedCallKey&, std::optional<MeshOutcome>, TimePoint now);
     // The link of the call has ended.
@@ -62,6 +63,7 @@
 
     struct Record {
         State state { State::Open };
+        TimePoint deadline {};
         std::optional<MeshOutcome> outcome;
         size_t bytes { 0 }; // Of the outcome
     };
@@ -74,14 +76,15 @@
     using Process = std::pair<std::string, uint64_t>;
 
     bool isForgotten(const ServedCallKey&) const;
-    void forgetOldest(TimePoint now);
+    void close(const ServedCallKey&, Record&, State, TimePoint knownUntil);
+    void forgetNext(TimePoint now);
     void dropOutcome(Record&);
 
     const MeshSettings& m_settings;
     std::map<ServedCallKey, Record> m_records;
-    std::deque<std::pair<TimePoint, ServedCallKey>> m_closed; // Ended or refused, the oldest first
-    std::deque<ServedCallKey> m_kept;                         // With an outcome, the oldest first
-    std::map<ServedCallKey, TimePoint> m_detached;            // Open calls without a link, since when
+    std::set<std::pair<TimePoint, ServedCallKey>> m_closed; // Ended or refused, by when they are forgotten
+    std::deque<ServedCallKey> m_kept;                       // With an outcome, the oldest first
+    std::map<ServedCallKey, TimePoint> m_detached;          // Open calls without a link, since when
     std::map<Process, ForgottenCalls> m_forgotten;
     TimePoint m_processesCheckedAt {};
     size_t m_keptBytes { 0 };
--- a/Source/net/PeerLink.cpp
+++ b/Source/net/PeerLink.cpp
@@ -49,8 +49,12 @@
     m_socket->setUserTimeout(unacknowledgedTimeout);
     m_socket->start({
         [this](std::span<const uint8_t> bytes) { onData(bytes); },
-        nullptr,
-        [this](StreamEnd) { fail("closed by the peer"); },
+        [this] { m_connected = true; },
+        [this](StreamEnd end) {
+            m_refused = end == StreamEnd::Refused;
+            m_rejected = m_connected && !m_established;
+            fail(m_refused ? "refused by the peer" : "closed by the peer");
+        },
     });
     m_handshakeTimer.startOnce(handshakeTimeout, [this] { fail("the handshake did not complete in time"); });
     wire::FrameT frame;
--- a/Source/net/PeerLink.h
+++ b/Source/net/PeerLink.h
@@ -53,6 +53,10 @@
     uint64_t bytesSent() const { return m_bytesSent; }
     // Bytes that the kernel has not taken yet; zero before the handshake is complete.
     size_t unsentBytes() const;
+    // Whether it ended because nobody accepts connections at the peer's address.
+    bool wasRefused() const { return m_refused; }
+    // Whether the peer accepted the connection and closed it before the handshake was complete.
+    bool wasRejected() const { return m_rejected; }
     // Why the link was closed; empty while it is open.
     const std::string& endReason() const { return m_endReason; }
 
@@ -81,6 +85,9 @@
     bool m_initiator { false };
     bool m_compresses { false }; // Set when the peer's zone is known
     bool m_established { false };
+    bool m_connected { false };
+    bool m_refused { false };
+    bool m_rejected { false };
 };
 
 } // namespace shallot
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -33,7 +33,7 @@
 MeshIngress::MeshIngress(MeshIngressDependencies dependencies)
     : m_dependencies(std::move(dependencies))
     , m_deadlines([this](uint64_t id) { onDeadline(id); })
-    , m_queryDeadlines([this](uint64_t id) { onQueryTimeout(id); })
+    , m_queries([this](uint64_t id) { onQueryDue(id); })
 {
 }
 
@@ -254,7 +254,7 @@
         return;
     m_attempts.erase(pending.attempt);
     if (std::exchange(pending.awaitsState, false))
-        m_queryDeadlines.remove(pending.id);
+        m_queries.remove(pending.id);
     m_dependencies.view.endpoints().recordCompleted(pending.member);
     if (pending.link)
         m_dependencies.links.removeOutstanding(*pending.link);
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -63,6 +63,7 @@
     void onCallState(PeerLink&, const wire::CallStateT&);
     // The daemon at the other end begins no call on this link that it has not answered.
     void onGoAway(PeerLink&);
+    bool hasAttemptsOn(const PeerLink& link) const { return !attemptsOn(link).empty(); }
     void onLinkClosed(PeerLink&);
     size_t inProgress() const { return m_pending.size(); }
     size_t openConnections() const { return m_server.connectionCount(); }
@@ -90,8 +91,8 @@
         RefPtr<PeerLink> link;          // Null while the local executor runs the attempt
         uint64_t memberBoot { 0 };      // Process that got the attempt; set when its link ends
         bool awaitsState { false };     // The member is asked on a new link what became of the attempt
-        TimePoint queryUntil {};
-        unsigned queries { 0 };
+        TimePoint awaitsStateSince {};
+        unsigned rejectedLinks { 0 }; // Successive, while it awaits the state
         uint64_t executorCallID { 0 };
         std::optional<Result<HTTPResponse>> earlierResponse; // May have executed; a later "not executed" must not replace it
         std::optional<Error> refusal;                        // The last one for lack of capacity
@@ -110,9 +111,12 @@
     void onOutcome(PendingRequest&, MeshOutcome, TimePoint now);
     bool mayRetry(PendingRequest&, const MeshOutcome&, TimePoint now);
     std::vector<RefPtr<PendingRequest>> attemptsOn(const PeerLink&) const;
-    bool queryAttempt(PendingRequest&, const PeerLink& ended, TimePoint now);
-    void onQueryTimeout(uint64_t id);
+    void awaitState(PendingRequest&, const PeerLink& ended, TimePoint now);
+    void queryState(PendingRequest&, TimePoint now);
+    void onQueryDue(uint64_t id);
+    bool replaceAttempt(PendingRequest&, TimePoint now);
     void loseAttempt(PendingRequest&, TimePoint now);
+    void repeat(PendingRequest&, MeshOutcome, TimePoint now);
     void endAttempt(PendingRequest&);
     void cancelAttempt(PendingRequest&);
     Duration retryAfterFor(const PendingRequest&, Duration capacityAfter) const;
@@ -131,7 +135,7 @@
     std::map<std::pair<std::string, RequestOrigin>, RetryBudgetShare> m_retryBudgets; // By service and origin
     ScheduledRetries m_scheduledRetries;
     DeadlineQueue m_deadlines;
-    DeadlineQueue m_queryDeadlines;
+    DeadlineQueue m_queries; // Of requests that await the state of their attempt: when to ask again
     uint64_t m_nextID { 1 };
     bool m_leaving { false };
     bool m_refusesCallers { false };
--- a/Source/sidecar/MeshIngressOutcomes.cpp
+++ b/Source/sidecar/MeshIngressOutcomes.cpp
@@ -1,6 +1,6 @@
 // Index of this file
-//   Outcomes:   onResponse, onGoAway, onLinkClosed, attemptsOn, onOutcome, mayRetry
-//   Lost links: queryAttempt, onCallState, onQueryTimeout, loseAttempt
+//   Outcomes:   onResponse, onGoAway, onLinkClosed, attemptsOn, onOutcome, mayRetry, repeat
+//   Lost links: awaitState, queryState, onQueryDue, onCallState, replaceAttempt, loseAttempt
 //   Responses:  retryAfterFor, respond, logCompletion, onDisconnect, onDeadline
 
 #include "sidecar/MeshIngress.h"
@@ -23,7 +23,7 @@
 
 namespace {
 
-constexpr unsigned maximumQueries = 3; // On successive new links
+constexpr unsigned maximumRejectedLinks = 3; // Then no daemon serves links there; one that lacks sockets has some again by then
 
 } // namespace
 
@@ -55,10 +55,8 @@
     report.available = false;
     report.leaving = true;
     for (const auto& pending : attemptsOn(link)) {
-        // The promise does not cover a call that was sent on another link.
-        if (pending->awaitsState)
-            loseAttempt(*pending, now);
-        else
+        // The promise does not cover a call that was sent on another link; the reply to its query follows.
+        if (!pending->awaitsState)
             onOutcome(*pending, { fail(ErrorKind::Draining, pending->member + " has ended"), report, false }, now);
     }
 }
@@ -72,31 +70,51 @@
         const bool wasSent = link.isEstablished() || pending->awaitsState;
         if (!wasSent)
             onOutcome(*pending, { fail(ErrorKind::NoBackendServer, "no link to " + pending->member), report, false }, now);
-        else if (!queryAttempt(*pending, link, now))
+        else if (link.wasRefused() || (link.wasRejected() && ++pending->rejectedLinks >= maximumRejectedLinks))
             loseAttempt(*pending, now);
+        else
+            awaitState(*pending, link, now);
     }
 }
 
-// Only the daemon beside the backend server knows whether it has begun the call. It is asked on a new link.
-bool MeshIngress::queryAttempt(PendingRequest& pending, const PeerLink& ended, TimePoint now)
+// An attempt outlives its link: it ends with its response, at its deadline, or when its daemon is gone. Only that daemon knows
+// whether the call was begun, so it is asked over new links, at once and then at intervals.
+void MeshIngress::awaitState(PendingRequest& pending, const PeerLink& ended, TimePoint now)
 {
-    // After the deadline it may have forgotten the call.
-    if (pending.deadline <= now)
-        return false;
-    if (!std::exchange(pending.awaitsState, true)) {
-        pending.memberBoot = ended.peerBoot();
-        pending.queries = 0;
-        pending.queryUntil = std::min(now + m_dependencies.settings.callQueryTimeout, pending.deadline);
-        m_queryDeadlines.set(pending.id, pending.queryUntil);
+    if (std::exchange(pending.awaitsState, true)) {
+        m_queries.set(pending.id, now + m_dependencies.settings.callQueryInterval);
+        return;
+    }
+    pending.memberBoot = ended.peerBoot();
+    pending.awaitsStateSince = now;
+    pending.rejectedLinks = 0;
+    queryState(pending, now);
+}
+
+void MeshIngress::queryState(PendingRequest& pending, TimePoint now)
+{
+    const auto& settings = m_dependencies.settings;
+    const auto link = m_dependencies.links.linkTo(pending.address);
+    if (!link || !link->send(makeCallQueryFrame(pending.attempt, pending.memberBoot))) {
+        m_queries.set(pending.id, now + settings.callQueryInterval);
+        return;
     }
-    if (now >= pending.queryUntil || ++pending.queries > maximumQueries)
-        return false;
-    auto link = m_dependencies.links.linkTo(pending.address);
-    if (!link || !link->send(makeCallQueryFrame(pending.attempt, pending.memberBoot)))
-        return false;
     pending.link = link;
     m_dependencies.links.addOutstanding(*link);
-    return true;
+    m_queries.set(pending.id, now + settings.callQueryTimeout);
+}
+
+void MeshIngress::onQueryDue(uint64_t id)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end() || !found->second->awaitsState)
+        return;
+    const auto pending = found->second;
+    const auto now = MonotonicClock::now();
+    const bool mayReplace = now >= pending->awaitsStateSince + m_dependencies.settings.callQueryTimeout;
+    if ((mayReplace && replaceAttempt(*pending, now)) || pending->link->isOpen())
+        return;
+    queryState(*pending, now);
 }
 
 void MeshIngress::onCallState(PeerLink& link, const wire::CallStateT& message)
@@ -109,7 +127,7 @@
     const auto state = static_cast<ServedCallState>(message.state);
     if (state == ServedCallState::InProgress) {
         pending->awaitsState = false;
-        m_queryDeadlines.remove(pending->id);
+        m_queries.remove(pending->id);
         return;
     }
     if (state != ServedCallState::NotBegun || pending->deadline <= now) {
@@ -121,18 +139,20 @@
     onOutcome(*pending, { fail(ErrorKind::NoBackendServer, "the call did not reach " + pending->member), report, false }, now);
 }
 
-void MeshIngress::onQueryTimeout(uint64_t id)
+// Sends the request to another backend server if it may run again; otherwise it waits for its daemon.
+bool MeshIngress::replaceAttempt(PendingRequest& pending, TimePoint now)
 {
-    const auto found = m_pending.find(id);
-    if (found == m_pending.end() || !found->second->awaitsState)
-        return;
-    const auto pending = found->second;
-    const auto link = pending->link;
-    const auto attempt = pending->attempt;
-    loseAttempt(*pending, MonotonicClock::now());
-    // The query may still arrive, and the call would go on.
-    if (link)
-        link->send(makeCancelFrame(attempt));
+    const MeshOutcome lost { fail(ErrorKind::BackendFailed, "no link to " + pending.member), {}, true };
+    ++pending.backendsReached;
+    const bool hasOthers = m_dependencies.view.endpoints().choose(pending.call.service, now, pending.triedMembers) != nullptr;
+    if (!hasOthers || !mayRetry(pending, lost, now)) {
+        --pending.backendsReached;
+        return false;
+    }
+    const RefPtr<PendingRequest> protect(&pending);
+    cancelAttempt(pending);
+    repeat(pending, lost, now);
+    return true;
 }
 
 void MeshIngress::loseAttempt(PendingRequest& pending, TimePoint now)
@@ -160,24 +180,27 @@
     if (!outcome.response && outcome.reachedBackend)
         endpoints.recordFailure(pending.member, now);
     const bool mayHaveExecuted = outcome.response || !isNotExecuted(outcome.response.error());
-    if (mayRetry(pending, outcome, now)) {
-        EventLog::write("request-repeated",
-            { { "request", pending.attemptID }, { "member", pending.member }, { "service", pending.call.service },
-                { "reason", outcome.response ? "status" : errorInfo(outcome.response.error().kind).name },
-                { "arrivals", pending.backendsReached }, { "reroutes", pending.reroutes } });
-        if (mayHaveExecuted)
-            pending.earlierResponse = std::move(outcome.response);
-        else if (outcome.response.error().kind == ErrorKind::Overloaded)
-            pending.refusal = std::move(outcome.response.error());
-        dispatch(pending, now);
-        return;
-    }
-    if (!mayHaveExecuted && pending.earlierResponse)
+    if (mayRetry(pending, outcome, now))
+        repeat(pending, std::move(outcome), now);
+    else if (!mayHaveExecuted && pending.earlierResponse)
         respond(pending, *pending.earlierResponse, now);
     else
         respond(pending, outcome.response, now);
 }
 
+void MeshIngress::repeat(PendingRequest& pending, MeshOutcome outcome, TimePoint now)
+{
+    EventLog::write("request-repeated",
+        { { "request", pending.attemptID }, { "member", pending.member }, { "service", pending.call.service },
+            { "reason", outcome.response ? "status" : errorInfo(outcome.response.error().kind).name },
+            { "arrivals", pending.backendsReached }, { "reroutes", pending.reroutes } });
+    if (outcome.response || !isNotExecuted(outcome.response.error()))
+        pending.earlierResponse = std::move(outcome.response);
+    else if (outcome.response.error().kind == ErrorKind::Overloaded)
+        pending.refusal = std::move(outcome.response.error());
+    dispatch(pending, now);
+}
+
 bool MeshIngress::mayRetry(PendingRequest& pending, const MeshOutcome& outcome, TimePoint now)
 {
     if (pending.deadline <= now || now >= m_endBy)
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -327,7 +327,8 @@
         return; // The sender dispatches it elsewhere when it reads this daemon's last message
     const auto now = MonotonicClock::now();
     const ServedCallKey key { link.peer(), link.peerBoot(), frame.id };
-    if (!m_servedCalls.begin(key, now)) {
+    auto call = readMeshCall(frame);
+    if (!m_servedCalls.begin(key, now + call.context.remaining, now)) {
         EventLog::write("call-late", { { "peer", key.sender }, { "call", key.id } });
         link.send(makeMeshAnswerFrame(key.id, { fail(ErrorKind::NoBackendServer, "it arrived late"), m_executor.report(now) }));
         return;
@@ -335,7 +336,7 @@
     // The completion may be called before submit() returns.
     m_served[key] = { &link, 0 };
     const auto executorCallID
-        = m_executor.submit(readMeshCall(frame), now, [this, key](MeshOutcome outcome) { answerCall(key, std::move(outcome)); });
+        = m_executor.submit(std::move(call), now, [this, key](MeshOutcome outcome) { answerCall(key, std::move(outcome)); });
     if (const auto found = m_served.find(key); found != m_served.end())
         found->second.executorCallID = executorCallID;
 }
@@ -399,7 +400,8 @@
 {
     EventLog::write("link-goes-away", { { "peer", link.peer() } });
     m_ingress.onGoAway(link);
-    link.close();
+    if (!m_ingress.hasAttemptsOn(link))
+        link.close();
 }
 
 void Sidecar::onLinkClosed(PeerLink& link)
--- a/Tests/ServedCallsFuzzTest.cpp
+++ b/Tests/ServedCallsFuzzTest.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr TimePoint start { 1000s };
+constexpr Duration timeLimit = 2s;
 constexpr size_t actionsPerCase = 200;
 using Actions = std::vector<std::pair<int, int>>;
 
@@ -43,7 +44,7 @@
             return;
         const auto id = *std::next(m_onTheWay.begin(), static_cast<ptrdiff_t>(choice % m_onTheWay.size()));
         m_onTheWay.erase(id);
-        if (!m_calls.begin(keyOf(id), m_now))
+        if (!m_calls.begin(keyOf(id), m_now + timeLimit, m_now))
             return;
         RC_ASSERT(!m_begun.contains(id));
         RC_ASSERT(!m_elsewhere.contains(id));
@@ -161,24 +162,24 @@
 {
     const MeshSettings settings;
     ServedCalls calls(settings);
-    EXPECT_TRUE(calls.begin({ "daemon-1", 1, 7 }, start));
+    EXPECT_TRUE(calls.begin({ "daemon-1", 1, 7 }, start + timeLimit, start));
     calls.end({ "daemon-1", 1, 7 }, outcomeWith("of the former process"), start);
     EXPECT_EQ(calls.query({ "daemon-1", 2, 7 }, start), ServedCallState::NotBegun);
     EXPECT_EQ(calls.query({ "daemon-2", 1, 7 }, start), ServedCallState::NotBegun);
     EXPECT_EQ(calls.query({ "daemon-1", 1, 7 }, start), ServedCallState::Ended);
-    EXPECT_FALSE(calls.begin({ "daemon-1", 2, 7 }, start));
+    EXPECT_FALSE(calls.begin({ "daemon-1", 2, 7 }, start + timeLimit, start));
 }
 
 TEST(ServedCalls, NothingIsClaimedOfCallsThatMayHaveBeenForgotten)
 {
     const MeshSettings settings;
     ServedCalls calls(settings);
-    EXPECT_TRUE(calls.begin(keyOf(7), start));
+    EXPECT_TRUE(calls.begin(keyOf(7), start + timeLimit, start));
     calls.end(keyOf(7), outcomeWith("done"), start);
-    const auto later = start + settings.servedCallLifetime;
+    const auto later = start + timeLimit;
     EXPECT_EQ(calls.query(keyOf(7), later), ServedCallState::Unknown);
     EXPECT_EQ(calls.query(keyOf(6), later), ServedCallState::Unknown);
-    EXPECT_FALSE(calls.begin(keyOf(6), later));
+    EXPECT_FALSE(calls.begin(keyOf(6), later + timeLimit, later));
     EXPECT_EQ(calls.query(keyOf(8), later), ServedCallState::NotBegun);
 }
 
