Don't read what crosses the close of an idle connection

Callers saw: a request on a kept connection, sent while the daemon closes it (2.6 s after SIGTERM, or after the idle time-out), ended with a closed connection. The daemon had read all of it and dropped it. A caller far away (over 0.1 s each way) sees that end more than 0.2 s after its last byte, and does not know that the request was never looked at.

Cause: an idle connection was closed as one is behind a response: shut down for sending, then read until the client closes, so that a reset does not overtake the response. An idle connection has nothing to protect.

Why this works: it is closed at once. A request that arrives later meets no connection, is read by no process, and the kernel's reset says so. A connection whose last response is younger than the linger time is closed as before. The process does not wait for idle clients to close either.

Evidence: ShutdownEndFarAway.ARequestThatCrossesTheCloseOfAnIdleConnectionIsNotRead (a relay with 300 ms each way), before: "Value of: relay->wasReset() Actual: false", passes now.

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -410,6 +410,12 @@
         m_socket->readNow();
     if (!isIdle())
         return;
+    // The client has read the last response by then. A request that crosses the close must not be read: it would have no answer,
+    // and the reset by the kernel tells the client so.
+    if (!m_hasServed || now - m_phaseStart >= lingerTimeout) {
+        onSocketClosed(StreamEnd::Clean);
+        return;
+    }
     m_phaseStart = now;
     finishSocket();
 }
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -19,6 +19,12 @@
 
 using namespace std::chrono_literals;
 
+std::string request(const std::string& line, const std::string& id)
+{
+    return line + " HTTP/1.1\r\nHost: app\r\n" + std::string(platform::header::attemptID) + ": " + id + "\r\n"
+        + std::string(platform::header::key) + ": key-1\r\nContent-Length: 0\r\n\r\n";
+}
+
 class ShutdownEnd : public testing::Test {
 protected:
     explicit ShutdownEnd(const std::vector<std::string>& locations = { "zone-a/alpha", "zone-a/beta" })
@@ -106,10 +112,6 @@
 TEST_F(ShutdownEnd, ARequestBehindOneThatEndsWithAShortShutdownTimeIsNotPassedOn)
 {
     mesh.setShutdownTime(0, 2s);
-    const auto request = [](const std::string& line, const std::string& id) {
-        return line + " HTTP/1.1\r\nHost: app\r\n" + std::string(platform::header::attemptID) + ": " + id + "\r\n"
-            + std::string(platform::header::key) + ": key-1\r\nContent-Length: 0\r\n\r\n";
-    };
     std::string received;
     const auto socket = StreamSocket::connect(mesh.callersAddress(0));
     socket->start(
@@ -294,6 +296,78 @@
     EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
 }
 
+// Between one caller and a daemon: bytes and ends arrive late, as over a long distance.
+class FarRelay {
+public:
+    FarRelay(const SocketAddress& own, const SocketAddress& target)
+    {
+        const auto started = m_listener.start(own, [this, target](RefPtr<StreamSocket> socket) {
+            m_caller = std::move(socket);
+            m_daemon = StreamSocket::connect(target);
+            m_caller->start({ [this](std::span<const uint8_t> bytes) { forward(*m_daemon, bytes); }, nullptr,
+                [this](StreamEnd) { later([this] { m_daemon->finish(); }); } });
+            m_daemon->start({ [this](std::span<const uint8_t> bytes) { forward(*m_caller, bytes); }, nullptr,
+                [this](StreamEnd end) { m_wasReset = end == StreamEnd::Reset; },
+                [this] {
+                    m_daemonHasClosed = true;
+                    later([this] { m_caller->finish(); });
+                    return true;
+                } });
+        });
+        EXPECT_TRUE(started.has_value());
+    }
+    bool daemonHasClosed() const { return m_daemonHasClosed; }
+    // What was sent to the daemon last met a closed connection, so no process has read it.
+    bool wasReset() const { return m_wasReset; }
+
+private:
+    void forward(StreamSocket& to, std::span<const uint8_t> bytes)
+    {
+        later([&to, text = std::string(bytes.begin(), bytes.end())] { to.write(text); });
+    }
+    void later(std::function<void()> function)
+    {
+        m_arrivals.push_back(std::make_unique<Timer>());
+        m_arrivals.back()->startOnce(300ms, std::move(function));
+    }
+
+    Listener m_listener;
+    RefPtr<StreamSocket> m_caller;
+    RefPtr<StreamSocket> m_daemon;
+    std::vector<std::unique_ptr<Timer>> m_arrivals;
+    bool m_daemonHasClosed { false };
+    bool m_wasReset { false };
+};
+
+class ShutdownEndFarAway : public ShutdownEnd {
+protected:
+    void SetUp() override
+    {
+        ShutdownEnd::SetUp();
+        const SocketAddress address { "127.0.0.1", nextBasePort() };
+        relay = std::make_unique<FarRelay>(address, mesh.callersAddress(1));
+        caller = StreamSocket::connect(address);
+        caller->start(
+            { [this](std::span<const uint8_t> bytes) { received.append(bytes.begin(), bytes.end()); }, nullptr, nullptr });
+        caller->write(request("GET /inner/1", "first"));
+        ASSERT_TRUE(mesh.runUntil([this] { return received.find("HTTP/1.1 200") != std::string::npos; }));
+    }
+
+    std::unique_ptr<FarRelay> relay;
+    RefPtr<StreamSocket> caller;
+    std::string received;
+};
+
+TEST_F(ShutdownEndFarAway, ARequestThatCrossesTheCloseOfAnIdleConnectionIsNotRead)
+{
+    leave(1);
+    ASSERT_TRUE(mesh.runUntil([this] { return relay->daemonHasClosed(); }));
+    caller->write(request("POST /order/2", "second"));
+    mesh.runFor(500ms);
+    EXPECT_TRUE(relay->wasReset());
+    EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+}
+
 TEST(ShutdownQueue, ALongQueueIsRefusedInBoundedStackSpace)
 {
     constexpr size_t calls = 20'000;
