Answer requests on idle connections for as long as a leaving process stays

Callers saw: 2.6 s after SIGTERM all idle kept connections were closed although the process stayed for seconds, for requests that it had passed on to other daemons. Whatever was on its way to it then met a closed connection.

Cause: only the runs of the local backend server kept connections open.

Why this works: the connections stay until nothing is in progress, and what arrives gets 503 with Retry-After. The process does not stay for the sake of an idle connection: with nothing in progress it closes them, since its backend server is out of use until the next process is there.

Evidence: ShutdownEndFarAway.ARequestOnAnIdleConnectionIsAnsweredWhileTheProcessHasToStay, before: no 503 in what was received.

--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -141,13 +141,14 @@
     });
 }
 
-// The runs of the local backend server may still make calls, which arrive here as well.
+// The runs of the local backend server may still make calls, which arrive here as well. A request on an idle connection would
+// cross its close, so they stay open for as long as the process does.
 void Sidecar::stopAcceptingWhenDue(TimePoint now)
 {
     if (m_stoppedAccepting || now < m_refuseCallersAt)
         return;
     m_ingress.refuseCallers();
-    if (m_executor.inProgress())
+    if (m_executor.inProgress() || m_ingress.inProgress())
         return;
     m_stoppedAccepting = true;
     m_ingress.stopAccepting();
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -368,6 +368,22 @@
     EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
 }
 
+TEST_F(ShutdownEndFarAway, ARequestOnAnIdleConnectionIsAnsweredWhileTheProcessHasToStay)
+{
+    const auto running = mesh.send(1, { "POST", "/order/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    leave(1);
+    mesh.runFor(3200ms); // Callers have been told by then
+    caller->write(request("POST /order/2", "second"));
+    EXPECT_TRUE(mesh.runUntil([this] { return relay->daemonHasClosed(); }));
+    mesh.runFor(400ms);
+    EXPECT_NE(received.find("HTTP/1.1 503"), std::string::npos) << received;
+    EXPECT_EQ(mesh.executionCount("/order/2"), 0U);
+    EndpointStandin::respond(*held.front().first, held.front().second);
+    EXPECT_EQ(mesh.wait(running).status(), 200);
+    EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+}
+
 TEST(ShutdownQueue, ALongQueueIsRefusedInBoundedStackSpace)
 {
     constexpr size_t calls = 20'000;
