Let the calls of a run end with the run at a shutdown, not before

Callers saw: a call that a running request makes while its daemon leaves had the end of the shutdown as its time limit. Its run at another daemon was broken off there with 504 although its own time limit lay later, a tenth of a second before the run that waited for it was ended.

Cause: all requests that arrive while a daemon leaves were clipped at the end.

Why this works: a call keeps its own time limit. When the run that made it ends, its backend server cancels it; one that goes on is answered with 502 in the last step. Refusing at once what might last longer than the shutdown was weighed: it would fail most runs of the last seconds for calls that take milliseconds.

Evidence: ShutdownEnd.TheCallsOfARunAreNotBrokenOffBeforeTheRun, before: the run of the call disconnected and 504.

--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -134,7 +134,8 @@
         pending.parent = m_dependencies.executor.findParent(caller->attemptID, timeLimit, now);
     if ((m_refusesCallers && !pending.parent) || now >= m_endBy)
         return tl::unexpected(Error { ErrorKind::Draining, "this daemon is stopping", restartRetryAfter });
-    pending.deadline = std::min(now + timeLimit, m_endBy);
+    // A run and its calls end together, see endAll().
+    pending.deadline = pending.parent ? now + timeLimit : std::min(now + timeLimit, m_endBy);
     context.priority = pending.parent ? nestedCallPriority(pending.parent->priority)
                                       : priorityOfRank(view.routes()->rankOf(*route, pending.organisation));
     context.hops = pending.parent ? static_cast<uint8_t>(pending.parent->hops + 1) : 0;
@@ -281,12 +282,14 @@
     m_endBy = endBy;
 }
 
-void MeshIngress::endAll(TimePoint now)
+void MeshIngress::endAll(RequestOrigin origin, TimePoint now)
 {
     m_endBy = std::min(m_endBy, now);
     std::vector<RefPtr<PendingRequest>> open;
-    for (const auto& [id, pending] : m_pending)
-        open.push_back(pending);
+    for (const auto& [id, pending] : m_pending) {
+        if ((origin == RequestOrigin::BackendServer) == pending->parent.has_value())
+            open.push_back(pending);
+    }
     for (const auto& pending : open) {
         if (pending->attemptInProgress)
             respond(*pending, fail(ErrorKind::BackendFailed, "the shutdown time of this daemon is over"), now);
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -52,8 +52,8 @@
     void startLeaving(TimePoint endBy);
     // Serves only calls of the local backend server's runs from now on.
     void refuseCallers() { m_refusesCallers = true; }
-    // Responds to all open requests.
-    void endAll(TimePoint now);
+    // Responds to all open requests of this origin.
+    void endAll(RequestOrigin, TimePoint now);
     // Accepts no new requests; those in progress continue.
     void stopAccepting() { m_server.startDraining(); }
     void applyLimits(const CallerLimits&);
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -160,7 +160,8 @@
     EventLog::write("shutdown-time-over", { { "open_requests", m_ingress.inProgress() }, { "runs", m_executor.inProgress() } });
     m_ingress.refuseCallers(); // Requests behind those that end now are read next
     m_executor.endAll(MonotonicClock::now());
-    m_ingress.endAll(MonotonicClock::now());
+    // The backend server cancels the calls of the runs that have ended.
+    m_ingress.endAll(RequestOrigin::Caller, MonotonicClock::now());
     if (!std::exchange(m_stoppedAccepting, true))
         m_ingress.stopAccepting();
     m_leaveTimer.startOnce(m_lastResponsesTime, [this] { finishLeaving(); });
@@ -170,6 +171,7 @@
 void Sidecar::finishLeaving()
 {
     m_endTimer.stop();
+    m_ingress.endAll(RequestOrigin::BackendServer, MonotonicClock::now());
     m_beginsNoCalls = true;
     m_links.goAway();
     m_control.startDraining(); // Announcements that have arrived are answered
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -384,6 +384,29 @@
     EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
 }
 
+TEST_F(ShutdownEnd, TheCallsOfARunAreNotBrokenOffBeforeTheRun)
+{
+    mesh.setShutdownTime(0, 4s);
+    std::vector<RefPtr<StrictHTTPConnection>> nestedRuns;
+    mesh.endpoint(1).setScript(
+        [&](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) { nestedRuns.push_back(connection); });
+    const auto parent = mesh.send(1, { "GET", "/read/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    leave(0);
+    mesh.runFor(3100ms);
+    const std::string id(findHeader(held.front().second.headers, platform::header::attemptID));
+    const auto nested = mesh.send(0, { "GET", "/inner/1", { { std::string(platform::header::attemptID), id + ".1" } }, {} }, "");
+    ASSERT_TRUE(mesh.runUntil([&] { return nestedRuns.size() == 1; }));
+    EXPECT_TRUE(mesh.runUntil([&] { return mesh.endpoint(0).disconnectCount() == 1 || nested->done; }));
+    EXPECT_FALSE(nested->done);
+    EXPECT_EQ(mesh.endpoint(1).disconnectCount(), 0U);
+    // One that goes on without its parent is still answered.
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    mesh.stop(0);
+    mesh.runFor(100ms);
+    EXPECT_EQ(nested->status(), 502);
+}
+
 TEST(ShutdownQueue, ALongQueueIsRefusedInBoundedStackSpace)
 {
     constexpr size_t calls = 20'000;
