Time the last steps of a shutdown from the signal

Callers saw: a process that stalls beside the end of its shutdown time is killed in place of ending, with the last message on its links and its connections' ends unsent.

Cause: each step was timed from the one before, so a stall moved all of them, though the reserve would bear it.

Why this works: the steps have fixed times before the end; after a stall, those that are due follow each other at once. The test's stall lasts 0.45 s, with a shutdown time of 3 s.

Evidence: ShutdownEnd.AStallAtTheEndDoesNotDelayTheEndOfTheProcess (a stall until 0.1 s before the end), before: past the end.

--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -123,14 +123,17 @@
     // The next owners receive the ledgers before other members learn that this one leaves.
     m_rateLimiter.handOver(now);
     const auto margin = std::min(maximumShutdownMargin, m_instance.shutdownTime / shutdownMarginDivisor);
-    const auto endBy = std::max(now, signalledAt + m_instance.shutdownTime - margin);
-    m_lastResponsesTime = margin / lastResponsesDivisor;
+    const auto marginStart = signalledAt + m_instance.shutdownTime - margin;
+    const auto endBy = std::max(now, marginStart);
+    // All steps are timed from the signal: after a stall, the next one makes up for it.
+    const auto endRequestsAt = marginStart + margin / lastOutcomesDivisor;
+    m_finishBy = endRequestsAt + margin / lastResponsesDivisor;
     m_executor.startLeaving(now, endBy);
     m_ingress.startLeaving(endBy);
     // Callers learn of the leave from the readiness probe; until then they are served.
     m_refuseCallersAt = signalledAt + readinessPropagation;
     // Backend servers and other daemons end a call at its deadline by themselves, and their outcome goes first.
-    m_endTimer.startOnce(endBy + margin / lastOutcomesDivisor - now, [this] { endRequests(); });
+    m_endTimer.startOnce(std::max(endRequestsAt - now, Duration::zero()), [this] { endRequests(); });
     m_leaveTimer.startRepeating(std::min<Duration>(leaveCheckInterval, margin / leaveChecksInMargin), [this] {
         stopAcceptingWhenDue(MonotonicClock::now());
         // An open connection may carry a request that is still arriving, or the last bytes of a response, and so may a link.
@@ -164,7 +167,7 @@
     m_ingress.endAll(RequestOrigin::Caller, MonotonicClock::now());
     if (!std::exchange(m_stoppedAccepting, true))
         m_ingress.stopAccepting();
-    m_leaveTimer.startOnce(m_lastResponsesTime, [this] { finishLeaving(); });
+    m_leaveTimer.startOnce(std::max(m_finishBy - MonotonicClock::now(), Duration::zero()), [this] { finishLeaving(); });
 }
 
 // Calls that are on their way to this daemon would count as "may have run" if it closed the links without a word.
@@ -175,7 +178,7 @@
     m_beginsNoCalls = true;
     m_links.goAway();
     m_control.startDraining(); // Announcements that have arrived are answered
-    const auto latest = MonotonicClock::now() + peersCloseTime;
+    const auto latest = std::min(MonotonicClock::now(), m_finishBy) + peersCloseTime;
     m_leaveTimer.startRepeating(peersCloseCheckInterval, [this, latest] { endWhenPeersHaveClosed(latest); });
 }
 
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -97,9 +97,9 @@
     uint64_t m_ticks { 0 };
     bool m_leaving { false };
     bool m_stoppedAccepting { false };
-    bool m_beginsNoCalls { false };  // The peers have been told so
-    TimePoint m_refuseCallersAt {};  // While leaving: all callers know of it then
-    Duration m_lastResponsesTime {}; // While leaving: for the responses to the requests that are open at the end
+    bool m_beginsNoCalls { false }; // The peers have been told so
+    TimePoint m_refuseCallersAt {}; // While leaving: all callers know of it then
+    TimePoint m_finishBy {};        // While leaving: the responses to the requests that are open at the end have been sent
     bool m_wasReady { false };
 };
 
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -13,6 +13,7 @@
 #include "wire/Frames_generated.h"
 
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace shallot {
 namespace {
@@ -407,6 +408,23 @@
     EXPECT_EQ(nested->status(), 502);
 }
 
+TEST_F(ShutdownEnd, AStallAtTheEndDoesNotDelayTheEndOfTheProcess)
+{
+    constexpr Duration shutdownTime = 3s;
+    mesh.setShutdownTime(0, shutdownTime);
+    const auto running = mesh.send(0, { "POST", "/order/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    leave(0);
+    const auto end = MonotonicClock::now() + shutdownTime;
+    mesh.runFor(shutdownTime - 550ms); // Before the requests that are open end
+    std::this_thread::sleep_for(end - 100ms - MonotonicClock::now());
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    EXPECT_LT(MonotonicClock::now(), end);
+    mesh.stop(0);
+    mesh.runFor(100ms);
+    EXPECT_EQ(running->status(), 502);
+}
+
 TEST(ShutdownQueue, ALongQueueIsRefusedInBoundedStackSpace)
 {
     constexpr size_t calls = 20'000;
