Probe a caller that finished sending with the start of its response

Callers saw: one that shuts down its sending side got "100 Continue" before its answer, which some take for the answer; one of HTTP/1.0 counted as gone and got none.

Cause: whether a caller has closed or only finished sending shows when bytes are sent to it, and an interim response was sent. There is no way without bytes: both look the same in the state of the connection (CLOSE_WAIT), and the kernel of a closed one acknowledges a keep-alive probe, too; only new bytes are answered with a reset.

Why this works: all responses begin with "HTTP/1.1 ". These bytes are sent early and left out of the response later, so that the caller receives its response and nothing else.

Evidence: GracefulShutdown.ACallerThatHasFinishedSendingReceivesNothingButItsAnswer, before: "HTTP/1.1 100 Continue" with HTTP/1.1, no answer and one disconnect with HTTP/1.0.

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -21,6 +21,7 @@
 constexpr size_t maximumUnsentBytes = 1024 * 1024;   // Of responses; then further pipelined requests wait
 constexpr size_t bufferCheckBytes = 64 * 1024;       // Above this size mayBufferMore() is consulted
 constexpr auto firstRequestTimeout = std::chrono::milliseconds(500); // While draining; many times the network delay
+constexpr std::string_view protocolVersion = "HTTP/1.1 ";            // Begins each response
 constexpr auto lingerTimeout = std::chrono::seconds(2); // For the client to read or send on, or to close, after the last response
 
 // http_parser accepts white space before the colon and drops it; other parsers differ, so it must be rejected here.
@@ -327,7 +328,9 @@
     m_phaseStart = now;
     std::string text;
     text.reserve(256 + response.body.size());
-    text += "HTTP/1.1 " + std::to_string(response.status) + " " + reasonPhrase(response.status) + "\r\n";
+    if (!std::exchange(m_responseBegun, false))
+        text += protocolVersion;
+    text += std::to_string(response.status) + " " + reasonPhrase(response.status) + "\r\n";
     for (const auto& [name, value] : response.headers) {
         if (isHopByHopHeader(name) || !isSafeHeader(name, value))
             continue;
@@ -477,8 +480,8 @@
         abort();
 }
 
-// Whether the client has closed the connection or only its sending side shows when something is sent to it: an interim response,
-// which clients of HTTP/1.1 skip, makes one that is gone reset the connection.
+// Whether the client has closed the connection or only its sending side shows when something is sent to it: the first bytes of
+// the response, whatever it will be, make one that is gone reset the connection.
 bool StrictHTTPConnection::onPeerFinished()
 {
     const RefPtr<StrictHTTPConnection> protect(this);
@@ -489,11 +492,10 @@
         finishSocket();
         return true;
     }
-    if (m_parser.http_major != 1 || m_parser.http_minor < 1)
-        return false;
-    m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
     if (!m_serving && !m_reading)
         readRequests();
+    if (m_serving && !std::exchange(m_responseBegun, true))
+        m_socket->write(protocolVersion);
     return true;
 }
 
--- a/Tests/GracefulShutdownTest.cpp
+++ b/Tests/GracefulShutdownTest.cpp
@@ -292,6 +292,24 @@
     EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
 }
 
+TEST_F(GracefulShutdown, ACallerThatHasFinishedSendingReceivesNothingButItsAnswer)
+{
+    for (const std::string version : { "HTTP/1.0", "HTTP/1.1" }) {
+        SCOPED_TRACE(version);
+        BlockingCaller caller(address);
+        caller.send("GET /held " + version + "\r\nHost: a\r\n\r\n");
+        caller.finishSending();
+        ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+        runUntil([ticks = 0]() mutable { return ++ticks > 20; });
+        EXPECT_EQ(disconnects, 0U);
+        if (held)
+            std::exchange(held, nullptr)->respond({ 200, {}, "late!" }, false, MonotonicClock::now());
+        const auto received = receiveResponse(caller);
+        EXPECT_TRUE(received.starts_with("HTTP/1.1 200") && received.ends_with("late!")) << received;
+        disconnects = 0;
+    }
+}
+
 TEST_F(GracefulShutdown, ACallerThatHasClosedItsConnectionIsNoticed)
 {
     auto caller = std::make_unique<BlockingCaller>(address);
