Reserve the whole last sixth of a shutdown after a stall

Callers saw: nothing yet. A process that stalls once while it leaves is likely to do so again, and a stall of over 0.58 s that covers the moment at which requests end, and the kill, ends them without an answer.

Cause: the reserve of 0.7 s is the same whether the process runs smoothly or not.

Why this works: a gap of over 0.35 s between two checks while leaving is taken as a stall, and the reserve becomes a sixth of the shutdown time, the most at which no run is broken off too early. With 6 s requests end 0.83 s before the kill. Ending them sooner was weighed: it would break off runs that nothing excuses for a stall that may not come.

Evidence: ShutdownEnd.AStallWhileLeavingMovesTheLastAnswersToTheStartOfTheLastSixth, before: answered 5.42 s after the signal, 5.3 s are allowed.

--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,6 +1,6 @@
 // Index of this file
-//   Start and leave:  Sidecar, start, leave, stopAcceptingWhenDue, endRequests, finishLeaving, endWhenPeersHaveClosed,
-//                    applySettings
+//   Start and leave:  Sidecar, start, leave, scheduleEnd, stopAcceptingWhenDue, endRequests, finishLeaving,
+//                    endWhenPeersHaveClosed, applySettings
 //   Local servers:    handleControl, acknowledge, checkAnnouncement, handleReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
 //                    scheduleAbandonment, onGoAway
@@ -34,6 +34,7 @@
 constexpr auto shutdownMarginDivisor = 6;         // Of the shutdown time, at most: runs are not broken off before the last sixth
 constexpr auto lastOutcomesDivisor = 6;           // Of the margin, for the outcomes of calls that have the end as their deadline
 constexpr auto lastResponsesDivisor = 3;          // Of the margin, for the responses to the requests that are still open
+constexpr auto stallThreshold = 350ms;            // Between two checks; several of their intervals
 constexpr auto peersCloseTime
     = 100ms; // Of the margin, until the peers have closed their links; several round trips between zones
 constexpr auto peersCloseCheckInterval = 5ms;
@@ -123,25 +124,38 @@
     // The next owners receive the ledgers before other members learn that this one leaves.
     m_rateLimiter.handOver(now);
     const auto margin = std::min(maximumShutdownMargin, m_instance.shutdownTime / shutdownMarginDivisor);
+    m_executor.startLeaving(now, scheduleEnd(signalledAt, margin, now));
+    // Callers learn of the leave from the readiness probe; until then they are served.
+    m_refuseCallersAt = signalledAt + readinessPropagation;
+    m_leaveTimer.startRepeating(
+        std::min<Duration>(leaveCheckInterval, margin / leaveChecksInMargin), [this, signalledAt, last = now]() mutable {
+            const auto now = MonotonicClock::now();
+            // A process that has stalled may do so again.
+            if (const auto gap = now - std::exchange(last, now); gap > stallThreshold) {
+                EventLog::write("leave-stalled", { { "stalled_s", toSeconds(gap) } });
+                scheduleEnd(signalledAt, m_instance.shutdownTime / shutdownMarginDivisor, now);
+            }
+            stopAcceptingWhenDue(now);
+            // An open connection may carry a request that is still arriving, or the last bytes of a response, and so may a link.
+            const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
+                && !m_links.hasUnsentBytes() && m_waitingNotices.empty();
+            if (idle)
+                finishLeaving();
+        });
+}
+
+// Returns the time by which requests have to end. All steps are timed from the signal: after a stall, the next one makes up for
+// it.
+TimePoint Sidecar::scheduleEnd(TimePoint signalledAt, Duration margin, TimePoint now)
+{
     const auto marginStart = signalledAt + m_instance.shutdownTime - margin;
     const auto endBy = std::max(now, marginStart);
-    // All steps are timed from the signal: after a stall, the next one makes up for it.
     const auto endRequestsAt = marginStart + margin / lastOutcomesDivisor;
     m_finishBy = endRequestsAt + margin / lastResponsesDivisor;
-    m_executor.startLeaving(now, endBy);
     m_ingress.startLeaving(endBy);
-    // Callers learn of the leave from the readiness probe; until then they are served.
-    m_refuseCallersAt = signalledAt + readinessPropagation;
     // Backend servers and other daemons end a call at its deadline by themselves, and their outcome goes first.
     m_endTimer.startOnce(std::max(endRequestsAt - now, Duration::zero()), [this] { endRequests(); });
-    m_leaveTimer.startRepeating(std::min<Duration>(leaveCheckInterval, margin / leaveChecksInMargin), [this] {
-        stopAcceptingWhenDue(MonotonicClock::now());
-        // An open connection may carry a request that is still arriving, or the last bytes of a response, and so may a link.
-        const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
-            && !m_links.hasUnsentBytes() && m_waitingNotices.empty();
-        if (idle)
-            finishLeaving();
-    });
+    return endBy;
 }
 
 // The runs of the local backend server may still make calls, which arrive here as well. A request on an idle connection would
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -425,6 +425,21 @@
     EXPECT_EQ(running->status(), 502);
 }
 
+TEST_F(ShutdownEnd, AStallWhileLeavingMovesTheLastAnswersToTheStartOfTheLastSixth)
+{
+    constexpr Duration shutdownTime = 6s;
+    mesh.setShutdownTime(0, shutdownTime);
+    const auto running = mesh.send(0, { "POST", "/order/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    const auto signalledAt = MonotonicClock::now();
+    leave(0);
+    mesh.runFor(1s);
+    std::this_thread::sleep_for(500ms);
+    ASSERT_TRUE(mesh.runUntil([&] { return running->done; }));
+    EXPECT_GE(MonotonicClock::now() - signalledAt, shutdownTime * 5 / 6);
+    EXPECT_LT(MonotonicClock::now() - signalledAt, shutdownTime - 700ms); // When further work ends without a stall
+}
+
 TEST(ShutdownQueue, ALongQueueIsRefusedInBoundedStackSpace)
 {
     constexpr size_t calls = 20'000;
