--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,6 +1,6 @@
 // Index of this file
-//   Start and leave:  Sidecar, start, leave, stopAcceptingWhenDue, endRequests, finishLeaving, endWhenPeersHaveClosed,
-//                    applySettings
+//   Start and leave:  Sidecar, start, leave, scheduleEnd, stopAcceptingWhenDue, endRequests, finishLeaving,
+//                    endWhenPeersHaveClosed, applySettings
 //   Local servers:    handleControl, acknowledge, checkAnnouncement, handleReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
 //                    scheduleAbandonment, onGoAway
@@ -34,6 +34,7 @@
 constexpr auto shutdownMarginDivisor = 6;         // Of the shutdown time, at most: runs are not broken off before the last sixth
 constexpr auto lastOutcomesDivisor = 6;           // Of the margin, for the outcomes of calls that have the end as their deadline
 constexpr auto lastResponsesDivisor = 3;          // Of the margin, for the responses to the requests that are still open
+constexpr auto stallThreshold = 350ms;            // Between two checks; several of their intervals
 constexpr auto peersCloseTime
     = 100ms; // Of the margin, until the peers have closed their links; several round trips between zones
 constexpr auto peersCloseCheckInterval = 5ms;
@@ -123,31 +124,48 @@
     // The next owners receive the ledgers before other members learn that this one leaves.
     m_rateLimiter.handOver(now);
     const auto margin = std::min(maximumShutdownMargin, m_instance.shutdownTime / shutdownMarginDivisor);
-    const auto endBy = std::max(now, signalledAt + m_instance.shutdownTime - margin);
-    m_lastResponsesTime = margin / lastResponsesDivisor;
-    m_executor.startLeaving(now, endBy);
-    m_ingress.startLeaving(endBy);
+    m_executor.startLeaving(now, scheduleEnd(signalledAt, margin, now));
     // Callers learn of the leave from the readiness probe; until then they are served.
     m_refuseCallersAt = signalledAt + readinessPropagation;
+    m_leaveTimer.startRepeating(
+        std::min<Duration>(leaveCheckInterval, margin / leaveChecksInMargin), [this, signalledAt, last = now]() mutable {
+            const auto now = MonotonicClock::now();
+            // A process that has stalled may do so again.
+            if (const auto gap = now - std::exchange(last, now); gap > stallThreshold) {
+                EventLog::write("leave-stalled", { { "stalled_s", toSeconds(gap) } });
+                scheduleEnd(signalledAt, m_instance.shutdownTime / shutdownMarginDivisor, now);
+            }
+            stopAcceptingWhenDue(now);
+            // An open connection may carry a request that is still arriving, or the last bytes of a response, and so may a link.
+            const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
+                && !m_links.hasUnsentBytes() && m_waitingNotices.empty();
+            if (idle)
+                finishLeaving();
+        });
+}
+
+// Returns the time by which requests have to end. All steps are timed from the signal: after a stall, the next one makes up for
+// it.
+TimePoint Sidecar::scheduleEnd(TimePoint signalledAt, Duration margin, TimePoint now)
+{
+    const auto marginStart = signalledAt + m_instance.shutdownTime - margin;
+    const auto endBy = std::max(now, marginStart);
+    const auto endRequestsAt = marginStart + margin / lastOutcomesDivisor;
+    m_finishBy = endRequestsAt + margin / lastResponsesDivisor;
+    m_ingress.startLeaving(endBy);
     // Backend servers and other daemons end a call at its deadline by themselves, and their outcome goes first.
-    m_endTimer.startOnce(endBy + margin / lastOutcomesDivisor - now, [this] { endRequests(); });
-    m_leaveTimer.startRepeating(std::min<Duration>(leaveCheckInterval, margin / leaveChecksInMargin), [this] {
-        stopAcceptingWhenDue(MonotonicClock::now());
-        // An open connection may carry a request that is still arriving, or the last bytes of a response, and so may a link.
-        const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
-            && !m_links.hasUnsentBytes() && m_waitingNotices.empty();
-        if (idle)
-            finishLeaving();
-    });
+    m_endTimer.startOnce(std::max(endRequestsAt - now, Duration::zero()), [this] { endRequests(); });
+    return endBy;
 }
 
-// The runs of the local backend server may still make calls, which arrive here as well.
+// The runs of the local backend server may still make calls, which arrive here as well. A request on an idle connection would
+// cross its close, so they stay open for as long as the process does.
 void Sidecar::stopAcceptingWhenDue(TimePoint now)
 {
     if (m_stoppedAccepting || now < m_refuseCallersAt)
         return;
     m_ingress.refuseCallers();
-    if (m_executor.inProgress())
+    if (m_executor.inProgress() || m_ingress.inProgress())
         return;
     m_stoppedAccepting = true;
     m_ingress.stopAccepting();
@@ -159,20 +177,22 @@
     EventLog::write("shutdown-time-over", { { "open_requests", m_ingress.inProgress() }, { "runs", m_executor.inProgress() } });
     m_ingress.refuseCallers(); // Requests behind those that end now are read next
     m_executor.endAll(MonotonicClock::now());
-    m_ingress.endAll(MonotonicClock::now());
+    // The backend server cancels the calls of the runs that have ended.
+    m_ingress.endAll(RequestOrigin::Caller, MonotonicClock::now());
     if (!std::exchange(m_stoppedAccepting, true))
         m_ingress.stopAccepting();
-    m_leaveTimer.startOnce(m_lastResponsesTime, [this] { finishLeaving(); });
+    m_leaveTimer.startOnce(std::max(m_finishBy - MonotonicClock::now(), Duration::zero()), [this] { finishLeaving(); });
 }
 
 // Calls that are on their way to this daemon would count as "may have run" if it closed the links without a word.
 void Sidecar::finishLeaving()
 {
     m_endTimer.stop();
+    m_ingress.endAll(RequestOrigin::BackendServer, MonotonicClock::now());
     m_beginsNoCalls = true;
     m_links.goAway();
     m_control.startDraining(); // Announcements that have arrived are answered
-    const auto latest = MonotonicClock::now() + peersCloseTime;
+    const auto latest = std::min(MonotonicClock::now(), m_finishBy) + peersCloseTime;
     m_leaveTimer.startRepeating(peersCloseCheckInterval, [this, latest] { endWhenPeersHaveClosed(latest); });
 }
 
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -13,12 +13,19 @@
 #include "wire/Frames_generated.h"
 
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace shallot {
 namespace {
 
 using namespace std::chrono_literals;
 
+std::string request(const std::string& line, const std::string& id)
+{
+    return line + " HTTP/1.1\r\nHost: app\r\n" + std::string(platform::header::attemptID) + ": " + id + "\r\n"
+        + std::string(platform::header::key) + ": key-1\r\nContent-Length: 0\r\n\r\n";
+}
+
 class ShutdownEnd : public testing::Test {
 protected:
     explicit ShutdownEnd(const std::vector<std::string>& locations = { "zone-a/alpha", "zone-a/beta" })
@@ -106,10 +113,6 @@
 TEST_F(ShutdownEnd, ARequestBehindOneThatEndsWithAShortShutdownTimeIsNotPassedOn)
 {
     mesh.setShutdownTime(0, 2s);
-    const auto request = [](const std::string& line, const std::string& id) {
-        return line + " HTTP/1.1\r\nHost: app\r\n" + std::string(platform::header::attemptID) + ": " + id + "\r\n"
-            + std::string(platform::header::key) + ": key-1\r\nContent-Length: 0\r\n\r\n";
-    };
     std::string received;
     const auto socket = StreamSocket::connect(mesh.callersAddress(0));
     socket->start(
@@ -294,6 +297,149 @@
     EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
 }
 
+// Between one caller and a daemon: bytes and ends arrive late, as over a long distance.
+class FarRelay {
+public:
+    FarRelay(const SocketAddress& own, const SocketAddress& target)
+    {
+        const auto started = m_listener.start(own, [this, target](RefPtr<StreamSocket> socket) {
+            m_caller = std::move(socket);
+            m_daemon = StreamSocket::connect(target);
+            m_caller->start({ [this](std::span<const uint8_t> bytes) { forward(*m_daemon, bytes); }, nullptr,
+                [this](StreamEnd) { later([this] { m_daemon->finish(); }); } });
+            m_daemon->start({ [this](std::span<const uint8_t> bytes) { forward(*m_caller, bytes); }, nullptr,
+                [this](StreamEnd end) { m_wasReset = end == StreamEnd::Reset; },
+                [this] {
+                    m_daemonHasClosed = true;
+                    later([this] { m_caller->finish(); });
+                    return true;
+                } });
+        });
+        EXPECT_TRUE(started.has_value());
+    }
+    bool daemonHasClosed() const { return m_daemonHasClosed; }
+    // What was sent to the daemon last met a closed connection, so no process has read it.
+    bool wasReset() const { return m_wasReset; }
+
+private:
+    void forward(StreamSocket& to, std::span<const uint8_t> bytes)
+    {
+        later([&to, text = std::string(bytes.begin(), bytes.end())] { to.write(text); });
+    }
+    void later(std::function<void()> function)
+    {
+        m_arrivals.push_back(std::make_unique<Timer>());
+        m_arrivals.back()->startOnce(300ms, std::move(function));
+    }
+
+    Listener m_listener;
+    RefPtr<StreamSocket> m_caller;
+    RefPtr<StreamSocket> m_daemon;
+    std::vector<std::unique_ptr<Timer>> m_arrivals;
+    bool m_daemonHasClosed { false };
+    bool m_wasReset { false };
+};
+
+class ShutdownEndFarAway : public ShutdownEnd {
+protected:
+    void SetUp() override
+    {
+        ShutdownEnd::SetUp();
+        const SocketAddress address { "127.0.0.1", nextBasePort() };
+        relay = std::make_unique<FarRelay>(address, mesh.callersAddress(1));
+        caller = StreamSocket::connect(address);
+        caller->start(
+            { [this](std::span<const uint8_t> bytes) { received.append(bytes.begin(), bytes.end()); }, nullptr, nullptr });
+        caller->write(request("GET /inner/1", "first"));
+        ASSERT_TRUE(mesh.runUntil([this] { return received.find("HTTP/1.1 200") != std::string::npos; }));
+    }
+
+    std::unique_ptr<FarRelay> relay;
+    RefPtr<StreamSocket> caller;
+    std::string received;
+};
+
+TEST_F(ShutdownEndFarAway, ARequestThatCrossesTheCloseOfAnIdleConnectionIsNotRead)
+{
+    leave(1);
+    ASSERT_TRUE(mesh.runUntil([this] { return relay->daemonHasClosed(); }));
+    caller->write(request("POST /order/2", "second"));
+    mesh.runFor(500ms);
+    EXPECT_TRUE(relay->wasReset());
+    EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+}
+
+TEST_F(ShutdownEndFarAway, ARequestOnAnIdleConnectionIsAnsweredWhileTheProcessHasToStay)
+{
+    const auto running = mesh.send(1, { "POST", "/order/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    leave(1);
+    mesh.runFor(3200ms); // Callers have been told by then
+    caller->write(request("POST /order/2", "second"));
+    EXPECT_TRUE(mesh.runUntil([this] { return relay->daemonHasClosed(); }));
+    mesh.runFor(400ms);
+    EXPECT_NE(received.find("HTTP/1.1 503"), std::string::npos) << received;
+    EXPECT_EQ(mesh.executionCount("/order/2"), 0U);
+    EndpointStandin::respond(*held.front().first, held.front().second);
+    EXPECT_EQ(mesh.wait(running).status(), 200);
+    EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+}
+
+TEST_F(ShutdownEnd, TheCallsOfARunAreNotBrokenOffBeforeTheRun)
+{
+    mesh.setShutdownTime(0, 4s);
+    std::vector<RefPtr<StrictHTTPConnection>> nestedRuns;
+    mesh.endpoint(1).setScript(
+        [&](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) { nestedRuns.push_back(connection); });
+    const auto parent = mesh.send(1, { "GET", "/read/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    leave(0);
+    mesh.runFor(3100ms);
+    const std::string id(findHeader(held.front().second.headers, platform::header::attemptID));
+    const auto nested = mesh.send(0, { "GET", "/inner/1", { { std::string(platform::header::attemptID), id + ".1" } }, {} }, "");
+    ASSERT_TRUE(mesh.runUntil([&] { return nestedRuns.size() == 1; }));
+    EXPECT_TRUE(mesh.runUntil([&] { return mesh.endpoint(0).disconnectCount() == 1 || nested->done; }));
+    EXPECT_FALSE(nested->done);
+    EXPECT_EQ(mesh.endpoint(1).disconnectCount(), 0U);
+    // One that goes on without its parent is still answered.
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    mesh.stop(0);
+    mesh.runFor(100ms);
+    EXPECT_EQ(nested->status(), 502);
+}
+
+TEST_F(ShutdownEnd, AStallAtTheEndDoesNotDelayTheEndOfTheProcess)
+{
+    constexpr Duration shutdownTime = 3s;
+    mesh.setShutdownTime(0, shutdownTime);
+    const auto running = mesh.send(0, { "POST", "/order/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    leave(0);
+    const auto end = MonotonicClock::now() + shutdownTime;
+    mesh.runFor(shutdownTime - 550ms); // Before the requests that are open end
+    std::this_thread::sleep_for(end - 100ms - MonotonicClock::now());
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    EXPECT_LT(MonotonicClock::now(), end);
+    mesh.stop(0);
+    mesh.runFor(100ms);
+    EXPECT_EQ(running->status(), 502);
+}
+
+TEST_F(ShutdownEnd, AStallWhileLeavingMovesTheLastAnswersToTheStartOfTheLastSixth)
+{
+    constexpr Duration shutdownTime = 6s;
+    mesh.setShutdownTime(0, shutdownTime);
+    const auto running = mesh.send(0, { "POST", "/order/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    const auto signalledAt = MonotonicClock::now();
+    leave(0);
+    mesh.runFor(1s);
+    std::this_thread::sleep_for(500ms);
+    ASSERT_TRUE(mesh.runUntil([&] { return running->done; }));
+    EXPECT_GE(MonotonicClock::now() - signalledAt, shutdownTime * 5 / 6);
+    EXPECT_LT(MonotonicClock::now() - signalledAt, shutdownTime - 700ms); // When further work ends without a stall
+}
+
 TEST(ShutdownQueue, ALongQueueIsRefusedInBoundedStackSpace)
 {
     constexpr size_t calls = 20'000;
