Send the endless bytes of the tests' stand-in in blocks

Cause: the stand-in shares its thread with the daemons and wrote each text of 9 to 14 bytes by a system call of its own, up to 471,555 in one turn of the loop, which took 233 ms of processor time. Of 848 ms until the answer to Chunks, 787 ms were the stand-in's; beside twelve busy processes such a turn took up to 1.7 s, and the timer of the deadline ran after it.

The stand-in now writes blocks of 16 KB of the same texts, so the daemons get the same bytes, sooner; the bound of 1.8 s and the other checks are what they were. The limit of 4 MB ends these bodies long before the deadline now, so SlowChunks, a text a millisecond, is added for an endless body that ends at the deadline. EndlessRequests had a copy of the same loop and uses the same function.

--- a/Tests/EndpointResponsesTest.cpp
+++ b/Tests/EndpointResponsesTest.cpp
@@ -319,6 +319,7 @@
     std::string prefix; // Preceded by the attempt's header lines if `sealed`
     std::string repeated;
     bool sealed;
+    bool trickles { false }; // Slowly enough that no limit on its bytes ends it
 };
 
 std::ostream& operator<<(std::ostream& stream, const EndlessResponse& response)
@@ -336,7 +337,10 @@
     raw->setScript([&](StreamSocket& socket, const std::string& attempt) {
         const auto head = "HTTP/1.1 200 OK\r\n" + attemptHeader + attempt + "\r\n" + sealHeader;
         socket.write((endless.sealed ? head : std::string()) + endless.prefix);
-        raw->flood(socket, endless.repeated);
+        if (endless.trickles)
+            raw->trickle(socket, endless.repeated);
+        else
+            raw->flood(socket, endless.repeated);
     });
     const auto before = residentMB();
     const auto sent = MonotonicClock::now();
@@ -360,6 +364,7 @@
         EndlessResponse { "BodyWithoutLength", "\r\n", "more and more ", true },
         EndlessResponse { "BodyWithAHugeLength", "Content-Length: 99999999999\r\n\r\n", "more and more ", true },
         EndlessResponse { "Chunks", "Transfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n", true },
+        EndlessResponse { "SlowChunks", "Transfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n", true, true },
         EndlessResponse { "ChunkExtension", "Transfer-Encoding: chunked\r\n\r\n4;x=", "more and more ", true },
         EndlessResponse { "Trailers", "Transfer-Encoding: chunked\r\n\r\n4\r\nmore\r\n0\r\n", "X-More: 1\r\n", true },
         EndlessResponse { "InterimResponses", "", "HTTP/1.1 102 Processing\r\n\r\n", false },
@@ -417,11 +422,7 @@
         [&closed](StreamEnd) { closed = true; } });
     socket->write(GetParam().prefix);
     const auto before = residentMB();
-    Timer flood;
-    flood.startRepeating(1ms, [&] {
-        constexpr size_t maximumPendingBytes = 256 * 1024;
-        while (socket->isOpen() && socket->pendingBytes() < maximumPendingBytes && socket->write(GetParam().repeated)) { }
-    });
+    const auto flood = startFlood(*socket, GetParam().repeated);
     EXPECT_TRUE(mesh.runUntil([&] { return closed; }));
     EXPECT_LT(residentMB(), before + maximumGrowthMB);
     EXPECT_EQ(mesh.executionCount("/order/endless"), 0U);
--- a/Tests/RawEndpoint.cpp
+++ b/Tests/RawEndpoint.cpp
@@ -62,13 +62,28 @@
 }
 
 void RawEndpoint::flood(StreamSocket& socket, const std::string& text)
+{
+    m_floods.push_back(startFlood(socket, text));
+}
+
+void RawEndpoint::trickle(StreamSocket& socket, const std::string& text)
+{
+    m_floods.push_back(std::make_unique<Timer>());
+    m_floods.back()->startRepeating(1ms, [connection = RefPtr<StreamSocket>(&socket), text] { connection->write(text); });
+}
+
+std::unique_ptr<Timer> startFlood(StreamSocket& socket, const std::string& text)
 {
     constexpr size_t maximumPendingBytes = 256 * 1024; // Written before the other side has read them
+    constexpr size_t blockBytes = 16 * 1024; // One system call for each text would hold up the daemons, which share the thread
+    std::string block;
+    while (block.size() < blockBytes)
+        block += text;
     auto timer = std::make_unique<Timer>();
-    timer->startRepeating(1ms, [connection = RefPtr<StreamSocket>(&socket), text] {
-        while (connection->isOpen() && connection->pendingBytes() < maximumPendingBytes && connection->write(text)) { }
+    timer->startRepeating(1ms, [connection = RefPtr<StreamSocket>(&socket), block] {
+        while (connection->isOpen() && connection->pendingBytes() < maximumPendingBytes && connection->write(block)) { }
     });
-    m_floods.push_back(std::move(timer));
+    return timer;
 }
 
 void RawEndpoint::expectBody(StreamSocket& socket, size_t bytes)
--- a/Tests/RawEndpoint.h
+++ b/Tests/RawEndpoint.h
@@ -11,6 +11,9 @@
 
 namespace shallot {
 
+// Sends the text repeatedly on a connection, as fast as the other side reads, until it closes the connection or the timer ends.
+std::unique_ptr<Timer> startFlood(StreamSocket&, const std::string& text);
+
 // A backend server whose responses are written byte by byte by the test; other stand-ins speak correct HTTP.
 class RawEndpoint {
 public:
@@ -25,6 +28,8 @@
     void refuseConnections() { m_refusesConnections = true; }
     // Sends the text repeatedly on that connection until the other side closes it.
     void flood(StreamSocket&, const std::string& text);
+    // The same, but one text in a millisecond.
+    void trickle(StreamSocket&, const std::string& text);
     // Expects a body of `b`s as the next bytes on that connection, including those that arrived after the header section.
     void expectBody(StreamSocket&, size_t bytes);
     size_t remainingBodyBytes() const { return m_remainingBodyBytes; }
