Soak of planned work: stop one process at a time for SHALLOT_STOPS_STALL_MS

A daemon that stood still for over a second, without any signal that announces trouble, was played by no soak. Without these variables the soak plays as before.

--- /dev/null
+++ b/Tests/soak/ProcessStalls.cpp
@@ -0,0 +1,66 @@
+#include "ProcessStalls.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace shallot {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration shortestInterval = 500ms; // Between two stalls
+constexpr Duration intervalRange = 1s;
+
+} // namespace
+
+ProcessStalls::ProcessStalls(unsigned seed, Duration length)
+    : m_random(seed)
+    , m_length(length)
+{
+}
+
+void ProcessStalls::update(std::span<const pid_t> processes, TimePoint now, TimePoint end)
+{
+    if (!isEnabled())
+        return;
+    if (!m_stalls.empty() && m_stalls.back().end == TimePoint::max()) {
+        auto& stall = m_stalls.back();
+        const bool isRunning = processes[stall.index] == stall.process;
+        if (isRunning && now < stall.start + m_length)
+            return;
+        if (isRunning)
+            kill(stall.process, SIGCONT);
+        stall.end = now;
+        m_nextStart = now + shortestInterval + Duration(static_cast<int64_t>(m_random() % intervalRange.count()));
+    }
+    if (now < m_nextStart || now + m_length > end)
+        return;
+    const auto index = m_random() % processes.size();
+    if (processes[index] && !kill(processes[index], SIGSTOP))
+        m_stalls.push_back({ index, processes[index], now });
+    else
+        m_nextStart = now + shortestInterval;
+}
+
+Duration ProcessStalls::stalledFor(size_t index, TimePoint since, TimePoint now) const
+{
+    Duration sum {};
+    for (const auto& stall : m_stalls) {
+        if (stall.index == index)
+            sum += std::max(Duration::zero(), std::min(stall.end, now) - std::max(stall.start, since));
+    }
+    return sum;
+}
+
+TimePoint ProcessStalls::latestEnd(size_t index) const
+{
+    TimePoint latest {};
+    for (const auto& stall : m_stalls) {
+        if (stall.index == index && stall.end != TimePoint::max())
+            latest = stall.end;
+    }
+    return latest;
+}
+
+} // namespace shallot
