Soak of planned work: count requests that are never answered, and tell who stood still at a failure

A request that stays open beyond the longest time limit went uncounted as long as its connection stayed open. A case now also names how long its daemon, and the one beside its backend server, stand still or have been back.

--- a/Tests/soak/ProcessStalls.cpp
+++ b/Tests/soak/ProcessStalls.cpp
@@ -53,14 +53,11 @@
     return sum;
 }
 
-TimePoint ProcessStalls::latestEnd(size_t index) const
+const ProcessStalls::Stall* ProcessStalls::latest(size_t index) const
 {
-    TimePoint latest {};
-    for (const auto& stall : m_stalls) {
-        if (stall.index == index && stall.end != TimePoint::max())
-            latest = stall.end;
-    }
-    return latest;
+    const auto found
+        = std::find_if(m_stalls.rbegin(), m_stalls.rend(), [index](const Stall& stall) { return stall.index == index; });
+    return found == m_stalls.rend() ? nullptr : &*found;
 }
 
 } // namespace shallot
--- a/Tests/soak/ProcessStalls.h
+++ b/Tests/soak/ProcessStalls.h
@@ -12,6 +12,13 @@
 // Stops one process at a time for a fixed length (SIGSTOP, SIGCONT), at seeded moments and with about a second between.
 class ProcessStalls {
 public:
+    struct Stall {
+        size_t index { 0 };
+        pid_t process { 0 };
+        TimePoint start {};
+        TimePoint end { TimePoint::max() }; // max(): not yet
+    };
+
     // Length 0: none.
     ProcessStalls(unsigned seed, Duration length);
 
@@ -20,17 +27,10 @@
     void update(std::span<const pid_t> processes, TimePoint now, TimePoint end);
     // Of the processes with this index, after `since`.
     Duration stalledFor(size_t index, TimePoint since, TimePoint now) const;
-    // TimePoint(): no stall of this index has ended.
-    TimePoint latestEnd(size_t index) const;
+    // Null: none.
+    const Stall* latest(size_t index) const;
 
 private:
-    struct Stall {
-        size_t index { 0 };
-        pid_t process { 0 };
-        TimePoint start {};
-        TimePoint end { TimePoint::max() };
-    };
-
     std::mt19937 m_random;
     Duration m_length;
     TimePoint m_nextStart {};
--- a/Tests/soak/stops.cpp
+++ b/Tests/soak/stops.cpp
@@ -58,9 +58,10 @@
 constexpr unsigned probesUntilOut = 2; // Unanswered in a row; then callers start no connections
 constexpr auto latestReady = 2s;       // After SIGTERM; two probes later, at 4 s, the daemon must count as out
 constexpr auto shortestLimit = 8s;     // Of the routes
-constexpr auto applyTime = 2s;         // Until a change of the configuration is in force everywhere
-constexpr auto longestPause = 1600ms;  // Of a caller; four fifths of the shortest idle time-out
-constexpr auto longestPart = 1s;       // Until the rest of a header section; below the shortest header time-out
+constexpr auto longestLimit = 9s;
+constexpr auto applyTime = 2s;        // Until a change of the configuration is in force everywhere
+constexpr auto longestPause = 1600ms; // Of a caller; four fifths of the shortest idle time-out
+constexpr auto longestPart = 1s;      // Until the rest of a header section; below the shortest header time-out
 constexpr size_t largeBodyBytes = 60'000;
 constexpr size_t chunkBytes = 700;
 constexpr size_t maximumReportedCases = 12;
@@ -147,7 +148,8 @@
         bool changing { false }; // Its route comes and goes
         unsigned runs { 0 };
         unsigned openRuns { 0 };
-        uint16_t status { 0 }; // 0: none yet
+        uint16_t status { 0 };   // 0: none yet
+        bool hasEnded { false }; // Answered, or its connection ended
         bool idempotent { true };
     };
 
@@ -330,16 +332,15 @@
     // Of a process that stood still while it left: the time that it had left, and the stall's share of the last sixth.
     void recordEnd(const DaemonProcess& daemon, TimePoint now) const
     {
-        const auto end = daemon.stopRequested + daemon.timeToStop;
+        const auto end = daemon.stopRequested + daemon.shutdownTime;
         const auto stalled = m_stalls.stalledFor(daemon.index, daemon.stopRequested, now);
         if (daemon.stopRequested == TimePoint() || stalled == Duration::zero())
             return;
         std::cerr << (daemon.isKilled ? "killed" : "ended") << " after a stall: daemon-" << daemon.index << ", shutdown time "
-                  << toSeconds(daemon.timeToStop) << " s, left " << toSeconds(end - now) << " s, stood still "
+                  << toSeconds(daemon.shutdownTime) << " s, left " << toSeconds(end - now) << " s, stood still "
                   << toSeconds(stalled) << " s, "
-                  << toSeconds(m_stalls.stalledFor(daemon.index, end - daemon.timeToStop / 6, now))
-                  << " s of it in the last sixth, latest end " << toSeconds(end - m_stalls.latestEnd(daemon.index))
-                  << " s before the shutdown time's\n";
+                  << toSeconds(m_stalls.stalledFor(daemon.index, end - daemon.shutdownTime / 6, now))
+                  << " s of it in the last sixth\n";
     }
 
     void stall(TimePoint now, TimePoint end)
@@ -486,6 +487,7 @@
         if (found == connections.end())
             found = connections.insert(connections.end(), connect(daemon));
         if (!(*found)->isOpen()) {
+            attempt.hasEnded = true;
             if (!isExcused(m_attempts[parent]))
                 reportCase("nested call of a run refused", id);
             endNested(id);
@@ -678,6 +680,7 @@
         endNested(id);
         auto& attempt = m_attempts[id];
         attempt.status = status;
+        attempt.hasEnded = true;
         ++m_statuses[status];
         if (status == 200 && body != "answer to " + id)
             fail("a caller got an unexpected response body: " + id);
@@ -700,7 +703,8 @@
         const auto now = MonotonicClock::now();
         for (const auto& id : ids) {
             endNested(id);
-            const auto& attempt = m_attempts[id];
+            auto& attempt = m_attempts[id];
+            attempt.hasEnded = true;
             const auto& daemon = *m_daemons[attempt.daemon];
             const bool isLeaving = daemon.stopRequested != TimePoint();
             ++m_statuses[0];
@@ -768,10 +772,13 @@
 
     std::string stallOf(const char* what, size_t daemon, TimePoint now) const
     {
-        const auto end = m_stalls.latestEnd(daemon);
-        return end == TimePoint() ? std::string()
-                                  : std::string(", ") + what + " (" + std::to_string(daemon) + ") back from a stall for "
-                + std::to_string(toSeconds(now - end)) + " s";
+        const auto* stall = m_stalls.latest(daemon);
+        if (!stall)
+            return {};
+        const bool isOver = stall->end != TimePoint::max();
+        return std::string(", ") + what + " (" + std::to_string(daemon) + ")"
+            + (isOver ? " back from a stall" : " standing still") + " for "
+            + std::to_string(toSeconds(now - (isOver ? stall->end : stall->start))) + " s";
     }
 
     void fail(const std::string& what)
@@ -782,6 +789,11 @@
 
     int report()
     {
+        const auto latest = MonotonicClock::now() - longestLimit - answerSlack;
+        for (const auto& [id, attempt] : m_attempts) {
+            if (!attempt.hasEnded && attempt.sent != TimePoint() && attempt.sent < latest)
+                reportCase("never answered", id);
+        }
         std::cout << "actions " << m_actions << " callers " << m_callerCount << " requests " << m_attempts.size() << " answered";
         for (const auto& [status, count] : m_statuses)
             std::cout << " " << status << ":" << count;
