Read what arrived during a stall before timers fire

Callers saw: 504 "no response within the time limit" for runs that had ended, and idle connections closed on unread requests, within milliseconds after a process that had stood still went on (traced: six such answers of one daemon 3 ms after a stall of 1.3 s).

Cause: timers and sockets have their turns in the same iteration of the loop, and only some sockets are read in one. Time in which a process listened to no one was counted against those that had spoken.

Why this works: a timer that is over 50 ms late fires 10 ms later, which is several iterations. Timers that keep their time are as before.

Evidence: LinkEnd.AResponseThatArrivesWhileTheProcessStandsStillIsNotLate fails with the postponement off (504), passes with it; EventLoopTurn* passes.

--- a/Source/net/Timer.cpp
+++ b/Source/net/Timer.cpp
@@ -5,38 +5,59 @@
 
 namespace shallot {
 
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration stallThreshold = 50ms; // Lateness that shows that this process has stood still
+constexpr Duration postponement = 10ms;   // Some iterations of the loop; more than reading hundreds of sockets takes
+
+} // namespace
+
 void Timer::startOnce(Duration delay, std::function<void()> function)
 {
-    start(delay, false, std::move(function));
+    stop();
+    arm(delay, { std::make_shared<const std::function<void()>>(std::move(function)) });
 }
 
 void Timer::startRepeating(Duration interval, std::function<void()> function)
 {
-    start(interval, true, std::move(function));
+    stop();
+    arm(interval, { std::make_shared<const std::function<void()>>(std::move(function)), interval });
 }
 
-void Timer::start(Duration duration, bool repeating, std::function<void()> function)
+void Timer::arm(Duration delay, Setting setting)
 {
-    stop();
-    auto* state = new State { this, std::move(function), repeating };
-    const auto milliseconds = std::max<int64_t>(0, (duration.count() + 999) / 1000);
+    const auto milliseconds = std::max<int64_t>(0, (delay.count() + 999) / 1000);
+    auto* state = new State { this, std::move(setting), MonotonicClock::now() + delay };
     m_source = g_timeout_add_full(
         G_PRIORITY_DEFAULT, static_cast<guint>(milliseconds),
         [](gpointer data) -> gboolean {
-            auto* state = static_cast<State*>(data);
-            if (state->repeating) {
-                state->function();
-                return G_SOURCE_CONTINUE;
-            }
-            // The function may destroy the timer, so the source is cleared first.
-            state->owner->m_source = 0;
-            const auto function = std::move(state->function);
-            function();
+            auto& state = *static_cast<State*>(data);
+            state.owner->onDue(state);
             return G_SOURCE_REMOVE;
         },
         state, [](gpointer data) { delete static_cast<State*>(data); });
 }
 
+// What arrived while this process stood still would otherwise count as late. The function may destroy the timer, so nothing is
+// used after it.
+void Timer::onDue(State& state)
+{
+    m_source = 0;
+    auto setting = std::move(state.setting);
+    if (!setting.postponed && MonotonicClock::now() - state.due > stallThreshold) {
+        setting.postponed = true;
+        arm(postponement, std::move(setting));
+        return;
+    }
+    setting.postponed = false;
+    const auto function = setting.function;
+    if (setting.interval > Duration::zero())
+        arm(setting.interval, std::move(setting));
+    (*function)();
+}
+
 void Timer::stop()
 {
     if (m_source)
--- a/Source/net/Timer.h
+++ b/Source/net/Timer.h
@@ -3,10 +3,12 @@
 #include "core/Time.h"
 
 #include <functional>
+#include <memory>
 
 namespace shallot {
 
-// Timer on the GLib main loop, with millisecond resolution (delays are rounded up). Destruction stops it.
+// Timer on the GLib main loop, with millisecond resolution (delays are rounded up). Destruction stops it. When this process has
+// stood still, the sockets are read before the timer fires.
 class Timer {
 public:
     Timer() = default;
@@ -21,14 +23,20 @@
     void stop();
 
 private:
-    void start(Duration, bool repeating, std::function<void()>);
-
+    struct Setting {
+        std::shared_ptr<const std::function<void()>> function;
+        Duration interval {}; // Zero: it fires once
+        bool postponed { false };
+    };
     struct State {
         Timer* owner;
-        std::function<void()> function;
-        bool repeating;
+        Setting setting;
+        TimePoint due;
     };
 
+    void arm(Duration, Setting);
+    void onDue(State&);
+
     unsigned m_source { 0 };
 };
 
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace shallot {
 namespace {
@@ -236,6 +237,16 @@
 
 INSTANTIATE_TEST_SUITE_P(Runs, LinkEndStalledDaemon, testing::Bool());
 
+TEST_F(LinkEnd, AResponseThatArrivesWhileTheProcessStandsStillIsNotLate)
+{
+    holdRuns();
+    const auto exchange = mesh.send(sender, { "GET", "/read/1", { { std::string(platform::header::deadline), "800" } }, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    answerRuns();
+    std::this_thread::sleep_for(1200ms);
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+}
+
 TEST_F(LinkEndOneBackendServer, ACallAtAKilledDaemonMayHaveRun)
 {
     holdRuns();
