Let a run that may run only once go on without a link until it is asked for

Callers saw: 502 for a run that its backend server finished, after a reconnection that took longer than 300 ms (one lost segment of a handshake, or a second short stall).

Cause: a call without a link is cancelled after 300 ms, so that a run whose caller is gone ends within half a second. That limit is for runs that a cancellation ends; one that may run only once goes on at its backend server, and only its answer was dropped.

Evidence: LinkEndOneBackendServer.ARunThatMayRunOnlyOnceIsAnsweredAfterALateReconnection fails without the change (502), passes with it.

--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -40,6 +40,8 @@
     // Calls the completion exactly once unless the call is cancelled. Returns the call's id.
     uint64_t submit(MeshCall, TimePoint now, MeshCompletion);
     void cancel(uint64_t id);
+    // Whether that call runs and may run only once. To cancel it saves nothing: the backend server goes on.
+    bool runsOnlyOnce(uint64_t id) const;
 
     // The local run that made a nested call with this attempt id and remaining time; empty for a caller's request.
     std::optional<ParentRun> findParent(std::string_view attemptID, Duration remaining, TimePoint now) const;
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -227,6 +227,12 @@
     finish(*live, fail(ErrorKind::Cancelled), true, now);
 }
 
+bool EndpointExecutor::runsOnlyOnce(uint64_t id) const
+{
+    const auto found = m_calls.find(id);
+    return found != m_calls.end() && found->second->running && !found->second->call.context.idempotent;
+}
+
 void EndpointExecutor::endAll(TimePoint now)
 {
     m_lastStart = std::min(m_lastStart, now);
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -431,7 +431,8 @@
         if (served.link.get() != &link)
             continue;
         served.link = nullptr;
-        m_servedCalls.detach(key, now);
+        if (!m_executor.runsOnlyOnce(served.executorCallID))
+            m_servedCalls.detach(key, now);
     }
     scheduleAbandonment(now);
     m_ingress.onLinkClosed(link);
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -247,6 +247,23 @@
     EXPECT_EQ(mesh.wait(exchange).status(), 200);
 }
 
+TEST_F(LinkEndOneBackendServer, ARunThatMayRunOnlyOnceIsAnsweredAfterALateReconnection)
+{
+    holdRuns();
+    const auto exchange = sendOrder();
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    forAllRelays([](LinkRelay& relay) {
+        relay.reset();
+        relay.holdToTarget(true);
+    });
+    mesh.runFor(550ms); // Longer than a run whose caller is gone may continue
+    forAllRelays([](LinkRelay& relay) { relay.holdToTarget(false); });
+    mesh.runFor(100ms);
+    answerRuns();
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
+}
+
 TEST_F(LinkEndOneBackendServer, ACallAtAKilledDaemonMayHaveRun)
 {
     holdRuns();
