Count the shutdown time from a stall in which the signal may have arrived

Cause: a process that stands still handles SIGTERM when it goes on, and takes that moment for the signal's.

Why this works: the signal may have come at any time since the last tick. A gap of over two ticks counts as a stall.

Evidence: ShutdownEnd.TheShutdownTimeOfASignalThatArrivesDuringAStallCountsFromTheStall fails without the change, passes with it.

--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -35,6 +35,7 @@
 constexpr auto lastOutcomesDivisor = 6;           // Of the margin, for the outcomes of calls that have the end as their deadline
 constexpr auto lastResponsesDivisor = 3;          // Of the margin, for the responses to the requests that are still open
 constexpr auto stallThreshold = 350ms;            // Between two checks; several of their intervals
+constexpr auto tickStallThreshold = 2 * tickInterval;
 constexpr auto peersCloseTime
     = 100ms; // Of the margin, until the peers have closed their links; several round trips between zones
 constexpr auto peersCloseCheckInterval = 5ms;
@@ -118,6 +119,9 @@
     if (std::exchange(m_leaving, true))
         return;
     const auto now = MonotonicClock::now();
+    // A signal that arrived while the process stood still is handled afterwards.
+    if (m_tickedAt != TimePoint() && now - m_tickedAt > tickStallThreshold)
+        signalledAt = std::min(signalledAt, m_tickedAt);
     EventLog::write("leave",
         { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() },
             { "signalled_s_ago", toSeconds(now - signalledAt) } });
@@ -468,6 +472,7 @@
 void Sidecar::tick()
 {
     const auto now = MonotonicClock::now();
+    m_tickedAt = now;
     m_links.tick(now);
     for (const auto& address : m_view.endpoints().takeProbes(probesPerTick, now))
         m_links.probe(address);
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -95,6 +95,7 @@
     std::map<ServedCallKey, ServedCall> m_served;
     std::set<RefPtr<StrictHTTPConnection>> m_waitingNotices; // For the store
     std::function<void()> m_onLeaveCompleted;
+    TimePoint m_tickedAt {}; // Of the last tick
     uint64_t m_ticks { 0 };
     bool m_leaving { false };
     bool m_stoppedAccepting { false };
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -425,6 +425,19 @@
     EXPECT_EQ(running->status(), 502);
 }
 
+TEST_F(ShutdownEnd, TheShutdownTimeOfASignalThatArrivesDuringAStallCountsFromTheStall)
+{
+    constexpr Duration shutdownTime = 3s;
+    mesh.setShutdownTime(0, shutdownTime);
+    const auto running = mesh.send(0, { "POST", "/order/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    const auto end = MonotonicClock::now() + shutdownTime;
+    std::this_thread::sleep_for(1200ms);
+    leave(0);
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    EXPECT_LT(MonotonicClock::now(), end);
+}
+
 TEST_F(ShutdownEnd, AStallWhileLeavingMovesTheLastAnswersToTheStartOfTheLastSixth)
 {
     constexpr Duration shutdownTime = 6s;
