Guard a resumed call against late queries, late closes and repeated draws

- A query that arrives late on an earlier link took the call over, and with that link's end it was abandoned.
If its daemon then left, its last message could have been read as "not run" for a call that ran.
The daemon keeps the latest link now, and the sender applies that message only to calls that were sent on that link.
- Each query drew from the retry budget; there is one draw for an attempt now, and only if a reachable backend server is left.
- What ended is known for 100 ms beyond its deadline, since both ends respond up to 40 ms after it.
- An outcome that was dropped leaves its place in the order of kept ones.
- After a stall at the end, the peers still get the time to read the last message, up to 100 ms before the end of the shutdown time.

ServedCallsFuzz draws the time limit for each call now.

--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -65,8 +65,11 @@
     Duration callQueryInterval { 50ms }; // Between two links to a daemon that is asked; below detachedCallLifetime
     // How long a call runs on without a link. Longer than the query takes; a run whose caller left must end within 0.5 s.
     Duration detachedCallLifetime { 300ms };
-    // How long a call is known that its sender was told would not begin; what ended is known until its deadline.
+    // How long a call is known that its sender was told would not begin.
     Duration refusedCallLifetime { 2s };
+    Duration servedCallMargin {
+        100ms
+    }; // What ended is known for longer than until its deadline: responses may come shortly after it
     size_t maximumServedCallRecords { 20'000 };
     size_t maximumKeptOutcomeBytes { 1024 * 1024 };
     // How long ids of a sender's process are remembered; longer than the time limit of any call.
--- a/Source/mesh/ServedCalls.cpp
+++ b/Source/mesh/ServedCalls.cpp
@@ -53,25 +53,24 @@
     if (found == m_records.end() || found->second.state != State::Open)
         return;
     auto& record = found->second;
-    close(key, record, State::Ended, record.deadline);
+    close(key, record, State::Ended, record.deadline + m_settings.servedCallMargin);
     m_detached.erase(key);
     const auto bytes = outcome ? bytesOf(*outcome) : 0;
     if (outcome && bytes <= m_settings.maximumKeptOutcomeBytes) {
         record.outcome = std::move(outcome);
         record.bytes = bytes;
         m_keptBytes += bytes;
-        m_kept.push_back(key);
-    }
-    while (m_keptBytes > m_settings.maximumKeptOutcomeBytes) {
-        if (const auto oldest = m_records.find(m_kept.front()); oldest != m_records.end())
-            dropOutcome(oldest->second);
-        m_kept.pop_front();
+        record.keptAs = ++m_lastKept;
+        m_kept.emplace(record.keptAs, key);
     }
+    while (m_keptBytes > m_settings.maximumKeptOutcomeBytes)
+        dropOutcome(m_records.at(m_kept.begin()->second));
     expire(now);
 }
 
 void ServedCalls::dropOutcome(Record& record)
 {
+    m_kept.erase(record.keptAs);
     record.outcome.reset();
     m_keptBytes -= std::exchange(record.bytes, 0);
 }
@@ -145,8 +144,6 @@
 {
     while (!m_closed.empty() && (now >= m_closed.begin()->first || m_closed.size() > m_settings.maximumServedCallRecords))
         forgetNext(now);
-    while (!m_kept.empty() && !outcomeOf(m_kept.front()))
-        m_kept.pop_front();
     // The entry of a process matters while a call of it may be asked for or arrive; checked rarely, since there are few of them.
     if (now < m_processesCheckedAt + m_settings.servedProcessLifetime / 2)
         return;
--- a/Source/mesh/ServedCalls.h
+++ b/Source/mesh/ServedCalls.h
@@ -2,7 +2,6 @@
 
 #include "mesh/MeshCall.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -65,7 +64,8 @@
         State state { State::Open };
         TimePoint deadline {};
         std::optional<MeshOutcome> outcome;
-        size_t bytes { 0 }; // Of the outcome
+        size_t bytes { 0 };    // Of the outcome
+        uint64_t keptAs { 0 }; // Its key in m_kept
     };
 
     struct ForgottenCalls {
@@ -83,11 +83,12 @@
     const MeshSettings& m_settings;
     std::map<ServedCallKey, Record> m_records;
     std::set<std::pair<TimePoint, ServedCallKey>> m_closed; // Ended or refused, by when they are forgotten
-    std::deque<ServedCallKey> m_kept;                       // With an outcome, the oldest first
+    std::map<uint64_t, ServedCallKey> m_kept;               // With an outcome, the oldest first
     std::map<ServedCallKey, TimePoint> m_detached;          // Open calls without a link, since when
     std::map<Process, ForgottenCalls> m_forgotten;
     TimePoint m_processesCheckedAt {};
     size_t m_keptBytes { 0 };
+    uint64_t m_lastKept { 0 };
 };
 
 } // namespace shallot
--- a/Source/net/PeerLink.cpp
+++ b/Source/net/PeerLink.cpp
@@ -27,6 +27,8 @@
     , m_nonce(toHex(makeRandomRequestID()))
     , m_initiator(initiator)
 {
+    static uint64_t lastNumber = 0;
+    m_number = ++lastNumber;
 }
 
 PeerLink::~PeerLink()
--- a/Source/net/PeerLink.h
+++ b/Source/net/PeerLink.h
@@ -48,6 +48,8 @@
     // Whether the peer is authenticated; until then no frame passed to send() has left this process.
     bool isEstablished() const { return m_established; }
     bool isOpen() const;
+    // Rising in the order in which this process opened or accepted its links.
+    uint64_t number() const { return m_number; }
     const std::string& peer() const { return m_peer; }
     uint64_t peerBoot() const { return m_peerBoot; }
     uint64_t bytesSent() const { return m_bytesSent; }
@@ -81,6 +83,7 @@
     uint64_t m_peerBoot { 0 };
     std::string m_endReason;
     std::vector<std::string> m_pendingFrames;
+    uint64_t m_number { 0 };
     uint64_t m_bytesSent { 0 };
     bool m_initiator { false };
     bool m_compresses { false }; // Set when the peer's zone is known
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -221,6 +221,7 @@
     pending.member = endpoint.member.name;
     pending.address = endpoint.member.address;
     pending.attemptInProgress = true;
+    pending.resumed = pending.soughtOthers = false;
     const auto attempt = pending.attempt;
     if (endpoint.member.name == m_dependencies.ownName) {
         pending.link = nullptr;
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -63,7 +63,6 @@
     void onCallState(PeerLink&, const wire::CallStateT&);
     // The daemon at the other end begins no call on this link that it has not answered.
     void onGoAway(PeerLink&);
-    bool hasAttemptsOn(const PeerLink& link) const { return !attemptsOn(link).empty(); }
     void onLinkClosed(PeerLink&);
     size_t inProgress() const { return m_pending.size(); }
     size_t openConnections() const { return m_server.connectionCount(); }
@@ -92,6 +91,8 @@
         uint64_t memberBoot { 0 };      // Process that got the attempt; set when its link ends
         bool awaitsState { false };     // The member is asked on a new link what became of the attempt
         TimePoint awaitsStateSince {};
+        bool resumed { false };       // The attempt was not sent on its present link
+        bool soughtOthers { false };  // For this attempt: whether it may be sent elsewhere has been decided
         unsigned rejectedLinks { 0 }; // Successive, while it awaits the state
         uint64_t executorCallID { 0 };
         std::optional<Result<HTTPResponse>> earlierResponse; // May have executed; a later "not executed" must not replace it
--- a/Source/sidecar/MeshIngressOutcomes.cpp
+++ b/Source/sidecar/MeshIngressOutcomes.cpp
@@ -55,8 +55,8 @@
     report.available = false;
     report.leaving = true;
     for (const auto& pending : attemptsOn(link)) {
-        // The promise does not cover a call that was sent on another link; the reply to its query follows.
-        if (!pending->awaitsState)
+        // The promise does not cover a call that was sent on another link.
+        if (!pending->resumed)
             onOutcome(*pending, { fail(ErrorKind::Draining, pending->member + " has ended"), report, false }, now);
     }
 }
@@ -67,6 +67,8 @@
     auto report = EndpointReport {};
     report.available = false;
     for (const auto& pending : attemptsOn(link)) {
+        if (!pending->attemptInProgress)
+            continue; // It ended with an earlier one
         const bool wasSent = link.isEstablished() || pending->awaitsState;
         if (!wasSent)
             onOutcome(*pending, { fail(ErrorKind::NoBackendServer, "no link to " + pending->member), report, false }, now);
@@ -85,6 +87,7 @@
         m_queries.set(pending.id, now + m_dependencies.settings.callQueryInterval);
         return;
     }
+    pending.resumed = true;
     pending.memberBoot = ended.peerBoot();
     pending.awaitsStateSince = now;
     pending.rejectedLinks = 0;
@@ -142,10 +145,14 @@
 // Sends the request to another backend server if it may run again; otherwise it waits for its daemon.
 bool MeshIngress::replaceAttempt(PendingRequest& pending, TimePoint now)
 {
+    const ChoiceConditions conditions { .anyZone = pending.reroutes > 0, .reachableOnly = true };
+    if (pending.soughtOthers
+        || !m_dependencies.view.endpoints().choose(pending.call.service, now, pending.triedMembers, conditions))
+        return false;
+    pending.soughtOthers = true; // Each further draw would raise this daemon's part of the retry budget
     const MeshOutcome lost { fail(ErrorKind::BackendFailed, "no link to " + pending.member), {}, true };
     ++pending.backendsReached;
-    const bool hasOthers = m_dependencies.view.endpoints().choose(pending.call.service, now, pending.triedMembers) != nullptr;
-    if (!hasOthers || !mayRetry(pending, lost, now)) {
+    if (!mayRetry(pending, lost, now)) {
         --pending.backendsReached;
         return false;
     }
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -155,6 +155,7 @@
     const auto marginStart = signalledAt + m_instance.shutdownTime - margin;
     const auto endBy = std::max(now, marginStart);
     const auto endRequestsAt = marginStart + margin / lastOutcomesDivisor;
+    m_killedAt = signalledAt + m_instance.shutdownTime;
     m_finishBy = endRequestsAt + margin / lastResponsesDivisor;
     m_ingress.startLeaving(endBy);
     // Backend servers and other daemons end a call at its deadline by themselves, and their outcome goes first.
@@ -196,7 +197,7 @@
     m_beginsNoCalls = true;
     m_links.goAway();
     m_control.startDraining(); // Announcements that have arrived are answered
-    const auto latest = std::min(MonotonicClock::now(), m_finishBy) + peersCloseTime;
+    const auto latest = std::min(MonotonicClock::now() + peersCloseTime, m_killedAt - peersCloseTime);
     m_leaveTimer.startRepeating(peersCloseCheckInterval, [this, latest] { endWhenPeersHaveClosed(latest); });
 }
 
@@ -400,7 +401,9 @@
             link.send(makeMeshAnswerFrame(key.id, *outcome));
         return;
     }
-    if (const auto found = m_served.find(key); found != m_served.end())
+    // A query on an earlier link may arrive late; the sender has given that link up.
+    const auto found = m_served.find(key);
+    if (found != m_served.end() && (!found->second.link || found->second.link->number() < link.number()))
         found->second.link = &link;
     link.send(makeCallStateFrame(key.id, state));
 }
@@ -424,8 +427,7 @@
 {
     EventLog::write("link-goes-away", { { "peer", link.peer() } });
     m_ingress.onGoAway(link);
-    if (!m_ingress.hasAttemptsOn(link))
-        link.close();
+    link.close();
 }
 
 void Sidecar::onLinkClosed(PeerLink& link)
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -101,6 +101,7 @@
     bool m_stoppedAccepting { false };
     bool m_beginsNoCalls { false }; // The peers have been told so
     TimePoint m_refuseCallersAt {}; // While leaving: all callers know of it then
+    TimePoint m_killedAt {};        // While leaving: the end of the shutdown time
     TimePoint m_finishBy {};        // While leaving: the responses to the requests that are open at the end have been sent
     bool m_wasReady { false };
 };
--- a/Tests/ServedCallsFuzzTest.cpp
+++ b/Tests/ServedCallsFuzzTest.cpp
@@ -44,7 +44,8 @@
             return;
         const auto id = *std::next(m_onTheWay.begin(), static_cast<ptrdiff_t>(choice % m_onTheWay.size()));
         m_onTheWay.erase(id);
-        if (!m_calls.begin(keyOf(id), m_now + timeLimit, m_now))
+        constexpr uint64_t limits = 7; // From 0 to 1.8 s
+        if (!m_calls.begin(keyOf(id), m_now + id % limits * 300ms, m_now))
             return;
         RC_ASSERT(!m_begun.contains(id));
         RC_ASSERT(!m_elsewhere.contains(id));
@@ -176,7 +177,7 @@
     ServedCalls calls(settings);
     EXPECT_TRUE(calls.begin(keyOf(7), start + timeLimit, start));
     calls.end(keyOf(7), outcomeWith("done"), start);
-    const auto later = start + timeLimit;
+    const auto later = start + timeLimit + settings.servedCallMargin;
     EXPECT_EQ(calls.query(keyOf(7), later), ServedCallState::Unknown);
     EXPECT_EQ(calls.query(keyOf(6), later), ServedCallState::Unknown);
     EXPECT_FALSE(calls.begin(keyOf(6), later + timeLimit, later));
