--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -67,9 +67,8 @@
     Duration detachedCallLifetime { 300ms };
     // How long a call is known that its sender was told would not begin.
     Duration refusedCallLifetime { 2s };
-    Duration servedCallMargin {
-        100ms
-    }; // What ended is known for longer than until its deadline: responses may come shortly after it
+    // How much longer than until its deadline a call that ended is known: responses may come shortly after it.
+    Duration servedCallMargin { 100ms };
     size_t maximumServedCallRecords { 20'000 };
     size_t maximumKeptOutcomeBytes { 1024 * 1024 };
     // How long ids of a sender's process are remembered; longer than the time limit of any call.
