Cut the limit at the root once for one overload

Cause: a window of 200 ms is shorter than a page (0.5 to 0.8 s). The requests that had been admitted before the first cut were still running and reported the wait that they caused, so the limit was cut three to five times for one overload. And the average of the waits forgets by reports: the few requests that were left reported the emptied queue's old wait for more than a second.

A limit is not cut again while more requests run than it admits; none is admitted then. The average gives a report the weight of the time since the last one, at least a tenth.

Failed before: CutsItsLimitOnceUntilTheRequestsAboveItHaveEnded (10 of 20 requests admitted), ForgetsTheWaitsOfAnEndedOverloadEvenIfFewRequestsReport (119 ms, 20 allowed).

--- a/Source/mesh/RootLoadShedder.cpp
+++ b/Source/mesh/RootLoadShedder.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr double waitWeight = 0.1;     // Weight of the newest wait in the average
+constexpr double waitWeight = 0.1;     // Least weight of the newest wait in the average
 constexpr double smallestLimit = 1;    // One running request keeps reporting the waits
 constexpr double unboundedLimit = 1e6; // Cap on the growth of a limit
 constexpr double liftFactor = 4;       // A limit is lifted once it exceeds the running requests by this factor
@@ -23,6 +23,9 @@
     const double target = toSeconds(m_settings.pressureTarget);
     const double wait = now - flow.reportedAt < m_settings.pressureLifetime ? flow.wait : 0;
     if (wait > target) {
+        // Requests above the limit were admitted before the last cut, so the waits do not show its effect yet.
+        if (flow.limit > 0 && flow.running > flow.limit * m_settings.scheduledRetryShare)
+            return;
         const double used = std::max<double>(smallestLimit, flow.running);
         const double base = flow.limit > 0 ? std::min(flow.limit, used * m_settings.scheduledRetryShare) : used;
         flow.limit = std::max(smallestLimit, base * std::max(m_settings.pressureDecreaseFloor, target / wait));
@@ -62,7 +65,9 @@
 {
     auto& flow = m_flows[{ route, priority }];
     const bool stale = now - flow.reportedAt > m_settings.pressureLifetime;
-    flow.wait = stale ? toSeconds(wait) : flow.wait + waitWeight * (toSeconds(wait) - flow.wait);
+    // The average forgets within a window even if few requests are left to report.
+    const double weight = std::clamp(toSeconds(now - flow.reportedAt) / toSeconds(m_settings.pressureWindow), waitWeight, 1.0);
+    flow.wait = stale ? toSeconds(wait) : flow.wait + weight * (toSeconds(wait) - flow.wait);
     flow.reportedAt = now;
     adapt(flow, now);
 }
