--- a/Source/daemon/Daemon.cpp
+++ b/Source/daemon/Daemon.cpp
@@ -135,6 +135,8 @@
     case wire::Body::ClaimQuery:
         m_claims.onQuery(link, *frame.body.AsClaimQuery(), now);
         break;
+    case wire::Body::BodyPart: // Only between the daemons of the platform
+    case wire::Body::BodyCredit:
     case wire::Body::NONE:
     case wire::Body::Hello:
     case wire::Body::Proof:
--- a/Source/mesh/MeshCall.h
+++ b/Source/mesh/MeshCall.h
@@ -15,8 +15,9 @@
     RequestContext context;
     std::string service;
     HTTPRequest request;
-    Duration targetLatency {};     // Remaining time within the latency objective; 0: no objective
-    bool scheduledRetry { false }; // Refused earlier and retried at the time given with the refusal
+    Duration targetLatency {};      // Remaining time within the latency objective; 0: no objective
+    bool scheduledRetry { false };  // Refused earlier and retried at the time given with the refusal
+    bool acceptsBodyParts { true }; // The caller's daemon takes a long response body while it arrives
 };
 
 // Result of a call, with the load report of the backend server's daemon.
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -54,6 +54,11 @@
     // Bodies of the requests that wait for the backend server or that it has not answered. While they are received and written
     // they take up to three times as much memory.
     size_t maximumHeldBodyBytes { 40 * 1024 * 1024 };
+    // Response bodies that wait for a reader. Beyond it, each keeps 64 KB and its backend server waits.
+    size_t maximumHeldResponseBytes { 32 * 1024 * 1024 };
+    // Of a response body that is passed on: when its backend server has sent nothing for this long though there was room, the
+    // body is broken off. As long as callers wait for an answer at most.
+    Duration bodyStallTimeout { 5s };
     size_t maximumResentBodyBytes { 64 * 1024 }; // A larger one is not kept for a resend on a new connection
     // Without an announcement for this long, three announcement intervals, a backend server counts as unavailable.
     Duration announcementTimeout { 5s };
--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -1,7 +1,9 @@
 #include "net/HTTPConnection.h"
 
+#include "net/BodyStream.h"
 #include "net/StreamSocket.h"
 
+#include <climits>
 #include <optional>
 
 namespace shallot {
@@ -10,9 +12,11 @@
 
 constexpr size_t maximumResponseBytes = 4 * 1024 * 1024; // Far above the longest responses of the deployments
 constexpr size_t bufferCheckBytes = 64 * 1024;           // mayBufferMore() is consulted once for so many bytes of a body
-constexpr unsigned maximumMismatchedResponses = 8;       // Late responses dropped in one exchange before it fails
-constexpr unsigned maximumInterimResponses = 64;         // Skipped in one exchange before it fails
-constexpr size_t maximumInterimBytes = 64 * 1024;        // Of all of them
+constexpr size_t streamedBodyBytes = 64 * 1024;            // A longer body is passed on while it arrives
+constexpr int64_t maximumStreamedBytes = 64 * 1024 * 1024; // The longest body that a configuration allows
+constexpr unsigned maximumMismatchedResponses = 8;         // Late responses dropped in one exchange before it fails
+constexpr unsigned maximumInterimResponses = 64;           // Skipped in one exchange before it fails
+constexpr size_t maximumInterimBytes = 64 * 1024;          // Of all of them
 
 std::string formatRequest(const HTTPRequest& request)
 {
@@ -70,6 +74,8 @@
 
 HTTPConnection::~HTTPConnection()
 {
+    if (const auto stream = std::exchange(m_stream, nullptr))
+        stream->end(fail(ErrorKind::Cancelled, "the connection was given up"));
     m_socket->close();
 }
 
@@ -101,6 +107,8 @@
     m_response = {};
     m_complete = false;
     m_messageBytes = 0;
+    m_bodyLength = -1;
+    m_longBody = false;
     m_collector = {};
 }
 
@@ -126,6 +134,8 @@
         result.on_headers_complete = [](http_parser* parser) {
             auto& connection = from(parser);
             connection.m_collector.headersComplete = true;
+            if (!(parser->flags & F_CHUNKED) && parser->content_length != ULLONG_MAX)
+                connection.m_bodyLength = static_cast<int64_t>(parser->content_length);
             return connection.hasNoBody() ? 1 : 0;
         };
         result.on_body = [](http_parser* parser, const char* at, size_t length) {
@@ -150,6 +160,10 @@
 
 bool HTTPConnection::appendBody(std::string_view bytes)
 {
+    if (m_stream) {
+        m_stream->push(bytes);
+        return true;
+    }
     const auto size = m_response.body.size() + bytes.size();
     if (size > maximumResponseBytes)
         m_rejectReason = "the response is too large";
@@ -159,9 +173,39 @@
     if (m_rejectReason)
         return false;
     m_response.body.append(bytes);
+    // A body without a named length may be endless; it is received whole, up to the limit.
+    m_longBody = size > streamedBodyBytes && m_bodyLength >= 0 && m_bodyLength <= maximumStreamedBytes;
     return true;
 }
 
+// Passes the response on with the part of the body received so far.
+void HTTPConnection::startStreaming()
+{
+    m_longBody = false;
+    m_response.status = static_cast<uint16_t>(m_parser.status_code);
+    // A server error may be retried, so it is kept whole.
+    if (m_response.status < 200 || m_response.status >= 500
+        || (m_matcher && m_matcher(m_response, m_used) != ResponseMatch::Matched))
+        return; // Received whole and then dropped or rejected
+    m_stream = makeRef<BodyStream>(*m_bodyBudget);
+    m_stream->setProducer([this] { updateReadPaused(); },
+        [this] {
+            const RefPtr<HTTPConnection> protect(this);
+            m_stream = nullptr;
+            closeAndNotify();
+        });
+    m_response.rest = m_stream;
+    m_response.bodyLength = m_bodyLength;
+    const auto completion = std::exchange(m_completion, nullptr);
+    completion(std::move(m_response));
+    m_response = {};
+}
+
+void HTTPConnection::updateReadPaused()
+{
+    m_socket->setReadPaused(m_stream && !m_stream->isEnded() && !m_stream->hasCredit());
+}
+
 // Requires a complete response in m_response.
 bool HTTPConnection::matchesRequest()
 {
@@ -198,7 +242,7 @@
             return false;
         if (isInterim())
             skipInterim();
-        else if (matchesRequest())
+        else if (m_stream || matchesRequest())
             return true;
         if (m_rejectReason)
             return false;
@@ -210,24 +254,32 @@
 void HTTPConnection::onData(std::span<const uint8_t> bytes)
 {
     const RefPtr<HTTPConnection> protect(this);
-    if (!m_completion) {
+    if (!m_completion && !m_stream) {
         // Data without a request in progress: the stream is out of step, so the connection cannot be reused.
         closeAndNotify();
         return;
     }
     size_t parsed = 0;
-    if (execute({ reinterpret_cast<const char*>(bytes.data()), bytes.size() }, parsed)) {
+    const bool isComplete = execute({ reinterpret_cast<const char*>(bytes.data()), bytes.size() }, parsed);
+    if (!m_completion && !m_stream)
+        return; // Nobody needs the rest of the body any more
+    if (isComplete) {
         const bool trailingBytes = parsed < bytes.size();
         if (trailingBytes)
             m_socket->close();
         completeResponse();
         return;
     }
-    if (m_rejectReason)
+    if (m_rejectReason) {
         failExchange(ErrorKind::BadResponse, m_rejectReason);
-    else if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK)
+    } else if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK) {
         failExchange(
             ErrorKind::BadResponse, std::string("the response is malformed: ") + http_errno_name(HTTP_PARSER_ERRNO(&m_parser)));
+    } else if (isOpen()) {
+        if (m_longBody && m_bodyBudget && !m_stream)
+            startStreaming();
+        updateReadPaused();
+    }
 }
 
 void HTTPConnection::completeResponse()
@@ -239,7 +291,12 @@
     m_matcher = nullptr;
     if (!reusable)
         m_socket->close();
-    completion(std::move(m_response));
+    if (const auto stream = std::exchange(m_stream, nullptr)) {
+        m_socket->setReadPaused(false);
+        stream->end({});
+    } else {
+        completion(std::move(m_response));
+    }
     if (!reusable) {
         closeAndNotify();
         return;
@@ -260,9 +317,9 @@
             failExchange(ErrorKind::BackendRefused, "the connection could not be established");
         return;
     }
-    if (m_acceptsCloseDelimited && m_completion && m_responseStarted && end == StreamEnd::Clean) {
+    if (m_acceptsCloseDelimited && (m_completion || m_stream) && m_responseStarted && end == StreamEnd::Clean) {
         http_parser_execute(&m_parser, &parserSettings(), nullptr, 0);
-        if (m_complete && matchesRequest()) {
+        if (m_complete && (m_stream || matchesRequest())) {
             completeResponse();
             return;
         }
@@ -277,6 +334,8 @@
 {
     const RefPtr<HTTPConnection> protect(this);
     m_socket->close();
+    if (const auto stream = std::exchange(m_stream, nullptr))
+        stream->end(fail(kind, detail));
     if (const auto completion = std::exchange(m_completion, nullptr))
         completion(tl::unexpected(Error { kind, std::move(detail), {}, m_used && !m_interimResponses }));
     closeAndNotify();
@@ -298,6 +357,8 @@
 void HTTPConnection::abandon()
 {
     m_completion = nullptr;
+    if (const auto stream = std::exchange(m_stream, nullptr))
+        stream->end(fail(ErrorKind::Cancelled, "the exchange was abandoned"));
     closeAndNotify();
 }
 
--- a/Source/net/HTTPConnection.h
+++ b/Source/net/HTTPConnection.h
@@ -12,6 +12,7 @@
 
 namespace shallot {
 
+class ByteBudget;
 class StreamSocket;
 enum class StreamEnd : uint8_t;
 struct SocketAddress;
@@ -41,11 +42,15 @@
     static RefPtr<HTTPConnection> connect(const SocketAddress&, Callbacks);
     // Whether a body without a length is accepted as complete when the server closes the connection cleanly.
     void setAcceptsCloseDelimited(bool accepts) { m_acceptsCloseDelimited = accepts; }
+    // With a budget, a response with a long body completes early: HTTPResponse::rest brings what follows. Null: all bodies are
+    // received whole.
+    void setBodyBudget(ByteBudget* budget) { m_bodyBudget = budget; }
     explicit HTTPConnection(RefPtr<StreamSocket>, Callbacks);
     ~HTTPConnection();
 
     void send(const HTTPRequest&, Completion, ResponseMatcher = nullptr);
-    // Closes the connection without calling the completion, so that a late response is never delivered.
+    // Closes the connection without calling the completion, so that a late response is never delivered. A body that is being
+    // received ends with an error.
     void abandon();
     // Closes the connection; an exchange in progress completes with BackendFailed.
     void terminate();
@@ -70,6 +75,8 @@
     bool isInterim() const { return m_parser.status_code < HTTP_STATUS_OK; }
     void skipInterim();
     bool hasNoBody() const;
+    void startStreaming();
+    void updateReadPaused();
 
     static const http_parser_settings& parserSettings();
     static HTTPConnection& from(http_parser* parser) { return *static_cast<HTTPConnection*>(parser->data); }
@@ -81,6 +88,8 @@
     http_parser m_parser {};
     HTTPResponse m_response;
     TimePoint m_openedAt { MonotonicClock::now() };
+    RefPtr<BodyStream> m_stream; // The rest of a body whose response has been passed on
+    ByteBudget* m_bodyBudget { nullptr };
     bool m_connected { false };
     Duration m_idleLifetime { std::chrono::seconds(8) }; // Until announced; below the usual 10 s of our servers
     bool m_acceptsCloseDelimited { false };
@@ -93,6 +102,8 @@
     size_t m_interimBytes { 0 };
     size_t m_messageBytes { 0 }; // Parsed of the current response
     bool m_complete { false };
+    int64_t m_bodyLength { -1 }; // Named by the server; negative: not named
+    bool m_longBody { false };   // Long enough for streaming
     HeaderCollector m_collector;
 };
 
--- a/Source/net/HTTPMessage.h
+++ b/Source/net/HTTPMessage.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "core/RefCounted.h"
+#include "net/BodyStream.h"
+
 #include <algorithm>
 #include <cstdint>
 #include <string>
@@ -22,6 +25,8 @@
     uint16_t status { 200 };
     HTTPHeaders headers;
     std::string body;
+    RefPtr<BodyStream> rest;   // What follows `body` while it still arrives; null: the body is complete
+    int64_t bodyLength { -1 }; // Of the whole body, if `rest` is set and the sender named it; otherwise negative
 };
 
 // Compares ASCII letters without regard to case, as HTTP header names require.
--- a/Source/net/HTTPPool.cpp
+++ b/Source/net/HTTPPool.cpp
@@ -54,8 +54,8 @@
         [](size_t sum, const auto& item) { return sum + item.second->bufferedBytes(); });
 }
 
-void HTTPPool::send(
-    uint64_t id, const HTTPRequest& request, Completion completion, HTTPConnection::ResponseMatcher matcher, Duration maximumIdle)
+void HTTPPool::send(uint64_t id, const HTTPRequest& request, Completion completion, HTTPConnection::ResponseMatcher matcher,
+    Duration maximumIdle, ByteBudget* bodyBudget)
 {
     auto connection = takeConnection(maximumIdle, MonotonicClock::now());
     if (!connection) {
@@ -63,11 +63,15 @@
         return;
     }
     m_busy[id] = connection;
+    connection->setBodyBudget(bodyBudget);
     connection->send(
         request,
         [this, id, connection = connection.get(), completion = std::move(completion)](Result<HTTPResponse> response) {
             const RefPtr<HTTPConnection> protect(connection);
-            m_busy.erase(id);
+            if (response && response->rest)
+                m_streaming[connection] = id;
+            else
+                m_busy.erase(id);
             completion(std::move(response));
         },
         std::move(matcher));
@@ -76,10 +80,15 @@
 void HTTPPool::onIdle(HTTPConnection& connection)
 {
     m_idle.push_back({ &connection, MonotonicClock::now() });
+    if (const auto found = m_streaming.find(&connection); found != m_streaming.end()) {
+        m_busy.erase(found->second);
+        m_streaming.erase(found);
+    }
 }
 
 void HTTPPool::onClosed(HTTPConnection& connection)
 {
+    m_streaming.erase(&connection);
     std::erase_if(m_idle, [&connection](const auto& item) { return item.connection.get() == &connection; });
     std::erase_if(m_busy, [&connection](const auto& item) { return item.second.get() == &connection; });
 }
--- a/Source/net/HTTPPool.h
+++ b/Source/net/HTTPPool.h
@@ -19,9 +19,10 @@
     void setAddress(const SocketAddress&);
     void setAcceptsCloseDelimited(bool accepts) { m_acceptsCloseDelimited = accepts; }
     // Starts an exchange that `id`, chosen by the user of the pool, identifies in abandon(). A connection that has been idle for
-    // longer than `maximumIdle` is not reused. Completes at once with Overloaded when the socket cannot be created.
+    // longer than `maximumIdle` is not reused. Completes at once with Overloaded when the socket cannot be created. For the budget
+    // see HTTPConnection::setBodyBudget(); the exchange of a body that still arrives stays in progress until its end.
     void send(uint64_t id, const HTTPRequest&, Completion, HTTPConnection::ResponseMatcher = nullptr,
-        Duration maximumIdle = Duration::max());
+        Duration maximumIdle = Duration::max(), ByteBudget* bodyBudget = nullptr);
     // Aborts an exchange: its completion is not called and its connection is closed.
     void abandon(uint64_t id);
     // Closes the connections that were opened before that time; exchanges in progress on them complete with BackendFailed.
@@ -44,6 +45,7 @@
 
     std::vector<IdleConnection> m_idle; // Most recently used last
     std::unordered_map<uint64_t, RefPtr<HTTPConnection>> m_busy;
+    std::unordered_map<HTTPConnection*, uint64_t> m_streaming; // Busy ones whose response has been passed on; their exchanges
 };
 
 } // namespace shallot
--- a/Source/net/PeerLink.cpp
+++ b/Source/net/PeerLink.cpp
@@ -39,6 +39,11 @@
     return m_established && isOpen() ? m_socket->pendingBytes() : 0;
 }
 
+void PeerLink::readNow()
+{
+    m_socket->readNow();
+}
+
 bool PeerLink::isOpen() const
 {
     return m_socket->isOpen();
--- a/Source/net/PeerLink.h
+++ b/Source/net/PeerLink.h
@@ -53,6 +53,8 @@
     uint64_t bytesSent() const { return m_bytesSent; }
     // Bytes that the kernel has not taken yet; zero before the handshake is complete.
     size_t unsentBytes() const;
+    // Handles what has arrived at once instead of in the next iteration of the main loop.
+    void readNow();
     // Why the link was closed; empty while it is open.
     const std::string& endReason() const { return m_endReason; }
 
--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -3,9 +3,11 @@
 #include <array>
 #include <cerrno>
 #include <gio/gio.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -82,6 +84,14 @@
     return result;
 }
 
+size_t StreamSocket::unacknowledgedBytes() const
+{
+    int queued = 0;
+    if (!isOpen() || ioctl(m_watcher.descriptor, SIOCOUTQ, &queued))
+        return pendingBytes();
+    return pendingBytes() + static_cast<size_t>(queued);
+}
+
 void StreamSocket::start(Callbacks callbacks)
 {
     m_callbacks = std::move(callbacks);
@@ -260,6 +270,14 @@
         onClosed(end);
 }
 
+void StreamSocket::reset()
+{
+    const linger resetOnClose { 1, 0 };
+    if (isOpen())
+        setsockopt(m_watcher.descriptor, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
+    close();
+}
+
 // Does not clear the callbacks, because one of them may be on the call stack.
 void StreamSocket::close()
 {
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -55,12 +55,16 @@
     void readNow();
     // Closes the connection; onClosed is not called.
     void close();
+    // As close(), but the peer sees a reset instead of an orderly end.
+    void reset();
     // Sets TCP_USER_TIMEOUT: sent data that stays unacknowledged for longer closes the connection.
     void setUserTimeout(Duration);
     bool isOpen() const { return m_watcher.descriptor >= 0; }
     bool canSend() const { return isOpen() && !m_finishing && !m_sendFailed; }
     bool isConnecting() const { return m_connecting; }
     size_t pendingBytes() const { return m_pending.size() - m_pendingOffset; }
+    // Written bytes that the peer has not acknowledged, here and in the kernel.
+    size_t unacknowledgedBytes() const;
     // Bytes that arrived after finish().
     size_t discardedBytes() const { return m_discardedBytes; }
     // IP address of the peer; empty when unknown.
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -1,12 +1,13 @@
 // Index of this file
 //   Validation:   isUnambiguousHeaderSection
 //   Parsing:      onData, readRequests, readRequest, readHeaderSection, dispatchRequest
-//   Responses:    respond, reject
+//   Responses:    respond, withholdByte, completeResponse, sendBody, breakBody, reject
 //   Closing:      abort, closeWhenIdle, enforceTimeouts, onPeerFinished, onFlushed, onSocketClosed
 
 #include "net/StrictHTTPConnection.h"
 
 #include "core/EventLog.h"
+#include "net/BodyStream.h"
 #include "net/StreamSocket.h"
 
 #include <algorithm>
@@ -21,6 +22,8 @@
 constexpr size_t maximumUnsentBytes = 1024 * 1024;   // Of responses; then further pipelined requests wait
 constexpr size_t bufferCheckBytes = 64 * 1024;       // Above this size mayBufferMore() is consulted
 constexpr auto firstRequestTimeout = std::chrono::milliseconds(500); // While draining; many times the network delay
+constexpr size_t bodyPieceBytes = 64 * 1024;            // Of a response that is still arriving, in the socket's buffer at a time
+constexpr unsigned maximumPiecesPerTurn = 4;            // Of one body, if the socket takes them at once
 constexpr auto lingerTimeout = std::chrono::seconds(2); // For the client to read or send on, or to close, after the last response
 
 // http_parser accepts white space before the colon and drops it; other parsers differ, so it must be rejected here.
@@ -100,6 +103,10 @@
 
 StrictHTTPConnection::~StrictHTTPConnection()
 {
+    if (m_body) {
+        m_body->setConsumer(nullptr);
+        m_body->abandon();
+    }
     m_socket->close();
 }
 
@@ -310,8 +317,11 @@
 
 void StrictHTTPConnection::respond(const HTTPResponse& response, bool close, TimePoint now)
 {
-    if (!m_serving || !m_socket->isOpen())
+    if (!m_serving || m_body || !m_socket->isOpen()) {
+        if (response.rest)
+            response.rest->abandon();
         return;
+    }
     const RefPtr<StrictHTTPConnection> protect(this);
     close = close || m_draining || m_inputEnded;
     // A request in the kernel's receive buffer was sent before the client could know of the close.
@@ -319,12 +329,20 @@
         m_socket->setReadPaused(false); // The requests that filled the buffer may all have been answered in this turn
         m_socket->readNow();
     }
-    if (!m_serving || !m_socket->isOpen())
+    if (!m_serving || !m_socket->isOpen()) {
+        if (response.rest)
+            response.rest->abandon();
         return;
+    }
     close = !m_keepAlive || (close && unparsed().empty());
-    m_serving = false;
+    m_closeAfterResponse = close;
     m_currentBodyBytes = 0;
     m_phaseStart = now;
+    const bool bodiless = response.status == 204 || response.status == 304;
+    const bool hasBody = !bodiless && m_parser.method != HTTP_HEAD;
+    const bool continues = response.rest && hasBody;
+    m_bodyLength = response.rest ? response.bodyLength : static_cast<int64_t>(response.body.size());
+    m_serving = continues;
     std::string text;
     text.reserve(256 + response.body.size());
     text += "HTTP/1.1 " + std::to_string(response.status) + " " + reasonPhrase(response.status) + "\r\n";
@@ -336,17 +354,42 @@
         text += value;
         text += "\r\n";
     }
-    const bool bodiless = response.status == 204 || response.status == 304;
     if (!bodiless)
-        text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+        text += "Content-Length: " + std::to_string(m_bodyLength) + "\r\n";
     if (close)
         text += "Connection: close\r\n";
     text += "\r\n";
-    if (!bodiless && m_parser.method != HTTP_HEAD)
+    if (hasBody)
         text += response.body;
     m_parser.method = HTTP_GET; // Until the next header section is parsed; it may be rejected before
+    if (continues) {
+        m_body = response.rest;
+        m_bodySent = response.body.size();
+        m_body->setConsumer([this] { sendBody(); });
+        withholdByte(text);
+    } else if (response.rest) {
+        response.rest->abandon();
+    }
     m_socket->write(text);
-    if (close) {
+    if (continues)
+        sendBody();
+    else
+        completeResponse();
+}
+
+// The last byte of what has arrived is sent with what follows, or to find out whether a client that has finished sending is gone,
+// see onPeerFinished().
+void StrictHTTPConnection::withholdByte(std::string& bytes)
+{
+    m_withheld = bytes.substr(bytes.size() - 1);
+    bytes.pop_back();
+}
+
+void StrictHTTPConnection::completeResponse()
+{
+    if (!m_socket->isOpen())
+        return;
+    if (m_closeAfterResponse) {
         if (!unparsed().empty())
             logCut("closed after a response", unparsed().size());
         finishSocket();
@@ -356,6 +399,51 @@
     }
 }
 
+// The socket's buffer holds one piece, so a client that reads slowly stalls its own body only.
+void StrictHTTPConnection::sendBody()
+{
+    const RefPtr<StrictHTTPConnection> protect(this);
+    for (unsigned pieces = 0; m_body && m_socket->isOpen() && !m_socket->pendingBytes(); ++pieces) {
+        if (pieces == maximumPiecesPerTurn) {
+            m_bodyTimer.startOnce(Duration::zero(), [this] { sendBody(); });
+            return;
+        }
+        const auto body = m_body;
+        auto piece = body->take(bodyPieceBytes);
+        if (!piece.empty()) {
+            m_bodySent += piece.size();
+            if (m_bodySent > static_cast<uint64_t>(m_bodyLength))
+                return breakBody("the body is longer than announced");
+            m_phaseStart = MonotonicClock::now();
+            piece.insert(0, m_withheld);
+            withholdByte(piece);
+            m_socket->write(piece);
+            continue;
+        }
+        if (!body->isFinished())
+            return;
+        if (!body->result())
+            return breakBody(body->result().error().detail.c_str());
+        if (m_bodySent < static_cast<uint64_t>(m_bodyLength))
+            return breakBody("the body is shorter than announced");
+        body->setConsumer(nullptr);
+        m_body = nullptr;
+        m_serving = false;
+        m_phaseStart = MonotonicClock::now();
+        m_socket->write(std::exchange(m_withheld, {}));
+        completeResponse();
+        return;
+    }
+}
+
+// The client must not take what it has for a complete body.
+void StrictHTTPConnection::breakBody(const char* reason)
+{
+    EventLog::write("response-broken", { { "caller", m_peerHost }, { "bytes", m_bodySent }, { "reason", reason } });
+    m_socket->reset();
+    onSocketClosed(StreamEnd::Reset);
+}
+
 void StrictHTTPConnection::reject(uint16_t status, const char* reason)
 {
     m_input.clear();
@@ -424,9 +512,17 @@
 
 void StrictHTTPConnection::enforceTimeouts(TimePoint now)
 {
-    if (m_serving || !m_socket->isOpen())
+    if (!m_socket->isOpen() || (m_serving && !m_body))
         return;
     const RefPtr<StrictHTTPConnection> protect(this);
+    if (m_body) {
+        const auto unsent = m_socket->unacknowledgedBytes();
+        if (unsent != std::exchange(m_unsentBytes, unsent))
+            m_phaseStart = now;
+        if (unsent && now - m_phaseStart > m_limits.idleTimeout)
+            breakBody("the client reads nothing");
+        return;
+    }
     if (m_closing) {
         enforceLinger(now);
         return;
@@ -472,7 +568,7 @@
 }
 
 // Whether the client has closed the connection or only its sending side shows when something is sent to it: an interim response,
-// which clients of HTTP/1.1 skip, makes one that is gone reset the connection.
+// which clients of HTTP/1.1 skip, makes one that is gone reset the connection. Within a body the byte that was withheld does.
 bool StrictHTTPConnection::onPeerFinished()
 {
     const RefPtr<StrictHTTPConnection> protect(this);
@@ -485,7 +581,7 @@
     }
     if (m_parser.http_major != 1 || m_parser.http_minor < 1)
         return false;
-    m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+    m_socket->write(m_body ? std::exchange(m_withheld, {}) : "HTTP/1.1 100 Continue\r\n\r\n");
     if (!m_serving && !m_reading)
         readRequests();
     return true;
@@ -494,6 +590,7 @@
 void StrictHTTPConnection::onFlushed()
 {
     const RefPtr<StrictHTTPConnection> protect(this);
+    sendBody();
     if (std::exchange(m_waitsForReader, false))
         readRequests();
     if (!isIdle())
@@ -507,6 +604,11 @@
 {
     const RefPtr<StrictHTTPConnection> protect(this);
     m_socket->close();
+    m_bodyTimer.stop();
+    if (const auto body = std::exchange(m_body, nullptr)) {
+        body->setConsumer(nullptr);
+        body->abandon();
+    }
     if (m_socket->discardedBytes())
         logCut("sent after the close", m_socket->discardedBytes());
     if (std::exchange(m_serving, false) && m_callbacks.onDisconnect)
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -42,7 +42,8 @@
 
     void start(TimePoint now);
     // Responds to the request in progress; later calls do nothing. With `close` the connection is closed once the requests that
-    // have arrived behind it are answered, too.
+    // have arrived behind it are answered, too. A body that is still arriving is sent on as the client reads it; if it breaks
+    // off, the connection is reset.
     void respond(const HTTPResponse&, bool close, TimePoint now);
     // Closes the connection without a response.
     void abort();
@@ -69,6 +70,10 @@
     bool readHeaderSection();
     void reject(uint16_t status, const char* reason);
     void dispatchRequest();
+    void sendBody();
+    void withholdByte(std::string&);
+    void completeResponse();
+    void breakBody(const char* reason);
     bool appendBody(std::string_view);
     std::string_view unparsed() const { return std::string_view(m_input).substr(m_parsedBytes); }
     void consume(size_t bytes);
@@ -96,9 +101,15 @@
     size_t m_unsentBytes { 0 };             // Of the last response, at the last check
     size_t m_discardedBytes { 0 };          // That arrived after the last response, at the last check
     TimePoint m_closedAt {};                // When the last response was passed to the socket
+    RefPtr<BodyStream> m_body;              // Of the response, while it is being sent
+    Timer m_bodyTimer;                      // Until the next pieces are sent
+    std::string m_withheld;                 // The last byte of the body that has arrived
+    uint64_t m_bodySent { 0 };              // Bytes of the response's body
+    int64_t m_bodyLength { 0 };             // As announced to the client
     size_t m_currentBodyBytes { 0 };        // Body size of the request being served
     const char* m_rejectReason { nullptr }; // Why the body is rejected; null while it is not
     uint16_t m_rejectStatus { 0 };
+    bool m_closeAfterResponse { false };
     bool m_serving { false };
     bool m_reading { false };        // readRequests() is on the call stack
     bool m_inputEnded { false };     // The client sends nothing more
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -38,6 +38,7 @@
     , m_crashSuspects(crashSuspects)
     , m_host(backendServer.toString())
     , m_life(settings, service)
+    , m_responseBudget(settings.maximumHeldResponseBytes)
     , m_queue(settings)
     , m_loadShedder(settings)
     , m_deadlines([this](uint64_t id) { onDeadline(id); })
@@ -48,6 +49,19 @@
     m_probePool.setAddress(backendServer);
 }
 
+EndpointExecutor::~EndpointExecutor()
+{
+    ignoreBodyEnds();
+}
+
+void EndpointExecutor::ignoreBodyEnds()
+{
+    for (const auto& [id, live] : m_calls) {
+        if (live->stream)
+            live->stream->setEndHandler(nullptr);
+    }
+}
+
 // Announcements
 
 void EndpointExecutor::recordAnnouncement(const EndpointAnnouncement& announcement, TimePoint now)
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/ByteBudget.h"
 #include "core/RefCounted.h"
 #include "mesh/AnsweredRequests.h"
 #include "mesh/CrashSuspects.h"
@@ -36,6 +37,9 @@
 public:
     // `service` is the configured service of the instance; announcements override it.
     EndpointExecutor(const MeshSettings&, const SocketAddress& backendServer, const std::string& service, CrashSuspects&);
+    ~EndpointExecutor();
+    // The ends of bodies that are passed on start no further runs, since those who wait for their answers are being destroyed.
+    void ignoreBodyEnds();
 
     // Calls the completion exactly once unless the call is cancelled. Returns the call's id.
     uint64_t submit(MeshCall, TimePoint now, MeshCompletion);
@@ -70,6 +74,8 @@
     // Of the backend server, if it is verified; otherwise the configured one.
     const std::string& service() const { return m_life.service(); }
     size_t inProgress() const { return m_calls.size(); }
+    // Of the response bodies that this process holds while they are passed on.
+    ByteBudget& responseBudget() { return m_responseBudget; }
     // Requests per second that the backend server takes from all instances together; empty: it names no limit.
     std::optional<double> rateLimit() const { return m_rateLimit; }
     // Called when the backend server turns out to leave other than by a notice to this daemon.
@@ -86,10 +92,12 @@
         MeshCall call;
         MeshCompletion completion;
         std::string attemptID;
-        uint64_t fingerprint { 0 };  // See requestFingerprint(); computed only when needed
-        size_t heldBodyBytes { 0 };  // Counted in m_heldBodyBytes
-        uint32_t knownCrashes { 0 }; // Of this request, when the run started
-        bool isolated { false };     // Runs without another such request, see CrashSuspects::isIsolated()
+        RefPtr<BodyStream> stream;    // The rest of the response's body, once the response has been passed on
+        uint64_t streamedBytes { 0 }; // Of it, at the last check for a stall
+        uint64_t fingerprint { 0 };   // See requestFingerprint(); computed only when needed
+        size_t heldBodyBytes { 0 };   // Counted in m_heldBodyBytes
+        uint32_t knownCrashes { 0 };  // Of this request, when the run started
+        bool isolated { false };      // Runs without another such request, see CrashSuspects::isIsolated()
         TimePoint deadline {};
         TimePoint submitted {};
         TimePoint started {};
@@ -117,6 +125,9 @@
     void send(LiveRun&, Duration maximumIdle);
     void onResponse(uint64_t id, Result<HTTPResponse>);
     void finish(LiveRun&, Result<HTTPResponse>, bool reachedBackend, TimePoint now);
+    void streamResponse(LiveRun&, HTTPResponse, TimePoint now);
+    void checkBodyStall(LiveRun&, TimePoint now);
+    void complete(LiveRun&, Result<HTTPResponse>, bool reachedBackend, TimePoint now);
     void recordUnanswered(LiveRun&, TimePoint now);
     void recordAnswered(LiveRun&, uint16_t status);
     void recordStateHeaders(const HTTPResponse&, TimePoint sentAt, TimePoint now);
@@ -139,6 +150,7 @@
     CrashSuspects& m_crashSuspects;
     std::string m_host;
     EndpointLife m_life;
+    ByteBudget m_responseBudget;
     HTTPPool m_pool;
     HTTPPool m_probePool;
     EndpointQueue m_queue;
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -1,11 +1,13 @@
 // Index of this file
-//   Runs:     run, send, onResponse, recordStateHeaders, recordRateLimit, announceLimitRise, finish, refuse, cancel, onDeadline
+//   Runs:     run, send, onResponse, recordStateHeaders, recordRateLimit, announceLimitRise, finish,
+//             complete, streamResponse, checkBodyStall, refuse, cancel, onDeadline
 //   Crashes:  recordUnanswered, recordAnswered, recordCrash, suspectCrash, probeSuspectedCrash, onSuspicionProbe, concludeCrash,
 //             endSuspicion
 
 #include "core/Digest.h"
 #include "core/EventLog.h"
 #include "mesh/MeshSettings.h"
+#include "net/BodyStream.h"
 #include "platform/RequestCodec.h"
 #include "sidecar/EndpointExecutor.h"
 
@@ -62,7 +64,7 @@
                 return HTTPConnection::ResponseMatch::Mismatched;
             return onReusedConnection ? HTTPConnection::ResponseMatch::Unknown : HTTPConnection::ResponseMatch::Matched;
         },
-        maximumIdle);
+        maximumIdle, live.call.acceptsBodyParts ? &m_responseBudget : nullptr);
 }
 
 void EndpointExecutor::onResponse(uint64_t id, Result<HTTPResponse> response)
@@ -95,6 +97,8 @@
         return;
     }
     const auto responseClass = platform::classifyResponse(*response);
+    if (response->rest && responseClass != platform::ResponseClass::Valid)
+        response->rest->abandon();
     endSuspicion(now);
     if (responseClass == platform::ResponseClass::Valid || responseClass == platform::ResponseClass::NotExecuted)
         recordStateHeaders(*response, live->started, now);
@@ -104,7 +108,10 @@
         recordAnswered(*live, response->status);
         m_queue.recordServiceTime(now - live->started, now);
         platform::removeInternalHeaders(*response);
-        finish(*live, std::move(response), true, now);
+        if (response->rest)
+            streamResponse(*live, std::move(*response), now);
+        else
+            finish(*live, std::move(response), true, now);
         break;
     case platform::ResponseClass::NotExecuted:
         finish(*live, fail(ErrorKind::BackendRefused, "refused with status " + std::to_string(response->status)), true, now);
@@ -203,15 +210,59 @@
         m_running.erase(live.attemptID);
         m_loadShedder.recordEnd(context.route, context.priority);
     }
-    if (const auto completion = std::exchange(live.completion, nullptr)) {
-        auto ownReport = report(now);
-        ownReport.pressure
-            = std::max(m_queue.pressure(context.priority, now), m_loadShedder.pressure(context.route, context.priority, now));
-        completion({ std::move(response), ownReport, reachedBackend, live.nestedCallFailed });
-    }
+    complete(live, std::move(response), reachedBackend, now);
     runNext(now);
 }
 
+void EndpointExecutor::complete(LiveRun& live, Result<HTTPResponse> response, bool reachedBackend, TimePoint now)
+{
+    const auto completion = std::exchange(live.completion, nullptr);
+    if (!completion) {
+        if (response && response->rest)
+            response->rest->abandon();
+        return;
+    }
+    const auto& context = live.call.context;
+    auto ownReport = report(now);
+    ownReport.pressure
+        = std::max(m_queue.pressure(context.priority, now), m_loadShedder.pressure(context.route, context.priority, now));
+    completion({ std::move(response), ownReport, reachedBackend, live.nestedCallFailed });
+}
+
+// The backend server is busy with the run until its body has arrived, however long that takes while there is progress: the
+// deadline is that of the answer.
+void EndpointExecutor::streamResponse(LiveRun& live, HTTPResponse response, TimePoint now)
+{
+    const RefPtr<LiveRun> protect(&live);
+    const auto id = live.item.id;
+    m_deadlines.set(id, now + m_settings.bodyStallTimeout);
+    const auto stream = live.stream = response.rest;
+    complete(live, std::move(response), true, now);
+    const auto onEnd = [this, id] {
+        if (const auto found = m_calls.find(id); found != m_calls.end())
+            finish(*RefPtr<LiveRun>(found->second), fail(ErrorKind::Cancelled), true, MonotonicClock::now());
+    };
+    if (stream->isEnded())
+        onEnd();
+    else
+        stream->setEndHandler(onEnd);
+}
+
+// A body that waits for its reader is ended by the reader's side.
+void EndpointExecutor::checkBodyStall(LiveRun& live, TimePoint now)
+{
+    const auto id = live.item.id;
+    const auto bytes = live.stream->pushedBytes();
+    const bool hasProgress = bytes != std::exchange(live.streamedBytes, bytes);
+    if (hasProgress || !live.stream->hasCredit()) {
+        m_deadlines.set(id, now + m_settings.bodyStallTimeout);
+        return;
+    }
+    EventLog::write(
+        "body-stalled", { { "request", live.attemptID }, { "backend_server", m_life.current().instance }, { "bytes", bytes } });
+    m_pool.abandon(id); // Ends the stream and with it the run
+}
+
 void EndpointExecutor::cancel(uint64_t id)
 {
     const auto found = m_calls.find(id);
@@ -254,6 +305,10 @@
         refuse(*live, now >= m_lastStart ? ErrorKind::Draining : ErrorKind::ExpiredInQueue, now);
         return;
     }
+    if (live->stream) {
+        checkBodyStall(*live, now);
+        return;
+    }
     recordUnanswered(*live, now);
     m_pool.abandon(id);
     finish(*live, fail(ErrorKind::TimedOut, "the backend server did not respond by the deadline"), true, now);
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -44,6 +44,7 @@
     auto* body = frame.body.AsCall();
     body->target_us = toMicroseconds(call.targetLatency);
     body->returning = call.scheduledRetry;
+    body->accepts_parts = call.acceptsBodyParts;
     return frame;
 }
 
@@ -63,6 +64,46 @@
     body->pressure_us = toMicroseconds(outcome.report.pressure);
     body->arrived = outcome.reachedBackend;
     body->call_failed = outcome.nestedCallFailed;
+    if (outcome.response && outcome.response->rest) {
+        body->more = true;
+        body->whole_length = outcome.response->bodyLength;
+    }
+    return frame;
+}
+
+wire::FrameT makeBodyPartFrame(uint64_t id, uint64_t offset, std::string_view bytes)
+{
+    wire::BodyPartT part;
+    part.id = id;
+    part.offset = offset;
+    part.bytes.assign(bytes.begin(), bytes.end());
+    wire::FrameT frame;
+    frame.body.Set(std::move(part));
+    return frame;
+}
+
+wire::FrameT makeBodyEndFrame(uint64_t id, uint64_t offset, const Result<void>& result)
+{
+    wire::BodyPartT part;
+    part.id = id;
+    part.offset = offset;
+    part.last = true;
+    if (!result) {
+        part.error = static_cast<uint8_t>(result.error().kind);
+        part.detail = result.error().detail;
+    }
+    wire::FrameT frame;
+    frame.body.Set(std::move(part));
+    return frame;
+}
+
+wire::FrameT makeBodyCreditFrame(uint64_t id, uint64_t total)
+{
+    wire::BodyCreditT credit;
+    credit.id = id;
+    credit.total = total;
+    wire::FrameT frame;
+    frame.body.Set(credit);
     return frame;
 }
 
@@ -93,6 +134,7 @@
     result.service = std::move(call.service);
     result.targetLatency = fromMicroseconds(call.target_us);
     result.scheduledRetry = call.returning;
+    result.acceptsBodyParts = call.accepts_parts;
     result.request = readRequest(call);
     return result;
 }
@@ -108,7 +150,10 @@
     report.pressure = fromMicroseconds(answer.pressure_us);
     const bool reachedBackend = answer.arrived;
     const bool nestedCallFailed = answer.call_failed;
-    return { readOutcome(answer).response, report, reachedBackend, nestedCallFailed };
+    MeshOutcome outcome { readOutcome(answer).response, report, reachedBackend, nestedCallFailed };
+    if (outcome.response)
+        outcome.response->bodyLength = answer.whole_length;
+    return outcome;
 }
 
 void addReport(wire::MemberStateT& state, const EndpointReport& report)
--- a/Source/sidecar/MeshFrames.h
+++ b/Source/sidecar/MeshFrames.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace shallot {
@@ -28,6 +29,10 @@
 wire::FrameT makeMeshAnswerFrame(uint64_t id, const MeshOutcome&);
 wire::FrameT makeCallQueryFrame(uint64_t id, uint64_t boot);
 wire::FrameT makeCallStateFrame(uint64_t id, ServedCallState);
+wire::FrameT makeBodyPartFrame(uint64_t id, uint64_t offset, std::string_view bytes);
+// The end of a body; with an error if it is incomplete.
+wire::FrameT makeBodyEndFrame(uint64_t id, uint64_t offset, const Result<void>&);
+wire::FrameT makeBodyCreditFrame(uint64_t id, uint64_t total);
 MeshCall readMeshCall(wire::CallT&);
 MeshOutcome readMeshOutcome(wire::AnswerT&);
 
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -12,6 +12,7 @@
 #include "mesh/MeshSettings.h"
 #include "platform/RequestCodec.h"
 #include "policy/CrashFingerprints.h"
+#include "sidecar/BodyRelay.h"
 #include "sidecar/DistributedRateLimiter.h"
 #include "sidecar/MeshFrames.h"
 #include "sidecar/MeshLinks.h"
@@ -228,8 +229,11 @@
         const RefPtr<PendingRequest> protect(&pending);
         const auto executorCallID
             = m_dependencies.executor.submit(call, now, [this, pending = protect, attempt](MeshOutcome outcome) {
-                  if (pending->attempt != attempt || !pending->attemptInProgress)
+                  if (pending->attempt != attempt || !pending->attemptInProgress) {
+                      if (outcome.response && outcome.response->rest)
+                          outcome.response->rest->abandon();
                       return;
+                  }
                   onOutcome(*pending, std::move(outcome), MonotonicClock::now());
               });
         if (pending.attempt == attempt)
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -21,6 +21,7 @@
 struct CallStateT;
 } // namespace wire
 
+class BodyRelay;
 class CrashSuspects;
 class MeshView;
 class MeshLinks;
@@ -37,6 +38,7 @@
     EndpointExecutor& executor;
     DistributedRateLimiter& rateLimiter;
     MeshMetrics& metrics;
+    BodyRelay& bodies;
     CrashSuspects& crashSuspects;
     std::string ownName;
 };
@@ -107,6 +109,7 @@
     void admit(const RefPtr<PendingRequest>&, TimePoint now);
     void dispatch(PendingRequest&, TimePoint now);
     bool send(PendingRequest&, RemoteEndpoint&, TimePoint now);
+    void receiveBody(PeerLink&, uint64_t id, Result<HTTPResponse>&);
     void onOutcome(PendingRequest&, MeshOutcome, TimePoint now);
     bool mayRetry(PendingRequest&, const MeshOutcome&, TimePoint now);
     std::vector<RefPtr<PendingRequest>> attemptsOn(const PeerLink&) const;
--- a/Source/sidecar/MeshIngressOutcomes.cpp
+++ b/Source/sidecar/MeshIngressOutcomes.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Outcomes:   onResponse, onGoAway, onLinkClosed, attemptsOn, onOutcome, mayRetry
+//   Outcomes:   onResponse, receiveBody, onGoAway, onLinkClosed, attemptsOn, onOutcome, mayRetry
 //   Lost links: queryAttempt, onCallState, onQueryTimeout, loseAttempt
 //   Responses:  retryAfterFor, respond, logCompletion, onDisconnect, onDeadline
 
@@ -9,7 +9,9 @@
 #include "daemon/CallFrames.h"
 #include "mesh/CrashSuspects.h"
 #include "mesh/MeshSettings.h"
+#include "net/BodyStream.h"
 #include "platform/RequestCodec.h"
+#include "sidecar/BodyRelay.h"
 #include "sidecar/DistributedRateLimiter.h"
 #include "sidecar/MeshFrames.h"
 #include "sidecar/MeshLinks.h"
@@ -32,10 +34,28 @@
 void MeshIngress::onResponse(PeerLink& link, wire::AnswerT& answerFrame)
 {
     const auto found = m_attempts.find(answerFrame.id);
-    if (found == m_attempts.end() || found->second->link.get() != &link)
+    if (found == m_attempts.end() || found->second->link.get() != &link) {
+        if (answerFrame.more)
+            link.send(makeCancelFrame(answerFrame.id));
         return;
+    }
     const auto pending = found->second;
-    onOutcome(*pending, readMeshOutcome(answerFrame), MonotonicClock::now());
+    auto outcome = readMeshOutcome(answerFrame);
+    if (outcome.response && answerFrame.more)
+        receiveBody(link, answerFrame.id, outcome.response);
+    onOutcome(*pending, std::move(outcome), MonotonicClock::now());
+}
+
+void MeshIngress::receiveBody(PeerLink& link, uint64_t id, Result<HTTPResponse>& response)
+{
+    const auto received = response->body.size();
+    if (response->bodyLength > 0 && static_cast<uint64_t>(response->bodyLength) > received) {
+        response->rest = m_dependencies.bodies.receive(link, id, received);
+        return;
+    }
+    EventLog::write("body-part-invalid", { { "peer", link.peer() }, { "bytes", received }, { "length", response->bodyLength } });
+    link.send(makeCancelFrame(id));
+    response = fail(ErrorKind::BadResponse, "the length of the body is invalid");
 }
 
 std::vector<RefPtr<MeshIngress::PendingRequest>> MeshIngress::attemptsOn(const PeerLink& link) const
@@ -180,7 +200,8 @@
 
 bool MeshIngress::mayRetry(PendingRequest& pending, const MeshOutcome& outcome, TimePoint now)
 {
-    if (pending.deadline <= now || now >= m_endBy)
+    // A long answer is not kept for the case that the retry brings none.
+    if (pending.deadline <= now || now >= m_endBy || (outcome.response && outcome.response->rest))
         return false;
     const bool mayHaveExecuted = outcome.response || !isNotExecuted(outcome.response.error());
     if (mayHaveExecuted && !pending.call.context.idempotent)
@@ -228,8 +249,11 @@
 void MeshIngress::respond(PendingRequest& pending, Result<HTTPResponse> response, TimePoint now)
 {
     const RefPtr<PendingRequest> protect(&pending);
-    if (!m_pending.erase(pending.id))
+    if (!m_pending.erase(pending.id)) {
+        if (response && response->rest)
+            response->rest->abandon();
         return;
+    }
     if (pending.parent && (!response || response->status >= 500))
         m_dependencies.executor.recordFailedNestedCall(*pending.parent);
     const bool crashSuspect = !response && response.error().kind == ErrorKind::CrashSuspect;
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -202,8 +202,14 @@
         if (startsProbe)
             sendState(*link, true);
     }
-    for (const auto& link : timedOut)
-        link->close();
+    for (const auto& link : timedOut) {
+        // What a busy daemon has not read yet is no silence of the peer.
+        link->readNow();
+        const auto found = m_monitors.find(link.get());
+        const bool isSilent = found != m_monitors.end() && (!link->isEstablished() || found->second.probedAt != TimePoint());
+        if (isSilent)
+            link->close();
+    }
 }
 
 } // namespace shallot
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,9 +1,9 @@
 // Index of this file
-//   Start and leave:  Sidecar, start, leave, stopAcceptingWhenDue, endRequests, finishLeaving, endWhenPeersHaveClosed,
-//                    applySettings
+//   Start and leave:  Sidecar, ~Sidecar, start, leave, stopAcceptingWhenDue, endRequests, finishLeaving,
+//                    endWhenPeersHaveClosed, applySettings
 //   Local servers:    handleControl, acknowledge, checkAnnouncement, handleReadiness, isReady
-//   Peers:            onFrame, onLinkClosed, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
-//                    scheduleAbandonment, onGoAway
+//   Peers:            onFrame, onLinkClosed, serveCall, answerCall, onCancel, cancelCall, onCallQuery,
+//                    cancelAbandonedCalls, scheduleAbandonment, onGoAway
 //   Changes:          onBackendServerChange, onConfiguration
 //   Time:             tick
 
@@ -70,7 +70,8 @@
     , m_crashSuspects(settings)
     , m_executor(settings, m_instance.backendServer, m_instance.service, m_crashSuspects)
     , m_rateLimiter(settings, m_view, m_links, m_own.name)
-    , m_ingress({ settings, m_view, m_links, m_executor, m_rateLimiter, m_metrics, m_crashSuspects, m_own.name })
+    , m_bodies(m_executor.responseBudget())
+    , m_ingress({ settings, m_view, m_links, m_executor, m_rateLimiter, m_metrics, m_bodies, m_crashSuspects, m_own.name })
     , m_store(m_instance.store)
     , m_sync(settings, m_view, m_links, m_store, m_crashSuspects, m_own)
     , m_servedCalls(settings)
@@ -84,6 +85,11 @@
     m_executor.setLeaveHandler([this] { m_sync.storeLeave(m_executor.currentLeave(), [](bool) {}); });
 }
 
+Sidecar::~Sidecar()
+{
+    m_executor.ignoreBodyEnds();
+}
+
 // Start and leave
 
 Result<void> Sidecar::start()
@@ -135,7 +141,7 @@
         stopAcceptingWhenDue(MonotonicClock::now());
         // An open connection may carry a request that is still arriving, or the last bytes of a response, and so may a link.
         const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
-            && !m_links.hasUnsentBytes() && m_waitingNotices.empty();
+            && !m_bodies.outgoing() && !m_links.hasUnsentBytes() && m_waitingNotices.empty();
         if (idle)
             finishLeaving();
     });
@@ -304,13 +310,17 @@
     else if (auto* response = frame.body.AsAnswer())
         m_ingress.onResponse(link, *response);
     else if (const auto* cancel = frame.body.AsCancel())
-        cancelCall({ link.peer(), link.peerBoot(), cancel->id });
+        onCancel(link, cancel->id);
     else if (const auto* query = frame.body.AsCallQuery())
         onCallQuery(link, *query);
     else if (const auto* state = frame.body.AsCallState())
         m_ingress.onCallState(link, *state);
     else if (frame.body.AsGoAway())
         onGoAway(link);
+    else if (const auto* part = frame.body.AsBodyPart())
+        m_bodies.onPart(link, *part);
+    else if (const auto* credit = frame.body.AsBodyCredit())
+        m_bodies.onCredit(link, *credit);
     else if (const auto* requests = frame.body.AsLoanRequests())
         m_rateLimiter.onRequests(link, *requests, now);
     else if (const auto* grants = frame.body.AsLoans())
@@ -333,25 +343,40 @@
         return;
     }
     // The completion may be called before submit() returns.
-    m_served[key] = { &link, 0 };
+    m_served[key] = { &link, 0, std::nullopt };
     const auto executorCallID
         = m_executor.submit(readMeshCall(frame), now, [this, key](MeshOutcome outcome) { answerCall(key, std::move(outcome)); });
     if (const auto found = m_served.find(key); found != m_served.end())
         found->second.executorCallID = executorCallID;
 }
 
-// The outcome is kept as well, since the answer is lost if the link ends now.
+// The outcome is kept as well, since the answer is lost if the link ends now. A body that still arrives cannot be kept: before
+// its answer is sent it waits for the sender's query, afterwards it ends with the link.
 void Sidecar::answerCall(const ServedCallKey& key, MeshOutcome outcome)
 {
     const auto found = m_served.find(key);
     if (found == m_served.end())
         return;
     const auto link = found->second.link;
+    const auto rest = outcome.response ? outcome.response->rest : nullptr;
+    if (rest && !link) {
+        found->second.heldOutcome = std::move(outcome);
+        return;
+    }
     m_served.erase(found);
     const auto frame = makeMeshAnswerFrame(key.id, outcome);
-    m_servedCalls.end(key, std::move(outcome), MonotonicClock::now());
+    const auto sent = rest ? outcome.response->body.size() : 0;
+    m_servedCalls.end(key, rest ? std::nullopt : std::optional(std::move(outcome)), MonotonicClock::now());
     if (link)
         link->send(frame);
+    if (rest)
+        m_bodies.send(link, key.id, rest, sent);
+}
+
+void Sidecar::onCancel(PeerLink& link, uint64_t id)
+{
+    m_bodies.onCancel(link, id);
+    cancelCall({ link.peer(), link.peerBoot(), id });
 }
 
 void Sidecar::cancelCall(const ServedCallKey& key)
@@ -359,10 +384,12 @@
     const auto found = m_served.find(key);
     if (found == m_served.end())
         return;
-    const auto executorCallID = found->second.executorCallID;
+    const auto served = std::move(found->second);
     m_served.erase(found);
     m_servedCalls.end(key, std::nullopt, MonotonicClock::now());
-    m_executor.cancel(executorCallID);
+    if (served.heldOutcome)
+        served.heldOutcome->response->rest->abandon();
+    m_executor.cancel(served.executorCallID);
 }
 
 void Sidecar::onCallQuery(PeerLink& link, const wire::CallQueryT& query)
@@ -375,9 +402,13 @@
             link.send(makeMeshAnswerFrame(key.id, *outcome));
         return;
     }
-    if (const auto found = m_served.find(key); found != m_served.end())
-        found->second.link = &link;
     link.send(makeCallStateFrame(key.id, state));
+    const auto found = m_served.find(key);
+    if (found == m_served.end())
+        return;
+    found->second.link = &link;
+    if (auto outcome = std::exchange(found->second.heldOutcome, std::nullopt))
+        answerCall(key, std::move(*outcome));
 }
 
 // A caller that is gone must not keep its run going, so the sender of a call has only a short time to ask for it.
@@ -413,6 +444,7 @@
     }
     scheduleAbandonment(now);
     m_ingress.onLinkClosed(link);
+    m_bodies.onLinkClosed(link);
 }
 
 // Changes
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -5,6 +5,7 @@
 #include "mesh/ServedCalls.h"
 #include "net/Timer.h"
 #include "platform/InstanceSettings.h"
+#include "sidecar/BodyRelay.h"
 #include "sidecar/DistributedRateLimiter.h"
 #include "sidecar/EndpointExecutor.h"
 #include "sidecar/MeshIngress.h"
@@ -15,6 +16,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace shallot {
@@ -29,6 +31,7 @@
 class Sidecar {
 public:
     Sidecar(platform::InstanceSettings, const MeshSettings&, std::string peerSecret);
+    ~Sidecar();
 
     Result<void> start();
     // Starts a graceful leave: serves open requests until they complete or the shutdown time, which began at `signalledAt`, is
@@ -46,6 +49,7 @@
     struct ServedCall {
         RefPtr<PeerLink> link; // Null since it has ended
         uint64_t executorCallID { 0 };
+        std::optional<MeshOutcome> heldOutcome; // Without a link: an answer whose body still arrives
     };
 
     void handleControl(const RefPtr<StrictHTTPConnection>&, const HTTPRequest&);
@@ -58,6 +62,7 @@
     void onLinkClosed(PeerLink&);
     void serveCall(PeerLink&, wire::CallT&);
     void answerCall(const ServedCallKey&, MeshOutcome);
+    void onCancel(PeerLink&, uint64_t id);
     void cancelCall(const ServedCallKey&);
     void onCallQuery(PeerLink&, const wire::CallQueryT&);
     void cancelAbandonedCalls();
@@ -81,6 +86,7 @@
     EndpointExecutor m_executor;
     DistributedRateLimiter m_rateLimiter;
     MeshMetrics m_metrics;
+    BodyRelay m_bodies;
     MeshIngress m_ingress;
     platform::StoreClient m_store;
     MeshSync m_sync;
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -36,6 +36,14 @@
 struct AnswerBuilder;
 struct AnswerT;
 
+struct BodyPart;
+struct BodyPartBuilder;
+struct BodyPartT;
+
+struct BodyCredit;
+struct BodyCreditBuilder;
+struct BodyCreditT;
+
 struct Cancel;
 struct CancelBuilder;
 struct CancelT;
@@ -134,11 +142,13 @@
   GoAway = 14,
   CallQuery = 15,
   CallState = 16,
+  BodyPart = 17,
+  BodyCredit = 18,
   MIN = NONE,
-  MAX = CallState
+  MAX = BodyCredit
 };
 
-inline const Body (&EnumValuesBody())[17] {
+inline const Body (&EnumValuesBody())[19] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -156,13 +166,15 @@
     Body::ClaimQuery,
     Body::GoAway,
     Body::CallQuery,
-    Body::CallState
+    Body::CallState,
+    Body::BodyPart,
+    Body::BodyCredit
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[18] = {
+  static const char * const names[20] = {
     "NONE",
     "Hello",
     "Proof",
@@ -180,13 +192,15 @@
     "GoAway",
     "CallQuery",
     "CallState",
+    "BodyPart",
+    "BodyCredit",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CallState)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::BodyCredit)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -259,6 +273,14 @@
   static const Body enum_value = Body::CallState;
 };
 
+template<> struct BodyTraits<shallot::wire::BodyPart> {
+  static const Body enum_value = Body::BodyPart;
+};
+
+template<> struct BodyTraits<shallot::wire::BodyCredit> {
+  static const Body enum_value = Body::BodyCredit;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -327,6 +349,14 @@
   static const Body enum_value = Body::CallState;
 };
 
+template<> struct BodyUnionTraits<shallot::wire::BodyPartT> {
+  static const Body enum_value = Body::BodyPart;
+};
+
+template<> struct BodyUnionTraits<shallot::wire::BodyCreditT> {
+  static const Body enum_value = Body::BodyCredit;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -485,6 +515,22 @@
     return type == Body::CallState ?
       reinterpret_cast<const shallot::wire::CallStateT *>(value) : nullptr;
   }
+  shallot::wire::BodyPartT *AsBodyPart() {
+    return type == Body::BodyPart ?
+      reinterpret_cast<shallot::wire::BodyPartT *>(value) : nullptr;
+  }
+  const shallot::wire::BodyPartT *AsBodyPart() const {
+    return type == Body::BodyPart ?
+      reinterpret_cast<const shallot::wire::BodyPartT *>(value) : nullptr;
+  }
+  shallot::wire::BodyCreditT *AsBodyCredit() {
+    return type == Body::BodyCredit ?
+      reinterpret_cast<shallot::wire::BodyCreditT *>(value) : nullptr;
+  }
+  const shallot::wire::BodyCreditT *AsBodyCredit() const {
+    return type == Body::BodyCredit ?
+      reinterpret_cast<const shallot::wire::BodyCreditT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -778,6 +824,7 @@
   std::vector<uint8_t> body{};
   uint64_t target_us = 0;
   bool returning = false;
+  bool accepts_parts = false;
   CallT() = default;
   CallT(const CallT &o);
   CallT(CallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -806,7 +853,8 @@
     VT_HEADERS = 32,
     VT_BODY = 34,
     VT_TARGET_US = 36,
-    VT_RETURNING = 38
+    VT_RETURNING = 38,
+    VT_ACCEPTS_PARTS = 40
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -862,6 +910,9 @@
   bool returning() const {
     return GetField<uint8_t>(VT_RETURNING, 0) != 0;
   }
+  bool accepts_parts() const {
+    return GetField<uint8_t>(VT_ACCEPTS_PARTS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -890,6 +941,7 @@
            verifier.VerifyVector(body()) &&
            VerifyField<uint64_t>(verifier, VT_TARGET_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_RETURNING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTS_PARTS, 1) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -955,6 +1007,9 @@
   void add_returning(bool returning) {
     fbb_.AddElement<uint8_t>(Call::VT_RETURNING, static_cast<uint8_t>(returning), 0);
   }
+  void add_accepts_parts(bool accepts_parts) {
+    fbb_.AddElement<uint8_t>(Call::VT_ACCEPTS_PARTS, static_cast<uint8_t>(accepts_parts), 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -988,7 +1043,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::Header>>> headers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     uint64_t target_us = 0,
-    bool returning = false) {
+    bool returning = false,
+    bool accepts_parts = false) {
   CallBuilder builder_(_fbb);
   builder_.add_target_us(target_us);
   builder_.add_remaining_us(remaining_us);
@@ -1004,6 +1060,7 @@
   builder_.add_route(route);
   builder_.add_organisation(organisation);
   builder_.add_retry_tokens(retry_tokens);
+  builder_.add_accepts_parts(accepts_parts);
   builder_.add_returning(returning);
   builder_.add_idempotent(idempotent);
   builder_.add_hops(hops);
@@ -1035,7 +1092,8 @@
     const std::vector<flatbuffers::Offset<shallot::wire::Header>> *headers = nullptr,
     const std::vector<uint8_t> *body = nullptr,
     uint64_t target_us = 0,
-    bool returning = false) {
+    bool returning = false,
+    bool accepts_parts = false) {
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   auto route__ = route ? _fbb.CreateString(route) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -1062,7 +1120,8 @@
       headers__,
       body__,
       target_us,
-      returning);
+      returning,
+      accepts_parts);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1089,6 +1148,8 @@
   double rate_limit = -1.0;
   uint64_t rate_wait_us = 0;
   float recent_runs = 1000.0f;
+  bool more = false;
+  int64_t whole_length = -1LL;
   AnswerT() = default;
   AnswerT(const AnswerT &o);
   AnswerT(AnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1119,7 +1180,9 @@
     VT_CALL_FAILED = 36,
     VT_RATE_LIMIT = 38,
     VT_RATE_WAIT_US = 40,
-    VT_RECENT_RUNS = 42
+    VT_RECENT_RUNS = 42,
+    VT_MORE = 44,
+    VT_WHOLE_LENGTH = 46
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1181,6 +1244,12 @@
   float recent_runs() const {
     return GetField<float>(VT_RECENT_RUNS, 1000.0f);
   }
+  bool more() const {
+    return GetField<uint8_t>(VT_MORE, 0) != 0;
+  }
+  int64_t whole_length() const {
+    return GetField<int64_t>(VT_WHOLE_LENGTH, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1207,6 +1276,8 @@
            VerifyField<double>(verifier, VT_RATE_LIMIT, 8) &&
            VerifyField<uint64_t>(verifier, VT_RATE_WAIT_US, 8) &&
            VerifyField<float>(verifier, VT_RECENT_RUNS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_MORE, 1) &&
+           VerifyField<int64_t>(verifier, VT_WHOLE_LENGTH, 8) &&
            verifier.EndTable();
   }
   AnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1278,6 +1349,12 @@
   void add_recent_runs(float recent_runs) {
     fbb_.AddElement<float>(Answer::VT_RECENT_RUNS, recent_runs, 1000.0f);
   }
+  void add_more(bool more) {
+    fbb_.AddElement<uint8_t>(Answer::VT_MORE, static_cast<uint8_t>(more), 0);
+  }
+  void add_whole_length(int64_t whole_length) {
+    fbb_.AddElement<int64_t>(Answer::VT_WHOLE_LENGTH, whole_length, -1LL);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1310,8 +1387,11 @@
     bool call_failed = false,
     double rate_limit = -1.0,
     uint64_t rate_wait_us = 0,
-    float recent_runs = 1000.0f) {
+    float recent_runs = 1000.0f,
+    bool more = false,
+    int64_t whole_length = -1LL) {
   AnswerBuilder builder_(_fbb);
+  builder_.add_whole_length(whole_length);
   builder_.add_rate_wait_us(rate_wait_us);
   builder_.add_rate_limit(rate_limit);
   builder_.add_pressure_us(pressure_us);
@@ -1328,6 +1408,7 @@
   builder_.add_headers(headers);
   builder_.add_retry_tokens(retry_tokens);
   builder_.add_status(status);
+  builder_.add_more(more);
   builder_.add_call_failed(call_failed);
   builder_.add_arrived(arrived);
   builder_.add_unavailable(unavailable);
@@ -1361,7 +1442,9 @@
     bool call_failed = false,
     double rate_limit = -1.0,
     uint64_t rate_wait_us = 0,
-    float recent_runs = 1000.0f) {
+    float recent_runs = 1000.0f,
+    bool more = false,
+    int64_t whole_length = -1LL) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto detail__ = detail ? _fbb.CreateString(detail) : 0;
@@ -1386,11 +1469,217 @@
       call_failed,
       rate_limit,
       rate_wait_us,
-      recent_runs);
+      recent_runs,
+      more,
+      whole_length);
 }
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct BodyPartT : public flatbuffers::NativeTable {
+  typedef BodyPart TableType;
+  uint64_t id = 0;
+  uint64_t offset = 0;
+  std::vector<uint8_t> bytes{};
+  bool last = false;
+  uint8_t error = 0;
+  std::string detail{};
+};
+
+struct BodyPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BodyPartT NativeTableType;
+  typedef BodyPartBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_OFFSET = 6,
+    VT_BYTES = 8,
+    VT_LAST = 10,
+    VT_ERROR = 12,
+    VT_DETAIL = 14
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool last() const {
+    return GetField<uint8_t>(VT_LAST, 0) != 0;
+  }
+  uint8_t error() const {
+    return GetField<uint8_t>(VT_ERROR, 0);
+  }
+  const flatbuffers::String *detail() const {
+    return GetPointer<const flatbuffers::String *>(VT_DETAIL);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           VerifyField<uint8_t>(verifier, VT_LAST, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ERROR, 1) &&
+           VerifyOffset(verifier, VT_DETAIL) &&
+           verifier.VerifyString(detail()) &&
+           verifier.EndTable();
+  }
+  BodyPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(BodyPartT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<BodyPart> Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct BodyPartBuilder {
+  typedef BodyPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(BodyPart::VT_ID, id, 0);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(BodyPart::VT_OFFSET, offset, 0);
+  }
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(BodyPart::VT_BYTES, bytes);
+  }
+  void add_last(bool last) {
+    fbb_.AddElement<uint8_t>(BodyPart::VT_LAST, static_cast<uint8_t>(last), 0);
+  }
+  void add_error(uint8_t error) {
+    fbb_.AddElement<uint8_t>(BodyPart::VT_ERROR, error, 0);
+  }
+  void add_detail(flatbuffers::Offset<flatbuffers::String> detail) {
+    fbb_.AddOffset(BodyPart::VT_DETAIL, detail);
+  }
+  explicit BodyPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BodyPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BodyPart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BodyPart> CreateBodyPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint64_t offset = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0,
+    bool last = false,
+    uint8_t error = 0,
+    flatbuffers::Offset<flatbuffers::String> detail = 0) {
+  BodyPartBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_id(id);
+  builder_.add_detail(detail);
+  builder_.add_bytes(bytes);
+  builder_.add_error(error);
+  builder_.add_last(last);
+  return builder_.Finish();
+}
+
+struct BodyPart::Traits {
+  using type = BodyPart;
+  static auto constexpr Create = CreateBodyPart;
+};
+
+inline flatbuffers::Offset<BodyPart> CreateBodyPartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint64_t offset = 0,
+    const std::vector<uint8_t> *bytes = nullptr,
+    bool last = false,
+    uint8_t error = 0,
+    const char *detail = nullptr) {
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  auto detail__ = detail ? _fbb.CreateString(detail) : 0;
+  return shallot::wire::CreateBodyPart(
+      _fbb,
+      id,
+      offset,
+      bytes__,
+      last,
+      error,
+      detail__);
+}
+
+flatbuffers::Offset<BodyPart> CreateBodyPart(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct BodyCreditT : public flatbuffers::NativeTable {
+  typedef BodyCredit TableType;
+  uint64_t id = 0;
+  uint64_t total = 0;
+};
+
+struct BodyCredit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BodyCreditT NativeTableType;
+  typedef BodyCreditBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_TOTAL = 6
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint64_t total() const {
+    return GetField<uint64_t>(VT_TOTAL, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TOTAL, 8) &&
+           verifier.EndTable();
+  }
+  BodyCreditT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(BodyCreditT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<BodyCredit> Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyCreditT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct BodyCreditBuilder {
+  typedef BodyCredit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(BodyCredit::VT_ID, id, 0);
+  }
+  void add_total(uint64_t total) {
+    fbb_.AddElement<uint64_t>(BodyCredit::VT_TOTAL, total, 0);
+  }
+  explicit BodyCreditBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BodyCredit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BodyCredit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BodyCredit> CreateBodyCredit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint64_t total = 0) {
+  BodyCreditBuilder builder_(_fbb);
+  builder_.add_total(total);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct BodyCredit::Traits {
+  using type = BodyCredit;
+  static auto constexpr Create = CreateBodyCredit;
+};
+
+flatbuffers::Offset<BodyCredit> CreateBodyCredit(flatbuffers::FlatBufferBuilder &_fbb, const BodyCreditT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct CancelT : public flatbuffers::NativeTable {
   typedef Cancel TableType;
   uint64_t id = 0;
@@ -3631,6 +3920,12 @@
   const shallot::wire::CallState *body_as_CallState() const {
     return body_type() == shallot::wire::Body::CallState ? static_cast<const shallot::wire::CallState *>(body()) : nullptr;
   }
+  const shallot::wire::BodyPart *body_as_BodyPart() const {
+    return body_type() == shallot::wire::Body::BodyPart ? static_cast<const shallot::wire::BodyPart *>(body()) : nullptr;
+  }
+  const shallot::wire::BodyCredit *body_as_BodyCredit() const {
+    return body_type() == shallot::wire::Body::BodyCredit ? static_cast<const shallot::wire::BodyCredit *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3707,6 +4002,14 @@
   return body_as_CallState();
 }
 
+template<> inline const shallot::wire::BodyPart *Frame::body_as<shallot::wire::BodyPart>() const {
+  return body_as_BodyPart();
+}
+
+template<> inline const shallot::wire::BodyCredit *Frame::body_as<shallot::wire::BodyCredit>() const {
+  return body_as_BodyCredit();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3853,7 +4156,8 @@
         target(o.target),
         body(o.body),
         target_us(o.target_us),
-        returning(o.returning) {
+        returning(o.returning),
+        accepts_parts(o.accepts_parts) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new shallot::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -3877,6 +4181,7 @@
   std::swap(body, o.body);
   std::swap(target_us, o.target_us);
   std::swap(returning, o.returning);
+  std::swap(accepts_parts, o.accepts_parts);
   return *this;
 }
 
@@ -3907,6 +4212,7 @@
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
   { auto _e = target_us(); _o->target_us = _e; }
   { auto _e = returning(); _o->returning = _e; }
+  { auto _e = accepts_parts(); _o->accepts_parts = _e; }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3935,6 +4241,7 @@
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
   auto _target_us = _o->target_us;
   auto _returning = _o->returning;
+  auto _accepts_parts = _o->accepts_parts;
   return shallot::wire::CreateCall(
       _fbb,
       _id,
@@ -3954,7 +4261,8 @@
       _headers,
       _body,
       _target_us,
-      _returning);
+      _returning,
+      _accepts_parts);
 }
 
 inline AnswerT::AnswerT(const AnswerT &o)
@@ -3976,7 +4284,9 @@
         call_failed(o.call_failed),
         rate_limit(o.rate_limit),
         rate_wait_us(o.rate_wait_us),
-        recent_runs(o.recent_runs) {
+        recent_runs(o.recent_runs),
+        more(o.more),
+        whole_length(o.whole_length) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new shallot::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -4002,6 +4312,8 @@
   std::swap(rate_limit, o.rate_limit);
   std::swap(rate_wait_us, o.rate_wait_us);
   std::swap(recent_runs, o.recent_runs);
+  std::swap(more, o.more);
+  std::swap(whole_length, o.whole_length);
   return *this;
 }
 
@@ -4034,6 +4346,8 @@
   { auto _e = rate_limit(); _o->rate_limit = _e; }
   { auto _e = rate_wait_us(); _o->rate_wait_us = _e; }
   { auto _e = recent_runs(); _o->recent_runs = _e; }
+  { auto _e = more(); _o->more = _e; }
+  { auto _e = whole_length(); _o->whole_length = _e; }
 }
 
 inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4064,6 +4378,8 @@
   auto _rate_limit = _o->rate_limit;
   auto _rate_wait_us = _o->rate_wait_us;
   auto _recent_runs = _o->recent_runs;
+  auto _more = _o->more;
+  auto _whole_length = _o->whole_length;
   return shallot::wire::CreateAnswer(
       _fbb,
       _id,
@@ -4085,7 +4401,79 @@
       _call_failed,
       _rate_limit,
       _rate_wait_us,
-      _recent_runs);
+      _recent_runs,
+      _more,
+      _whole_length);
+}
+
+inline BodyPartT *BodyPart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<BodyPartT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void BodyPart::UnPackTo(BodyPartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = bytes(); if (_e) { _o->bytes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->bytes.begin()); } }
+  { auto _e = last(); _o->last = _e; }
+  { auto _e = error(); _o->error = _e; }
+  { auto _e = detail(); if (_e) _o->detail = _e->str(); }
+}
+
+inline flatbuffers::Offset<BodyPart> BodyPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateBodyPart(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<BodyPart> CreateBodyPart(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BodyPartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _offset = _o->offset;
+  auto _bytes = _o->bytes.size() ? _fbb.CreateVector(_o->bytes) : 0;
+  auto _last = _o->last;
+  auto _error = _o->error;
+  auto _detail = _o->detail.empty() ? 0 : _fbb.CreateString(_o->detail);
+  return shallot::wire::CreateBodyPart(
+      _fbb,
+      _id,
+      _offset,
+      _bytes,
+      _last,
+      _error,
+      _detail);
+}
+
+inline BodyCreditT *BodyCredit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<BodyCreditT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void BodyCredit::UnPackTo(BodyCreditT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = total(); _o->total = _e; }
+}
+
+inline flatbuffers::Offset<BodyCredit> BodyCredit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyCreditT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateBodyCredit(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<BodyCredit> CreateBodyCredit(flatbuffers::FlatBufferBuilder &_fbb, const BodyCreditT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BodyCreditT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _total = _o->total;
+  return shallot::wire::CreateBodyCredit(
+      _fbb,
+      _id,
+      _total);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5036,6 +5424,14 @@
       auto ptr = reinterpret_cast<const shallot::wire::CallState *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::BodyPart: {
+      auto ptr = reinterpret_cast<const shallot::wire::BodyPart *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::BodyCredit: {
+      auto ptr = reinterpret_cast<const shallot::wire::BodyCredit *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5119,6 +5515,14 @@
       auto ptr = reinterpret_cast<const shallot::wire::CallState *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::BodyPart: {
+      auto ptr = reinterpret_cast<const shallot::wire::BodyPart *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::BodyCredit: {
+      auto ptr = reinterpret_cast<const shallot::wire::BodyCredit *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5190,6 +5594,14 @@
       auto ptr = reinterpret_cast<const shallot::wire::CallStateT *>(value);
       return CreateCallState(_fbb, ptr, _rehasher).Union();
     }
+    case Body::BodyPart: {
+      auto ptr = reinterpret_cast<const shallot::wire::BodyPartT *>(value);
+      return CreateBodyPart(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::BodyCredit: {
+      auto ptr = reinterpret_cast<const shallot::wire::BodyCreditT *>(value);
+      return CreateBodyCredit(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5260,6 +5672,14 @@
       value = new shallot::wire::CallStateT(*reinterpret_cast<shallot::wire::CallStateT *>(u.value));
       break;
     }
+    case Body::BodyPart: {
+      value = new shallot::wire::BodyPartT(*reinterpret_cast<shallot::wire::BodyPartT *>(u.value));
+      break;
+    }
+    case Body::BodyCredit: {
+      value = new shallot::wire::BodyCreditT(*reinterpret_cast<shallot::wire::BodyCreditT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5347,6 +5767,16 @@
       delete ptr;
       break;
     }
+    case Body::BodyPart: {
+      auto ptr = reinterpret_cast<shallot::wire::BodyPartT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::BodyCredit: {
+      auto ptr = reinterpret_cast<shallot::wire::BodyCreditT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -189,6 +189,25 @@
     EXPECT_EQ(mesh.executionCount("/order/1"), exchanges.size());
 }
 
+TEST_F(LinkEndOneBackendServer, ALongAnswerThatBeginsWithoutALinkArrivesOverANewOne)
+{
+    const std::string body(2'000'000, 'x');
+    holdRuns();
+    const auto exchange = sendOrder();
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    forAllRelays([](LinkRelay& relay) {
+        relay.reset();
+        relay.holdToTarget(true);
+    });
+    mesh.runFor(20ms);
+    EndpointStandin::respond(*held.front().first, held.front().second, 200, body);
+    mesh.runFor(50ms);
+    forAllRelays([](LinkRelay& relay) { relay.holdToTarget(false); });
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    EXPECT_TRUE(exchange->response->body == body);
+    EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
+}
+
 TEST_F(LinkEnd, AnAnswerLostWithItsLinkIsSentAgain)
 {
     forAllRelays([](LinkRelay& relay) { relay.holdFromTarget(true); });
--- a/Tests/RawEndpoint.cpp
+++ b/Tests/RawEndpoint.cpp
@@ -71,6 +71,22 @@
     m_floods.push_back(std::move(timer));
 }
 
+void RawEndpoint::sendLongBody(StreamSocket& socket, const std::string& attempt, size_t bytes)
+{
+    constexpr size_t pieceBytes = 64 * 1024;
+    const auto head = responseTo(attempt, {});
+    socket.write(head.substr(0, head.rfind("Content-Length")) + "Content-Length: " + std::to_string(bytes) + "\r\n\r\n");
+    auto timer = std::make_unique<Timer>();
+    timer->startRepeating(1ms, [connection = RefPtr<StreamSocket>(&socket), bytes]() mutable {
+        if (!bytes || !connection->isOpen() || connection->pendingBytes())
+            return;
+        const auto size = bytes < pieceBytes ? bytes : pieceBytes;
+        connection->write(std::string(size, 'x'));
+        bytes -= size;
+    });
+    m_floods.push_back(std::move(timer));
+}
+
 void RawEndpoint::expectBody(StreamSocket& socket, size_t bytes)
 {
     m_bodySocket = &socket;
--- a/Tests/RawEndpoint.h
+++ b/Tests/RawEndpoint.h
@@ -25,6 +25,8 @@
     void refuseConnections() { m_refusesConnections = true; }
     // Sends the text repeatedly on that connection until the other side closes it.
     void flood(StreamSocket&, const std::string& text);
+    // Writes a sealed response whose body is that many `x`s, as the other side reads it.
+    void sendLongBody(StreamSocket&, const std::string& attempt, size_t bytes);
     // Expects a body of `b`s as the next bytes on that connection, including those that arrived after the header section.
     void expectBody(StreamSocket&, size_t bytes);
     size_t remainingBodyBytes() const { return m_remainingBodyBytes; }
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -273,6 +273,7 @@
         MeshCall call;
         call.service = "alpha";
         call.context.remaining = 8s;
+        call.acceptsBodyParts = false; // The whole answers are to wait in the link's buffer
         const std::string attempt = "slow-" + std::to_string(i);
         call.request = { "GET", "/read/1", { { "Host", "app" }, { std::string(platform::header::attemptID), attempt } }, {} };
         EXPECT_TRUE(link->send(makeMeshCallFrame(i, call)));
