Don't take a body whose reader is slow for stalled by its backend server

What callers saw: bodies that broke off (a reset) while their callers read them slowly.

Cause: a body counted as stalled when nothing had arrived in 5 s and there was credit at the moment of the check. Beside many slow readers the budget is full, so a body waits for its own reader with data left, and the room that others leave in the budget looked like credit that the backend server had not used. Now it is stalled only if nothing of it waited for its reader at two checks in a row, so the backend server has had 5 to 10 s.

--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -94,6 +94,7 @@
         std::string attemptID;
         RefPtr<BodyStream> stream;    // The rest of the response's body, once the response has been passed on
         uint64_t streamedBytes { 0 }; // Of it, at the last check for a stall
+        bool awaitsBackend { true };  // At that check: all that had arrived was passed on
         uint64_t fingerprint { 0 };   // See requestFingerprint(); computed only when needed
         size_t heldBodyBytes { 0 };   // Counted in m_heldBodyBytes
         uint32_t knownCrashes { 0 };  // Of this request, when the run started
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -248,13 +248,16 @@
         stream->setEndHandler(onEnd);
 }
 
-// A body that waits for its reader is ended by the reader's side.
+// A body that waits for its reader is ended by the reader's side. The backend server has had its time only if nothing waited at
+// the check before either.
 void EndpointExecutor::checkBodyStall(LiveRun& live, TimePoint now)
 {
     const auto id = live.item.id;
     const auto bytes = live.stream->pushedBytes();
     const bool hasProgress = bytes != std::exchange(live.streamedBytes, bytes);
-    if (hasProgress || !live.stream->hasCredit()) {
+    const bool awaitsBackend = !live.stream->bufferedBytes();
+    const bool awaitedBackend = std::exchange(live.awaitsBackend, awaitsBackend);
+    if (hasProgress || !awaitsBackend || !awaitedBackend) {
         m_deadlines.set(id, now + m_settings.bodyStallTimeout);
         return;
     }
--- a/Tests/LongResponsesTest.cpp
+++ b/Tests/LongResponsesTest.cpp
@@ -266,6 +266,24 @@
     EXPECT_EQ(raw.requestCount(), 1U); // What has been passed on is not repeated
 }
 
+// The room that another body leaves in the budget is no sign that the backend server could have gone on.
+TEST_F(LongResponses, WhoseReaderPausesDoNotCountAsStalled)
+{
+    constexpr size_t length = 60 * 1024 * 1024; // More than the budget and the kernel's buffers
+    mesh.settings.bodyStallTimeout = 300ms;
+    const auto raw = serveBodies(length);
+    const auto pausing = call(0, "pausing", fast);
+    auto leaving = call(0, "leaving", fast);
+    ASSERT_TRUE(mesh.runUntil([&] { return pausing->receivedBytes() && leaving->receivedBytes(); }));
+    pausing->setRate(0);
+    leaving->setRate(0);
+    mesh.runFor(2s);
+    leaving.reset();
+    mesh.runFor(4 * mesh.settings.bodyStallTimeout);
+    pausing->setRate(fast);
+    EXPECT_TRUE(readWhole(*pausing, length)) << pausing->receivedBytes();
+}
+
 TEST_F(LongResponses, BeingReadWhenADaemonStopsFinish)
 {
     constexpr size_t length = 20 * 1024 * 1024;
