Receive bodies of up to 1 MB whole, so that an answer lost with its link is sent again

Cause: the outcome of a body that is passed on cannot be kept. Bodies whose outcome fits maximumKeptOutcomeBytes are received whole as before.

--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -12,7 +12,10 @@
 
 constexpr size_t maximumResponseBytes = 4 * 1024 * 1024; // Far above the longest responses of the deployments
 constexpr size_t bufferCheckBytes = 64 * 1024;           // mayBufferMore() is consulted once for so many bytes of a body
-constexpr size_t streamedBodyBytes = 64 * 1024;            // A longer body is passed on while it arrives
+constexpr size_t streamedBodyBytes = 64 * 1024;          // Received of a body before the rest is passed on as it arrives
+// A shorter body is received whole: its outcome fits MeshSettings::maximumKeptOutcomeBytes, and an answer that is lost with its
+// link is sent again.
+constexpr int64_t minimumStreamedBytes = 1024 * 1024;
 constexpr int64_t maximumStreamedBytes = 64 * 1024 * 1024; // The longest body that a configuration allows
 constexpr unsigned maximumMismatchedResponses = 8;         // Late responses dropped in one exchange before it fails
 constexpr unsigned maximumInterimResponses = 64;           // Skipped in one exchange before it fails
@@ -174,7 +177,7 @@
         return false;
     m_response.body.append(bytes);
     // A body without a named length may be endless; it is received whole, up to the limit.
-    m_longBody = size > streamedBodyBytes && m_bodyLength >= 0 && m_bodyLength <= maximumStreamedBytes;
+    m_longBody = size > streamedBodyBytes && m_bodyLength > minimumStreamedBytes && m_bodyLength <= maximumStreamedBytes;
     return true;
 }
 
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -223,6 +223,27 @@
     EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
 }
 
+TEST_F(LinkEnd, ALargeAnswerLostWithItsLinkIsSentAgain)
+{
+    const std::string body(900'000, 'x'); // With its header section, close to the largest outcome that is kept
+    for (const size_t daemon : { 0, 1 })
+        mesh.endpoint(daemon).setScript([&body](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+            EndpointStandin::respond(*connection, request, 200, body);
+        });
+    forAllRelays([](LinkRelay& relay) { relay.holdFromTarget(true); });
+    const auto exchange = sendOrder();
+    ASSERT_TRUE(mesh.runUntil([this] { return mesh.executionCount("/order/1") == 1; }));
+    mesh.runFor(100ms);
+    ASSERT_TRUE(isAnyHeld(&LinkRelay::heldFromTarget));
+    forAllRelays([](LinkRelay& relay) {
+        relay.reset();
+        relay.holdFromTarget(false);
+    });
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    EXPECT_TRUE(exchange->response->body == body);
+    EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
+}
+
 TEST_F(LinkEndOneBackendServer, ACallAtAKilledDaemonMayHaveRun)
 {
     holdRuns();
