Handle sockets of long transfers after all others

A request beside many bodies waited for the sockets of bodies that were ready, up to 10 ms at each hop. Sockets that carry a body now wait in turn in a queue of their own and get 0.1 ms in each iteration of the main loop.

EventLoopTurn.ASmallMessage...: 30 sockets were handled before without the change (2 are allowed); passes.

--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -191,6 +191,7 @@
         || (m_matcher && m_matcher(m_response, m_used) != ResponseMatch::Matched))
         return; // Received whole and then dropped or rejected
     m_stream = makeRef<BodyStream>(*m_bodyBudget);
+    m_socket->setBulk(true);
     m_stream->setProducer([this] { updateReadPaused(); },
         [this] {
             const RefPtr<HTTPConnection> protect(this);
@@ -296,6 +297,7 @@
         m_socket->close();
     if (const auto stream = std::exchange(m_stream, nullptr)) {
         m_socket->setReadPaused(false);
+        m_socket->setBulk(false);
         stream->end({});
     } else {
         completion(std::move(m_response));
--- a/Source/net/SocketPoller.cpp
+++ b/Source/net/SocketPoller.cpp
@@ -3,10 +3,12 @@
 #include "core/Log.h"
 #include "core/Time.h"
 
+#include <algorithm>
 #include <array>
 #include <cstring>
 #include <glib-unix.h>
 #include <sys/epoll.h>
+#include <utility>
 
 namespace shallot {
 
@@ -14,8 +16,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr int eventsPerIteration = 64;         // Further ready sockets wait for the next iteration, after the timers
+constexpr int eventsPerIteration = 256;        // Further ready sockets wait for the next iteration, after the timers
 constexpr auto maximumTimePerIteration = 10ms; // After the socket that exceeds it, timers are next
+constexpr auto bulkTimePerIteration = 100us;   // For long transfers; a request that arrives meanwhile waits that long at each hop
 
 struct PollerSource {
     GSource source;
@@ -64,6 +67,8 @@
         if (ready.watcher == &watcher)
             ready.watcher = nullptr;
     }
+    if (std::exchange(watcher.bulkEvents, 0))
+        std::replace(m_bulk.begin(), m_bulk.end(), &watcher, static_cast<SocketWatcher*>(nullptr));
 }
 
 void SocketPoller::poll()
@@ -74,7 +79,11 @@
     m_nextReady = 0;
     for (int i = 0; i < count; ++i) {
         const auto& event = events[static_cast<size_t>(i)];
-        m_ready.push_back({ static_cast<SocketWatcher*>(event.data.ptr), event.events });
+        auto* watcher = static_cast<SocketWatcher*>(event.data.ptr);
+        if (!watcher->isBulk)
+            m_ready.push_back({ watcher, event.events });
+        else if (!std::exchange(watcher->bulkEvents, watcher->bulkEvents | event.events))
+            m_bulk.push_back(watcher);
     }
 }
 
@@ -83,12 +92,35 @@
 {
     if (m_nextReady >= m_ready.size())
         poll();
+    if (handleReady())
+        handleBulk();
+}
+
+// Returns false when the time is used up.
+bool SocketPoller::handleReady()
+{
     const auto end = MonotonicClock::now() + maximumTimePerIteration;
     while (m_nextReady < m_ready.size()) {
         const auto ready = m_ready[m_nextReady++];
         if (!ready.watcher)
             continue;
         ready.watcher->onReady(ready.watcher->owner, ready.events);
+        if (MonotonicClock::now() >= end)
+            return false;
+    }
+    return true;
+}
+
+// Each one that has got its turn queues behind the others with the next poll.
+void SocketPoller::handleBulk()
+{
+    const auto end = MonotonicClock::now() + bulkTimePerIteration;
+    while (!m_bulk.empty()) {
+        auto* watcher = m_bulk.front();
+        m_bulk.pop_front();
+        if (!watcher)
+            continue;
+        watcher->onReady(watcher->owner, std::exchange(watcher->bulkEvents, 0));
         if (MonotonicClock::now() >= end)
             return;
     }
--- a/Source/net/SocketPoller.h
+++ b/Source/net/SocketPoller.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <vector>
 
 typedef struct _GSource GSource;
@@ -14,6 +15,8 @@
     uint32_t events { 0 };                              // Mask of EPOLLIN and EPOLLOUT; 0 while not watched
     void (*onReady)(void* owner, uint32_t) { nullptr }; // Receives the mask of ready events
     void* owner { nullptr };
+    bool isBulk { false };     // Part of a long transfer: handled after the others, for a short time in each iteration
+    uint32_t bulkEvents { 0 }; // Ready events that wait for that; 0: none
 };
 
 // Polls all sockets of the process with one epoll descriptor behind a single GLib source, so that the cost of a main loop
@@ -34,11 +37,14 @@
     SocketPoller();
     void dispatch();
     void poll();
+    bool handleReady();
+    void handleBulk();
 
     GSource* m_source { nullptr };
     int m_epoll { -1 };
     std::vector<ReadySocket> m_ready; // Found by the last poll; handled in order, possibly over several iterations
     size_t m_nextReady { 0 };
+    std::deque<SocketWatcher*> m_bulk; // With ready events, in turn; null if it has been removed meanwhile
 };
 
 } // namespace shallot
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -364,6 +364,7 @@
     m_parser.method = HTTP_GET; // Until the next header section is parsed; it may be rejected before
     if (continues) {
         m_body = response.rest;
+        m_socket->setBulk(true);
         m_bodySent = response.body.size();
         m_body->setConsumer([this] { sendBody(); });
         withholdByte(text);
@@ -428,6 +429,7 @@
             return breakBody("the body is shorter than announced");
         body->setConsumer(nullptr);
         m_body = nullptr;
+        m_socket->setBulk(false);
         m_serving = false;
         m_phaseStart = MonotonicClock::now();
         m_socket->write(std::exchange(m_withheld, {}));
--- a/Tests/EventLoopTurnTest.cpp
+++ b/Tests/EventLoopTurnTest.cpp
@@ -2,6 +2,7 @@
 
 #include "TestPorts.h"
 #include "net/HTTPPool.h"
+#include "net/StreamSocket.h"
 #include "net/Timer.h"
 
 #include <algorithm>
@@ -121,5 +122,44 @@
     EXPECT_LE(longest, longestTurn);
 }
 
+TEST(EventLoopTurn, ASmallMessageWaitsForFewSocketsOfLongTransfers)
+{
+    constexpr size_t transfers = 30;
+    constexpr auto costOfEach = 1ms;
+    const auto connect = [] {
+        int ends[2]; // NOLINT: as socketpair() takes it
+        g_assert(!socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends));
+        return std::pair(makeRef<StreamSocket>(ends[0]), ends[1]);
+    };
+    const auto [small, smallSender] = connect();
+    bool arrived = false;
+    small->start({ [&](std::span<const uint8_t>) { arrived = true; }, nullptr, nullptr });
+    size_t handled = 0;
+    std::vector<std::pair<RefPtr<StreamSocket>, int>> bulk;
+    for (size_t i = 0; i < transfers; ++i) {
+        bulk.push_back(connect());
+        bulk.back().first->setBulk(true);
+        bulk.back().first->start({ [&, sender = smallSender](std::span<const uint8_t>) {
+                                      if (!handled++)
+                                          g_assert(send(sender, "x", 1, 0) == 1);
+                                      const auto until = MonotonicClock::now() + costOfEach;
+                                      while (MonotonicClock::now() < until) { }
+                                  },
+            nullptr, nullptr });
+        g_assert(send(bulk.back().second, "x", 1, 0) == 1);
+    }
+    const auto end = MonotonicClock::now() + 2s;
+    while (!arrived && MonotonicClock::now() < end)
+        g_main_context_iteration(nullptr, FALSE);
+    EXPECT_TRUE(arrived);
+    EXPECT_LE(handled, 2U); // The one that was in progress, and one that was ready
+    while (handled < transfers && MonotonicClock::now() < end)
+        g_main_context_iteration(nullptr, FALSE);
+    EXPECT_EQ(handled, transfers); // Each gets its turn
+    close(smallSender);
+    for (const auto& [socket, sender] : bulk)
+        close(sender);
+}
+
 } // namespace
 } // namespace shallot
