--- a/Source/net/Timer.cpp
+++ b/Source/net/Timer.cpp
@@ -53,8 +53,9 @@
     }
     setting.postponed = false;
     const auto function = setting.function;
-    if (setting.interval > Duration::zero())
-        arm(setting.interval, std::move(setting));
+    const auto interval = setting.interval;
+    if (interval > Duration::zero())
+        arm(interval, std::move(setting));
     (*function)();
 }
 
