Timer: hold its function by an intrusive count

HTTPPoolOverSockets.AListenerWithoutDescriptorsWaitsAndAcceptsLater failed under the sanitizers on (341 tests, this one): the sanitizers look at the type of a shared pointer's control block at its first release, which needs a descriptor, and the test had none left.

--- a/Source/net/Timer.cpp
+++ b/Source/net/Timer.cpp
@@ -17,13 +17,13 @@
 void Timer::startOnce(Duration delay, std::function<void()> function)
 {
     stop();
-    arm(delay, { std::make_shared<const std::function<void()>>(std::move(function)) });
+    arm(delay, { makeRef<Function>(std::move(function)) });
 }
 
 void Timer::startRepeating(Duration interval, std::function<void()> function)
 {
     stop();
-    arm(interval, { std::make_shared<const std::function<void()>>(std::move(function)), interval });
+    arm(interval, { makeRef<Function>(std::move(function)), interval });
 }
 
 void Timer::arm(Duration delay, Setting setting)
@@ -56,7 +56,7 @@
     const auto interval = setting.interval;
     if (interval > Duration::zero())
         arm(interval, std::move(setting));
-    (*function)();
+    function->call();
 }
 
 void Timer::stop()
--- a/Source/net/Timer.h
+++ b/Source/net/Timer.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "core/RefCounted.h"
 #include "core/Time.h"
 
 #include <functional>
-#include <memory>
 
 namespace shallot {
 
@@ -23,9 +23,16 @@
     void stop();
 
 private:
+    struct Function : RefCounted<Function> {
+        explicit Function(std::function<void()> called)
+            : call(std::move(called))
+        {
+        }
+        const std::function<void()> call;
+    };
     struct Setting {
-        std::shared_ptr<const std::function<void()>> function;
-        Duration interval {}; // Zero: it fires once
+        RefPtr<Function> function; // Held while it is called, since it may stop the timer
+        Duration interval {};      // Zero: it fires once
         bool postponed { false };
     };
     struct State {
