Keep an attempt while the request is tried elsewhere

Callers saw 502 for idempotent requests whose backend server was at work: 200 ms after its link had ended the request was sent to another backend server and the first run cancelled at that moment; if the other one refused, nothing was left but the loss of the link.

Cause: a request had one attempt, and its replacement took its place before it had been taken.

Change: an attempt is an object of its own, with its link, its queries and its outcome. A replaced one goes on being asked for; the first answer of the two counts and cancels the other; if the other one refuses or fails without a response, the first one is waited for, as by a request that has no other backend server. What becomes known of it later counts: not begun here and refused there is "not run" (503), no longer "may have run".

--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -1,6 +1,6 @@
 // Index of this file
 //   Arrival:    handle, admit, checkRequest, checkCrashSuspicion, authenticate
-//   Attempts:   dispatch, send, endAttempt, cancelAttempt
+//   Attempts:   dispatch, send, startAttempt, endAttempt, cancelAttempt
 //   Shutdown:   startLeaving, endAll
 // What becomes of an attempt is in MeshIngressOutcomes.cpp.
 
@@ -193,13 +193,15 @@
 {
     const RefPtr<PendingRequest> protect(&pending);
     if (pending.deadline <= now) {
-        respond(pending, pending.earlierResponse ? *pending.earlierResponse : fail(ErrorKind::ExpiredInQueue), now);
+        onDeadline(pending.id);
         return;
     }
     while (true) {
         auto* endpoint = m_dependencies.view.endpoints().choose(pending.call.service, now, pending.triedMembers,
             { .anyZone = pending.reroutes > 0, .reachableOnly = pending.refusal.has_value() });
         if (!endpoint) {
+            if (returnToReplaced(pending))
+                return;
             const auto none
                 = pending.refusal.value_or(Error { ErrorKind::NoBackendServer, pending.call.service, startupRetryAfter });
             respond(pending, pending.earlierResponse ? *pending.earlierResponse : tl::unexpected(none), now);
@@ -217,62 +219,63 @@
     auto& call = pending.call;
     call.context.remaining = pending.deadline - now;
     call.targetLatency = pending.targetTime > now ? pending.targetTime - now : Duration::zero();
-    pending.attempt = m_nextID++;
     pending.member = endpoint.member.name;
-    pending.address = endpoint.member.address;
-    pending.attemptInProgress = true;
-    pending.resumed = pending.soughtOthers = false;
-    const auto attempt = pending.attempt;
+    const auto attempt = makeRef<Attempt>();
+    attempt->id = m_nextID++;
+    attempt->request = &pending;
+    attempt->member = endpoint.member.name;
+    attempt->address = endpoint.member.address;
     if (endpoint.member.name == m_dependencies.ownName) {
-        pending.link = nullptr;
-        m_attempts[attempt] = &pending;
-        m_dependencies.view.endpoints().recordSent(endpoint);
-        const RefPtr<PendingRequest> protect(&pending);
-        const auto executorCallID
-            = m_dependencies.executor.submit(call, now, [this, pending = protect, attempt](MeshOutcome outcome) {
-                  if (pending->attempt != attempt || !pending->attemptInProgress)
-                      return;
-                  onOutcome(*pending, std::move(outcome), MonotonicClock::now());
-              });
-        if (pending.attempt == attempt)
-            pending.executorCallID = executorCallID;
+        startAttempt(attempt, endpoint);
+        attempt->executorCallID = m_dependencies.executor.submit(
+            call, now, [this, pending = RefPtr<PendingRequest>(&pending), attempt](MeshOutcome outcome) {
+                if (m_attempts.contains(attempt->id))
+                    onOutcome(*attempt, std::move(outcome), MonotonicClock::now());
+            });
         return true;
     }
     auto link = m_dependencies.links.linkTo(endpoint.member.address);
-    if (!link || !link->send(makeMeshCallFrame(attempt, call))) {
-        pending.attemptInProgress = false;
+    if (!link || !link->send(makeMeshCallFrame(attempt->id, call)))
         return false;
-    }
-    pending.link = link;
-    m_attempts[attempt] = &pending;
+    attempt->link = link;
     m_dependencies.links.addOutstanding(*link);
-    m_dependencies.view.endpoints().recordSent(endpoint);
+    startAttempt(attempt, endpoint);
     return true;
 }
 
-void MeshIngress::endAttempt(PendingRequest& pending)
+void MeshIngress::startAttempt(const RefPtr<Attempt>& attempt, RemoteEndpoint& endpoint)
+{
+    attempt->request->attempt = attempt;
+    m_attempts[attempt->id] = attempt;
+    m_dependencies.view.endpoints().recordSent(endpoint);
+}
+
+void MeshIngress::endAttempt(Attempt& attempt)
 {
-    if (!std::exchange(pending.attemptInProgress, false))
+    const RefPtr<Attempt> protect(&attempt);
+    if (!m_attempts.erase(attempt.id))
         return;
-    m_attempts.erase(pending.attempt);
-    if (std::exchange(pending.awaitsState, false))
-        m_queries.remove(pending.id);
-    m_dependencies.view.endpoints().recordCompleted(pending.member);
-    if (pending.link)
-        m_dependencies.links.removeOutstanding(*pending.link);
+    auto& pending = *attempt.request;
+    (pending.attempt.get() == &attempt ? pending.attempt : pending.replacedAttempt) = nullptr;
+    if (std::exchange(attempt.awaitsState, false))
+        m_queries.remove(attempt.id);
+    m_dependencies.view.endpoints().recordCompleted(attempt.member);
+    if (attempt.link)
+        m_dependencies.links.removeOutstanding(*attempt.link);
 }
 
-// Cancels the current attempt; at the backend server a request that may run only once continues if it has started.
-void MeshIngress::cancelAttempt(PendingRequest& pending)
+// At the backend server a request that may run only once continues if it has started.
+void MeshIngress::cancelAttempt(const RefPtr<Attempt>& attempt)
 {
-    if (!pending.attemptInProgress)
+    if (!attempt)
         return;
     // The attempt ends first: if the link breaks while this frame is sent, the attempt must not be dispatched again.
-    endAttempt(pending);
-    if (pending.link)
-        pending.link->send(makeCancelFrame(pending.attempt));
+    const auto protect = attempt;
+    endAttempt(*protect);
+    if (protect->link)
+        protect->link->send(makeCancelFrame(protect->id));
     else
-        m_dependencies.executor.cancel(pending.executorCallID);
+        m_dependencies.executor.cancel(protect->executorCallID);
 }
 
 // Shutdown
@@ -292,7 +295,7 @@
             open.push_back(pending);
     }
     for (const auto& pending : open) {
-        if (pending->attemptInProgress)
+        if (pending->hasAttempt())
             respond(*pending, fail(ErrorKind::BackendFailed, "the shutdown time of this daemon is over"), now);
         else
             respond(*pending, pending->earlierResponse ? *pending->earlierResponse : fail(ErrorKind::Draining), now);
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -68,6 +68,25 @@
     size_t openConnections() const { return m_server.connectionCount(); }
 
 private:
+    struct PendingRequest;
+
+    // A sending of a request to one backend server, until its outcome.
+    struct Attempt : RefCounted<Attempt> {
+        uint64_t id { 0 }; // In frames
+        PendingRequest* request { nullptr };
+        std::string member;
+        std::string address;        // Of that member
+        RefPtr<PeerLink> link;      // Null while the local executor runs it
+        uint64_t memberBoot { 0 };  // Process that got it; set when its link ends
+        bool awaitsState { false }; // The member is asked on a new link what became of it
+        TimePoint awaitsStateSince {};
+        bool resumed { false };         // It was not sent on its present link
+        bool soughtOthers { false };    // Whether the request may be sent elsewhere as well has been decided
+        bool countsAsReached { false }; // As if the backend server had received it
+        unsigned rejectedLinks { 0 };   // Successive, while it awaits the state
+        uint64_t executorCallID { 0 };
+    };
+
     // A request from its arrival until its response.
     struct PendingRequest : RefCounted<PendingRequest> {
         uint64_t id { 0 };
@@ -83,22 +102,15 @@
         TimePoint targetTime {};
         std::vector<std::string> triedMembers; // Members that attempts were sent to
         unsigned reroutes { 0 };
-        unsigned backendsReached { 0 }; // Backend servers that received the request
-        uint64_t attempt { 0 };         // Current attempt; responses to earlier ones are ignored
-        std::string member;             // Target of the current attempt
-        std::string address;            // Of that member
-        RefPtr<PeerLink> link;          // Null while the local executor runs the attempt
-        uint64_t memberBoot { 0 };      // Process that got the attempt; set when its link ends
-        bool awaitsState { false };     // The member is asked on a new link what became of the attempt
-        TimePoint awaitsStateSince {};
-        bool resumed { false };       // The attempt was not sent on its present link
-        bool soughtOthers { false };  // For this attempt: whether it may be sent elsewhere has been decided
-        unsigned rejectedLinks { 0 }; // Successive, while it awaits the state
-        uint64_t executorCallID { 0 };
+        unsigned backendsReached { 0 };  // Backend servers that received the request
+        std::string member;              // Target of the latest attempt
+        RefPtr<Attempt> attempt;         // The latest one while it is in progress
+        RefPtr<Attempt> replacedAttempt; // An earlier one whose link has ended; it is answered if the latest one is not
         std::optional<Result<HTTPResponse>> earlierResponse; // May have executed; a later "not executed" must not replace it
         std::optional<Error> refusal;                        // The last one for lack of capacity
-        bool attemptInProgress { false };
-        bool hasToken { false }; // A token of the organisation's rate, granted by a ledger
+        bool hasToken { false };                             // A token of the organisation's rate, granted by a ledger
+
+        bool hasAttempt() const { return attempt || replacedAttempt; }
     };
 
     void handle(const RefPtr<StrictHTTPConnection>&, HTTPRequest, TimePoint now);
@@ -109,17 +121,20 @@
     void admit(const RefPtr<PendingRequest>&, TimePoint now);
     void dispatch(PendingRequest&, TimePoint now);
     bool send(PendingRequest&, RemoteEndpoint&, TimePoint now);
-    void onOutcome(PendingRequest&, MeshOutcome, TimePoint now);
+    void onOutcome(Attempt&, MeshOutcome, TimePoint now);
     bool mayRetry(PendingRequest&, const MeshOutcome&, TimePoint now);
-    std::vector<RefPtr<PendingRequest>> attemptsOn(const PeerLink&) const;
-    void awaitState(PendingRequest&, const PeerLink& ended, TimePoint now);
-    void queryState(PendingRequest&, TimePoint now);
-    void onQueryDue(uint64_t id);
-    bool replaceAttempt(PendingRequest&, TimePoint now);
-    void loseAttempt(PendingRequest&, TimePoint now);
-    void repeat(PendingRequest&, MeshOutcome, TimePoint now);
-    void endAttempt(PendingRequest&);
-    void cancelAttempt(PendingRequest&);
+    std::vector<RefPtr<Attempt>> attemptsOn(const PeerLink&) const;
+    void awaitState(Attempt&, const PeerLink& ended, TimePoint now);
+    void queryState(Attempt&, TimePoint now);
+    void onQueryDue(uint64_t attemptID);
+    bool replaceAttempt(Attempt&, TimePoint now);
+    static bool returnToReplaced(PendingRequest&);
+    void loseAttempt(Attempt&, TimePoint now);
+    void repeat(PendingRequest&, const MeshOutcome&, TimePoint now);
+    static void recordFailure(PendingRequest&, MeshOutcome);
+    void startAttempt(const RefPtr<Attempt>&, RemoteEndpoint&);
+    void endAttempt(Attempt&);
+    void cancelAttempt(const RefPtr<Attempt>&);
     Duration retryAfterFor(const PendingRequest&, Duration capacityAfter) const;
     void respond(PendingRequest&, Result<HTTPResponse>, TimePoint now);
     void logCompletion(const PendingRequest&, const Result<HTTPResponse>&, TimePoint now) const;
@@ -131,12 +146,12 @@
     StrictHTTPServer m_server;
     StrictHTTPLimits m_limits;
     std::unordered_map<uint64_t, RefPtr<PendingRequest>> m_pending;
-    std::unordered_map<uint64_t, RefPtr<PendingRequest>> m_attempts; // By attempt, the id in frames
+    std::unordered_map<uint64_t, RefPtr<Attempt>> m_attempts; // By the id in frames
     std::unordered_map<StrictHTTPConnection*, uint64_t> m_byConnection;
     std::map<std::pair<std::string, RequestOrigin>, RetryBudgetShare> m_retryBudgets; // By service and origin
     ScheduledRetries m_scheduledRetries;
     DeadlineQueue m_deadlines;
-    DeadlineQueue m_queries; // Of requests that await the state of their attempt: when to ask again
+    DeadlineQueue m_queries; // Of attempts that await their state: when to ask again
     uint64_t m_nextID { 1 };
     bool m_leaving { false };
     bool m_refusesCallers { false };
--- a/Source/sidecar/MeshIngressOutcomes.cpp
+++ b/Source/sidecar/MeshIngressOutcomes.cpp
@@ -1,6 +1,6 @@
 // Index of this file
-//   Outcomes:   onResponse, onGoAway, onLinkClosed, attemptsOn, onOutcome, mayRetry, repeat
-//   Lost links: awaitState, queryState, onQueryDue, onCallState, replaceAttempt, loseAttempt
+//   Outcomes:   onResponse, onGoAway, onLinkClosed, attemptsOn, onOutcome, recordFailure, repeat, mayRetry
+//   Lost links: awaitState, queryState, onQueryDue, onCallState, replaceAttempt, returnToReplaced, loseAttempt
 //   Responses:  retryAfterFor, respond, logCompletion, onDisconnect, onDeadline
 
 #include "sidecar/MeshIngress.h"
@@ -34,16 +34,16 @@
     const auto found = m_attempts.find(answerFrame.id);
     if (found == m_attempts.end() || found->second->link.get() != &link)
         return;
-    const auto pending = found->second;
-    onOutcome(*pending, readMeshOutcome(answerFrame), MonotonicClock::now());
+    const auto attempt = found->second;
+    onOutcome(*attempt, readMeshOutcome(answerFrame), MonotonicClock::now());
 }
 
-std::vector<RefPtr<MeshIngress::PendingRequest>> MeshIngress::attemptsOn(const PeerLink& link) const
+std::vector<RefPtr<MeshIngress::Attempt>> MeshIngress::attemptsOn(const PeerLink& link) const
 {
-    std::vector<RefPtr<PendingRequest>> found;
-    for (const auto& [attempt, pending] : m_attempts) {
-        if (pending->link.get() == &link)
-            found.push_back(pending);
+    std::vector<RefPtr<Attempt>> found;
+    for (const auto& [id, attempt] : m_attempts) {
+        if (attempt->link.get() == &link)
+            found.push_back(attempt);
     }
     return found;
 }
@@ -54,10 +54,10 @@
     auto report = EndpointReport {};
     report.available = false;
     report.leaving = true;
-    for (const auto& pending : attemptsOn(link)) {
+    for (const auto& attempt : attemptsOn(link)) {
         // The promise does not cover a call that was sent on another link.
-        if (!pending->resumed)
-            onOutcome(*pending, { fail(ErrorKind::Draining, pending->member + " has ended"), report, false }, now);
+        if (!attempt->resumed && m_attempts.contains(attempt->id))
+            onOutcome(*attempt, { fail(ErrorKind::Draining, attempt->member + " has ended"), report, false }, now);
     }
 }
 
@@ -66,58 +66,58 @@
     const auto now = MonotonicClock::now();
     auto report = EndpointReport {};
     report.available = false;
-    for (const auto& pending : attemptsOn(link)) {
-        if (!pending->attemptInProgress)
+    for (const auto& attempt : attemptsOn(link)) {
+        if (!m_attempts.contains(attempt->id))
             continue; // It ended with an earlier one
-        const bool wasSent = link.isEstablished() || pending->awaitsState;
+        const bool wasSent = link.isEstablished() || attempt->awaitsState;
         if (!wasSent)
-            onOutcome(*pending, { fail(ErrorKind::NoBackendServer, "no link to " + pending->member), report, false }, now);
-        else if (link.wasRefused() || (link.wasRejected() && ++pending->rejectedLinks >= maximumRejectedLinks))
-            loseAttempt(*pending, now);
+            onOutcome(*attempt, { fail(ErrorKind::NoBackendServer, "no link to " + attempt->member), report, false }, now);
+        else if (link.wasRefused() || (link.wasRejected() && ++attempt->rejectedLinks >= maximumRejectedLinks))
+            loseAttempt(*attempt, now);
         else
-            awaitState(*pending, link, now);
+            awaitState(*attempt, link, now);
     }
 }
 
 // An attempt outlives its link: it ends with its response, at its deadline, or when its daemon is gone. Only that daemon knows
 // whether the call was begun, so it is asked over new links, at once and then at intervals.
-void MeshIngress::awaitState(PendingRequest& pending, const PeerLink& ended, TimePoint now)
+void MeshIngress::awaitState(Attempt& attempt, const PeerLink& ended, TimePoint now)
 {
-    if (std::exchange(pending.awaitsState, true)) {
-        m_queries.set(pending.id, now + m_dependencies.settings.callQueryInterval);
+    if (std::exchange(attempt.awaitsState, true)) {
+        m_queries.set(attempt.id, now + m_dependencies.settings.callQueryInterval);
         return;
     }
-    pending.resumed = true;
-    pending.memberBoot = ended.peerBoot();
-    pending.awaitsStateSince = now;
-    pending.rejectedLinks = 0;
-    queryState(pending, now);
+    attempt.resumed = true;
+    attempt.memberBoot = ended.peerBoot();
+    attempt.awaitsStateSince = now;
+    attempt.rejectedLinks = 0;
+    queryState(attempt, now);
 }
 
-void MeshIngress::queryState(PendingRequest& pending, TimePoint now)
+void MeshIngress::queryState(Attempt& attempt, TimePoint now)
 {
     const auto& settings = m_dependencies.settings;
-    const auto link = m_dependencies.links.linkTo(pending.address);
-    if (!link || !link->send(makeCallQueryFrame(pending.attempt, pending.memberBoot))) {
-        m_queries.set(pending.id, now + settings.callQueryInterval);
+    const auto link = m_dependencies.links.linkTo(attempt.address);
+    if (!link || !link->send(makeCallQueryFrame(attempt.id, attempt.memberBoot))) {
+        m_queries.set(attempt.id, now + settings.callQueryInterval);
         return;
     }
-    pending.link = link;
+    attempt.link = link;
     m_dependencies.links.addOutstanding(*link);
-    m_queries.set(pending.id, now + settings.callQueryTimeout);
+    m_queries.set(attempt.id, now + settings.callQueryTimeout);
 }
 
-void MeshIngress::onQueryDue(uint64_t id)
+void MeshIngress::onQueryDue(uint64_t attemptID)
 {
-    const auto found = m_pending.find(id);
-    if (found == m_pending.end() || !found->second->awaitsState)
+    const auto found = m_attempts.find(attemptID);
+    if (found == m_attempts.end() || !found->second->awaitsState)
         return;
-    const auto pending = found->second;
+    const auto attempt = found->second;
     const auto now = MonotonicClock::now();
-    const bool mayReplace = now >= pending->awaitsStateSince + m_dependencies.settings.callQueryTimeout;
-    if ((mayReplace && replaceAttempt(*pending, now)) || pending->link->isOpen())
-        return;
-    queryState(*pending, now);
+    if (now >= attempt->awaitsStateSince + m_dependencies.settings.callQueryTimeout)
+        replaceAttempt(*attempt, now);
+    if (m_attempts.contains(attemptID) && !attempt->link->isOpen())
+        queryState(*attempt, now);
 }
 
 void MeshIngress::onCallState(PeerLink& link, const wire::CallStateT& message)
@@ -125,59 +125,73 @@
     const auto found = m_attempts.find(message.id);
     if (found == m_attempts.end() || found->second->link.get() != &link || !found->second->awaitsState)
         return;
-    const auto pending = found->second;
+    const auto attempt = found->second;
     const auto now = MonotonicClock::now();
     const auto state = static_cast<ServedCallState>(message.state);
     if (state == ServedCallState::InProgress) {
-        pending->awaitsState = false;
-        m_queries.remove(pending->id);
+        attempt->awaitsState = false;
+        m_queries.remove(attempt->id);
         return;
     }
-    if (state != ServedCallState::NotBegun || pending->deadline <= now) {
-        loseAttempt(*pending, now);
+    if (state != ServedCallState::NotBegun || attempt->request->deadline <= now) {
+        loseAttempt(*attempt, now);
         return;
     }
-    const auto* endpoint = m_dependencies.view.endpoints().find(pending->member);
+    const auto* endpoint = m_dependencies.view.endpoints().find(attempt->member);
     const auto report = endpoint ? endpoint->report : EndpointReport {};
-    onOutcome(*pending, { fail(ErrorKind::NoBackendServer, "the call did not reach " + pending->member), report, false }, now);
+    onOutcome(*attempt, { fail(ErrorKind::NoBackendServer, "the call did not reach " + attempt->member), report, false }, now);
 }
 
-// Sends the request to another backend server if it may run again; otherwise it waits for its daemon.
-bool MeshIngress::replaceAttempt(PendingRequest& pending, TimePoint now)
+// Sends the request to another backend server as well, if it may run again. The first one may be at work and is answered
+// unless the other one answers before, which may refuse the request.
+bool MeshIngress::replaceAttempt(Attempt& attempt, TimePoint now)
 {
+    auto& pending = *attempt.request;
     const ChoiceConditions conditions { .anyZone = pending.reroutes > 0, .reachableOnly = true };
-    if (pending.soughtOthers
+    if (attempt.soughtOthers || pending.replacedAttempt
         || !m_dependencies.view.endpoints().choose(pending.call.service, now, pending.triedMembers, conditions))
         return false;
-    pending.soughtOthers = true; // Each further draw would raise this daemon's part of the retry budget
-    const MeshOutcome lost { fail(ErrorKind::BackendFailed, "no link to " + pending.member), {}, true };
+    attempt.soughtOthers = true; // Each further draw would raise this daemon's part of the retry budget
+    const MeshOutcome lost { fail(ErrorKind::BackendFailed, "no link to " + attempt.member), {}, true };
     ++pending.backendsReached;
     if (!mayRetry(pending, lost, now)) {
         --pending.backendsReached;
         return false;
     }
-    const RefPtr<PendingRequest> protect(&pending);
-    cancelAttempt(pending);
+    attempt.countsAsReached = true;
+    pending.replacedAttempt = std::exchange(pending.attempt, nullptr);
     repeat(pending, lost, now);
     return true;
 }
 
-void MeshIngress::loseAttempt(PendingRequest& pending, TimePoint now)
+// What was sent elsewhere has failed; the attempt that it should replace goes on.
+bool MeshIngress::returnToReplaced(PendingRequest& pending)
+{
+    if (!pending.replacedAttempt)
+        return false;
+    pending.attempt = std::exchange(pending.replacedAttempt, nullptr);
+    pending.member = pending.attempt->member;
+    return true;
+}
+
+void MeshIngress::loseAttempt(Attempt& attempt, TimePoint now)
 {
     auto report = EndpointReport {};
     report.available = false;
-    onOutcome(pending, { fail(ErrorKind::BackendFailed, "the link to " + pending.member + " was lost"), report, true }, now);
+    onOutcome(attempt, { fail(ErrorKind::BackendFailed, "the link to " + attempt.member + " was lost"), report, true }, now);
 }
 
-void MeshIngress::onOutcome(PendingRequest& pending, MeshOutcome outcome, TimePoint now)
+void MeshIngress::onOutcome(Attempt& attempt, MeshOutcome outcome, TimePoint now)
 {
+    auto& pending = *attempt.request;
     const RefPtr<PendingRequest> protect(&pending);
-    endAttempt(pending);
+    const RefPtr<Attempt> protectAttempt(&attempt);
+    endAttempt(attempt);
     auto& endpoints = m_dependencies.view.endpoints();
-    endpoints.recordReport(pending.member, outcome.report, now);
+    endpoints.recordReport(attempt.member, outcome.report, now);
     if (pending.parent)
         m_dependencies.executor.recordPressure(*pending.parent, outcome.report.pressure, now);
-    if (outcome.response || outcome.reachedBackend)
+    if ((outcome.response || outcome.reachedBackend) && !attempt.countsAsReached)
         ++pending.backendsReached;
     const bool isError = !outcome.response || outcome.response->status >= 500;
     if (!isError) {
@@ -185,26 +199,39 @@
         return;
     }
     if (!outcome.response && outcome.reachedBackend)
-        endpoints.recordFailure(pending.member, now);
+        endpoints.recordFailure(attempt.member, now);
+    const bool wasReplaced = pending.attempt != nullptr;
+    if (!wasReplaced && mayRetry(pending, outcome, now)) {
+        recordFailure(pending, outcome);
+        repeat(pending, outcome, now);
+        return;
+    }
+    if (wasReplaced || (!outcome.response && returnToReplaced(pending))) {
+        recordFailure(pending, std::move(outcome));
+        return;
+    }
     const bool mayHaveExecuted = outcome.response || !isNotExecuted(outcome.response.error());
-    if (mayRetry(pending, outcome, now))
-        repeat(pending, std::move(outcome), now);
-    else if (!mayHaveExecuted && pending.earlierResponse)
+    if (!mayHaveExecuted && pending.earlierResponse)
         respond(pending, *pending.earlierResponse, now);
     else
         respond(pending, outcome.response, now);
 }
 
-void MeshIngress::repeat(PendingRequest& pending, MeshOutcome outcome, TimePoint now)
+void MeshIngress::recordFailure(PendingRequest& pending, MeshOutcome outcome)
 {
-    EventLog::write("request-repeated",
-        { { "request", pending.attemptID }, { "member", pending.member }, { "service", pending.call.service },
-            { "reason", outcome.response ? "status" : errorInfo(outcome.response.error().kind).name },
-            { "arrivals", pending.backendsReached }, { "reroutes", pending.reroutes } });
     if (outcome.response || !isNotExecuted(outcome.response.error()))
         pending.earlierResponse = std::move(outcome.response);
     else if (outcome.response.error().kind == ErrorKind::Overloaded)
         pending.refusal = std::move(outcome.response.error());
+}
+
+void MeshIngress::repeat(PendingRequest& pending, const MeshOutcome& outcome, TimePoint now)
+{
+    EventLog::write("request-repeated",
+        { { "request", pending.attemptID }, { "member", pending.member }, { "service", pending.call.service },
+            { "reason", outcome.response ? "status" : errorInfo(outcome.response.error().kind).name },
+            { "arrivals", pending.backendsReached }, { "reroutes", pending.reroutes },
+            { "replaces", pending.replacedAttempt != nullptr } });
     dispatch(pending, now);
 }
 
@@ -265,9 +292,10 @@
     const bool crashSuspect = !response && response.error().kind == ErrorKind::CrashSuspect;
     if (!response && isNotExecuted(response.error()) && !crashSuspect)
         response.error().retryAfter = retryAfterFor(pending, response.error().retryAfter);
-    if (pending.hasToken && !response && isNotExecuted(response.error()) && !pending.attemptInProgress)
+    if (pending.hasToken && !response && isNotExecuted(response.error()) && !pending.hasAttempt())
         m_dependencies.rateLimiter.returnToken(pending.call.context.organisation);
-    cancelAttempt(pending);
+    cancelAttempt(pending.attempt);
+    cancelAttempt(pending.replacedAttempt);
     m_deadlines.remove(pending.id);
     m_byConnection.erase(pending.connection.get());
     const auto& context = pending.call.context;
@@ -319,7 +347,7 @@
     if (found == m_pending.end())
         return;
     const auto pending = found->second;
-    if (pending->attemptInProgress)
+    if (pending->hasAttempt())
         respond(*pending, fail(ErrorKind::TimedOut, "no response within the time limit"), MonotonicClock::now());
     else
         respond(*pending, pending->earlierResponse ? *pending->earlierResponse : fail(ErrorKind::ExpiredInQueue),
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -264,6 +264,82 @@
     EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
 }
 
+// A request whose daemon stands still is sent to another backend server as well.
+class LinkEndReplacedAttempt : public LinkEnd {
+protected:
+    // Starts a run and keeps the links of its daemon silent until they have ended.
+    void startAndStall(const std::function<void()>& beforeStall = [] {})
+    {
+        holdRuns();
+        exchange = mesh.send(sender, { "GET", "/read/1", {}, {} });
+        ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+        first = mesh.endpoint(0).requests().back().target == "/read/1" ? 0 : 1;
+        beforeStall();
+        relays[first]->holdToTarget(true);
+        relays[first]->holdFromTarget(true);
+        ASSERT_TRUE(mesh.runUntil([this] { return mesh.executionCount("/read/1") == 2; }));
+    }
+
+    void endStall()
+    {
+        relays[first]->holdToTarget(false);
+        relays[first]->holdFromTarget(false);
+        mesh.runFor(200ms);
+    }
+
+    size_t other() const { return 1 - first; }
+
+    std::shared_ptr<SidecarHarness::Exchange> exchange;
+    size_t first { 0 };
+};
+
+TEST_F(LinkEndReplacedAttempt, ARequestThatIsRefusedElsewhereIsAnsweredByItsFirstBackendServer)
+{
+    startAndStall([this] { mesh.endpoint(other()).setScript(EndpointStandin::refuse); });
+    mesh.runFor(200ms);
+    EXPECT_FALSE(exchange->done);
+    endStall();
+    EXPECT_EQ(mesh.endpoint(first).disconnectCount(), 0U);
+    answerRuns();
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+}
+
+TEST_F(LinkEndReplacedAttempt, TheFirstAnswerOfTwoBackendServersEndsTheOtherRun)
+{
+    startAndStall();
+    endStall();
+    const auto [connection, request] = held.front();
+    EndpointStandin::respond(*connection, request);
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    EXPECT_TRUE(mesh.runUntil([this] { return mesh.endpoint(other()).disconnectCount() == 1; }));
+}
+
+TEST_F(LinkEndReplacedAttempt, TheRunOfAStalledDaemonEndsWhenAnotherOneHasAnswered)
+{
+    startAndStall();
+    const auto [connection, request] = held.back();
+    EndpointStandin::respond(*connection, request);
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    endStall();
+    EXPECT_TRUE(mesh.runUntil([this] { return mesh.endpoint(first).disconnectCount() == 1; }));
+}
+
+TEST_F(LinkEnd, ARequestThatWasNotBegunAndIsRefusedElsewhereHasNotRun)
+{
+    mesh.endpoint(1).setScript(EndpointStandin::refuse);
+    relays[0]->holdToTarget(true);
+    std::vector<std::shared_ptr<SidecarHarness::Exchange>> exchanges;
+    for (size_t i = 0; i < 8; ++i)
+        exchanges.push_back(mesh.send(sender, { "GET", "/read/1", {}, {} }));
+    mesh.runFor(1600ms); // The link has ended, and what was sent elsewhere has been refused
+    relays[0]->reset();
+    relays[0]->holdToTarget(false);
+    for (const auto& exchange : exchanges)
+        EXPECT_EQ(mesh.wait(exchange).status(), 503);
+    const auto& arrived = mesh.endpoint(0).requests();
+    EXPECT_TRUE(std::none_of(arrived.begin(), arrived.end(), [](const auto& request) { return request.target == "/read/1"; }));
+}
+
 TEST_F(LinkEndOneBackendServer, ACallAtAKilledDaemonMayHaveRun)
 {
     holdRuns();
