Keep a daemon that leaves until its unsent outcomes are asked for

Callers saw 502 "the link to ... was lost" for runs that had ended: an outcome that was made while the call had no link was kept, but the daemon that kept it left as soon as no call was at work.

Cause: the end of the process took account of calls and unsent bytes, not of outcomes that nobody had got. Change: such an outcome is expected to be asked for; a daemon that leaves waits for the query, until the call's deadline or the end of the shutdown time. The line "stop" tells how many were not asked for.

Measured: LinkEndOneBackendServer.ADaemonThatLeavesKeepsAnOutcome... failed before (502, the daemon had left) and passes; so do the other LinkEnd, ServedCalls and ShutdownEnd tests (37).

--- a/Source/mesh/ServedCalls.cpp
+++ b/Source/mesh/ServedCalls.cpp
@@ -70,7 +70,10 @@
 
 void ServedCalls::dropOutcome(Record& record)
 {
-    m_kept.erase(record.keptAs);
+    if (const auto kept = m_kept.find(record.keptAs); kept != m_kept.end()) {
+        m_expectedQueries.erase(kept->second);
+        m_kept.erase(kept);
+    }
     record.outcome.reset();
     m_keptBytes -= std::exchange(record.bytes, 0);
 }
@@ -90,6 +93,7 @@
             m_detached.erase(key);
             return ServedCallState::InProgress;
         case State::Ended:
+            m_expectedQueries.erase(key);
             return found->second.outcome ? ServedCallState::Ended : ServedCallState::Unknown;
         case State::Refused:
             return ServedCallState::NotBegun;
@@ -101,6 +105,12 @@
     return ServedCallState::NotBegun;
 }
 
+void ServedCalls::expectQuery(const ServedCallKey& key)
+{
+    if (outcomeOf(key))
+        m_expectedQueries.insert(key);
+}
+
 const MeshOutcome* ServedCalls::outcomeOf(const ServedCallKey& key) const
 {
     const auto found = m_records.find(key);
--- a/Source/mesh/ServedCalls.h
+++ b/Source/mesh/ServedCalls.h
@@ -45,6 +45,10 @@
     void detach(const ServedCallKey&, TimePoint now);
     // The sender asks on another link. A call that has not been begun may not be from now on.
     ServedCallState query(const ServedCallKey&, TimePoint now);
+    // The kept outcome of a call could not be sent, so its sender will ask for it.
+    void expectQuery(const ServedCallKey&);
+    // Kept outcomes that are still to be asked for.
+    size_t expectedQueries() const { return m_expectedQueries.size(); }
     // The kept outcome of a call that has ended; null without one.
     const MeshOutcome* outcomeOf(const ServedCallKey&) const;
     // Calls that count as cancelled, since no sender asked for them in time.
@@ -85,6 +89,7 @@
     std::set<std::pair<TimePoint, ServedCallKey>> m_closed; // Ended or refused, by when they are forgotten
     std::map<uint64_t, ServedCallKey> m_kept;               // With an outcome, the oldest first
     std::map<ServedCallKey, TimePoint> m_detached;          // Open calls without a link, since when
+    std::set<ServedCallKey> m_expectedQueries;              // Of calls with an outcome
     std::map<Process, ForgottenCalls> m_forgotten;
     TimePoint m_processesCheckedAt {};
     size_t m_keptBytes { 0 };
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Start and leave:  Sidecar, start, leave, scheduleEnd, stopAcceptingWhenDue, endRequests, finishLeaving,
+//   Start and leave:  Sidecar, start, leave, isIdle, scheduleEnd, stopAcceptingWhenDue, endRequests, finishLeaving,
 //                    endWhenPeersHaveClosed, applySettings
 //   Local servers:    handleControl, acknowledge, checkAnnouncement, handleReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
@@ -140,14 +140,19 @@
                 scheduleEnd(signalledAt, m_instance.shutdownTime / shutdownMarginDivisor, now);
             }
             stopAcceptingWhenDue(now);
-            // An open connection may carry a request that is still arriving, or the last bytes of a response, and so may a link.
-            const bool idle = m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
-                && !m_links.hasUnsentBytes() && m_waitingNotices.empty();
-            if (idle)
+            m_servedCalls.expire(now);
+            if (isIdle())
                 finishLeaving();
         });
 }
 
+// An open connection may carry a request that is still arriving, or the last bytes of a response, and so may a link.
+bool Sidecar::isIdle() const
+{
+    return m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
+        && !m_servedCalls.expectedQueries() && !m_links.hasUnsentBytes() && m_waitingNotices.empty();
+}
+
 // Returns the time by which requests have to end. All steps are timed from the signal: after a stall, the next one makes up for
 // it.
 TimePoint Sidecar::scheduleEnd(TimePoint signalledAt, Duration margin, TimePoint now)
@@ -208,7 +213,8 @@
     m_leaveTimer.stop();
     EventLog::write("stop",
         { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() }, { "runs", m_executor.inProgress() },
-            { "open_connections", m_ingress.openConnections() }, { "waiting_notices", m_waitingNotices.size() } });
+            { "open_connections", m_ingress.openConnections() }, { "waiting_notices", m_waitingNotices.size() },
+            { "outcomes_not_asked_for", m_servedCalls.expectedQueries() } });
     for (const auto& connection : std::exchange(m_waitingNotices, {}))
         acknowledge(*connection, false);
     EventLog::flush();
@@ -376,8 +382,8 @@
     m_served.erase(found);
     const auto frame = makeMeshAnswerFrame(key.id, outcome);
     m_servedCalls.end(key, std::move(outcome), MonotonicClock::now());
-    if (link)
-        link->send(frame);
+    if (!link || !link->send(frame))
+        m_servedCalls.expectQuery(key);
 }
 
 void Sidecar::cancelCall(const ServedCallKey& key)
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -67,6 +67,7 @@
     void onBackendServerChange();
     void onConfiguration();
     void tick();
+    bool isIdle() const;
     TimePoint scheduleEnd(TimePoint signalledAt, Duration margin, TimePoint now);
     void stopAcceptingWhenDue(TimePoint now);
     void endRequests();
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -340,6 +340,30 @@
     EXPECT_TRUE(std::none_of(arrived.begin(), arrived.end(), [](const auto& request) { return request.target == "/read/1"; }));
 }
 
+TEST_F(LinkEndOneBackendServer, ADaemonThatLeavesKeepsAnOutcomeUntilItsSenderAsksForIt)
+{
+    holdRuns();
+    const auto exchange = sendOrder();
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    bool hasLeft = false;
+    mesh.daemon(0).setLeaveCompletedHandler([&hasLeft] { hasLeft = true; });
+    mesh.daemon(0).leave(MonotonicClock::now());
+    mesh.runFor(2500ms); // Shortly before it stops accepting requests
+    forAllRelays([](LinkRelay& relay) {
+        relay.reset();
+        relay.holdToTarget(true);
+    });
+    mesh.runFor(100ms);
+    answerRuns();
+    mesh.runFor(500ms);
+    EXPECT_FALSE(hasLeft);
+    if (hasLeft)
+        mesh.stop(0);
+    forAllRelays([](LinkRelay& relay) { relay.holdToTarget(false); });
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    EXPECT_TRUE(mesh.runUntil([&hasLeft] { return hasLeft; }));
+}
+
 TEST_F(LinkEndOneBackendServer, ACallAtAKilledDaemonMayHaveRun)
 {
     holdRuns();
