Leave a link open on which calls are asked for when its peer ends

A daemon that ends answers queries for another 100 ms, but its peers closed their links at its last message and took resumed calls on them for lost. Now such a link is left to the peer to close.

--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -61,8 +61,9 @@
     void onResponse(PeerLink&, wire::AnswerT&);
     // Responds to the query for a call whose link had ended.
     void onCallState(PeerLink&, const wire::CallStateT&);
-    // The daemon at the other end begins no call on this link that it has not answered.
-    void onGoAway(PeerLink&);
+    // The daemon at the other end begins no call on this link that it has not answered. Returns whether it is still asked on this
+    // link for calls that were sent on earlier ones.
+    bool onGoAway(PeerLink&);
     void onLinkClosed(PeerLink&);
     size_t inProgress() const { return m_pending.size(); }
     size_t openConnections() const { return m_server.connectionCount(); }
--- a/Source/sidecar/MeshIngressOutcomes.cpp
+++ b/Source/sidecar/MeshIngressOutcomes.cpp
@@ -48,17 +48,23 @@
     return found;
 }
 
-void MeshIngress::onGoAway(PeerLink& link)
+bool MeshIngress::onGoAway(PeerLink& link)
 {
+    bool isAsked = false;
     const auto now = MonotonicClock::now();
     auto report = EndpointReport {};
     report.available = false;
     report.leaving = true;
     for (const auto& attempt : attemptsOn(link)) {
+        if (!m_attempts.contains(attempt->id))
+            continue;
         // The promise does not cover a call that was sent on another link.
-        if (!attempt->resumed && m_attempts.contains(attempt->id))
+        if (attempt->resumed)
+            isAsked = true;
+        else
             onOutcome(*attempt, { fail(ErrorKind::Draining, attempt->member + " has ended"), report, false }, now);
     }
+    return isAsked;
 }
 
 void MeshIngress::onLinkClosed(PeerLink& link)
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -432,8 +432,8 @@
 void Sidecar::onGoAway(PeerLink& link)
 {
     EventLog::write("link-goes-away", { { "peer", link.peer() } });
-    m_ingress.onGoAway(link);
-    link.close();
+    if (!m_ingress.onGoAway(link))
+        link.close();
 }
 
 void Sidecar::onLinkClosed(PeerLink& link)
