Read what a peer sent before its end when a send on the link fails

Callers would see 502 "the link to ... was lost" for calls whose answers, or whose refusal by the peer's last message, lay unread in the link's socket: a daemon that stood still while a peer ended, and then sent on the link before it read from it, closed the link on the error. Found by review; no run of real processes has shown it.

Change: as for connections to backend servers, a reset by the peer ends only the sending; send() says that it failed.

Measured: PeerLink.FramesThatArrivedBeforeTheEndOfThePeer... failed before (0 of 1 frames received). PeerLink.SurvivesASendThatClosesIt relied on a failed write that closes the link inside send(), which no longer does; it now has send() close the link by more bytes than a link holds, which is the path that is left, and checks the same.

--- a/Source/net/PeerLink.cpp
+++ b/Source/net/PeerLink.cpp
@@ -57,6 +57,9 @@
             m_rejected = m_connected && !m_established;
             fail(m_refused ? "refused by the peer" : "closed by the peer");
         },
+        nullptr,
+        nullptr,
+        true,
     });
     m_handshakeTimer.startOnce(handshakeTimeout, [this] { fail("the handshake did not complete in time"); });
     wire::FrameT frame;
@@ -138,26 +141,24 @@
     const RefPtr<PeerLink> protect(this); // A failed write closes the link, and its handler may drop the last reference
     if (!isOpen())
         return false;
-    if (m_established) {
-        sendNow(frame);
-        return isOpen();
-    }
+    if (m_established)
+        return sendNow(frame);
     if (m_pendingFrames.size() >= maximumPendingFrames)
         return false;
     m_pendingFrames.push_back(packFrame(frame));
     return true;
 }
 
-void PeerLink::sendNow(const wire::FrameT& frame)
+bool PeerLink::sendNow(const wire::FrameT& frame)
 {
-    write(packFrame(frame));
+    return write(packFrame(frame));
 }
 
-void PeerLink::write(std::string packed)
+bool PeerLink::write(std::string packed)
 {
     const auto bytes = m_established && m_compresses ? compressPackedFrame(std::move(packed), *m_compressor) : std::move(packed);
     m_bytesSent += bytes.size();
-    m_socket->write(bytes);
+    return m_socket->write(bytes);
 }
 
 void PeerLink::fail(const char* reason)
--- a/Source/net/PeerLink.h
+++ b/Source/net/PeerLink.h
@@ -42,7 +42,8 @@
     // Starts the handshake. The link may be closed before this returns, so the caller must hold a reference and must have stored
     // the link already.
     void start();
-    // False when the link is closed or too many frames wait for the handshake.
+    // False when the link is closed, its peer has closed it, or too many frames wait for the handshake. What the peer sent before
+    // is still received.
     bool send(const wire::FrameT&);
     void close();
     // Whether the peer is authenticated; until then no frame passed to send() has left this process.
@@ -68,8 +69,8 @@
     bool onHello(const wire::HelloT&);
     bool onProof(const wire::ProofT&);
     std::string proofMAC(const std::string& nonce, const std::string& member, uint64_t boot, bool byInitiator) const;
-    void sendNow(const wire::FrameT&);
-    void write(std::string packed);
+    bool sendNow(const wire::FrameT&);
+    bool write(std::string packed);
     void fail(const char* reason);
 
     RefPtr<StreamSocket> m_socket;
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -9,6 +9,7 @@
 #include "platform/Names.h"
 #include "sidecar/FollowSettings.h"
 #include "sidecar/StoreFollower.h"
+#include "sidecar/MeshFrames.h"
 #include "wire/Frames_generated.h"
 
 #include <glib.h>
@@ -607,14 +608,38 @@
     link = here.linkTo(address.toString());
     while (!link->isEstablished())
         g_main_context_iteration(nullptr, TRUE);
-    there.closeAll();
     auto* last = link.get();
-    // The other end is closed, which this one has not noticed: a write fails, and the handler drops the last reference.
-    for (int i = 0; i < 1000 && link; ++i) {
-        last->send(makeCancelFrame(1));
+    // The other end does not read: a link that holds too much is closed, and the handler drops the last reference.
+    MeshCall call;
+    call.request.body.assign(1024 * 1024, 'x');
+    for (uint64_t i = 0; i < 100 && link; ++i)
+        last->send(makeMeshCallFrame(i, call));
+    EXPECT_FALSE(link);
+}
+
+TEST(PeerLink, FramesThatArrivedBeforeTheEndOfThePeerAreReadAfterAFailedSend)
+{
+    const SocketAddress address { "127.0.0.1", static_cast<uint16_t>(nextBasePort() + 1) };
+    PeerLinks there({ "there", "z", "a secret of the tests" }, { nullptr, nullptr });
+    ASSERT_TRUE(there.listen(address));
+    size_t received = 0;
+    size_t closed = 0;
+    PeerLinks here({ "here", "z", "a secret of the tests" },
+        { [&received](PeerLink&, wire::FrameT&) { ++received; }, [&closed](PeerLink&) { ++closed; } });
+    const auto link = here.linkTo(address.toString());
+    while (!link->isEstablished() || !there.links().front()->isEstablished())
+        g_main_context_iteration(nullptr, TRUE);
+    EXPECT_TRUE(there.links().front()->send(makeCancelFrame(1)));
+    there.closeAll();
+    bool isSent = true;
+    for (int i = 0; i < 1000 && isSent; ++i) { // The first one is answered with a reset
+        isSent = link->send(makeCancelFrame(1));
         g_usleep(1000);
     }
-    EXPECT_FALSE(link);
+    EXPECT_FALSE(isSent);
+    while (!closed)
+        g_main_context_iteration(nullptr, TRUE);
+    EXPECT_EQ(received, 1U);
 }
 
 } // namespace
