End both attempts of a request before either is cancelled

The tests of two attempts wait 0.1 and 0.5 s for the end of the other run, no longer until its time limit; a caller that disconnects is played, too.

--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -1,6 +1,6 @@
 // Index of this file
 //   Arrival:    handle, admit, checkRequest, checkCrashSuspicion, authenticate
-//   Attempts:   dispatch, send, startAttempt, endAttempt, cancelAttempt
+//   Attempts:   dispatch, send, startAttempt, endAttempt, cancelAttempts
 //   Shutdown:   startLeaving, endAll
 // What becomes of an attempt is in MeshIngressOutcomes.cpp.
 
@@ -18,6 +18,7 @@
 #include "sidecar/MeshView.h"
 #include "wire/Frames_generated.h"
 
+#include <array>
 #include <cmath>
 
 namespace shallot {
@@ -265,17 +266,20 @@
 }
 
 // At the backend server a request that may run only once continues if it has started.
-void MeshIngress::cancelAttempt(const RefPtr<Attempt>& attempt)
+void MeshIngress::cancelAttempts(PendingRequest& pending)
 {
-    if (!attempt)
-        return;
-    // The attempt ends first: if the link breaks while this frame is sent, the attempt must not be dispatched again.
-    const auto protect = attempt;
-    endAttempt(*protect);
-    if (protect->link)
-        protect->link->send(makeCancelFrame(protect->id));
-    else
-        m_dependencies.executor.cancel(protect->executorCallID);
+    const std::array open { pending.attempt, pending.replacedAttempt };
+    // They end first: if a link breaks while a frame is sent, nothing must be dispatched again.
+    for (const auto& attempt : open) {
+        if (attempt)
+            endAttempt(*attempt);
+    }
+    for (const auto& attempt : open) {
+        if (attempt && attempt->link)
+            attempt->link->send(makeCancelFrame(attempt->id));
+        else if (attempt)
+            m_dependencies.executor.cancel(attempt->executorCallID);
+    }
 }
 
 // Shutdown
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -128,14 +128,14 @@
     void awaitState(Attempt&, const PeerLink& ended, TimePoint now);
     void queryState(Attempt&, TimePoint now);
     void onQueryDue(uint64_t attemptID);
-    bool replaceAttempt(Attempt&, TimePoint now);
+    void replaceAttempt(Attempt&, TimePoint now);
     static bool returnToReplaced(PendingRequest&);
     void loseAttempt(Attempt&, TimePoint now);
     void repeat(PendingRequest&, const MeshOutcome&, TimePoint now);
     static void recordFailure(PendingRequest&, MeshOutcome);
     void startAttempt(const RefPtr<Attempt>&, RemoteEndpoint&);
     void endAttempt(Attempt&);
-    void cancelAttempt(const RefPtr<Attempt>&);
+    void cancelAttempts(PendingRequest&);
     Duration retryAfterFor(const PendingRequest&, Duration capacityAfter) const;
     void respond(PendingRequest&, Result<HTTPResponse>, TimePoint now);
     void logCompletion(const PendingRequest&, const Result<HTTPResponse>&, TimePoint now) const;
--- a/Source/sidecar/MeshIngressOutcomes.cpp
+++ b/Source/sidecar/MeshIngressOutcomes.cpp
@@ -150,24 +150,23 @@
 
 // Sends the request to another backend server as well, if it may run again. The first one may be at work and is answered
 // unless the other one answers before, which may refuse the request.
-bool MeshIngress::replaceAttempt(Attempt& attempt, TimePoint now)
+void MeshIngress::replaceAttempt(Attempt& attempt, TimePoint now)
 {
     auto& pending = *attempt.request;
     const ChoiceConditions conditions { .anyZone = pending.reroutes > 0, .reachableOnly = true };
     if (attempt.soughtOthers || pending.replacedAttempt
         || !m_dependencies.view.endpoints().choose(pending.call.service, now, pending.triedMembers, conditions))
-        return false;
+        return;
     attempt.soughtOthers = true; // Each further draw would raise this daemon's part of the retry budget
     const MeshOutcome lost { fail(ErrorKind::BackendFailed, "no link to " + attempt.member), {}, true };
     ++pending.backendsReached;
     if (!mayRetry(pending, lost, now)) {
         --pending.backendsReached;
-        return false;
+        return;
     }
     attempt.countsAsReached = true;
     pending.replacedAttempt = std::exchange(pending.attempt, nullptr);
     repeat(pending, lost, now);
-    return true;
 }
 
 // What was sent elsewhere has failed; the attempt that it should replace goes on.
@@ -197,10 +196,12 @@
     endpoints.recordReport(attempt.member, outcome.report, now);
     if (pending.parent)
         m_dependencies.executor.recordPressure(*pending.parent, outcome.report.pressure, now);
-    if ((outcome.response || outcome.reachedBackend) && !attempt.countsAsReached)
-        ++pending.backendsReached;
+    const bool hasReached = outcome.response || outcome.reachedBackend;
+    pending.backendsReached += hasReached ? 1 : 0;
+    pending.backendsReached -= attempt.countsAsReached ? 1 : 0;
     const bool isError = !outcome.response || outcome.response->status >= 500;
     if (!isError) {
+        pending.member = attempt.member;
         respond(pending, outcome.response, now);
         return;
     }
@@ -300,8 +301,7 @@
         response.error().retryAfter = retryAfterFor(pending, response.error().retryAfter);
     if (pending.hasToken && !response && isNotExecuted(response.error()) && !pending.hasAttempt())
         m_dependencies.rateLimiter.returnToken(pending.call.context.organisation);
-    cancelAttempt(pending.attempt);
-    cancelAttempt(pending.replacedAttempt);
+    cancelAttempts(pending);
     m_deadlines.remove(pending.id);
     m_byConnection.erase(pending.connection.get());
     const auto& context = pending.call.context;
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -311,7 +311,18 @@
     const auto [connection, request] = held.front();
     EndpointStandin::respond(*connection, request);
     EXPECT_EQ(mesh.wait(exchange).status(), 200);
-    EXPECT_TRUE(mesh.runUntil([this] { return mesh.endpoint(other()).disconnectCount() == 1; }));
+    mesh.runFor(100ms);
+    EXPECT_EQ(mesh.endpoint(other()).disconnectCount(), 1U);
+}
+
+TEST_F(LinkEndReplacedAttempt, BothRunsEndWhenTheCallerDisconnects)
+{
+    startAndStall();
+    endStall();
+    mesh.disconnectCaller();
+    mesh.runFor(200ms);
+    EXPECT_EQ(mesh.endpoint(first).disconnectCount(), 1U);
+    EXPECT_EQ(mesh.endpoint(other()).disconnectCount(), 1U);
 }
 
 TEST_F(LinkEndReplacedAttempt, TheRunOfAStalledDaemonEndsWhenAnotherOneHasAnswered)
@@ -320,8 +331,10 @@
     const auto [connection, request] = held.back();
     EndpointStandin::respond(*connection, request);
     EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    EXPECT_EQ(mesh.endpoint(first).disconnectCount(), 0U);
     endStall();
-    EXPECT_TRUE(mesh.runUntil([this] { return mesh.endpoint(first).disconnectCount() == 1; }));
+    mesh.runFor(300ms); // With those before: 0.5 s
+    EXPECT_EQ(mesh.endpoint(first).disconnectCount(), 1U);
 }
 
 TEST_F(LinkEnd, ARequestThatWasNotBegunAndIsRefusedElsewhereHasNotRun)
@@ -331,7 +344,8 @@
     std::vector<std::shared_ptr<SidecarHarness::Exchange>> exchanges;
     for (size_t i = 0; i < 8; ++i)
         exchanges.push_back(mesh.send(sender, { "GET", "/read/1", {}, {} }));
-    mesh.runFor(1600ms); // The link has ended, and what was sent elsewhere has been refused
+    ASSERT_TRUE(mesh.runUntil([&] { return mesh.executionCount("/read/1") == exchanges.size(); })); // All were refused there
+    mesh.runFor(100ms);
     relays[0]->reset();
     relays[0]->holdToTarget(false);
     for (const auto& exchange : exchanges)
