Expect the queries for outcomes that were sent shortly before their link ended

Callers would see 502 after a complete run: a daemon that had stood still finds responses of its backend server and the ends of its links at once; an answer that is written before the end of its link is read is lost with it, and a daemon that leaves did not wait for the sender's query. Found by review, by reading. Besides, kept outcomes were dropped by age, though most of them had arrived.

Change: when a link ends, the outcomes sent on it in the last 0.3 s are expected to be asked for, unless the peer has said its last word; a failed answer to a query is, too. Where memory is short, outcomes that have arrived are dropped first.

Tests: ServedCalls.AnOutcomeThatMayHaveBeenLost..., ...OutcomesThatWillBeAskedFor...

--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -65,6 +65,8 @@
     Duration callQueryInterval { 50ms }; // Between two links to a daemon that is asked; below detachedCallLifetime
     // How long a call runs on without a link. Longer than the query takes; a run whose caller left must end within 0.5 s.
     Duration detachedCallLifetime { 300ms };
+    // An answer that was sent this long before the end of its link, or later, may not have arrived.
+    Duration lostAnswerWindow { 300ms };
     // How long a call is known that its sender was told would not begin.
     Duration refusedCallLifetime { 2s };
     // How much longer than until its deadline a call that ended is known: responses may come shortly after it.
--- a/Source/mesh/ServedCalls.cpp
+++ b/Source/mesh/ServedCalls.cpp
@@ -55,6 +55,7 @@
     auto& record = found->second;
     close(key, record, State::Ended, record.deadline + m_settings.servedCallMargin);
     m_detached.erase(key);
+    record.endedAt = now;
     const auto bytes = outcome ? bytesOf(*outcome) : 0;
     if (outcome && bytes <= m_settings.maximumKeptOutcomeBytes) {
         record.outcome = std::move(outcome);
@@ -64,10 +65,18 @@
         m_kept.emplace(record.keptAs, key);
     }
     while (m_keptBytes > m_settings.maximumKeptOutcomeBytes)
-        dropOutcome(m_records.at(m_kept.begin()->second));
+        dropOutcome(m_records.at(outcomeToDrop()));
     expire(now);
 }
 
+// The oldest one that has been sent, if there is one.
+const ServedCallKey& ServedCalls::outcomeToDrop() const
+{
+    const auto sent = std::find_if(
+        m_kept.begin(), m_kept.end(), [this](const auto& item) { return !m_expectedQueries.contains(item.second); });
+    return sent == m_kept.end() ? m_kept.begin()->second : sent->second;
+}
+
 void ServedCalls::dropOutcome(Record& record)
 {
     if (const auto kept = m_kept.find(record.keptAs); kept != m_kept.end()) {
@@ -111,6 +120,15 @@
         m_expectedQueries.insert(key);
 }
 
+void ServedCalls::expectQueries(std::string_view sender, uint64_t boot, TimePoint now)
+{
+    const auto since = now - m_settings.lostAnswerWindow;
+    for (auto item = m_kept.rbegin(); item != m_kept.rend() && m_records.at(item->second).endedAt >= since; ++item) {
+        if (item->second.sender == sender && item->second.boot == boot)
+            m_expectedQueries.insert(item->second);
+    }
+}
+
 const MeshOutcome* ServedCalls::outcomeOf(const ServedCallKey& key) const
 {
     const auto found = m_records.find(key);
--- a/Source/mesh/ServedCalls.h
+++ b/Source/mesh/ServedCalls.h
@@ -47,6 +47,8 @@
     ServedCallState query(const ServedCallKey&, TimePoint now);
     // The kept outcome of a call could not be sent, so its sender will ask for it.
     void expectQuery(const ServedCallKey&);
+    // A link of the sender's process has ended: outcomes that were sent shortly before may have been lost with it.
+    void expectQueries(std::string_view sender, uint64_t boot, TimePoint now);
     // Kept outcomes that are still to be asked for.
     size_t expectedQueries() const { return m_expectedQueries.size(); }
     // The kept outcome of a call that has ended; null without one.
@@ -67,6 +69,7 @@
     struct Record {
         State state { State::Open };
         TimePoint deadline {};
+        TimePoint endedAt {};
         std::optional<MeshOutcome> outcome;
         size_t bytes { 0 };    // Of the outcome
         uint64_t keptAs { 0 }; // Its key in m_kept
@@ -82,6 +85,7 @@
     bool isForgotten(const ServedCallKey&) const;
     void close(const ServedCallKey&, Record&, State, TimePoint knownUntil);
     void forgetNext(TimePoint now);
+    const ServedCallKey& outcomeToDrop() const;
     void dropOutcome(Record&);
 
     const MeshSettings& m_settings;
--- a/Source/net/PeerLink.h
+++ b/Source/net/PeerLink.h
@@ -60,6 +60,9 @@
     bool wasRefused() const { return m_refused; }
     // Whether the peer accepted the connection and closed it before the handshake was complete.
     bool wasRejected() const { return m_rejected; }
+    // Whether the peer has sent its last message, as told by the receiver of its frames.
+    void setPeerEnds() { m_peerEnds = true; }
+    bool peerEnds() const { return m_peerEnds; }
     // Why the link was closed; empty while it is open.
     const std::string& endReason() const { return m_endReason; }
 
@@ -92,6 +95,7 @@
     bool m_connected { false };
     bool m_refused { false };
     bool m_rejected { false };
+    bool m_peerEnds { false };
 };
 
 } // namespace shallot
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -360,9 +360,9 @@
 
 void Sidecar::serveCall(PeerLink& link, wire::CallT& frame)
 {
+    const auto now = MonotonicClock::now();
     if (m_beginsNoCalls)
         return; // The sender dispatches it elsewhere when it reads this daemon's last message
-    const auto now = MonotonicClock::now();
     const ServedCallKey key { link.peer(), link.peerBoot(), frame.id };
     auto call = readMeshCall(frame);
     if (!m_servedCalls.begin(key, now + call.context.remaining, now)) {
@@ -409,8 +409,9 @@
     const auto state = query.boot == m_boot ? m_servedCalls.query(key, MonotonicClock::now()) : ServedCallState::Unknown;
     EventLog::write("call-queried", { { "peer", key.sender }, { "call", key.id }, { "state", static_cast<int>(state) } });
     if (state == ServedCallState::Ended) {
-        if (const auto* outcome = m_servedCalls.outcomeOf(key))
-            link.send(makeMeshAnswerFrame(key.id, *outcome));
+        const auto* outcome = m_servedCalls.outcomeOf(key);
+        if (outcome && !link.send(makeMeshAnswerFrame(key.id, *outcome)))
+            m_servedCalls.expectQuery(key);
         return;
     }
     // A query on an earlier link may arrive late; the sender has given that link up.
@@ -438,6 +439,7 @@
 void Sidecar::onGoAway(PeerLink& link)
 {
     EventLog::write("link-goes-away", { { "peer", link.peer() } });
+    link.setPeerEnds();
     if (!m_ingress.onGoAway(link))
         link.close();
 }
@@ -452,6 +454,8 @@
         if (!m_executor.runsOnlyOnce(served.executorCallID))
             m_servedCalls.detach(key, now);
     }
+    if (!link.peerEnds()) // One that ends has no request left
+        m_servedCalls.expectQueries(link.peer(), link.peerBoot(), now);
     scheduleAbandonment(now);
     m_ingress.onLinkClosed(link);
 }
--- a/Tests/ServedCallsFuzzTest.cpp
+++ b/Tests/ServedCallsFuzzTest.cpp
@@ -184,5 +184,40 @@
     EXPECT_EQ(calls.query(keyOf(8), later), ServedCallState::NotBegun);
 }
 
+TEST(ServedCalls, AnOutcomeThatMayHaveBeenLostWithItsLinkIsAskedFor)
+{
+    const MeshSettings settings;
+    ServedCalls calls(settings);
+    for (uint64_t id = 1; id <= 3; ++id)
+        EXPECT_TRUE(calls.begin(keyOf(id), start + timeLimit, start));
+    calls.end(keyOf(1), outcomeWith("arrived"), start);
+    const auto later = start + 2 * settings.lostAnswerWindow;
+    calls.end(keyOf(2), outcomeWith("lost"), later);
+    calls.end(keyOf(3), outcomeWith("lost"), later);
+    calls.expectQueries("daemon-1", 2, later);
+    EXPECT_EQ(calls.expectedQueries(), 0U);
+    calls.expectQueries("daemon-1", 1, later);
+    EXPECT_EQ(calls.expectedQueries(), 2U);
+    EXPECT_EQ(calls.query(keyOf(2), later), ServedCallState::Ended);
+    EXPECT_EQ(calls.expectedQueries(), 1U);
+    calls.expire(start + timeLimit + settings.servedCallMargin); // Its sender asks no more
+    EXPECT_EQ(calls.expectedQueries(), 0U);
+}
+
+TEST(ServedCalls, OutcomesThatWillBeAskedForAreKeptLongest)
+{
+    const auto settings = smallSettings();
+    ServedCalls calls(settings);
+    for (uint64_t id = 1; id <= 4; ++id) {
+        EXPECT_TRUE(calls.begin(keyOf(id), start + timeLimit, start));
+        calls.end(keyOf(id), outcomeWith(std::string(settings.maximumKeptOutcomeBytes / 3, 'x')), start);
+        if (id == 1)
+            calls.expectQuery(keyOf(1));
+    }
+    EXPECT_NE(calls.outcomeOf(keyOf(1)), nullptr);
+    EXPECT_EQ(calls.outcomeOf(keyOf(2)), nullptr);
+    EXPECT_LE(calls.keptBytes(), settings.maximumKeptOutcomeBytes);
+}
+
 } // namespace
 } // namespace shallot
