Refuse a call that arrives behind the last message of a daemon

Callers would see 502 for a call that was never begun: since links on which calls are asked for stay open after that message, a call sent on one was dropped without a word and lost with the link. It is refused as not run now.

Measured: ShutdownEnd.ACallThatArrivesBehindTheLastMessage... failed before (no answer), passes.

--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -361,8 +361,10 @@
 void Sidecar::serveCall(PeerLink& link, wire::CallT& frame)
 {
     const auto now = MonotonicClock::now();
-    if (m_beginsNoCalls)
-        return; // The sender dispatches it elsewhere when it reads this daemon's last message
+    if (m_beginsNoCalls) {
+        link.send(makeMeshAnswerFrame(frame.id, { fail(ErrorKind::Draining, "this daemon has ended"), m_executor.report(now) }));
+        return;
+    }
     const ServedCallKey key { link.peer(), link.peerBoot(), frame.id };
     auto call = readMeshCall(frame);
     if (!m_servedCalls.begin(key, now + call.context.remaining, now)) {
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -298,6 +298,34 @@
     EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
 }
 
+TEST_F(ShutdownEnd, ACallThatArrivesBehindTheLastMessageIsRefusedAsNotRun)
+{
+    bool isRefused = false;
+    bool closed = false;
+    PeerLinks peer({ "late", "zone-a", "a secret of the tests" },
+        { [&](PeerLink& link, wire::FrameT& frame) {
+             MeshCall call;
+             call.service = "alpha";
+             call.context.remaining = 8s;
+             call.request = { "GET", "/read/1", { { "Host", "app" } }, {} };
+             if (frame.body.AsGoAway())
+                 link.send(makeMeshCallFrame(1, call));
+             if (auto* answer = frame.body.AsAnswer()) {
+                 const auto outcome = readMeshOutcome(*answer);
+                 isRefused = !outcome.response && isNotExecuted(outcome.response.error());
+             }
+         },
+            [&](PeerLink&) { closed = true; } });
+    const auto link = peer.linkTo(mesh.peersAddress(0).toString());
+    ASSERT_TRUE(mesh.runUntil([&] { return link->isEstablished(); }));
+    leave(0);
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    mesh.runFor(50ms);
+    EXPECT_TRUE(isRefused);
+    EXPECT_FALSE(closed);
+    EXPECT_EQ(mesh.executionCount("/read/1"), 0U);
+}
+
 class ShutdownEndFarAway : public ShutdownEnd {
 protected:
     void SetUp() override
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -8,8 +8,8 @@
 #include "platform/MemberCodec.h"
 #include "platform/Names.h"
 #include "sidecar/FollowSettings.h"
-#include "sidecar/StoreFollower.h"
 #include "sidecar/MeshFrames.h"
+#include "sidecar/StoreFollower.h"
 #include "wire/Frames_generated.h"
 
 #include <glib.h>
