Notice shorter stalls at a signal; count callers' notice of a leave from its latest moment

By review, by reading: a stall of 0.25 to 0.5 s in which the signal arrived was not taken for one, so with a shutdown time of 3 s the last steps could lie behind its end. And callers are refused once two readiness probes have told them, which needs the latest moment at which the signal may have arrived. The end of the shutdown bounds both.

--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -36,7 +36,7 @@
 constexpr auto lastOutcomesDivisor = 6;           // Of the margin, for the outcomes of calls that have the end as their deadline
 constexpr auto lastResponsesDivisor = 3;          // Of the margin, for the responses to the requests that are still open
 constexpr auto stallThreshold = 350ms;            // Between two checks; several of their intervals
-constexpr auto tickStallThreshold = 2 * tickInterval;
+constexpr auto tickStallThreshold = tickInterval + 100ms;
 constexpr auto peersCloseTime
     = 100ms; // Of the margin, until the peers have closed their links; several round trips between zones
 constexpr auto peersCloseCheckInterval = 5ms;
@@ -132,7 +132,7 @@
     const auto margin = std::min(maximumShutdownMargin, m_instance.shutdownTime / shutdownMarginDivisor);
     m_executor.startLeaving(now, scheduleEnd(margin, now));
     // Callers learn of the leave from the readiness probe; until then they are served.
-    m_refuseCallersAt = m_signalledFrom + readinessPropagation;
+    m_refuseCallersAt = m_signalledBy + readinessPropagation;
     m_leaveTimer.startRepeating(
         std::min<Duration>(leaveCheckInterval, margin / leaveChecksInMargin), [this, last = now]() mutable {
             const auto now = MonotonicClock::now();
