Let a run that began without a link go on if it may run only once

Cause: whether a call may be given up was decided when its link ended, not when it was given up. Change: it is decided then. In ServedCallsFuzz calls that nobody asked for are cancelled or go on, as the daemon decides.

--- a/Source/mesh/ServedCalls.cpp
+++ b/Source/mesh/ServedCalls.cpp
@@ -143,7 +143,7 @@
             abandoned.push_back(key);
     }
     for (const auto& key : abandoned)
-        end(key, std::nullopt, now);
+        m_detached.erase(key);
     return abandoned;
 }
 
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -427,8 +427,12 @@
 void Sidecar::cancelAbandonedCalls()
 {
     const auto now = MonotonicClock::now();
-    for (const auto& key : m_servedCalls.takeAbandoned(now))
+    for (const auto& key : m_servedCalls.takeAbandoned(now)) {
+        const auto found = m_served.find(key);
+        if (found == m_served.end() || m_executor.runsOnlyOnce(found->second.executorCallID))
+            continue; // A run that has begun since the link ended goes on
         cancelCall(key);
+    }
     scheduleAbandonment(now);
 }
 
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -108,6 +108,27 @@
         : LinkEnd({ "zone-a/alpha", "zone-a/beta" })
     {
     }
+
+    // Calls that may run only once: runs that stay open as many as the backend server takes, and one that waits.
+    std::vector<std::shared_ptr<SidecarHarness::Exchange>> fillBackendServer()
+    {
+        constexpr size_t maximumCalls = 20;
+        holdRuns();
+        std::vector<std::shared_ptr<SidecarHarness::Exchange>> exchanges;
+        while (held.size() == exchanges.size() && exchanges.size() < maximumCalls) {
+            exchanges.push_back(sendOrder());
+            mesh.runFor(50ms);
+        }
+        return exchanges;
+    }
+
+    void endLinksAndHoldNewOnes()
+    {
+        forAllRelays([](LinkRelay& relay) {
+            relay.reset();
+            relay.holdToTarget(true);
+        });
+    }
 };
 
 TEST_F(LinkEnd, CallsOnTheWayToADaemonThatEndsAreServedElsewhere)
@@ -264,6 +285,23 @@
     EXPECT_EQ(mesh.executionCount("/order/1"), 1U);
 }
 
+TEST_F(LinkEndOneBackendServer, ARunThatMayRunOnlyOnceAndBeginsWithoutALinkIsAnsweredAfterALateReconnection)
+{
+    const auto exchanges = fillBackendServer();
+    ASSERT_EQ(held.size() + 1, exchanges.size());
+    endLinksAndHoldNewOnes();
+    mesh.runFor(100ms);
+    answerRuns();
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    mesh.runFor(450ms); // Longer than a call without a link may continue
+    forAllRelays([](LinkRelay& relay) { relay.holdToTarget(false); });
+    mesh.runFor(100ms);
+    answerRuns();
+    for (const auto& exchange : exchanges)
+        EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    EXPECT_EQ(mesh.executionCount("/order/1"), exchanges.size());
+}
+
 // A request whose daemon stands still is sent to another backend server as well.
 class LinkEndReplacedAttempt : public LinkEnd {
 protected:
--- a/Tests/ServedCallsFuzzTest.cpp
+++ b/Tests/ServedCallsFuzzTest.cpp
@@ -99,7 +99,7 @@
         for (const auto& key : m_calls.takeAbandoned(m_now)) {
             RC_ASSERT(m_open.contains(key.id));
             RC_ASSERT(m_now - m_open[key.id] >= m_settings.detachedCallLifetime);
-            m_open.erase(key.id);
+            onAbandoned(key);
         }
         m_calls.expire(m_now);
         for (const auto& [id, since] : m_open)
@@ -114,6 +114,20 @@
     }
 
 private:
+    // Some are cancelled, some run and may run only once.
+    void onAbandoned(const ServedCallKey& key)
+    {
+        switch (key.id % 2) {
+        case 0:
+            m_calls.end(key, std::nullopt, m_now);
+            m_open.erase(key.id);
+            RC_ASSERT(m_calls.query(key, m_now) == ServedCallState::Unknown);
+            break;
+        default:
+            m_open[key.id] = TimePoint::max();
+        }
+    }
+
     const MeshSettings m_settings { smallSettings() };
     ServedCalls m_calls { m_settings };
     TimePoint m_now { start };
