Tell the sender of a call that was given up waiting that it has not run

Cause: the record of a call does not tell a wait from a run. Change: a waiting call is refused, so that a later query gets NotBegun, and the sender dispatches it elsewhere or answers 503.

--- a/Source/mesh/ServedCalls.cpp
+++ b/Source/mesh/ServedCalls.cpp
@@ -87,6 +87,15 @@
     m_keptBytes -= std::exchange(record.bytes, 0);
 }
 
+void ServedCalls::refuse(const ServedCallKey& key)
+{
+    const auto found = m_records.find(key);
+    if (found == m_records.end() || found->second.state != State::Open)
+        return;
+    close(key, found->second, State::Refused, found->second.deadline + m_settings.servedCallMargin);
+    m_detached.erase(key);
+}
+
 void ServedCalls::detach(const ServedCallKey& key, TimePoint now)
 {
     if (const auto found = m_records.find(key); found != m_records.end() && found->second.state == State::Open)
--- a/Source/mesh/ServedCalls.h
+++ b/Source/mesh/ServedCalls.h
@@ -53,7 +53,9 @@
     size_t expectedQueries() const { return m_expectedQueries.size(); }
     // The kept outcome of a call that has ended; null without one.
     const MeshOutcome* outcomeOf(const ServedCallKey&) const;
-    // Open calls that no sender asked for in time, to be ended unless they have to go on.
+    // A call that has arrived is not begun: its sender may send it elsewhere.
+    void refuse(const ServedCallKey&);
+    // Open calls that no sender asked for in time, to be ended or refused, unless they have to go on.
     std::vector<ServedCallKey> takeAbandoned(TimePoint now);
     // When takeAbandoned() is due; empty if no call is without a link.
     std::optional<TimePoint> nextAbandonment() const;
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -40,6 +40,7 @@
     // Calls the completion exactly once unless the call is cancelled. Returns the call's id.
     uint64_t submit(MeshCall, TimePoint now, MeshCompletion);
     void cancel(uint64_t id);
+    bool isRunning(uint64_t id) const;
     // Whether that call runs and may run only once. To cancel it saves nothing: the backend server goes on.
     bool runsOnlyOnce(uint64_t id) const;
 
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -227,10 +227,15 @@
     finish(*live, fail(ErrorKind::Cancelled), true, now);
 }
 
-bool EndpointExecutor::runsOnlyOnce(uint64_t id) const
+bool EndpointExecutor::isRunning(uint64_t id) const
 {
     const auto found = m_calls.find(id);
-    return found != m_calls.end() && found->second->running && !found->second->call.context.idempotent;
+    return found != m_calls.end() && found->second->running;
+}
+
+bool EndpointExecutor::runsOnlyOnce(uint64_t id) const
+{
+    return isRunning(id) && !m_calls.at(id)->call.context.idempotent;
 }
 
 void EndpointExecutor::endAll(TimePoint now)
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -431,6 +431,8 @@
         const auto found = m_served.find(key);
         if (found == m_served.end() || m_executor.runsOnlyOnce(found->second.executorCallID))
             continue; // A run that has begun since the link ended goes on
+        if (!m_executor.isRunning(found->second.executorCallID))
+            m_servedCalls.refuse(key);
         cancelCall(key);
     }
     scheduleAbandonment(now);
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -302,6 +302,21 @@
     EXPECT_EQ(mesh.executionCount("/order/1"), exchanges.size());
 }
 
+TEST_F(LinkEndOneBackendServer, ACallThatWaitedUntilItWasGivenUpHasNotRun)
+{
+    const auto exchanges = fillBackendServer();
+    ASSERT_EQ(held.size() + 1, exchanges.size());
+    endLinksAndHoldNewOnes();
+    mesh.runFor(550ms); // Longer than a call without a link may continue
+    forAllRelays([](LinkRelay& relay) { relay.holdToTarget(false); });
+    mesh.runFor(100ms);
+    answerRuns();
+    EXPECT_EQ(mesh.wait(exchanges.back()).status(), 503);
+    for (size_t i = 0; i + 1 < exchanges.size(); ++i)
+        EXPECT_EQ(mesh.wait(exchanges[i]).status(), 200);
+    EXPECT_EQ(mesh.executionCount("/order/1") + 1, exchanges.size());
+}
+
 // A request whose daemon stands still is sent to another backend server as well.
 class LinkEndReplacedAttempt : public LinkEnd {
 protected:
--- a/Tests/ServedCallsFuzzTest.cpp
+++ b/Tests/ServedCallsFuzzTest.cpp
@@ -114,15 +114,20 @@
     }
 
 private:
-    // Some are cancelled, some run and may run only once.
+    // Some run and are cancelled, some still wait, and some run and may run only once.
     void onAbandoned(const ServedCallKey& key)
     {
-        switch (key.id % 2) {
+        switch (key.id % 3) {
         case 0:
             m_calls.end(key, std::nullopt, m_now);
             m_open.erase(key.id);
             RC_ASSERT(m_calls.query(key, m_now) == ServedCallState::Unknown);
             break;
+        case 1:
+            m_calls.refuse(key);
+            m_open.erase(key.id);
+            m_begun.erase(key.id);
+            break;
         default:
             m_open[key.id] = TimePoint::max();
         }
