--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -431,6 +431,31 @@
     EXPECT_TRUE(mesh.runUntil([&hasLeft] { return hasLeft; }));
 }
 
+TEST_F(LinkEndOneBackendServer, ADaemonThatLeavesKeepsAnOutcomeThatWasLostWithItsLink)
+{
+    holdRuns();
+    const auto exchange = sendOrder();
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    bool hasLeft = false;
+    mesh.daemon(0).setLeaveCompletedHandler([&hasLeft] { hasLeft = true; });
+    mesh.daemon(0).leave(MonotonicClock::now());
+    mesh.runFor(2500ms); // Shortly before it stops accepting requests
+    forAllRelays([](LinkRelay& relay) { relay.holdFromTarget(true); });
+    answerRuns();
+    mesh.runFor(50ms);
+    endLinksAndHoldNewOnes();
+    mesh.runFor(250ms);
+    EXPECT_FALSE(hasLeft);
+    if (hasLeft)
+        mesh.stop(0);
+    forAllRelays([](LinkRelay& relay) {
+        relay.holdFromTarget(false);
+        relay.holdToTarget(false);
+    });
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+    EXPECT_TRUE(mesh.runUntil([&hasLeft] { return hasLeft; }));
+}
+
 TEST_F(LinkEndOneBackendServer, ACallAtAKilledDaemonMayHaveRun)
 {
     holdRuns();
