Soak runs that make many calls, and ends in the middle of them

A run of the soak made at most one call, to its own service, and nobody gave up. So the planned stops met few links with many calls, and no call whose sender was gone.

Change: NestedCalls, which also holds what stops.cpp had of it. The shapes have draws of their own; no check is changed.

--- a/Tests/soak/KeptConnection.h
+++ b/Tests/soak/KeptConnection.h
@@ -29,6 +29,7 @@
     bool isOpen() const { return m_socket && m_socket->isOpen() && !m_sendingFinished; }
     // Requests that are not answered.
     size_t pending() const { return m_pending.size(); }
+    const std::deque<std::string>& pendingIDs() const { return m_pending; }
 
 private:
     void onData(std::span<const uint8_t>);
--- a/Tests/soak/stops.cpp
+++ b/Tests/soak/stops.cpp
@@ -8,16 +8,20 @@
 //
 // Index of this file
 //   Processes:       configure, makeDaemon, writeSettings, start, reap, killLate, recordEnd, stall, probeReadiness
-//   Planned work:    act, reload, stopOne, requestStop
-//   Backend servers: serve, callNested, respondDue, breakOff, announce
+//   Planned work:    act, reload, stopOne, stopAnother, requestStop
+//   Backend servers: serve, startNested, giveUp, respondDue, breakOff, announce
 //   Callers:         sendDue, sendBatch, sendParts, onAnswer, onEnd, isExcused
 //   Result:          reportCase, report
 //
 // Prints one line and exits with 0 if no check failed. SHALLOT_STOPS_DAEMONS and SHALLOT_STOPS_CALLERS set the numbers of daemons
 // and of callers beside each one; with SHALLOT_SOAK_KEEP set the processes' logs are kept in that folder.
 // SHALLOT_STOPS_STALL_MS=n stops one process at a time for n ms by SIGSTOP; SHALLOT_STOPS_ACTIONS=0 leaves out the planned work.
+// SHALLOT_STOPS_SHAPES=names adds, of these: "nested", runs that make many calls to another service; "drops", runs that give up
+// before their calls have ended; "returns", callers that give up and come back at once; "pairs", stops one shortly after the
+// other.
 
 #include "KeptConnection.h"
+#include "NestedCalls.h"
 #include "ProcessStalls.h"
 #include "StoreStandin.h"
 #include "TestPorts.h"
@@ -65,6 +69,9 @@
 constexpr size_t largeBodyBytes = 60'000;
 constexpr size_t chunkBytes = 700;
 constexpr size_t maximumReportedCases = 12;
+constexpr Duration longestNestedRun = 20ms;  // Of most calls of a run that makes many
+constexpr Duration longestBetweenStops = 3s; // Of a pair
+constexpr unsigned waitsPerReturn = 12;      // Turns of a caller that waits, for each one that gives up
 
 enum Port : uint16_t { Callers, Ready, Control, Peers, Backend };
 
@@ -74,18 +81,33 @@
     return text ? std::strtoul(text, nullptr, 10) : fallback;
 }
 
+bool hasShape(const char* name)
+{
+    const char* shapes = std::getenv("SHALLOT_STOPS_SHAPES");
+    return shapes && std::string(shapes).find(name) != std::string::npos;
+}
+
 class PlannedStops {
 public:
     PlannedStops(std::string program, unsigned seed, std::string folder)
         : m_program(std::move(program))
         , m_folder(std::move(folder))
         , m_random(seed)
+        , m_shapeRandom(seed)
         , m_stalls(seed, std::chrono::milliseconds(numberFromEnvironment("SHALLOT_STOPS_STALL_MS", 0)))
         , m_acts(numberFromEnvironment("SHALLOT_STOPS_ACTIONS", 1))
         , m_daemonCount(numberFromEnvironment("SHALLOT_STOPS_DAEMONS", 9))
         , m_callerCount(numberFromEnvironment("SHALLOT_STOPS_CALLERS", 4 + m_random() % 12))
         , m_basePorts(firstPorts(m_daemonCount))
         , m_store({ "127.0.0.1", m_basePorts.front() })
+        , m_nested({ seed, m_makesMany, hasShape("drops") },
+              {
+                  [this](size_t daemon) { return connect(*m_daemons[daemon]); },
+                  [this](const std::string& id, size_t daemon, TimePoint deadline) { startNested(id, daemon, deadline); },
+                  [this](const std::string& id) { refuseNested(id); },
+                  [this](const std::string& id) { giveUp(id); },
+                  [this](const std::string& run) { endNested(run); },
+              })
     {
         configure();
         for (size_t i = 0; i < m_daemonCount; ++i)
@@ -94,6 +116,7 @@
 
     ~PlannedStops()
     {
+        m_nested.clear();
         for (auto& daemon : m_daemons) {
             daemon->connections.clear();
             if (daemon->pid) {
@@ -121,10 +144,13 @@
                 nextAction = now + randomUpTo(2 * actionInterval);
                 act();
             }
+            if (now >= m_nextOfPair)
+                stopAnother();
             reap(now);
             if (now >= start + 2 * settlingTime)
                 stall(now, actionsEnd);
             probeReadiness(now);
+            m_nested.update(now);
             respondDue(now);
             if (now > start + settlingTime && now < end - 1s)
                 sendDue(now);
@@ -179,7 +205,6 @@
         HTTPPool control;
         HTTPPool probes;
         std::vector<Caller> connections;
-        std::vector<std::unique_ptr<KeptConnection>> nestedConnections;
         uint64_t sequence { 0 };
     };
 
@@ -187,6 +212,7 @@
         TimePoint due {}; // TimePoint::max(): waits for a nested call
         RefPtr<StrictHTTPConnection> connection;
         std::string attempt;
+        std::string name; // Of its attempt, with its number
     };
 
     SocketAddress address(size_t daemon, uint16_t port) const
@@ -213,23 +239,25 @@
     // Each version changes time limits and limits of callers, which all requests stay within, and may add or remove one route.
     void configure()
     {
-        const auto route = [this](const char* prefix, const char* kind, const char* open = "false") {
-            return std::string(R"({"name":")") + prefix + R"(","path_prefix":")" + prefix + R"(","kind":")" + kind
-                + R"(","timeout_s":)" + (m_version % 2 ? "8" : "9")
-                + R"(,"target_latency_s":2,"priority":1,"service":"alpha","attempts":2,"anonymous":)" + open + "}";
-        };
+        const auto route
+            = [this](const char* prefix, const char* kind, const char* open = "false", const char* service = "alpha") {
+                  return std::string(R"({"name":")") + prefix + R"(","path_prefix":")" + prefix + R"(","kind":")" + kind
+                      + R"(","timeout_s":)" + (m_version % 2 ? "8" : "9") + R"(,"target_latency_s":2,"priority":1,"service":")"
+                      + service + R"(","attempts":2,"anonymous":)" + open + "}";
+              };
         const auto choose = [this](const char* one, const char* other) { return m_random() % 2 ? one : other; };
         if (std::exchange(m_hasChangingRoute, m_random() % 2 == 0) != m_hasChangingRoute)
             m_routeChanged = MonotonicClock::now();
         m_store.put(std::string(platform::store::operatorTopic), std::string(platform::store::configurationKey),
             R"({"version":"r)" + std::to_string(++m_version)
-                + R"(","services":[{"name":"alpha","health_path":"/health","max_connections":100}],)"
+                + R"(","services":[{"name":"alpha","health_path":"/health","max_connections":100})"
+                + (m_makesMany ? R"(,{"name":"beta","health_path":"/health","max_connections":100}],)" : "],")
                 + R"("tenants":[{"name":"school","api_keys":["key-1"]}],"limits":{"max_header_bytes":)" + choose("2048", "65536")
                 + R"(,"max_body_bytes":)" + choose("65536", "4000000") + R"(,"header_timeout_s":)" + choose("2", "5")
                 + R"(,"idle_timeout_s":)" + choose("2", "15") + R"(},"virtual_hosts":[{"host":"app","paths":[)"
                 + route("/read/", "idempotent") + "," + route("/order/", "non_idempotent") + ","
-                + route("/inner/", "idempotent", "true") + (m_hasChangingRoute ? "," + route("/changing/", "idempotent") : "")
-                + "]}]}");
+                + route("/inner/", "idempotent", "true", m_makesMany ? "beta" : "alpha")
+                + (m_hasChangingRoute ? "," + route("/changing/", "idempotent") : "") + "]}]}");
     }
 
     std::unique_ptr<DaemonProcess> makeDaemon(size_t index)
@@ -256,7 +284,8 @@
         const auto index = daemon.index;
         const auto path = settingsPath(index);
         daemon.shutdownTime = shutdownTimes[m_random() % shutdownTimes.size()];
-        std::ofstream(path + ".new") << "node=daemon-" << index << "\nzone=zone-" << index % zoneCount << "\nservice=alpha\n"
+        std::ofstream(path + ".new") << "node=daemon-" << index << "\nzone=zone-" << index % zoneCount
+                                     << "\nservice=" << serviceOf(index) << "\n"
                                      << "listen.outbound=" << address(index, Callers).toString()
                                      << "\nlisten.ready=" << address(index, Ready).toString()
                                      << "\nlisten.control=" << address(index, Control).toString()
@@ -270,6 +299,9 @@
 
     std::string settingsPath(size_t index) const { return m_folder + "/settings-" + std::to_string(index); }
 
+    // The called service has every second backend server.
+    const char* serviceOf(size_t index) const { return m_makesMany && index % 2 ? "beta" : "alpha"; }
+
     void start(DaemonProcess& daemon)
     {
         daemon.stopRequested = {};
@@ -427,6 +459,16 @@
         requestStop(daemon);
         if (m_random() % 4 == 0)
             kill(daemon.pid, SIGTERM);
+        if (m_stopsPairs)
+            m_nextOfPair = MonotonicClock::now() + Duration(static_cast<int64_t>(m_shapeRandom() % longestBetweenStops.count()));
+    }
+
+    void stopAnother()
+    {
+        m_nextOfPair = TimePoint::max();
+        auto& daemon = *m_daemons[m_shapeRandom() % m_daemonCount];
+        if (daemon.pid && !daemon.signalAtStart && daemon.stopRequested == TimePoint())
+            requestStop(daemon);
     }
 
     void requestStop(DaemonProcess& daemon)
@@ -465,48 +507,49 @@
         if (attempt.status == 503 || attempt.status == 429)
             fail("a request ran after its caller got 503 or 429: " + id);
         const auto kind = m_random() % 20;
-        const Duration longest = kind == 0 ? Duration(2500ms) : kind < 4 ? Duration(600ms) : Duration(60ms);
-        const bool callsOthers = id.find('.') == std::string::npos && m_random() % 5 == 0;
-        m_runs.push_back({ callsOthers ? TimePoint::max() : now + randomUpTo(longest), connection, id });
-        if (callsOthers)
-            callNested(*m_daemons[index], id, std::string(findHeader(request.headers, platform::header::deadline)), now);
+        const bool isNested = id.find('.') != std::string::npos;
+        const Duration usual = isNested && m_makesMany ? longestNestedRun : Duration(60ms);
+        const Duration longest = kind == 0 ? Duration(2500ms) : kind < 4 && !(isNested && m_makesMany) ? Duration(600ms) : usual;
+        const bool callsOthers = !isNested && m_random() % 5 == 0;
+        const auto run = id + "." + std::to_string(attempt.runs);
+        m_runs.push_back({ callsOthers ? TimePoint::max() : now + randomUpTo(longest), connection, id, run });
+        if (callsOthers) {
+            const std::string milliseconds(findHeader(request.headers, platform::header::deadline));
+            m_nested.start(run, index, static_cast<unsigned>(std::strtoul(milliseconds.c_str(), nullptr, 10)));
+        }
     }
 
-    void callNested(DaemonProcess& daemon, const std::string& parent, const std::string& milliseconds, TimePoint now)
+    void startNested(const std::string& id, size_t daemon, TimePoint deadline)
     {
-        const auto id = parent + "." + std::to_string(m_attempts[parent].runs);
         auto& attempt = m_attempts[id];
-        attempt.daemon = daemon.index;
+        attempt.daemon = daemon;
         attempt.delivery = "nested";
-        attempt.firstSent = attempt.sent = now;
-        attempt.deadline = now + std::chrono::milliseconds(std::strtoul(milliseconds.c_str(), nullptr, 10));
-        auto& connections = daemon.nestedConnections;
-        std::erase_if(connections, [](const auto& connection) { return !connection->isOpen() && !connection->pending(); });
-        const auto isFree = [](const auto& connection) { return connection->isOpen() && !connection->pending(); };
-        auto found = std::find_if(connections.begin(), connections.end(), isFree);
-        if (found == connections.end())
-            found = connections.insert(connections.end(), connect(daemon));
-        if (!(*found)->isOpen()) {
-            attempt.hasEnded = true;
-            if (!isExcused(m_attempts[parent]))
-                reportCase("nested call of a run refused", id);
-            endNested(id);
-            return;
-        }
-        (*found)->send("GET /inner/ HTTP/1.1\r\nHost: app\r\n" + std::string(platform::header::attemptID) + ": " + id + "\r\n"
-                + std::string(platform::header::deadline) + ": " + milliseconds + "\r\n\r\n",
-            { id });
+        attempt.firstSent = attempt.sent = MonotonicClock::now();
+        attempt.deadline = deadline;
+    }
+
+    void refuseNested(const std::string& id)
+    {
+        m_attempts[id].hasEnded = true;
+        if (!isExcused(m_attempts[id.substr(0, id.find('.'))]))
+            reportCase("nested call of a run refused", id);
     }
 
-    void endNested(const std::string& id)
+    void endNested(const std::string& name)
     {
-        const auto parent = id.substr(0, id.find('.'));
         for (auto& run : m_runs) {
-            if (parent != id && run.attempt == parent && run.due == TimePoint::max())
+            if (run.name == name)
                 run.due = MonotonicClock::now();
         }
     }
 
+    // Its sender has closed the connection.
+    void giveUp(const std::string& id)
+    {
+        m_attempts[id].hasEnded = true;
+        ++m_givenUp;
+    }
+
     void respondDue(TimePoint now)
     {
         for (size_t i = 0; i < m_runs.size();) {
@@ -527,17 +570,21 @@
     // The daemon closed the connection of a run that was in progress.
     void breakOff(const StrictHTTPConnection& connection)
     {
-        for (const auto& run : m_runs) {
+        for (auto& run : m_runs) {
             if (run.connection.get() == &connection)
                 m_brokenOff.insert(run.attempt);
+            if (run.connection.get() != &connection || run.due != TimePoint::max() || !hasShape("drops"))
+                continue;
+            m_nested.drop(run.name);
+            run.due = MonotonicClock::now() + closeDelay;
         }
     }
 
     void announce(DaemonProcess& daemon)
     {
-        const auto body = R"({"service":"alpha","addr":")" + address(daemon.index, Backend).toString()
-            + R"(","zone":"z","version":"v1","slots":8,"cold_left_s":0,"born":1000,"state":"ready","seq":)"
-            + std::to_string(++daemon.sequence) + "}";
+        const auto body = R"({"service":")" + std::string(serviceOf(daemon.index)) + R"(","addr":")"
+            + address(daemon.index, Backend).toString() + R"(","zone":"z","version":"v1","slots":)" + (m_makesMany ? "24" : "8")
+            + R"(,"cold_left_s":0,"born":1000,"state":"ready","seq":)" + std::to_string(++daemon.sequence) + "}";
         daemon.control.send(++m_nextID,
             { "POST", std::string(platform::path::announce) + "instance-" + std::to_string(daemon.index), { { "Host", "c" } },
                 body },
@@ -557,9 +604,15 @@
                 caller.nextBatch = now + randomUpTo(m_random() % 16 ? Duration(60ms) : longestPause);
                 // Some send on while they wait, so that requests arrive at any moment of a close.
                 if (caller.connection && caller.connection->pending()) {
-                    if (caller.connection->isOpen() && m_random() % 4 == 0)
-                        sendBatch(*daemon, caller, now);
-                    continue;
+                    const bool sendsOn = caller.connection->isOpen() && m_random() % 4 == 0;
+                    if (!m_returns || m_shapeRandom() % waitsPerReturn) {
+                        if (sendsOn)
+                            sendBatch(*daemon, caller, now);
+                        continue;
+                    }
+                    for (const auto& id : caller.connection->pendingIDs())
+                        giveUp(id);
+                    caller.connection.reset();
                 }
                 if (!caller.connection || !caller.connection->isOpen()) {
                     // Callers start no connection to a daemon that has missed two readiness probes.
@@ -677,11 +730,13 @@
             fail("a caller got bytes that no request waits for: " + body.substr(0, 60));
             return;
         }
-        endNested(id);
+        m_nested.end(id);
         auto& attempt = m_attempts[id];
         attempt.status = status;
         attempt.hasEnded = true;
         ++m_statuses[status];
+        if (m_makesMany && std::string_view(attempt.delivery) == "nested")
+            ++m_nestedStatuses[status];
         if (status == 200 && body != "answer to " + id)
             fail("a caller got an unexpected response body: " + id);
         if ((status == 503 || status == 429) && attempt.runs)
@@ -702,7 +757,7 @@
     {
         const auto now = MonotonicClock::now();
         for (const auto& id : ids) {
-            endNested(id);
+            m_nested.end(id);
             auto& attempt = m_attempts[id];
             attempt.hasEnded = true;
             const auto& daemon = *m_daemons[attempt.daemon];
@@ -803,6 +858,10 @@
             std::cout << ", " << kind << " " << count;
         for (const auto& [kind, count] : m_excused)
             std::cout << ", excused " << kind << " " << count;
+        for (const auto& [status, count] : m_nestedStatuses)
+            std::cout << ", nested " << status << ":" << count;
+        if (m_givenUp)
+            std::cout << ", given up " << m_givenUp;
         std::cout << (m_failed ? " FAILED\n" : " ok\n");
         return m_failed ? 1 : 0;
     }
@@ -810,6 +869,11 @@
     std::string m_program;
     std::string m_folder;
     std::mt19937 m_random;
+    std::mt19937 m_shapeRandom; // The shapes leave the other draws as they are
+    bool m_makesMany { hasShape("nested") };
+    bool m_returns { hasShape("returns") };
+    bool m_stopsPairs { hasShape("pairs") };
+    TimePoint m_nextOfPair { TimePoint::max() }; // max(): none
     ProcessStalls m_stalls;
     bool m_acts;
     size_t m_daemonCount;
@@ -817,10 +881,13 @@
     std::vector<uint16_t> m_basePorts;
     StoreStandin m_store;
     std::vector<std::unique_ptr<DaemonProcess>> m_daemons;
+    NestedCalls m_nested;
     std::map<std::string, Attempt> m_attempts;
     std::vector<Run> m_runs;
     std::set<std::string> m_brokenOff;
     std::map<uint16_t, size_t> m_statuses;
+    std::map<uint16_t, size_t> m_nestedStatuses; // Of runs that make many calls
+    size_t m_givenUp { 0 };
     std::map<std::string, size_t> m_cases;
     std::map<std::string, size_t> m_excused; // Beside stalls
     uint64_t m_version { 0 };
