Don't use connections for nested calls beyond their idle time

"closed without a stop" was reported for nested calls, untraced so far.

Cause, by reading and by the daemons' logs: the soak. Callers pause for at most 1.6 s, four fifths of the shortest idle time-out, but a backend server kept its connections for any time, and sent calls on some that the daemon was just closing as idle. Such a call crosses the close and is not read; no process had stopped. Change: the same bound for these connections.

--- a/Tests/soak/NestedCalls.cpp
+++ b/Tests/soak/NestedCalls.cpp
@@ -25,8 +25,9 @@
 
 } // namespace
 
-NestedCalls::NestedCalls(const Shape& shape, Callbacks callbacks)
+NestedCalls::NestedCalls(const Shape& shape, Duration longestIdle, Callbacks callbacks)
     : m_shape(shape)
+    , m_longestIdle(longestIdle)
     , m_callbacks(std::move(callbacks))
     , m_random(shape.seed)
 {
@@ -74,13 +75,14 @@
     const auto id = m_shape.makesMany ? run + "_" + std::to_string(++group.started) : run;
     group.open.push_back(id);
     m_callbacks.onStart(id, group.daemon, group.deadline);
-    auto& [connection, daemon, call] = connectionTo(group.daemon);
+    auto& [connection, daemon, call, lastUsed] = connectionTo(group.daemon);
     if (!connection->isOpen()) {
         m_callbacks.onRefused(id);
         end(id);
         return;
     }
     call = id;
+    lastUsed = now;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(group.deadline - now).count();
     connection->send("GET /inner/ HTTP/1.1\r\nHost: app\r\n" + std::string(platform::header::attemptID) + ": " + id + "\r\n"
             + std::string(platform::header::deadline) + ": " + std::to_string(left) + "\r\n\r\n",
@@ -89,11 +91,13 @@
 
 NestedCalls::Connection& NestedCalls::connectionTo(size_t daemon)
 {
+    const auto now = MonotonicClock::now();
     for (auto& each : m_connections) {
-        if (each.daemon == daemon && each.connection->isOpen() && !each.connection->pending())
+        const bool isFree = each.connection->isOpen() && !each.connection->pending();
+        if (each.daemon == daemon && isFree && now < each.lastUsed + m_longestIdle)
             return each;
     }
-    return m_connections.emplace_back(Connection { m_callbacks.connect(daemon), daemon, {} });
+    return m_connections.emplace_back(Connection { m_callbacks.connect(daemon), daemon, {}, now });
 }
 
 void NestedCalls::drop(const std::string& run)
@@ -113,7 +117,9 @@
 void NestedCalls::update(TimePoint now)
 {
     // Not where calls end: those are calls of a connection.
-    std::erase_if(m_connections, [](const auto& each) { return !each.connection->isOpen() && !each.connection->pending(); });
+    std::erase_if(m_connections, [this, now](const auto& each) {
+        return !each.connection->pending() && (!each.connection->isOpen() || now >= each.lastUsed + m_longestIdle);
+    });
     std::vector<std::string> due;
     for (const auto& [run, group] : m_groups) {
         if (now >= group.givesUpAt)
--- a/Tests/soak/NestedCalls.h
+++ b/Tests/soak/NestedCalls.h
@@ -31,7 +31,8 @@
         std::function<void(const std::string& run)> onDone; // No call is left
     };
 
-    NestedCalls(const Shape&, Callbacks);
+    // Connections that have been idle for longer are not used.
+    NestedCalls(const Shape&, Duration longestIdle, Callbacks);
     ~NestedCalls();
 
     // The calls are named after the run, and have this many milliseconds left.
@@ -58,12 +59,14 @@
         std::unique_ptr<KeptConnection> connection;
         size_t daemon { 0 };
         std::string call;
+        TimePoint lastUsed {};
     };
 
     void send(const std::string& run, Group&);
     Connection& connectionTo(size_t daemon);
 
     Shape m_shape;
+    Duration m_longestIdle;
     Callbacks m_callbacks;
     std::mt19937 m_random;
     std::map<std::string, Group> m_groups; // By run
--- a/Tests/soak/stops.cpp
+++ b/Tests/soak/stops.cpp
@@ -64,7 +64,7 @@
 constexpr auto shortestLimit = 8s;     // Of the routes
 constexpr auto longestLimit = 9s;
 constexpr auto applyTime = 2s;        // Until a change of the configuration is in force everywhere
-constexpr auto longestPause = 1600ms; // Of a caller; four fifths of the shortest idle time-out
+constexpr auto longestPause = 1600ms; // Of callers and of connections for nested calls; four fifths of the shortest idle time-out
 constexpr auto longestPart = 1s;      // Until the rest of a header section; below the shortest header time-out
 constexpr size_t largeBodyBytes = 60'000;
 constexpr size_t chunkBytes = 700;
@@ -100,7 +100,7 @@
         , m_callerCount(numberFromEnvironment("SHALLOT_STOPS_CALLERS", 4 + m_random() % 12))
         , m_basePorts(firstPorts(m_daemonCount))
         , m_store({ "127.0.0.1", m_basePorts.front() })
-        , m_nested({ seed, m_makesMany, hasShape("drops") },
+        , m_nested({ seed, m_makesMany, hasShape("drops") }, longestPause,
               {
                   [this](size_t daemon) { return connect(*m_daemons[daemon]); },
                   [this](const std::string& id, size_t daemon, TimePoint deadline) { startNested(id, daemon, deadline); },
