Name the request before one that the soak reports

"never answered" was reported for three pipelined requests, sent 9.45 s before the end of a play, and could not be traced: a daemon reads such a request after its answer to the one before, which the soak did not name.

Change: the reports say which request was before, and when it was answered. No check is changed.

--- a/Tests/soak/stops.cpp
+++ b/Tests/soak/stops.cpp
@@ -169,6 +169,8 @@
         TimePoint sent {};                       // Its last byte; TimePoint(): not yet
         TimePoint deadline { TimePoint::max() }; // That it names
         TimePoint runEnded {};                   // The last run
+        TimePoint answered {};
+        std::string behind; // The request before it on its connection, if that was not answered when it was sent
         size_t bodyBytes { 0 };
         const char* delivery { "" };
         bool changing { false }; // Its route comes and goes
@@ -668,11 +670,14 @@
         }
         std::string text;
         std::vector<std::string> ids;
+        const auto& pending = caller.connection->pendingIDs();
+        auto behind = pending.empty() ? std::string() : pending.back();
         const bool finishes = m_random() % 8 == 0;
         for (size_t count = m_random() % 3 ? 1 : 2 + m_random() % 2; count; --count) {
             ids.push_back(addAttempt(daemon, finishes ? "half-closed" : "kept", now));
             auto& attempt = m_attempts[ids.back()];
             attempt.sent = now;
+            attempt.behind = std::exchange(behind, ids.back());
             attempt.bodyBytes = m_random() % 8 ? m_random() % 200 : largeBodyBytes;
             text
                 += head(ids.back(), "Content-Length: " + std::to_string(attempt.bodyBytes)) + std::string(attempt.bodyBytes, 'b');
@@ -733,6 +738,7 @@
         m_nested.end(id);
         auto& attempt = m_attempts[id];
         attempt.status = status;
+        attempt.answered = MonotonicClock::now();
         attempt.hasEnded = true;
         ++m_statuses[status];
         if (m_makesMany && std::string_view(attempt.delivery) == "nested")
@@ -817,7 +823,7 @@
         std::cerr << kind << ": " << id << " (" << attempt.delivery << ") at daemon-" << attempt.daemon << ", status "
                   << attempt.status << ", sent "
                   << toSeconds(now - (attempt.sent == TimePoint() ? attempt.firstSent : attempt.sent)) << " s ago, "
-                  << attempt.runs << " runs, " << attempt.openRuns << " open, "
+                  << attempt.runs << " runs, " << attempt.openRuns << " open, " << predecessorOf(attempt, now)
                   << (m_brokenOff.count(id) ? "closed at its backend server, " : "")
                   << (stopped == TimePoint() ? std::string("no stop")
                                              : std::to_string(toSeconds(now - stopped)) + " s after SIGTERM")
@@ -825,6 +831,17 @@
                   << ", time " << std::to_string(static_cast<double>(WallClock::milliseconds()) / 1e3) << "\n";
     }
 
+    // A daemon reads a pipelined request when it has answered the one before.
+    std::string predecessorOf(const Attempt& attempt, TimePoint now)
+    {
+        if (attempt.behind.empty())
+            return {};
+        const auto answered = m_attempts[attempt.behind].answered;
+        return "behind " + attempt.behind
+            + (answered == TimePoint() ? " without an answer, "
+                                       : " answered " + std::to_string(toSeconds(now - answered)) + " s ago, ");
+    }
+
     std::string stallOf(const char* what, size_t daemon, TimePoint now) const
     {
         const auto* stall = m_stalls.latest(daemon);
