Judge a refused nested call by the daemon that refused it

The first run went on calling at the daemon that ended; the check asked whether the daemon of the last run was in its last sixth. Change: it asks about the daemon that was called. A refusal in the last sixth of its shutdown time is excused, as before.

--- a/Tests/soak/stops.cpp
+++ b/Tests/soak/stops.cpp
@@ -533,7 +533,10 @@
     void refuseNested(const std::string& id)
     {
         m_attempts[id].hasEnded = true;
-        if (!isExcused(m_attempts[id.substr(0, id.find('.'))]))
+        // Since this run was broken off, its attempt may have run elsewhere.
+        auto parent = m_attempts[id.substr(0, id.find('.'))];
+        parent.backend = m_attempts[id].daemon;
+        if (!isExcused(parent))
             reportCase("nested call of a run refused", id);
     }
 
