--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,12 @@
 # make test    build, then run all tests
 # make bench   build, then measure; figures go to build/figures.json
 # make lint    check format and lint
+# make deploy  the deploy file's build, into target/; make second-compiler: the same sources with clang, into build-clang/
 
 BUILD ?= build
 GENERATOR ?= Ninja
+# WERROR=ON ends a build at a compiler warning, as CI does.
+WERROR ?= OFF
 # Stateful fuzzing: a fixed seed and few cases by default; "make fuzz" runs longer with any seed.
 SEED ?= 20261204
 CASES ?= 30
@@ -26,7 +29,7 @@
 REVIEW_CASES ?= 1 2 3 4 5
 REVIEW_PLAYS ?= 1
 
-.PHONY: setup all run test fuzz faults soak stops review bench lint format clean
+.PHONY: setup all deploy second-compiler run test fuzz faults soak stops review bench lint format clean
 
 all: $(BUILD)/CMakeCache.txt
 	@cmake --build $(BUILD)
@@ -34,7 +37,8 @@
 # The packages come first, and a failed configuration leaves no cache behind: a later "make" would take it for a good one.
 $(BUILD)/CMakeCache.txt:
 	@scripts/install-packages
-	@cmake -S . -B $(BUILD) -G $(GENERATOR) -DCMAKE_BUILD_TYPE=RelWithDebInfo $(CMAKE_OPTIONS) >/dev/null \
+	@cmake -S . -B $(BUILD) -G $(GENERATOR) -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+		-DCMAKE_COMPILE_WARNING_AS_ERROR=$(WERROR) $(CMAKE_OPTIONS) >/dev/null \
 		|| { rm -f $(BUILD)/CMakeCache.txt; echo "The build could not be configured; \"make setup\" installs what it needs." >&2; exit 1; }
 
 setup:
@@ -59,8 +63,17 @@
 stops: all
 	@status=0; for seed in $(STOP_SEEDS); do $(BUILD)/shallot-stops $(BUILD)/shallot-sidecar $$seed $(STOP_SECONDS) || status=1; done; exit $$status
 
-review:
-	@sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)" >/dev/null
+# A second compiler at -O3 stands for the other architecture's, whose headers can't be installed beside the native ones.
+deploy:
+	@scripts/build-deploy $(WERROR)
+
+second-compiler:
+	@scripts/install-packages
+	@cmake -S . -B build-clang -G $(GENERATOR) -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_C_COMPILER=clang -DCMAKE_BUILD_TYPE=Release \
+		-DSHALLOT_DEPLOY=ON -DCMAKE_COMPILE_WARNING_AS_ERROR=$(WERROR) >/dev/null
+	@cmake --build build-clang
+
+review: deploy
 	@review/build.sh
 	@scripts/run-review $(REVIEW_PLAYS) $(REVIEW_CASES)
 
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -228,11 +228,10 @@
     attempt->address = endpoint.member.address;
     if (endpoint.member.name == m_dependencies.ownName) {
         startAttempt(attempt, endpoint);
-        attempt->executorCallID = m_dependencies.executor.submit(
-            call, now, [this, pending = RefPtr<PendingRequest>(&pending), attempt](MeshOutcome outcome) {
-                if (m_attempts.contains(attempt->id))
-                    onOutcome(*attempt, std::move(outcome), MonotonicClock::now());
-            });
+        attempt->executorCallID = m_dependencies.executor.submit(call, now, [this, id = attempt->id](MeshOutcome outcome) {
+            if (const auto found = m_attempts.find(id); found != m_attempts.end())
+                onOutcome(*found->second, std::move(outcome), MonotonicClock::now());
+        });
         return true;
     }
     auto link = m_dependencies.links.linkTo(endpoint.member.address);
