End calls of runs late in a leave by their own deadline

Cause: requests of callers get the end of the shutdown as their latest deadline, so that their backend servers end them by themselves. Calls of runs did not: they went out with the time limit of their run, which may lie behind the end of the process.

Change: they get a deadline of their own, half-way between the end of the runs and that of the process. Not the end of the runs: a call that fails before its run would count as its failure and keep it from being repeated elsewhere.

Evidence: ShutdownEnd.ACallOfARunLateInAShutdownIsNotBrokenOffAtTheEndOfTheProcess fails before (502 without a seal; the call had been sent with 8 s left, 0.8 s before the end) and passes now (its backend server's 504). TheCallsOfARunAreNotBrokenOffBeforeTheRun has a backend server that ignores its deadline: the daemon's answer is 504 now where it was 502, since the deadline is reached before the end; all else that it checks is unchanged. ShutdownEnd*: 20 of 20.

--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -135,8 +135,7 @@
         pending.parent = m_dependencies.executor.findParent(caller->attemptID, timeLimit, now);
     if ((m_refusesCallers && !pending.parent) || now >= m_endBy)
         return tl::unexpected(Error { ErrorKind::Draining, "this daemon is stopping", restartRetryAfter });
-    // A run and its calls end together, see endAll().
-    pending.deadline = pending.parent ? now + timeLimit : std::min(now + timeLimit, m_endBy);
+    pending.deadline = std::min(now + timeLimit, pending.parent ? m_endCallsBy : m_endBy);
     context.priority = pending.parent ? nestedCallPriority(pending.parent->priority)
                                       : priorityOfRank(view.routes()->rankOf(*route, pending.organisation));
     context.hops = pending.parent ? static_cast<uint8_t>(pending.parent->hops + 1) : 0;
@@ -283,10 +282,11 @@
 
 // Shutdown
 
-void MeshIngress::startLeaving(TimePoint endBy)
+void MeshIngress::startLeaving(TimePoint endBy, TimePoint endCallsBy)
 {
     m_leaving = true;
     m_endBy = endBy;
+    m_endCallsBy = endCallsBy;
 }
 
 void MeshIngress::endAll(RequestOrigin origin, TimePoint now)
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -48,8 +48,9 @@
     explicit MeshIngress(MeshIngressDependencies);
 
     Result<void> start(const SocketAddress&);
-    // Closes each connection when its requests are answered, and ends further requests by that time.
-    void startLeaving(TimePoint endBy);
+    // Closes each connection when its requests are answered. Further requests of callers have `endBy` as their latest deadline
+    // and calls of runs, which are accepted until then, `endCallsBy`.
+    void startLeaving(TimePoint endBy, TimePoint endCallsBy);
     // Serves only calls of the local backend server's runs from now on.
     void refuseCallers() { m_refusesCallers = true; }
     // Responds to all open requests of this origin.
@@ -157,6 +158,7 @@
     bool m_leaving { false };
     bool m_refusesCallers { false };
     TimePoint m_endBy { TimePoint::max() }; // While leaving
+    TimePoint m_endCallsBy { TimePoint::max() };
 };
 
 } // namespace shallot
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -167,9 +167,11 @@
     margin = m_killedAt - marginStart;
     const auto endBy = std::max(now, marginStart);
     const auto endRequestsAt = marginStart + margin / lastOutcomesDivisor;
-    m_finishBy = endRequestsAt + margin / lastResponsesDivisor;
-    m_ingress.startLeaving(endBy);
-    // Backend servers and other daemons end a call at its deadline by themselves, and their outcome goes first.
+    const auto responseTime = margin / lastResponsesDivisor;
+    m_finishBy = endRequestsAt + responseTime;
+    // Backend servers and other daemons end a call at its deadline by themselves, and their outcome goes first. The calls of a
+    // run end after it, since their failure would keep it from being repeated elsewhere.
+    m_ingress.startLeaving(endBy, endRequestsAt + responseTime / 2);
     m_endTimer.startOnce(std::max(endRequestsAt - now, Duration::zero()), [this] { endRequests(); });
     return endBy;
 }
