Send a request elsewhere once a probe of its link is unanswered

Cause: an attempt was replaced only when its link had ended and the daemon had not told what became of it within 200 ms. A probe that is unanswered for as long says the same.

Change: the request is sent elsewhere then, under the same conditions (it may run again, its number of attempts, the retry budget), and the first attempt goes on. The fixture of LinkEndReplacedAttempt waits for the end of the links besides, so that its tests check what they did; two new ones have links that stay open.

--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -66,6 +66,8 @@
     // link for calls that were sent on earlier ones.
     bool onGoAway(PeerLink&);
     void onLinkClosed(PeerLink&);
+    // The daemon at the other end has not answered a probe for this long.
+    void onUnresponsive(PeerLink&, Duration unansweredFor);
     size_t inProgress() const { return m_pending.size(); }
     size_t openConnections() const { return m_server.connectionCount(); }
 
--- a/Source/sidecar/MeshIngressOutcomes.cpp
+++ b/Source/sidecar/MeshIngressOutcomes.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Outcomes:   onResponse, onGoAway, onLinkClosed, attemptsOn, onOutcome, recordFailure, repeat, mayRetry
+//   Outcomes:   onResponse, onGoAway, onLinkClosed, onUnresponsive, attemptsOn, onOutcome, recordFailure, repeat, mayRetry
 //   Lost links: awaitState, queryState, onQueryDue, onCallState, replaceAttempt, returnToReplaced, loseAttempt
 //   Responses:  retryAfterFor, respond, logCompletion, onDisconnect, onDeadline
 
@@ -85,6 +85,18 @@
     }
 }
 
+// A daemon that stands still answers nothing, but its link ends only after a second; its calls can't wait for that.
+void MeshIngress::onUnresponsive(PeerLink& link, Duration unansweredFor)
+{
+    if (unansweredFor < m_dependencies.settings.callQueryTimeout)
+        return;
+    const auto now = MonotonicClock::now();
+    for (const auto& attempt : attemptsOn(link)) {
+        if (m_attempts.contains(attempt->id))
+            replaceAttempt(*attempt, now);
+    }
+}
+
 // An attempt outlives its link: it ends with its response, at its deadline, or when its daemon is gone. Only that daemon knows
 // whether the call was begun, so it is asked over new links, at once and then at intervals.
 void MeshIngress::awaitState(Attempt& attempt, const PeerLink& ended, TimePoint now)
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -198,9 +198,10 @@
         const bool startsProbe = monitor.probedAt == TimePoint();
         if (startsProbe)
             monitor.probedAt = now;
-        m_callbacks.onUnresponsive(link->peer(), now - monitor.probedAt);
+        const auto unansweredFor = now - monitor.probedAt;
         if (startsProbe)
             sendState(*link, true);
+        m_callbacks.onUnresponsive(*link, unansweredFor);
     }
     for (const auto& link : timedOut)
         link->close();
--- a/Source/sidecar/MeshLinks.h
+++ b/Source/sidecar/MeshLinks.h
@@ -21,7 +21,7 @@
         std::function<void(const std::string& address, TimePoint since)> onUnreachable;
         // A link with calls in progress is silent. Called with zero when a probe is sent, then at each tick with the time that
         // the probe has been unanswered.
-        std::function<void(const std::string& member, Duration unansweredFor)> onUnresponsive;
+        std::function<void(PeerLink&, Duration unansweredFor)> onUnresponsive;
         std::function<void(const MeshMember&, const EndpointReport&)> onState;
         std::function<EndpointReport()> ownReport;
     };
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -55,11 +55,13 @@
                   EventLog::write("member-unreachable", { { "address", address }, { "silent_s", toSeconds(now - since) } });
                   m_view.endpoints().recordUnreachableAt(address, since, now);
               },
-              [this](const std::string& member, Duration unansweredFor) {
+              [this](PeerLink& link, Duration unansweredFor) {
                   // Most links are silent for as long as a run takes, so an event is written only once a probe is unanswered.
                   if (unansweredFor > Duration::zero())
-                      EventLog::write("member-silent", { { "member", member }, { "unanswered_s", toSeconds(unansweredFor) } });
-                  m_view.endpoints().recordUnresponsive(member, MonotonicClock::now());
+                      EventLog::write(
+                          "member-silent", { { "member", link.peer() }, { "unanswered_s", toSeconds(unansweredFor) } });
+                  m_view.endpoints().recordUnresponsive(link.peer(), MonotonicClock::now());
+                  m_ingress.onUnresponsive(link, unansweredFor);
               },
               [this](const MeshMember& member, const EndpointReport& report) {
                   m_view.updateMember(member);
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -320,17 +320,26 @@
 // A request whose daemon stands still is sent to another backend server as well.
 class LinkEndReplacedAttempt : public LinkEnd {
 protected:
-    // Starts a run and keeps the links of its daemon silent until they have ended.
+    // Starts a run and keeps the links of its daemon silent until the request has been sent elsewhere and they have ended.
     void startAndStall(const std::function<void()>& beforeStall = [] {})
+    {
+        startAndStallOpenLinks(beforeStall);
+        ASSERT_TRUE(mesh.runUntil([this] { return relays[first]->endedLinks() > endedLinks; }));
+    }
+
+    // The same with links that are still open.
+    void startAndStallOpenLinks(const std::function<void()>& beforeStall = [] {})
     {
         holdRuns();
         exchange = mesh.send(sender, { "GET", "/read/1", {}, {} });
         ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
         first = mesh.endpoint(0).requests().back().target == "/read/1" ? 0 : 1;
         beforeStall();
+        endedLinks = relays[first]->endedLinks();
         relays[first]->holdToTarget(true);
         relays[first]->holdFromTarget(true);
         ASSERT_TRUE(mesh.runUntil([this] { return mesh.executionCount("/read/1") == 2; }));
+        EXPECT_EQ(relays[first]->endedLinks(), endedLinks);
     }
 
     void endStall()
@@ -344,6 +353,7 @@
 
     std::shared_ptr<SidecarHarness::Exchange> exchange;
     size_t first { 0 };
+    size_t endedLinks { 0 }; // Before the stall
 };
 
 TEST_F(LinkEndReplacedAttempt, ARequestThatIsRefusedElsewhereIsAnsweredByItsFirstBackendServer)
@@ -357,6 +367,23 @@
     EXPECT_EQ(mesh.wait(exchange).status(), 200);
 }
 
+TEST_F(LinkEndReplacedAttempt, ARequestAtADaemonThatLeavesIsAnsweredElsewhereWhileTheFirstOneStandsStill)
+{
+    mesh.setShutdownTime(sender, 3s);
+    startAndStallOpenLinks([this] { mesh.daemon(sender).leave(MonotonicClock::now()); });
+    answerRuns();
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+}
+
+TEST_F(LinkEndReplacedAttempt, ARequestThatIsRefusedElsewhereIsAnsweredOverItsFirstLinkAfterAShortStall)
+{
+    startAndStallOpenLinks([this] { mesh.endpoint(other()).setScript(EndpointStandin::refuse); });
+    endStall();
+    EXPECT_EQ(relays[first]->endedLinks(), endedLinks);
+    answerRuns();
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+}
+
 TEST_F(LinkEndReplacedAttempt, TheFirstAnswerOfTwoBackendServersEndsTheOtherRun)
 {
     startAndStall();
--- a/Tests/LinkRelay.cpp
+++ b/Tests/LinkRelay.cpp
@@ -1,5 +1,6 @@
 #include "LinkRelay.h"
 
+#include <algorithm>
 #include <glib.h>
 
 namespace shallot {
@@ -96,6 +97,12 @@
         pair->fromTarget.to->close();
 }
 
+size_t LinkRelay::endedLinks() const
+{
+    return static_cast<size_t>(
+        std::count_if(m_pairs.begin(), m_pairs.end(), [](const auto& pair) { return pair->toTarget.ends; }));
+}
+
 size_t LinkRelay::heldToTarget() const
 {
     size_t bytes = 0;
--- a/Tests/LinkRelay.h
+++ b/Tests/LinkRelay.h
@@ -24,6 +24,8 @@
     void reset();
     // Ends all links at the side of their initiators only, and holds what these have sent to the target; new links pass.
     void resetInitiators();
+    // Links that their initiators have ended.
+    size_t endedLinks() const;
     size_t heldToTarget() const;
     size_t heldFromTarget() const;
 
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -479,9 +479,8 @@
     std::vector<std::string> unreachable;
     MeshLinks links({ "m", "z", "a secret of the tests" }, { "m", "z", "127.0.0.1:1", "s" },
         { [](PeerLink&, wire::FrameT&) {}, [](PeerLink&) {},
-            [&unreachable](const std::string& address, TimePoint) { unreachable.push_back(address); },
-            [](const std::string&, Duration) {}, [](const MeshMember&, const EndpointReport&) {},
-            [] { return EndpointReport {}; } });
+            [&unreachable](const std::string& address, TimePoint) { unreachable.push_back(address); }, [](PeerLink&, Duration) {},
+            [](const MeshMember&, const EndpointReport&) {}, [] { return EndpointReport {}; } });
     links.linkTo(nobody.toString());
     for (int i = 0; i < 100 && unreachable.empty(); ++i) {
         Timer wake;
@@ -503,7 +502,7 @@
     MeshLinks* mesh = nullptr;
     MeshLinks links({ "m", "z", "a secret of the tests" }, { "m", "z", "127.0.0.1:1", "s" },
         { [](PeerLink&, wire::FrameT&) {}, [](PeerLink&) {}, [](const std::string&, TimePoint) {},
-            [&mesh](const std::string&, Duration) { mesh->closeAll(); }, [](const MeshMember&, const EndpointReport&) {},
+            [&mesh](PeerLink&, Duration) { mesh->closeAll(); }, [](const MeshMember&, const EndpointReport&) {},
             [] { return EndpointReport {}; } });
     mesh = &links;
     for (const auto& address : addresses) {
