--- a/Tests/soak/ProcessStalls.cpp
+++ b/Tests/soak/ProcessStalls.cpp
@@ -53,6 +53,16 @@
     return sum;
 }
 
+std::vector<lost::Disruption> ProcessStalls::of(size_t index) const
+{
+    std::vector<lost::Disruption> disruptions;
+    for (const auto& stall : m_stalls) {
+        if (stall.index == index)
+            disruptions.push_back({ stall.start, stall.end });
+    }
+    return disruptions;
+}
+
 const ProcessStalls::Stall* ProcessStalls::latest(size_t index) const
 {
     const auto found
--- a/Tests/soak/ProcessStalls.h
+++ b/Tests/soak/ProcessStalls.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/Time.h"
+#include "LostRule.h"
 
 #include <random>
 #include <span>
@@ -27,6 +27,7 @@
     void update(std::span<const pid_t> processes, TimePoint now, TimePoint end);
     // Of the processes with this index, after `since`.
     Duration stalledFor(size_t index, TimePoint since, TimePoint now) const;
+    std::vector<lost::Disruption> of(size_t index) const;
     // Null: none.
     const Stall* latest(size_t index) const;
 
