Soak of planned stops: a request behind another one is late from its predecessor's answer on

Cause: the check "never answered" counted 9.2 s from the sending of a request, while a daemon reads a pipelined request when it has answered the one before, and its time limit counts from then.

Change: the time counts from the later of the two. A predecessor without an answer is reported itself.

--- a/Tests/soak/stops.cpp
+++ b/Tests/soak/stops.cpp
@@ -135,8 +135,9 @@
         const auto end = actionsEnd + shutdownTimes.back();
         TimePoint nextAction = start + 2 * settlingTime;
         TimePoint nextAnnouncement = start;
-        for (auto now = start, before = start; now < end; before = now, now = MonotonicClock::now()) {
-            m_longestTurn = std::max(m_longestTurn, now - before);
+        auto lastTurn = start;
+        for (auto now = start; now < end; now = MonotonicClock::now()) {
+            m_longestTurn = std::max(m_longestTurn, now - std::exchange(lastTurn, now));
             if (now >= nextAnnouncement) {
                 nextAnnouncement = now + 300ms;
                 for (auto& daemon : m_daemons)
@@ -160,6 +161,7 @@
             wake.startOnce(2ms, [] {});
             g_main_context_iteration(nullptr, TRUE);
         }
+        m_longestTurn = std::max(m_longestTurn, MonotonicClock::now() - lastTurn);
         return report();
     }
 
@@ -954,7 +956,10 @@
     {
         const auto latest = MonotonicClock::now() - longestLimit - lost::readSlack;
         for (const auto& [id, attempt] : m_attempts) {
-            if (!attempt.hasEnded && attempt.sent != TimePoint() && attempt.sent < latest)
+            // A daemon reads a request when it has answered the one before on its connection.
+            const auto readAt
+                = attempt.behind.empty() ? attempt.sent : std::max(attempt.sent, m_attempts[attempt.behind].answered);
+            if (!attempt.hasEnded && attempt.sent != TimePoint() && readAt < latest)
                 reportCase("never answered", id);
         }
         std::cout << "actions " << m_actions << " callers " << m_callerCount << " requests " << m_attempts.size() << " answered";
