Soak of planned stops: count which cells its requests meet

Cause: what a play of the soak meets was known by its shapes only. Which end met a request in which place, and when, was not counted, and some combinations never came.

Change: Tests/soak/CellCount counts pairs of who ends, where the request is, when, what its client does and who made it: 131 cells. Every turn of the soak's loop adds its open requests. The report's line has "cells met N of M"; SHALLOT_STOPS_CELLS=1 names the others. Draws that were missing: - "nested": one caller's request in 20 runs for up to 5 s, so that runs reach the last sixth. A slow request knows the one before it. The shapes' draws don't touch those of plays without shapes.

Limits: a daemon's reading can't be seen from outside; a request that isn't passed on counts as read for 20 ms after its last byte, as on the way or queued after that. A caller far away is not played.

Found: a caller that stops reading in an answer and sends on loses the requests behind it, when the answer was written after SIGTERM and closes the connection: the daemon reads and drops them ("sent after the close"), 0.47 to 0.84 s after they were sent.

--- a/Tests/soak/KeptConnection.cpp
+++ b/Tests/soak/KeptConnection.cpp
@@ -64,7 +64,9 @@
 {
     if (!isOpen() || m_socket->pendingBytes())
         return;
-    m_sendingFinished = true;
+    m_sendingFinished = m_isHalfClosed = true;
+    m_resume.stop();
+    m_socket->setReadPaused(false);
     ::shutdown(m_descriptor, SHUT_WR);
 }
 
@@ -74,6 +76,11 @@
     while (!m_pending.empty() && readAnswer()) { }
     if (m_pending.empty() && !m_input.empty())
         m_callbacks.onAnswer({}, 0, m_input);
+    // A paused socket whose sides are both closed drops what the kernel has received.
+    if (m_isHalfClosed || !hasPartOfAnswer() || m_pause == Duration::zero() || !m_socket->isOpen())
+        return;
+    m_socket->setReadPaused(true);
+    m_resume.startOnce(std::exchange(m_pause, Duration::zero()), [this] { m_socket->setReadPaused(false); });
 }
 
 bool KeptConnection::readAnswer()
--- a/Tests/soak/KeptConnection.h
+++ b/Tests/soak/KeptConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/StreamSocket.h"
+#include "net/Timer.h"
 
 #include <deque>
 #include <string>
@@ -25,6 +26,9 @@
     void sendMore(const std::string& text);
     // Shuts down the sending side and goes on to read.
     void finishSending();
+    // Once, it stops reading for so long when a part of an answer has arrived; not after finishSending().
+    void pauseInAnswer(Duration pause) { m_pause = pause; }
+    bool hasPartOfAnswer() const { return !m_pending.empty() && !m_input.empty(); }
     // Whether requests can be sent on it.
     bool isOpen() const { return m_socket && m_socket->isOpen() && !m_sendingFinished; }
     // Requests that are not answered.
@@ -39,9 +43,12 @@
     Callbacks m_callbacks;
     RefPtr<StreamSocket> m_socket;
     std::string m_input;
+    Duration m_pause {}; // To come
+    Timer m_resume;
     std::deque<std::string> m_pending;
     int m_descriptor { -1 }; // Owned by the socket
     bool m_sendingFinished { false };
+    bool m_isHalfClosed { false };
 };
 
 } // namespace shallot
--- a/Tests/soak/LostRule.h
+++ b/Tests/soak/LostRule.h
@@ -40,6 +40,7 @@
     TimePoint requested {}; // The first SIGTERM of the process
     Duration shutdownTime {};
     TimePoint nextStart { TimePoint::max() }; // Of the process that follows
+    bool isSentAgain { false };               // Another SIGTERM
 };
 
 struct Configuration {
--- a/Tests/soak/stops.cpp
+++ b/Tests/soak/stops.cpp
@@ -12,15 +12,17 @@
 //   Backend servers: serve, startNested, giveUp, respondDue, breakOff, announce
 //   Callers:         sendDue, sendBatch, sendParts, onAnswer, onEnd
 //   Judgement:       endedRequest, judgeAnswer, countTimeout, judgeEnd, isAllowed, settle (the rule itself: LostRule.h)
+//   Cells:           countCells, stopAt, whereIs (which of them there are: CellCount.h)
 //   Result:          reportCase, report
 //
 // Prints one line and exits with 0 if no check failed. SHALLOT_STOPS_DAEMONS and SHALLOT_STOPS_CALLERS set the numbers of daemons
 // and of callers beside each one; with SHALLOT_SOAK_KEEP set the processes' logs are kept in that folder.
 // SHALLOT_STOPS_STALL_MS=n stops one process at a time for n ms by SIGSTOP; SHALLOT_STOPS_ACTIONS=0 leaves out the planned work.
-// SHALLOT_STOPS_SHAPES=names adds, of these: "nested", runs that make many calls to another service; "drops", runs that give up
-// before their calls have ended; "returns", callers that give up and come back at once; "pairs", stops one shortly after the
-// other.
+// SHALLOT_STOPS_SHAPES=names adds, of these: "nested", runs that make many calls to another service, and long runs; "drops", runs
+// that give up before their calls have ended; "returns", callers that give up and come back at once, and ones that stop reading
+// in a large answer; "pairs", stops one shortly after the other. SHALLOT_STOPS_CELLS=1 names the cells that no request met.
 
+#include "CellCount.h"
 #include "KeptConnection.h"
 #include "LostRule.h"
 #include "NestedCalls.h"
@@ -68,10 +70,19 @@
 constexpr size_t largeBodyBytes = 60'000;
 constexpr size_t chunkBytes = 700;
 constexpr size_t maximumReportedCases = 12;
-constexpr Duration longestNestedRun = 20ms;  // Of most calls of a run that makes many
+constexpr Duration longestNestedRun = 20ms; // Of most calls of a run that makes many
+constexpr Duration longestRun = 5s;         // Beside runs that make many calls; reaches into the last sixth of a stop
+constexpr unsigned runsPerLong = 20;        // Of these, one takes up to so long
+constexpr unsigned runsPerLargeAnswer
+    = 100; // Of these, one answers with more than the kernel holds for a caller that doesn't read
+constexpr size_t largeAnswerBytes = 2'000'000;
+constexpr unsigned batchesPerPause = 4; // Of these, in one the caller stops reading when a part of an answer has come
+constexpr Duration longestReadingPause = 1500ms;
 constexpr Duration longestBetweenStops = 3s; // Of a pair
 constexpr unsigned waitsPerReturn = 12;      // Turns of a caller that waits, for each one that gives up
 constexpr Duration deadlineStep = 2ms;       // The header's milliseconds are cut off, and the run's clock is read later
+constexpr Duration readTime = 20ms;          // In which a daemon that has room passes a request on
+constexpr Duration reloadTime = 6s;          // Until a reload or a configuration is an old one; stands for a shutdown time
 constexpr unsigned runsPerDeaf = 4;          // Of these, one works on past the deadline that it was given
 
 enum Port : uint16_t { Callers, Ready, Control, Peers, Backend };
@@ -155,6 +166,7 @@
             probeReadiness(now);
             m_nested.update(now);
             respondDue(now);
+            countCells(now);
             if (now > start + settlingTime && now < end - 1s)
                 sendDue(now);
             Timer wake;
@@ -176,6 +188,7 @@
         TimePoint answered {};
         std::string behind; // The request before it on its connection, if that was not answered when it was sent
         size_t bodyBytes { 0 };
+        size_t answerBytes { 0 }; // Behind its beginning
         const char* delivery { "" };
         bool changing { false }; // Its route comes and goes
         unsigned runs { 0 };
@@ -184,6 +197,10 @@
         uint16_t status { 0 };    // 0: none yet
         bool hasEnded { false };  // Answered, or its connection ended
         bool idempotent { true };
+        bool isPartlyAnswered { false };
+        bool isLong { false }; // No request is sent behind its run
+        cells::Maker maker { cells::Maker::Caller };
+        cells::Client client { cells::Client::Kept };
     };
 
     struct Caller {
@@ -193,6 +210,7 @@
         std::string partsID;
         TimePoint nextPart {};
         Duration partInterval {};
+        bool isBack { false }; // It has just given up
     };
 
     struct DaemonProcess {
@@ -472,15 +490,25 @@
             return;
         requestStop(daemon);
         if (m_random() % 4 == 0)
-            kill(daemon.pid, SIGTERM);
+            requestStop(daemon);
+        m_firstOfPair = daemon.index;
         if (m_stopsPairs)
             m_nextOfPair = MonotonicClock::now() + Duration(static_cast<int64_t>(m_shapeRandom() % longestBetweenStops.count()));
     }
 
+    // Half of the times one that runs a request which the first one has taken.
     void stopAnother()
     {
         m_nextOfPair = TimePoint::max();
-        auto& daemon = *m_daemons[m_shapeRandom() % m_daemonCount];
+        auto index = m_shapeRandom() % m_daemonCount;
+        if (m_shapeRandom() % 2) {
+            for (const auto& id : m_open) {
+                const auto& attempt = m_attempts[id];
+                if (attempt.daemon == m_firstOfPair && attempt.openRuns && attempt.backend != m_firstOfPair)
+                    index = attempt.backend;
+            }
+        }
+        auto& daemon = *m_daemons[index];
         if (daemon.pid && !daemon.signalAtStart && daemon.stopRequested == TimePoint())
             requestStop(daemon);
     }
@@ -491,6 +519,8 @@
             daemon.stopRequested = MonotonicClock::now();
             daemon.timeToStop = daemon.shutdownTime;
             daemon.work.stops.push_back({ daemon.stopRequested, daemon.timeToStop });
+        } else {
+            daemon.work.stops.back().isSentAgain = true;
         }
         kill(daemon.pid, SIGTERM);
     }
@@ -529,6 +559,8 @@
             fail("a request ran after its caller got 503 or 429: " + id);
         const auto kind = m_random() % 20;
         const bool isNested = id.find('.') != std::string::npos;
+        if (m_returns && !isNested && attempt.runs == 1 && m_shapeRandom() % runsPerLargeAnswer == 0)
+            attempt.answerBytes = largeAnswerBytes;
         const Duration usual = isNested && m_makesMany ? longestNestedRun : Duration(60ms);
         const Duration longest = kind == 0 ? Duration(2500ms) : kind < 4 && !(isNested && m_makesMany) ? Duration(600ms) : usual;
         const bool callsOthers = !isNested && m_random() % 5 == 0;
@@ -536,7 +568,8 @@
         const std::string named(findHeader(request.headers, platform::header::deadline));
         const auto milliseconds = static_cast<unsigned>(std::strtoul(named.c_str(), nullptr, 10));
         const bool isDeaf = named.empty() || m_deafRandom() % runsPerDeaf == 0;
-        m_runs.push_back({ callsOthers ? TimePoint::max() : now + randomUpTo(longest),
+        attempt.isLong |= m_makesMany && !isNested && attempt.behind.empty() && m_shapeRandom() % runsPerLong == 0;
+        m_runs.push_back({ callsOthers ? TimePoint::max() : now + randomUpTo(attempt.isLong ? longestRun : longest),
             isDeaf ? TimePoint::max() : now + std::chrono::milliseconds(milliseconds), connection, id, run });
         if (callsOthers)
             m_nested.start(run, index, milliseconds);
@@ -549,6 +582,9 @@
         attempt.delivery = "nested";
         attempt.firstSent = attempt.sent = MonotonicClock::now();
         attempt.deadline = deadline;
+        const bool isOwn = m_attempts[id.substr(0, id.find('.'))].daemon == daemon;
+        attempt.maker = isOwn ? cells::Maker::OwnRun : cells::Maker::OtherRun;
+        m_open.insert(id);
     }
 
     void refuseNested(const std::string& id)
@@ -573,12 +609,15 @@
     // Its sender has closed the connection.
     void giveUp(const std::string& id)
     {
-        m_attempts[id].hasEnded = true;
+        auto& attempt = m_attempts[id];
+        attempt.hasEnded = true;
+        attempt.client = cells::Client::Gone;
+        countCells(attempt, MonotonicClock::now());
         ++m_givenUp;
     }
 
     // Whatever its status; a daemon's own answers have another body.
-    static std::string answerTo(const std::string& id) { return "answer to " + id; }
+    std::string answerTo(const std::string& id) { return "answer to " + id + std::string(m_attempts[id].answerBytes, 'a'); }
 
     void respondDue(TimePoint now)
     {
@@ -629,6 +668,8 @@
     {
         for (auto& daemon : m_daemons) {
             for (auto& caller : daemon->connections) {
+                if (caller.connection && caller.connection->hasPartOfAnswer())
+                    m_attempts[caller.connection->pendingIDs().front()].isPartlyAnswered = true;
                 if (!caller.parts.empty())
                     sendParts(caller, now);
                 if (now < caller.nextBatch || !caller.parts.empty())
@@ -636,15 +677,19 @@
                 caller.nextBatch = now + randomUpTo(m_random() % 16 ? Duration(60ms) : longestPause);
                 // Some send on while they wait, so that requests arrive at any moment of a close.
                 if (caller.connection && caller.connection->pending()) {
-                    const bool sendsOn = caller.connection->isOpen() && m_random() % 4 == 0;
+                    const bool isLong = m_attempts[caller.connection->pendingIDs().front()].isLong;
+                    const bool sendsOn = caller.connection->isOpen() && m_random() % 4 == 0 && !isLong;
                     if (!m_returns || m_shapeRandom() % waitsPerReturn) {
                         if (sendsOn)
                             sendBatch(*daemon, caller, now);
                         continue;
                     }
-                    for (const auto& id : caller.connection->pendingIDs())
+                    for (const auto& id : caller.connection->pendingIDs()) {
                         giveUp(id);
+                        m_attempts[id].client = cells::Client::BackAtOnce;
+                    }
                     caller.connection.reset();
+                    caller.isBack = true;
                 }
                 if (!caller.connection || !caller.connection->isOpen()) {
                     // Callers start no connection to a daemon that has missed two readiness probes.
@@ -677,6 +722,7 @@
         attempt.daemon = daemon.index;
         attempt.delivery = delivery;
         attempt.firstSent = now;
+        m_open.insert(id);
         attempt.idempotent = m_random() % 2;
         attempt.changing = attempt.idempotent && m_random() % 8 == 0;
         return id;
@@ -703,15 +749,20 @@
         const auto& pending = caller.connection->pendingIDs();
         auto behind = pending.empty() ? std::string() : pending.back();
         const bool finishes = m_random() % 8 == 0;
+        const bool isBack = std::exchange(caller.isBack, false);
+        const auto client = finishes ? cells::Client::HalfClosed : isBack ? cells::Client::BackAtOnce : cells::Client::Kept;
         for (size_t count = m_random() % 3 ? 1 : 2 + m_random() % 2; count; --count) {
             ids.push_back(addAttempt(daemon, finishes ? "half-closed" : "kept", now));
             auto& attempt = m_attempts[ids.back()];
             attempt.sent = now;
+            attempt.client = client;
             attempt.behind = std::exchange(behind, ids.back());
             attempt.bodyBytes = m_random() % 8 ? m_random() % 200 : largeBodyBytes;
             text
                 += head(ids.back(), "Content-Length: " + std::to_string(attempt.bodyBytes)) + std::string(attempt.bodyBytes, 'b');
         }
+        if (m_returns && m_shapeRandom() % batchesPerPause == 0)
+            caller.connection->pauseInAnswer(Duration(static_cast<int64_t>(m_shapeRandom() % longestReadingPause.count())));
         caller.connection->send(text, std::move(ids));
         if (finishes)
             caller.connection->finishSending();
@@ -722,6 +773,9 @@
     {
         const bool isChunked = kind == 0;
         const auto id = addAttempt(daemon, isChunked ? "slow body" : "cut header section", now);
+        m_attempts[id].client = cells::Client::Slow;
+        if (caller.connection->pending())
+            m_attempts[id].behind = caller.connection->pendingIDs().back();
         if (isChunked) {
             caller.parts.push_back(head(id, "Transfer-Encoding: chunked"));
             const auto chunks = 2 + m_random() % 7;
@@ -839,6 +893,7 @@
         const auto& attempt = m_attempts[id];
         auto request = endedRequest(attempt, lost::AnswerOf::Nobody);
         request.atWorkUntil += deadlineStep;
+        request.ended += deadlineStep;
         const auto judgement = lost::judge(request, m_daemons[attempt.daemon]->work, m_configurations);
         if (judgement.verdict == lost::Verdict::Excused || lost::isLateInStop(request, m_daemons[attempt.backend]->work.stops))
             return;
@@ -895,6 +950,69 @@
         reportCase(kind + counted + (lost::isBesideDisruption(request, disruptions) ? " beside a stall" : ""), id);
     }
 
+    // Cells
+
+    void countCells(TimePoint now)
+    {
+        std::erase_if(m_open, [this, now](const std::string& id) {
+            const auto& attempt = m_attempts[id];
+            const bool isGivenUp = attempt.client == cells::Client::Gone || attempt.client == cells::Client::BackAtOnce;
+            if (!attempt.hasEnded || (isGivenUp && attempt.openRuns))
+                countCells(attempt, now);
+            return attempt.hasEnded && !attempt.openRuns;
+        });
+    }
+
+    void countCells(const Attempt& attempt, TimePoint now)
+    {
+        cells::Moment moment { cells::Who::Entry, whereIs(attempt, now), attempt.maker, attempt.client };
+        const auto* entry = stopAt(attempt.daemon, now);
+        const auto* backend = attempt.runs && attempt.backend != attempt.daemon ? stopAt(attempt.backend, now) : nullptr;
+        if (const auto* stop = entry ? entry : backend) {
+            const bool isAfter = now >= stop->nextStart;
+            moment.when = isAfter ? cells::When::AfterRestart : cells::whenOf(now - stop->requested, stop->shutdownTime);
+            moment.who = entry && backend ? cells::Who::Both : entry ? cells::Who::Entry : cells::Who::Backend;
+            m_cells.add(moment);
+            moment.who = cells::Who::OneTwice;
+            if (stop->isSentAgain)
+                m_cells.add(moment);
+            return;
+        }
+        const auto addWork = [this, &moment, now](cells::Who who, TimePoint signal) {
+            moment.who = who;
+            moment.when = cells::whenOf(now - signal, reloadTime);
+            if (now < signal + reloadTime)
+                m_cells.add(moment);
+        };
+        for (const auto reload : m_daemons[attempt.daemon]->work.reloads)
+            addWork(cells::Who::Reload, reload);
+        for (const auto& configuration : m_configurations)
+            addWork(cells::Who::Configuration, configuration.sent);
+    }
+
+    // Null: the planned end of none of its processes counts.
+    const lost::Stop* stopAt(size_t daemon, TimePoint now) const
+    {
+        const auto& stops = m_daemons[daemon]->work.stops;
+        const bool counts = !stops.empty() && now <= stops.back().requested + stops.back().shutdownTime + lost::afterShutdownTime;
+        return counts ? &stops.back() : nullptr;
+    }
+
+    // When a daemon has read a request can't be seen from outside: it is taken for read, then for queued, by the time.
+    cells::Where whereIs(const Attempt& attempt, TimePoint now) const
+    {
+        if (attempt.sent == TimePoint())
+            return cells::Where::HalfSent;
+        if (attempt.isPartlyAnswered)
+            return cells::Where::AnswerHalfSent;
+        if (attempt.openRuns)
+            return cells::Where::Running;
+        const auto behind = m_attempts.find(attempt.behind);
+        if (behind != m_attempts.end() && !behind->second.hasEnded)
+            return cells::Where::Behind;
+        return attempt.runs || now > attempt.sent + readTime ? cells::Where::OnTheWay : cells::Where::Read;
+    }
+
     // Result
 
     void reportCase(const std::string& kind, const std::string& id)
@@ -977,7 +1095,12 @@
             std::cout << ", 504 of backend servers " << m_givenTimeouts << " (not late in a stop " << m_earlyTimeouts << ")";
         if (m_givenUp)
             std::cout << ", given up " << m_givenUp;
+        std::cout << ", cells met " << m_cells.met() << " of " << CellCount::total();
         std::cout << (m_failed ? " FAILED\n" : " ok\n");
+        if (numberFromEnvironment("SHALLOT_STOPS_CELLS", 0)) {
+            for (const auto& name : m_cells.missing())
+                std::cout << "not met: " << name << "\n";
+        }
         return m_failed ? 1 : 0;
     }
 
@@ -990,6 +1113,7 @@
     bool m_returns { hasShape("returns") };
     bool m_stopsPairs { hasShape("pairs") };
     TimePoint m_nextOfPair { TimePoint::max() }; // max(): none
+    size_t m_firstOfPair { 0 };
     ProcessStalls m_stalls;
     bool m_acts;
     size_t m_daemonCount;
@@ -999,6 +1123,8 @@
     std::vector<std::unique_ptr<DaemonProcess>> m_daemons;
     NestedCalls m_nested;
     std::map<std::string, Attempt> m_attempts;
+    std::set<std::string> m_open; // Attempts that have not ended, or still run
+    CellCount m_cells;
     std::vector<Run> m_runs;
     std::set<std::string> m_brokenOff;
     std::map<uint16_t, size_t> m_statuses;
