Keep the shutdown time that a leave has begun with

Callers saw 502 in place of a run before the promised last sixth, or a process that was still at work at its kill. Cause: applySettings changed the shutdown time at any time. A leave ignored it until the next stall of over 350 ms, which schedules the end anew and counted from the new value. Change: after leave() the shutdown time stays; the settings are read before leave(), so a change at SIGTERM counts.

--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -234,7 +234,8 @@
 
 void Sidecar::applySettings(const platform::InstanceSettings& instance)
 {
-    m_instance.shutdownTime = instance.shutdownTime;
+    if (!m_leaving) // The end that requests at work have been promised stays
+        m_instance.shutdownTime = instance.shutdownTime;
     m_store.setAddress(instance.store);
     EventLog::write("reload", { { "store", instance.store.toString() } });
 }
--- /dev/null
+++ b/Tests/PlannedWorkTest.cpp
@@ -0,0 +1,135 @@
+// Requests in all stages while configurations and settings change and daemons stop and start.
+
+#include "SidecarHarness.h"
+
+#include "platform/Names.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace shallot {
+namespace {
+
+using namespace std::chrono_literals;
+
+class PlannedWork : public testing::Test {
+protected:
+    explicit PlannedWork(const std::vector<std::string>& locations = { "zone-a/alpha", "zone-a/beta" })
+        : mesh(locations)
+        , daemons(locations.size())
+    {
+    }
+
+    void SetUp() override
+    {
+        mesh.timeLimit = 8;
+        mesh.writeConfiguration(version);
+        ASSERT_TRUE(mesh.waitUntilServing());
+        mesh.runFor(300ms);
+        for (size_t i = 0; i < daemons; ++i) {
+            mesh.endpoint(i).setScript([this](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+                runs.push_back(std::make_unique<Timer>());
+                const Duration time = request.target.ends_with("7") ? Duration(longRun) : 30ms + 10ms * (runs.size() % 10);
+                runs.back()->startOnce(time, [connection, request] { EndpointStandin::respond(*connection, request); });
+            });
+        }
+    }
+
+    void startLoad()
+    {
+        load.startRepeating(30ms, [this] {
+            const auto number = std::to_string(requests.size());
+            const bool once = requests.size() % 3 != 0;
+            const auto target = (once ? "/order/" : "/read/") + number;
+            requests.emplace_back(target, mesh.send(requests.size() % daemons, { once ? "POST" : "GET", target, {}, {} }));
+        });
+    }
+
+    void changeConfiguration(const std::string& from, const std::string& to)
+    {
+        const auto topic = std::string(platform::store::operatorTopic);
+        const auto key = std::string(platform::store::configurationKey);
+        auto document = mesh.store().newest(topic).at(key);
+        const auto replace = [&document](const std::string& from, const std::string& to) {
+            const auto at = document.find(from);
+            ASSERT_NE(at, std::string::npos) << from;
+            document.replace(at, from.size(), to);
+        };
+        replace("\"r" + std::to_string(version) + "\"", "\"r" + std::to_string(version + 1) + "\"");
+        ++version;
+        replace(from, to);
+        mesh.store().put(topic, key, document);
+    }
+
+    void leave(size_t daemon, std::function<void()> completed = nullptr)
+    {
+        hasLeft = false;
+        mesh.daemon(daemon).setLeaveCompletedHandler([this, completed = std::move(completed)] {
+            hasLeft = true;
+            if (completed)
+                completed();
+        });
+        mesh.daemon(daemon).leave(MonotonicClock::now());
+    }
+
+    // Each request has its complete answer, and none that was refused or had no answer has run.
+    void expectNoneLost(size_t leastServed)
+    {
+        load.stop();
+        size_t served = 0;
+        for (const auto& [target, exchange] : requests) {
+            const auto status = mesh.wait(exchange).status();
+            const auto count = mesh.executionCount(target);
+            served += status == 200 ? 1 : 0;
+            EXPECT_TRUE(exchange->done) << target;
+            // Connections to a daemon that is gone are refused.
+            const bool isRefused = status == 503 || (!status && exchange->response.error().kind == ErrorKind::NoBackendServer);
+            EXPECT_TRUE(status == 200 || status == allowedStatus || isRefused) << target << ": " << status << ", runs: " << count;
+            const bool mayRun = status == 200 || status == allowedStatus;
+            EXPECT_LE(count, mayRun ? (target.starts_with("/order/") ? 1U : 2U) : 0U) << target << ": " << status;
+        }
+        EXPECT_GE(served, leastServed);
+    }
+
+    SidecarHarness mesh;
+    size_t daemons;
+    uint64_t version { 2 };
+    bool hasLeft { false };
+    Duration longRun { 2300ms };
+    unsigned allowedStatus { 200 };
+    Timer load;
+    std::vector<std::pair<std::string, std::shared_ptr<SidecarHarness::Exchange>>> requests;
+    std::vector<std::unique_ptr<Timer>> runs;
+};
+
+TEST_F(PlannedWork, AShorterShutdownTimeDoesNotEndRunsThatWerePromisedMore)
+{
+    longRun = 4500ms;
+    mesh.setShutdownTime(0, 6s);
+    const auto exchange = mesh.send(0, { "POST", "/order/7", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return runs.size() == 1; }));
+    leave(0);
+    mesh.runFor(500ms);
+    mesh.setShutdownTime(0, 2s);
+    mesh.runFor(200ms);
+    std::this_thread::sleep_for(500ms);
+    EXPECT_EQ(mesh.wait(exchange).status(), 200);
+}
+
+TEST_F(PlannedWork, ALongerShutdownTimeDoesNotMoveTheEndOfAProcessThatLeaves)
+{
+    longRun = 7s;
+    mesh.setShutdownTime(0, 3s);
+    const auto exchange = mesh.send(0, { "POST", "/order/7", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return runs.size() == 1; }));
+    leave(0);
+    const auto end = MonotonicClock::now() + 3s;
+    mesh.runFor(500ms);
+    mesh.setShutdownTime(0, 6s);
+    std::this_thread::sleep_for(500ms);
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    EXPECT_LT(MonotonicClock::now(), end);
+}
+
+} // namespace
+} // namespace shallot
