Leave only when the peers' kernels have what was sent to them

Callers saw 502 "the link was lost" for a request whose run was complete, at a daemon whose peer, beside the backend server, had left early; and 502 instead of 503 for requests that were sent to it meanwhile and never ran. Cause: the daemon counted as unsent only what its kernel had not taken. Behind the closed window of a peer that stands still, or is slow, the kernel takes megabytes. The daemon ended 100 ms after its last message, and when the peer sent anything to the closed socket, the kernel dropped the rest of its send queue: the answer and the last message. Change: bytes that are not acknowledged count as unsent, before the last message and behind it. A peer that is gone ends its link after 2 s without acknowledgement, and the shutdown time bounds the wait.

--- a/Source/net/PeerLink.cpp
+++ b/Source/net/PeerLink.cpp
@@ -38,7 +38,7 @@
 
 size_t PeerLink::unsentBytes() const
 {
-    return m_established && isOpen() ? m_socket->pendingBytes() : 0;
+    return m_established && isOpen() ? m_socket->unacknowledgedBytes() : 0;
 }
 
 bool PeerLink::isOpen() const
--- a/Source/net/PeerLink.h
+++ b/Source/net/PeerLink.h
@@ -54,7 +54,7 @@
     const std::string& peer() const { return m_peer; }
     uint64_t peerBoot() const { return m_peerBoot; }
     uint64_t bytesSent() const { return m_bytesSent; }
-    // Bytes that the kernel has not taken yet; zero before the handshake is complete.
+    // Bytes that the peer's kernel has not acknowledged; zero before the handshake is complete.
     size_t unsentBytes() const;
     // Whether it ended because nobody accepts connections at the peer's address.
     bool wasRefused() const { return m_refused; }
--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -3,9 +3,11 @@
 #include <array>
 #include <cerrno>
 #include <gio/gio.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -66,6 +68,13 @@
         setsockopt(m_watcher.descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
 }
 
+size_t StreamSocket::unacknowledgedBytes() const
+{
+    int queued = 0;
+    const bool known = isOpen() && !ioctl(m_watcher.descriptor, SIOCOUTQ, &queued);
+    return pendingBytes() + (known ? static_cast<size_t>(queued) : 0);
+}
+
 std::string StreamSocket::peerHost() const
 {
     sockaddr_storage native {};
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -61,6 +61,9 @@
     bool canSend() const { return isOpen() && !m_finishing && !m_sendFailed; }
     bool isConnecting() const { return m_connecting; }
     size_t pendingBytes() const { return m_pending.size() - m_pendingOffset; }
+    // Pending bytes and those that the peer's kernel has not acknowledged: a socket that is closed meanwhile drops the latter
+    // when the peer sends to it.
+    size_t unacknowledgedBytes() const;
     // Bytes that arrived after finish().
     size_t discardedBytes() const { return m_discardedBytes; }
     // IP address of the peer; empty when unknown.
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -218,7 +218,8 @@
 
 void Sidecar::endWhenPeersHaveClosed(TimePoint latest)
 {
-    if (m_links.linkCount() && MonotonicClock::now() < latest)
+    const auto now = MonotonicClock::now();
+    if (m_links.hasUnsentBytes() ? now < m_killedAt - peersCloseTime : m_links.linkCount() && now < latest)
         return;
     m_leaveTimer.stop();
     EventLog::write("stop",
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -106,6 +106,7 @@
     Sidecar& daemon(size_t index) { return *m_daemons[index]; }
     EndpointStandin& endpoint(size_t index) { return *m_endpoints[index]; }
     StoreStandin& store() { return *m_store; }
+    platform::InstanceSettings instanceSettings(size_t index) const;
     // Time between the request to stop and the kill, of a running daemon.
     void setShutdownTime(size_t daemon, Duration);
     // Starts a daemon that was stopped or whose start was deferred.
@@ -121,7 +122,6 @@
 
 private:
     SocketAddress address(size_t daemon, uint16_t offset) const;
-    platform::InstanceSettings instanceSettings(size_t index) const;
 
     uint16_t m_basePort;
     std::vector<std::string> m_locations;
