Send no request on a connection whose end has arrived

Callers saw 502 for a request that may run only once and never ran, where the backend server's close of the kept connection and the request arrived in one turn of the main loop, the request first: after a stall, under load, at a crash. Cause: the pool knew only of ends that the main loop had handled. Change: it reads a connection before it uses it again, one recv() each; one that has ended or has unasked bytes is dropped.

--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -73,6 +73,11 @@
     m_socket->close();
 }
 
+void HTTPConnection::readNow()
+{
+    m_socket->readNow();
+}
+
 bool HTTPConnection::isOpen() const
 {
     return m_socket->isOpen();
--- a/Source/net/HTTPConnection.h
+++ b/Source/net/HTTPConnection.h
@@ -49,6 +49,8 @@
     void abandon();
     // Closes the connection; an exchange in progress completes with BackendFailed.
     void terminate();
+    // Handles what has arrived while no exchange is in progress, which ends the connection.
+    void readNow();
     bool isOpen() const;
     TimePoint openedAt() const { return m_openedAt; }
     // Bytes allocated for the body of the response that is being received.
--- a/Source/net/HTTPPool.cpp
+++ b/Source/net/HTTPPool.cpp
@@ -34,6 +34,7 @@
             break;
         auto [connection, since] = std::move(m_idle.back());
         m_idle.pop_back();
+        connection->readNow(); // Its end may have arrived; what is sent after it may count as run
         if (!connection->isOpen())
             continue;
         if (now - since < connection->idleLifetime())
--- a/Tests/PlannedWorkTest.cpp
+++ b/Tests/PlannedWorkTest.cpp
@@ -2,6 +2,7 @@
 
 #include "SidecarHarness.h"
 
+#include "net/StreamSocket.h"
 #include "platform/Names.h"
 
 #include <gtest/gtest.h>
@@ -12,6 +13,12 @@
 
 using namespace std::chrono_literals;
 
+std::string headOf(const std::string& line, const std::string& id)
+{
+    return line + " HTTP/1.1\r\nHost: app\r\n" + std::string(platform::header::attemptID) + ": " + id + "\r\n"
+        + std::string(platform::header::key) + ": key-1\r\n";
+}
+
 class PlannedWork : public testing::Test {
 protected:
     explicit PlannedWork(const std::vector<std::string>& locations = { "zone-a/alpha", "zone-a/beta" })
@@ -131,5 +138,27 @@
     EXPECT_LT(MonotonicClock::now(), end);
 }
 
+TEST_F(PlannedWork, ARequestIsNotSentOnAConnectionThatTheBackendServerHasClosed)
+{
+    RefPtr<StrictHTTPConnection> last;
+    mesh.endpoint(0).setScript([&last](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+        last = connection;
+        EndpointStandin::respond(*connection, request);
+    });
+    std::string received;
+    const auto caller = StreamSocket::connect(mesh.callersAddress(0));
+    caller->start(
+        { [&received](std::span<const uint8_t> bytes) { received.append(bytes.begin(), bytes.end()); }, nullptr, nullptr });
+    caller->write(headOf("GET /read/1", "first") + "\r\n");
+    ASSERT_TRUE(mesh.runUntil([&] { return received.ends_with("done"); }));
+    received.clear();
+    // Both are waiting for the daemon, the request first.
+    caller->write(headOf("POST /order/2", "second") + "Content-Length: 0\r\n\r\n");
+    last->abort();
+    ASSERT_TRUE(mesh.runUntil([&] { return received.find("\r\n\r\n") != std::string::npos; }));
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 200")) << received;
+    EXPECT_EQ(mesh.executionCount("/order/2"), 1U);
+}
+
 } // namespace
 } // namespace shallot
