Bound the wait for peers in a leave; keep the deadlines of calls after a stall

And by reading: after a stall of over 350 ms in a leave the new schedule ended calls of runs before the deadline that they had been given.

Change: a daemon with nothing in progress waits for unacknowledged bytes for a second at most, before and behind its last message; bytes that its own kernel has not taken are waited for as before. The end of the calls of runs never moves before a deadline that one has been given. A request that is sent again in a leave has no time beyond the end.

Evidence: ShutdownEnd.AStallWhileLeavingDoesNotBreakOffACallBeforeItsDeadline, and ACallFromBeforeAShutdownThatOutlivesItIsAnswered..., which keeps a check on the last answers of calls; ShutdownEnd*, StoppedDaemon*, PlannedWork* and SidecarProcess*: 29 of 29. Not run: the first of the two on the code before.

--- a/Source/net/PeerLink.cpp
+++ b/Source/net/PeerLink.cpp
@@ -37,6 +37,11 @@
 }
 
 size_t PeerLink::unsentBytes() const
+{
+    return m_established && isOpen() ? m_socket->pendingBytes() : 0;
+}
+
+size_t PeerLink::unacknowledgedBytes() const
 {
     return m_established && isOpen() ? m_socket->unacknowledgedBytes() : 0;
 }
--- a/Source/net/PeerLink.h
+++ b/Source/net/PeerLink.h
@@ -54,8 +54,10 @@
     const std::string& peer() const { return m_peer; }
     uint64_t peerBoot() const { return m_peerBoot; }
     uint64_t bytesSent() const { return m_bytesSent; }
-    // Bytes that the peer's kernel has not acknowledged; zero before the handshake is complete.
+    // Bytes that the own kernel has not taken; zero before the handshake is complete.
     size_t unsentBytes() const;
+    // Those and what the peer's kernel has not acknowledged.
+    size_t unacknowledgedBytes() const;
     // Whether it ended because nobody accepts connections at the peer's address.
     bool wasRefused() const { return m_refused; }
     // Whether the peer accepted the connection and closed it before the handshake was complete.
--- a/Source/net/PeerLinks.cpp
+++ b/Source/net/PeerLinks.cpp
@@ -117,8 +117,14 @@
 
 bool PeerLinks::hasUnsentBytes() const
 {
-    return std::any_of(m_outgoing.begin(), m_outgoing.end(), [](const auto& item) { return item.second->unsentBytes() > 0; })
-        || std::any_of(m_accepted.begin(), m_accepted.end(), [](const auto& link) { return link->unsentBytes() > 0; });
+    const auto all = links();
+    return std::any_of(all.begin(), all.end(), [](const auto& link) { return link->unsentBytes() > 0; });
+}
+
+bool PeerLinks::hasUnacknowledgedBytes() const
+{
+    const auto all = links();
+    return std::any_of(all.begin(), all.end(), [](const auto& link) { return link->unacknowledgedBytes() > 0; });
 }
 
 } // namespace shallot
--- a/Source/net/PeerLinks.h
+++ b/Source/net/PeerLinks.h
@@ -43,6 +43,7 @@
     uint64_t bytesSent() const;
     // Whether frames on established links wait for the kernel to take them.
     bool hasUnsentBytes() const;
+    bool hasUnacknowledgedBytes() const;
 
 private:
     RefPtr<PeerLink> makeLink(RefPtr<StreamSocket>, bool initiator);
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -217,7 +217,8 @@
 bool MeshIngress::send(PendingRequest& pending, RemoteEndpoint& endpoint, TimePoint now)
 {
     auto& call = pending.call;
-    call.context.remaining = pending.deadline - now;
+    // A request from before the leave may be sent again in it.
+    call.context.remaining = std::min(pending.deadline, pending.parent ? m_endCallsBy : m_endBy) - now;
     call.targetLatency = pending.targetTime > now ? pending.targetTime - now : Duration::zero();
     pending.member = endpoint.member.name;
     const auto attempt = makeRef<Attempt>();
--- a/Source/sidecar/MeshLinks.h
+++ b/Source/sidecar/MeshLinks.h
@@ -48,6 +48,7 @@
     size_t linkCount() const { return m_links.linkCount(); }
     uint64_t bytesSent() const { return m_links.bytesSent(); }
     bool hasUnsentBytes() const { return m_links.hasUnsentBytes(); }
+    bool hasUnacknowledgedBytes() const { return m_links.hasUnacknowledgedBytes(); }
 
 private:
     struct LinkMonitor {
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,5 +1,6 @@
 // Index of this file
-//   Start and leave:  Sidecar, start, leave, isIdle, scheduleEnd, stopAcceptingWhenDue, endRequests, finishLeaving,
+//   Start and leave:  Sidecar, start, leave, isIdle, waitsForPeers, scheduleEnd, stopAcceptingWhenDue, endRequests,
+//   finishLeaving,
 //                    endWhenPeersHaveClosed, applySettings
 //   Local servers:    handleControl, acknowledge, checkAnnouncement, handleReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
@@ -40,6 +41,8 @@
 constexpr auto peersCloseTime
     = 100ms; // Of the margin, until the peers have closed their links; several round trips between zones
 constexpr auto peersCloseCheckInterval = 5ms;
+constexpr auto peersReadTime = 1s; // For peers that stand still, when nothing is in progress; one that is cut off costs as much
+constexpr auto callResponseTime = 50ms; // From the deadline of a call until its response has been sent
 
 } // namespace
 
@@ -145,11 +148,18 @@
             }
             stopAcceptingWhenDue(now);
             m_servedCalls.expire(now);
-            if (isIdle())
+            m_idleSince = isIdle() ? std::min(m_idleSince, now) : TimePoint::max();
+            if (m_idleSince != TimePoint::max() && !waitsForPeers(now))
                 finishLeaving();
         });
 }
 
+// What a peer has not acknowledged is lost if it sends anything to a socket that this process has closed.
+bool Sidecar::waitsForPeers(TimePoint now) const
+{
+    return m_idleSince != TimePoint::max() && now < m_idleSince + peersReadTime && m_links.hasUnacknowledgedBytes();
+}
+
 // An open connection may carry a request that is still arriving, or the last bytes of a response, and so may a link.
 bool Sidecar::isIdle() const
 {
@@ -170,7 +180,9 @@
     const auto endBy = std::max(now, marginStart);
     const auto endRequestsAt = marginStart + margin / lastOutcomesDivisor;
     const auto responseTime = margin / lastResponsesDivisor;
-    m_finishBy = endRequestsAt + responseTime;
+    // After a stall a call may have a deadline from the former schedule.
+    m_endCallsBy = std::max(m_endCallsBy, endRequestsAt + responseTime / 2);
+    m_finishBy = std::max(endRequestsAt + responseTime, m_endCallsBy + callResponseTime);
     // Backend servers and other daemons end a call at its deadline by themselves, and their outcome goes first. The calls of a
     // run end after it, since their failure would keep it from being repeated elsewhere.
     m_ingress.startLeaving(endBy, endRequestsAt + responseTime / 2);
@@ -219,7 +231,7 @@
 void Sidecar::endWhenPeersHaveClosed(TimePoint latest)
 {
     const auto now = MonotonicClock::now();
-    if (m_links.hasUnsentBytes() ? now < m_killedAt - peersCloseTime : m_links.linkCount() && now < latest)
+    if (m_links.linkCount() && (now < latest || (now < m_finishBy && waitsForPeers(now))))
         return;
     m_leaveTimer.stop();
     EventLog::write("stop",
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -68,6 +68,7 @@
     void onConfiguration();
     void tick();
     bool isIdle() const;
+    bool waitsForPeers(TimePoint now) const;
     TimePoint scheduleEnd(Duration margin, TimePoint now);
     void stopAcceptingWhenDue(TimePoint now);
     void endRequests();
@@ -106,6 +107,8 @@
     TimePoint m_refuseCallersAt {}; // While leaving: all callers know of it then
     TimePoint m_killedAt {};        // While leaving: the end of the shutdown time
     TimePoint m_finishBy {};        // While leaving: the responses to the requests that are open at the end have been sent
+    TimePoint m_endCallsBy {};      // While leaving: the latest deadline that a call of a run has been given
+    TimePoint m_idleSince { TimePoint::max() }; // While leaving: nothing is in progress; max(): something is
     bool m_wasReady { false };
 };
 
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -51,7 +51,19 @@
         mesh.daemon(daemon).leave(MonotonicClock::now());
     }
 
+    // One at a time.
+    void endRunsAtTheirDeadline(size_t backendServer)
+    {
+        mesh.endpoint(backendServer)
+            .setScript([this](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+                const std::string milliseconds(findHeader(request.headers, platform::header::deadline));
+                deadlineOfRun.startOnce(std::chrono::milliseconds(std::strtol(milliseconds.c_str(), nullptr, 10)),
+                    [connection, request] { EndpointStandin::respond(*connection, request, 504); });
+            });
+    }
+
     SidecarHarness mesh;
+    Timer deadlineOfRun;
     std::vector<std::pair<RefPtr<StrictHTTPConnection>, HTTPRequest>> held; // Runs at the backend server of daemon 0
     bool hasLeft { false };
 };
@@ -394,15 +406,44 @@
     EXPECT_EQ(nested->status(), 504);
 }
 
+TEST_F(ShutdownEnd, ACallFromBeforeAShutdownThatOutlivesItIsAnsweredBeforeTheProcessEnds)
+{
+    mesh.setShutdownTime(0, 2s);
+    std::vector<RefPtr<StrictHTTPConnection>> nestedRuns;
+    mesh.endpoint(1).setScript(
+        [&](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest&) { nestedRuns.push_back(connection); });
+    mesh.send(1, { "GET", "/read/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    const std::string id(findHeader(held.front().second.headers, platform::header::attemptID));
+    const auto nested = mesh.send(0, { "GET", "/inner/1", { { std::string(platform::header::attemptID), id + ".1" } }, {} }, "");
+    ASSERT_TRUE(mesh.runUntil([&] { return nestedRuns.size() == 1; }));
+    leave(0);
+    ASSERT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    mesh.stop(0);
+    mesh.runFor(100ms);
+    EXPECT_EQ(nested->status(), 502);
+}
+
+TEST_F(ShutdownEnd, AStallWhileLeavingDoesNotBreakOffACallBeforeItsDeadline)
+{
+    endRunsAtTheirDeadline(1);
+    mesh.setShutdownTime(0, 6s);
+    mesh.send(1, { "GET", "/read/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    leave(0);
+    mesh.runFor(3100ms);
+    const std::string id(findHeader(held.front().second.headers, platform::header::attemptID));
+    const auto nested = mesh.send(0, { "GET", "/inner/1", { { std::string(platform::header::attemptID), id + ".1" } }, {} }, "");
+    ASSERT_TRUE(mesh.runUntil([&] { return mesh.executionCount("/inner/1") == 1; }));
+    std::this_thread::sleep_for(450ms);
+    ASSERT_TRUE(mesh.runUntil([&] { return nested->done; }));
+    EXPECT_EQ(nested->status(), 504);
+}
+
 TEST_F(ShutdownEnd, ACallOfARunLateInAShutdownIsNotBrokenOffAtTheEndOfTheProcess)
 {
     mesh.setShutdownTime(0, 4s);
-    Timer deadlineOfCall;
-    mesh.endpoint(1).setScript([&](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
-        const std::string milliseconds(findHeader(request.headers, platform::header::deadline));
-        deadlineOfCall.startOnce(std::chrono::milliseconds(std::strtol(milliseconds.c_str(), nullptr, 10)),
-            [connection, request] { EndpointStandin::respond(*connection, request, 504); });
-    });
+    endRunsAtTheirDeadline(1);
     const auto parent = mesh.send(1, { "GET", "/read/1", {}, {} });
     ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
     leave(0);
