--- a/Tests/SidecarProcessTest.cpp
+++ b/Tests/SidecarProcessTest.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <gio/gio.h>
 #include <gtest/gtest.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <thread>
@@ -53,6 +54,7 @@
         pid = fork();
         if (pid)
             return;
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // It would keep its ports
         setenv("SHALLOTTRACK_CONFIG", settings.c_str(), 1);
         setenv("SHALLOT_PEER_SECRET", "a secret of the test", 1);
         if (!std::freopen("/dev/null", "w", stdout))
--- a/Tests/StoppedDaemonTest.cpp
+++ b/Tests/StoppedDaemonTest.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -60,6 +61,7 @@
         pid = fork();
         if (pid)
             return;
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // It would keep its ports
         setenv("SHALLOTTRACK_CONFIG", settings.c_str(), 1);
         setenv("SHALLOT_PEER_SECRET", "a secret of the tests", 1);
         if (!std::freopen("/dev/null", "w", stdout))
--- a/Tests/soak/soak.cpp
+++ b/Tests/soak/soak.cpp
@@ -24,6 +24,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -223,6 +224,7 @@
         daemon.pid = fork();
         if (daemon.pid)
             return;
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // It would keep its ports
         setenv("SHALLOTTRACK_CONFIG", settingsPath(daemon.index).c_str(), 1);
         setenv("SHALLOT_PEER_SECRET", "a secret of the soak", 1);
         const auto log = m_folder + "/log-" + std::to_string(daemon.index);
--- a/Tests/soak/stops.cpp
+++ b/Tests/soak/stops.cpp
@@ -42,6 +42,7 @@
 #include <random>
 #include <set>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -343,6 +344,7 @@
         daemon.pid = fork();
         if (daemon.pid)
             return;
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // It would keep its ports
         setenv("SHALLOTTRACK_CONFIG", settingsPath(daemon.index).c_str(), 1);
         setenv("SHALLOT_PEER_SECRET", "a secret of the soak", 1);
         const auto log = m_folder + "/log-" + std::to_string(daemon.index);
@@ -1074,10 +1076,12 @@
     {
         const auto latest = MonotonicClock::now() - longestLimit - lost::readSlack;
         for (const auto& [id, attempt] : m_attempts) {
-            // A daemon reads a request when it has answered the one before on its connection.
-            const auto readAt
-                = attempt.behind.empty() ? attempt.sent : std::max(attempt.sent, m_attempts[attempt.behind].answered);
-            if (!attempt.hasEnded && attempt.sent != TimePoint() && readAt < latest)
+            // A daemon reads a request when it has answered the one before on its connection, which is judged here as well.
+            const auto behind = m_attempts.find(attempt.behind);
+            const bool isFirst = behind == m_attempts.end();
+            const auto readAt = isFirst ? attempt.sent : std::max(attempt.sent, behind->second.answered);
+            const bool isRead = isFirst || behind->second.hasEnded;
+            if (!attempt.hasEnded && isRead && attempt.sent != TimePoint() && readAt < latest)
                 reportCase("never answered", id);
         }
         std::cout << "actions " << m_actions << " callers " << m_callerCount << " requests " << m_attempts.size() << " answered";
