--- a/Tests/PlannedWorkTest.cpp
+++ b/Tests/PlannedWorkTest.cpp
@@ -160,5 +160,83 @@
     EXPECT_EQ(mesh.executionCount("/order/2"), 1U);
 }
 
+struct Change {
+    const char* name;
+    const char* from;
+    const char* to;
+    unsigned status; // Of requests that arrive later
+};
+
+class PlannedWorkConfiguration : public PlannedWork, public testing::WithParamInterface<Change> { };
+
+TEST_P(PlannedWorkConfiguration, RequestsThatWereReadBeforeAreAnswered)
+{
+    startLoad();
+    mesh.runFor(1500ms);
+    allowedStatus = GetParam().status;
+    changeConfiguration(GetParam().from, GetParam().to);
+    mesh.runFor(1500ms);
+    expectNoneLost(40);
+}
+
+INSTANTIATE_TEST_SUITE_P(Changes, PlannedWorkConfiguration,
+    testing::Values(Change { "Route", R"("path_prefix":"/order/")", R"("path_prefix":"/gone/")", 404 },
+        Change { "Service", R"({"name":"alpha","health_path":"/health","max_connections":100},)", "", 200 },
+        Change { "HealthPath", R"("health_path":"/health")", R"("health_path":"/other")", 200 },
+        Change { "Connections", R"("max_connections":100)", R"("max_connections":1)", 200 },
+        Change { "Key", R"(["key-1","key-2"])", R"(["key-2"])", 401 },
+        Change { "RouteTime", R"("timeout_s":8)", R"("timeout_s":0.5)", 200 },
+        Change { "Limits", R"("services")",
+            R"("limits":{"idle_timeout_s":0.1,"header_timeout_s":0.1,"max_body_bytes":1},"services")", 200 }),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(PlannedWork, NoRequestIsLostWhileDaemonsStopSoonAfterTheirStart)
+{
+    longRun = 800ms;
+    startLoad();
+    mesh.runFor(1s);
+    for (const auto delay : { 50ms, 600ms }) {
+        for (size_t i = 0; i < daemons; ++i) {
+            leave(i);
+            EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+            mesh.stop(i);
+            mesh.start(i);
+            mesh.runFor(delay);
+        }
+    }
+    mesh.runFor(2s);
+    expectNoneLost(50);
+}
+
+class PlannedWorkHalfSent : public PlannedWork, public testing::WithParamInterface<std::pair<std::string, std::string>> { };
+
+TEST_P(PlannedWorkHalfSent, ANextRequestIsAnsweredWhenCallersAreRefused)
+{
+    constexpr Duration beforeAnswer = 2800ms;
+    longRun = beforeAnswer;
+    std::string received;
+    const auto socket = StreamSocket::connect(mesh.callersAddress(1));
+    socket->start(
+        { [&received](std::span<const uint8_t> bytes) { received.append(bytes.begin(), bytes.end()); }, nullptr, nullptr });
+    socket->write(headOf("POST /order/7", "first") + "Content-Length: 0\r\n\r\n");
+    ASSERT_TRUE(mesh.runUntil([this] { return runs.size() == 1; }));
+    leave(1);
+    mesh.runFor(beforeAnswer - 50ms);
+    socket->write(headOf("POST /order/2", "second") + GetParam().first);
+    ASSERT_TRUE(mesh.runUntil([&] { return received.find("HTTP/1.1 200") != std::string::npos; }));
+    mesh.runFor(200ms);
+    socket->write(GetParam().second);
+    EXPECT_TRUE(mesh.runUntil([&] { return received.find("HTTP/1.1", received.find("done")) != std::string::npos; })) << received;
+    EXPECT_TRUE(mesh.runUntil([this] { return hasLeft; }));
+    const bool refused = received.find("HTTP/1.1 503") != std::string::npos;
+    EXPECT_EQ(mesh.executionCount("/order/2"), refused ? 0U : 1U) << received;
+    socket->close();
+}
+
+INSTANTIATE_TEST_SUITE_P(Places, PlannedWorkHalfSent,
+    testing::Values(std::pair { "Content-Len", "gth: 0\r\n\r\n" }, std::pair { "Content-Length: 6\r\n\r\nabc", "def" },
+        std::pair { "Content-Length: 6\r\n\r\n", "abcdef" },
+        std::pair { "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "3\r\ndef\r\n0\r\n\r\n" }));
+
 } // namespace
 } // namespace shallot
