--- a/Tests/SidecarProcessTest.cpp
+++ b/Tests/SidecarProcessTest.cpp
@@ -1,5 +1,6 @@
 // Signals and changes of the settings around the start and the stop of a shallot-sidecar process.
 
+#include "SidecarProgram.h"
 #include "TestPorts.h"
 #include "core/Time.h"
 
@@ -10,7 +11,6 @@
 #include <functional>
 #include <gio/gio.h>
 #include <gtest/gtest.h>
-#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <thread>
@@ -48,20 +48,7 @@
                             << "," << basePort + 5 << "\nplatform.addr=" << at(6) << "\nbounds.grace_s=" << shutdownTime << "\n";
     }
 
-    void start()
-    {
-        const auto program = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "shallot-sidecar";
-        pid = fork();
-        if (pid)
-            return;
-        prctl(PR_SET_PDEATHSIG, SIGKILL); // It would keep its ports
-        setenv("SHALLOTTRACK_CONFIG", settings.c_str(), 1);
-        setenv("SHALLOT_PEER_SECRET", "a secret of the test", 1);
-        if (!std::freopen("/dev/null", "w", stdout))
-            _exit(126);
-        execl(program.c_str(), program.c_str(), nullptr);
-        _exit(127);
-    }
+    void start() { pid = startSidecarProgram(settings); }
 
     static bool waitUntil(const std::function<bool()>& condition, Duration timeout = 5s)
     {
--- /dev/null
+++ b/Tests/SidecarProgram.cpp
@@ -0,0 +1,26 @@
+#include "SidecarProgram.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <sys/prctl.h>
+#include <unistd.h>
+
+namespace shallot {
+
+pid_t startSidecarProgram(const std::filesystem::path& settings)
+{
+    const auto program = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "shallot-sidecar";
+    const pid_t pid = fork();
+    if (pid)
+        return pid;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    setenv("SHALLOTTRACK_CONFIG", settings.c_str(), 1);
+    setenv("SHALLOT_PEER_SECRET", "a secret of the tests", 1);
+    if (!std::freopen("/dev/null", "w", stdout))
+        _exit(126);
+    execl(program.c_str(), program.c_str(), nullptr);
+    _exit(127);
+}
+
+} // namespace shallot
--- a/Tests/StoppedDaemonTest.cpp
+++ b/Tests/StoppedDaemonTest.cpp
@@ -1,13 +1,12 @@
 // What becomes of calls at a daemon that is a process of its own: its end is seen by its peers' kernels first.
 
 #include "SidecarHarness.h"
+#include "SidecarProgram.h"
 
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -57,17 +56,7 @@
                                 << "\nlisten.control=" << own.announcements.toString() << "\napp=" << own.backendServer.toString()
                                 << "\ninternal_port_range=" << own.peers.port << "," << own.peers.port
                                 << "\nplatform.addr=" << own.store.toString() << "\n";
-        const auto program = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "shallot-sidecar";
-        pid = fork();
-        if (pid)
-            return;
-        prctl(PR_SET_PDEATHSIG, SIGKILL); // It would keep its ports
-        setenv("SHALLOTTRACK_CONFIG", settings.c_str(), 1);
-        setenv("SHALLOT_PEER_SECRET", "a secret of the tests", 1);
-        if (!std::freopen("/dev/null", "w", stdout))
-            _exit(126);
-        execl(program.c_str(), program.c_str(), nullptr);
-        _exit(127);
+        pid = startSidecarProgram(settings);
     }
 
     bool hasEnded()
