Clamp numbers from outside instead of casting them out of range

Cause: a cast of a floating-point number outside the range of the integer has no defined result. x86-64 and arm64 give different ones, and daemons of both serve one fleet during a move.

Change: saturatedCast() for all casts of such numbers, jsonInteger() for JSON; fromSeconds() is clamped to a thousand years, which can be added to any time.

The code for x86-64 was read, not run.

--- a/Source/claims/ClaimTable.cpp
+++ b/Source/claims/ClaimTable.cpp
@@ -74,9 +74,9 @@
     for (unsigned i = 0; i < json_array_get_length(claims); ++i) {
         JsonObject* item = jsonObjectAt(claims, i);
         const auto name = jsonString(item, "name");
-        const auto offset = static_cast<uint64_t>(jsonNumber(item, "offset"));
+        const auto offset = jsonInteger<uint64_t>(item, "offset");
         m_claims[name] = { jsonString(item, "holder"), std::stoull(jsonString(item, "fingerprint", "0")), offset };
-        m_byAge.push_back({ static_cast<int64_t>(jsonNumber(item, "timeMs")), name, offset });
+        m_byAge.push_back({ jsonInteger<int64_t>(item, "timeMs"), name, offset });
     }
     return true;
 }
--- a/Source/config/ConfigurationJSON.cpp
+++ b/Source/config/ConfigurationJSON.cpp
@@ -175,10 +175,10 @@
 Result<ConfigurationEdit> readEdit(JsonObject* object)
 {
     ConfigurationEdit edit;
-    edit.base = static_cast<uint64_t>(jsonNumber(object, "base", 0));
+    edit.base = jsonInteger<uint64_t>(object, "base", 0);
     edit.author = jsonString(object, "author");
     edit.note = jsonString(object, "note");
-    edit.wallClockMs = static_cast<int64_t>(jsonNumber(object, "wallClockMs", 0));
+    edit.wallClockMs = jsonInteger<int64_t>(object, "wallClockMs", 0);
     JsonArray* changes = jsonArray(object, "changes");
     if (!changes)
         return fail(ErrorKind::EditInvalid, "the edit has no array \"changes\"");
--- a/Source/config/ConfigurationState.cpp
+++ b/Source/config/ConfigurationState.cpp
@@ -151,19 +151,19 @@
     if (!configuration)
         return false;
     m_configuration = std::move(*configuration);
-    m_revision = static_cast<uint64_t>(jsonNumber(object, "revision"));
+    m_revision = jsonInteger<uint64_t>(object, "revision");
     m_itemRevisions.clear();
     for (unsigned i = 0; i < json_array_get_length(items); ++i) {
         JsonObject* item = jsonObjectAt(items, i);
-        const auto list = static_cast<ConfigurationChange::List>(static_cast<uint8_t>(jsonNumber(item, "list")));
-        m_itemRevisions[{ list, jsonString(item, "name") }] = static_cast<uint64_t>(jsonNumber(item, "revision"));
+        const auto list = static_cast<ConfigurationChange::List>(jsonInteger<uint8_t>(item, "list"));
+        m_itemRevisions[{ list, jsonString(item, "name") }] = jsonInteger<uint64_t>(item, "revision");
     }
     m_history.clear();
     for (unsigned i = 0; i < json_array_get_length(history); ++i) {
         JsonObject* item = jsonObjectAt(history, i);
-        m_history.push_back({ static_cast<uint64_t>(jsonNumber(item, "revision")),
-            static_cast<int64_t>(jsonNumber(item, "timeMs")), jsonString(item, "author"), jsonString(item, "note"),
-            jsonBoolean(item, "accepted"), jsonString(item, "outcome"), jsonString(item, "changes") });
+        m_history.push_back({ jsonInteger<uint64_t>(item, "revision"), jsonInteger<int64_t>(item, "timeMs"),
+            jsonString(item, "author"), jsonString(item, "note"), jsonBoolean(item, "accepted"), jsonString(item, "outcome"),
+            jsonString(item, "changes") });
     }
     return true;
 }
--- a/Source/core/JSON.h
+++ b/Source/core/JSON.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/Numbers.h"
+
 #include <json-glib/json-glib.h>
 #include <memory>
 #include <string>
@@ -21,6 +23,10 @@
 // type.
 std::string jsonString(JsonObject*, const char* name, std::string_view fallback = {});
 double jsonNumber(JsonObject*, const char* name, double fallback = 0);
+template <std::integral Integer> Integer jsonInteger(JsonObject* object, const char* name, Integer fallback = 0)
+{
+    return saturatedCast<Integer>(jsonNumber(object, name, static_cast<double>(fallback)));
+}
 bool jsonBoolean(JsonObject*, const char* name, bool fallback = false);
 JsonObject* jsonObject(JsonObject*, const char* name);
 JsonArray* jsonArray(JsonObject*, const char* name);
--- a/Source/core/Time.h
+++ b/Source/core/Time.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "core/Numbers.h"
+
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <ctime>
@@ -43,13 +46,17 @@
 using Duration = MonotonicClock::duration;
 using TimePoint = MonotonicClock::time_point;
 
+// Longer than anything that is waited for, and far from the ends of the range, so that sums with time points do not overflow.
+constexpr Duration longestDuration = std::chrono::years(1000);
+
 inline double toSeconds(Duration duration)
 {
     return static_cast<double>(duration.count()) / 1e6;
 }
+// Clamped to longestDuration in both directions: a division by a rate of zero, or a setting, may give any number.
 inline Duration fromSeconds(double seconds)
 {
-    return Duration(static_cast<Duration::rep>(seconds * 1e6));
+    return Duration(std::clamp(saturatedCast<Duration::rep>(seconds * 1e6), -longestDuration.count(), longestDuration.count()));
 }
 
 } // namespace shallot
--- a/Source/daemon/LogClient.cpp
+++ b/Source/daemon/LogClient.cpp
@@ -18,12 +18,12 @@
         return fail(
             ErrorKind::LogUnavailable, "the log service returned no records, HTTP status " + std::to_string(response.status));
     LogPage page;
-    page.first = static_cast<uint64_t>(jsonNumber(object, "first"));
-    page.next = static_cast<uint64_t>(jsonNumber(object, "next"));
+    page.first = jsonInteger<uint64_t>(object, "first");
+    page.next = jsonInteger<uint64_t>(object, "next");
     for (unsigned i = 0; i < json_array_get_length(records); ++i) {
         JsonObject* item = jsonObjectAt(records, i);
-        page.records.push_back({ static_cast<uint64_t>(jsonNumber(item, "offset")),
-            static_cast<int64_t>(jsonNumber(item, "timeMs")), jsonString(item, "bytes") });
+        page.records.push_back(
+            { jsonInteger<uint64_t>(item, "offset"), jsonInteger<int64_t>(item, "timeMs"), jsonString(item, "bytes") });
     }
     return page;
 }
--- a/Source/log/FleetState.cpp
+++ b/Source/log/FleetState.cpp
@@ -39,7 +39,7 @@
         JsonObject* item = jsonObjectAt(members, i);
         membership.restoreMember(jsonString(item, "name"),
             { jsonString(item, "zone"), jsonString(item, "address"), jsonStrings(item, "witnesses"),
-                static_cast<uint64_t>(jsonNumber(item, "joinOffset")), static_cast<uint64_t>(jsonNumber(item, "endedOffset")),
+                jsonInteger<uint64_t>(item, "joinOffset"), jsonInteger<uint64_t>(item, "endedOffset"),
                 jsonBoolean(item, "revoked") });
     }
 }
@@ -62,10 +62,9 @@
 {
     for (unsigned i = 0; partitions && i < json_array_get_length(partitions); ++i) {
         JsonObject* item = jsonObjectAt(partitions, i);
-        table.restorePartition({ jsonString(item, "zone"), static_cast<uint32_t>(jsonNumber(item, "part")) },
-            { jsonString(item, "owner"), static_cast<uint64_t>(jsonNumber(item, "epoch")),
-                static_cast<uint32_t>(jsonNumber(item, "fractionPpm")),
-                static_cast<OwnerWait>(static_cast<uint8_t>(jsonNumber(item, "wait"))) });
+        table.restorePartition({ jsonString(item, "zone"), jsonInteger<uint32_t>(item, "part") },
+            { jsonString(item, "owner"), jsonInteger<uint64_t>(item, "epoch"), jsonInteger<uint32_t>(item, "fractionPpm"),
+                static_cast<OwnerWait>(jsonInteger<uint8_t>(item, "wait")) });
     }
 }
 
@@ -172,7 +171,7 @@
 {
     const auto root = parseJSONObject(text);
     JsonObject* object = root ? json_node_get_object(root.get()) : nullptr;
-    const auto nextOffset = static_cast<uint64_t>(jsonNumber(object, "nextOffset"));
+    const auto nextOffset = jsonInteger<uint64_t>(object, "nextOffset");
     if (nextOffset <= m_nextOffset)
         return false;
     FleetState next;
@@ -181,15 +180,15 @@
         return false;
     next.m_nextOffset = nextOffset;
     next.m_snapshotOffset = nextOffset;
-    next.m_snapshotTimeMs = next.m_lastTimeMs = static_cast<int64_t>(jsonNumber(object, "timeMs"));
-    next.m_skippedRecords = static_cast<uint64_t>(jsonNumber(object, "skippedRecords"));
+    next.m_snapshotTimeMs = next.m_lastTimeMs = jsonInteger<int64_t>(object, "timeMs");
+    next.m_skippedRecords = jsonInteger<uint64_t>(object, "skippedRecords");
     readRoster(jsonArray(object, "members"), next.m_membership);
     readOwnerships(jsonArray(object, "parts"), next.m_ownerships);
     JsonArray* writers = jsonArray(object, "writers");
     for (unsigned i = 0; writers && i < json_array_get_length(writers); ++i) {
         JsonObject* item = jsonObjectAt(writers, i);
         next.m_writers[jsonString(item, "name")]
-            = { static_cast<uint64_t>(jsonNumber(item, "sequence")), static_cast<uint64_t>(jsonNumber(item, "offset")) };
+            = { jsonInteger<uint64_t>(item, "sequence"), jsonInteger<uint64_t>(item, "offset") };
     }
     *this = std::move(next);
     return true;
--- a/Source/log/LogEntry.cpp
+++ b/Source/log/LogEntry.cpp
@@ -72,7 +72,7 @@
 
 uint64_t readUnsigned(JsonObject* object, const char* name)
 {
-    return static_cast<uint64_t>(jsonNumber(object, name, 0));
+    return jsonInteger<uint64_t>(object, name, 0);
 }
 
 std::optional<LogEntry> readEntry(JsonObject* object)
@@ -128,7 +128,7 @@
     if (!root)
         return fail(ErrorKind::BadRequest, "the record is not a JSON object");
     JsonObject* object = json_node_get_object(root.get());
-    if (static_cast<int64_t>(jsonNumber(object, "version")) != recordVersion)
+    if (jsonInteger<int64_t>(object, "version") != recordVersion)
         return fail(ErrorKind::BadRequest, "unsupported record version");
     LogRecord record;
     record.writer = jsonString(object, "writer");
--- a/Source/mesh/RateLedger.cpp
+++ b/Source/mesh/RateLedger.cpp
@@ -1,5 +1,6 @@
 #include "mesh/RateLedger.h"
 
+#include "core/Numbers.h"
 #include "mesh/MeshSettings.h"
 
 #include <algorithm>
@@ -31,7 +32,7 @@
 
 unsigned takeTokens(TokenBucket& bucket, unsigned wanted)
 {
-    const auto taken = std::min(wanted, static_cast<unsigned>(std::max(0.0, bucket.tokens)));
+    const auto taken = std::min(wanted, saturatedCast<unsigned>(bucket.tokens));
     bucket.tokens -= taken;
     return taken;
 }
--- a/Source/policy/AdmissionLevel.cpp
+++ b/Source/policy/AdmissionLevel.cpp
@@ -1,5 +1,6 @@
 #include "policy/AdmissionLevel.h"
 
+#include "core/Numbers.h"
 #include "core/RequestContext.h"
 #include "policy/PolicySettings.h"
 
@@ -18,7 +19,7 @@
 
 void AdmissionLevel::recordArrival(float score)
 {
-    const auto bucket = static_cast<size_t>(std::max(0.0F, score) * bucketsPerClass);
+    const auto bucket = saturatedCast<size_t>(score * bucketsPerClass);
     m_arrivals[std::min(bucket, bucketCount - 1)] += 1;
 }
 
--- a/Source/programs/shallotctl.cpp
+++ b/Source/programs/shallotctl.cpp
@@ -102,7 +102,7 @@
     auto configuration = document ? readConfiguration(document) : fail(ErrorKind::BadRequest);
     if (!configuration)
         return tl::unexpected(Response { response.status, "the response is not a valid configuration" });
-    return FetchedConfiguration { static_cast<uint64_t>(jsonNumber(object, "revision")), std::move(*configuration) };
+    return FetchedConfiguration { jsonInteger<uint64_t>(object, "revision"), std::move(*configuration) };
 }
 
 int submit(AdminClient& client, const ConfigurationEdit& edit)
--- a/Source/sidecar/DistributedRateLimiter.cpp
+++ b/Source/sidecar/DistributedRateLimiter.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Digest.h"
 #include "core/EventLog.h"
+#include "core/Numbers.h"
 #include "mesh/MeshSettings.h"
 #include "sidecar/MeshLinks.h"
 #include "sidecar/MeshView.h"
@@ -324,8 +325,7 @@
             continue;
         }
         state.unknownSince = {};
-        const RateGrant grant { static_cast<unsigned>(std::max(0.0, loan->tokens)),
-            Duration(static_cast<int64_t>(loan->retry_after_us)) };
+        const RateGrant grant { saturatedCast<unsigned>(loan->tokens), Duration(static_cast<int64_t>(loan->retry_after_us)) };
         if (state.account.openSequence() == loans.sequence)
             state.timeouts = 0;
         else
