--- a/Source/daemon/Daemon.cpp
+++ b/Source/daemon/Daemon.cpp
@@ -8,6 +8,7 @@
 
 #include "daemon/Daemon.h"
 
+#include "core/Digest.h"
 #include "core/JSON.h"
 #include "core/Log.h"
 #include "core/Version.h"
@@ -29,11 +30,6 @@
 constexpr size_t minimumLogReaders = 2;    // In each zone
 constexpr size_t membersPerLogReader = 10;
 
-uint64_t seedOf(const std::string& member)
-{
-    return std::hash<std::string>()(member);
-}
-
 } // namespace
 
 // Wiring
@@ -56,7 +52,7 @@
               [this] { m_ingress.retryHeld(MonotonicClock::now()); },
               [this](const std::string& member) { return m_gossipTable.isAlive(member); } })
     , m_gossipTable(m_settings.gossip, { m_member, m_settings.zone, m_settings.peer.toString(), {}, 0, 1, MemberStatus::Serving },
-          seedOf(m_member))
+          stableHash(m_member))
     , m_gossiper(m_gossipTable, m_links, m_crashes, m_limits)
     , m_claims(m_follower.fleetState(), m_appends, m_links, m_member)
     , m_ingress({ m_index, m_settings.policy, m_limitSettings, m_router, m_limits, m_claims, m_crashes, m_metrics })
--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -91,6 +91,9 @@
 
 ArrivedSignals arrivedSignals;
 
+// A lock in a signal handler could wait for the code that it interrupted.
+static_assert(std::atomic<int64_t>::is_always_lock_free && std::atomic<bool>::is_always_lock_free);
+
 extern "C" void recordSignal(int signal)
 {
     const int savedErrno = errno;
