Keep a connection open while its caller has much to read

Cause: an end that takes no account of when its caller can know of it.

Change: while more than 64 KB of responses are not acknowledged by the caller's kernel, or the response itself is larger, a response does not say that the connection closes. It serves on; a later response, or the end of the drain, closes it, at the latest after the idle time-out. What the caller's kernel has acknowledged and the caller has not read is not known here.

The two values of the former loop are cases of the same test now.

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -16,10 +16,11 @@
 
 namespace {
 
-constexpr size_t maximumPipelinedBytes = 256 * 1024; // Received while a request is being served; the rest waits in the kernel
-constexpr size_t maximumRequestsPerTurn = 64;        // Of one connection, if they are answered at once
-constexpr size_t maximumUnsentBytes = 1024 * 1024;   // Of responses; then further pipelined requests wait
-constexpr size_t bufferCheckBytes = 64 * 1024;       // Above this size mayBufferMore() is consulted
+constexpr size_t maximumPipelinedBytes = 256 * 1024;    // Received while a request is being served; the rest waits in the kernel
+constexpr size_t maximumRequestsPerTurn = 64;           // Of one connection, if they are answered at once
+constexpr size_t maximumUnsentBytes = 1024 * 1024;      // Of responses; then further pipelined requests wait
+constexpr size_t maximumUnreadBytesAtClose = 64 * 1024; // Of responses; a client reads as much at once
+constexpr size_t bufferCheckBytes = 64 * 1024;          // Above this size mayBufferMore() is consulted
 constexpr auto firstRequestTimeout = std::chrono::milliseconds(500); // While draining; many times the network delay
 constexpr std::string_view protocolVersion = "HTTP/1.1 ";            // Begins each response
 constexpr auto lingerTimeout = std::chrono::seconds(2); // For the client to read or send on, or to close, after the last response
@@ -322,7 +323,9 @@
     }
     if (!m_serving || !m_socket->isOpen())
         return;
-    close = !m_keepAlive || (close && unparsed().empty());
+    // A client may send further requests until it has read that the connection closes, and they would have no response.
+    const bool isReadSoon = m_inputEnded || m_socket->unacknowledgedBytes() + response.body.size() <= maximumUnreadBytesAtClose;
+    close = !m_keepAlive || (close && unparsed().empty() && isReadSoon);
     m_serving = false;
     m_currentBodyBytes = 0;
     m_phaseStart = now;
@@ -413,6 +416,9 @@
         m_socket->readNow();
     if (!isIdle())
         return;
+    const bool isReading = m_socket->unacknowledgedBytes() > maximumUnreadBytesAtClose;
+    if (m_draining && isReading && now - m_phaseStart <= m_limits.idleTimeout)
+        return; // Until the next check of the timeouts
     // The client has read the last response by then. A request that crosses the close must not be read: it would have no answer,
     // and the reset by the kernel tells the client so.
     if (!m_hasServed || now - m_phaseStart >= lingerTimeout) {
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -42,7 +42,8 @@
 
     void start(TimePoint now);
     // Responds to the request in progress; later calls do nothing. With `close` the connection is closed once the requests that
-    // have arrived behind it are answered, too.
+    // have arrived behind it are answered, too. While the client has much to read it stays open, for a later response or
+    // closeWhenIdle() to close.
     void respond(const HTTPResponse&, bool close, TimePoint now);
     // Closes the connection without a response.
     void abort();
--- a/Tests/GracefulShutdownTest.cpp
+++ b/Tests/GracefulShutdownTest.cpp
@@ -438,7 +438,11 @@
     EXPECT_GT(received, bodyBytes);
 }
 
-TEST_F(GracefulShutdown, ARequestBehindAResponseThatIsStillBeingReadIsAnswered)
+enum class Drains { Never, BehindTheResponse, BeforeIt };
+
+class GracefulShutdownWhileReading : public GracefulShutdown, public testing::WithParamInterface<Drains> { };
+
+TEST_P(GracefulShutdownWhileReading, ARequestBehindAResponseIsAnswered)
 {
     constexpr size_t bodyBytes = 28 * 1024 * 1024;
     constexpr double bytesPerSecond = 8e6;
@@ -446,39 +450,44 @@
     StrictHTTPLimits limits;
     limits.idleTimeout = 1s;
     server.setLimits(limits);
-    for (const bool drains : { false, true }) {
-        SCOPED_TRACE(drains);
-        BlockingCaller reader(address, 64 * 1024);
-        reader.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
-        ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
-        std::exchange(held, nullptr)->respond({ 200, {}, std::string(bodyBytes, 'x') + "!" }, false, MonotonicClock::now());
-        if (drains)
-            server.startDraining();
-        size_t read = 0;
-        runUntil([&, start = MonotonicClock::now()] {
-            const auto elapsed = MonotonicClock::now() - start;
-            while (static_cast<double>(read) < bytesPerSecond * toSeconds(elapsed)) {
-                const auto bytes = reader.receive().size();
-                if (!bytes)
-                    break;
-                read += bytes;
-            }
-            return elapsed > readTime;
-        });
-        ASSERT_LT(read, bodyBytes);
-        reader.send("POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\nbehind");
-        std::string received;
-        runUntil([&] {
-            for (auto bytes = reader.receive(); !bytes.empty(); bytes = reader.receive()) {
-                received.erase(0, received.size() - std::min<size_t>(received.size(), 100));
-                received += bytes;
-            }
-            return reader.hasEnded() || received.ends_with("behind!");
-        });
-        EXPECT_TRUE(received.ends_with("behind!"));
-    }
+    BlockingCaller reader(address, 64 * 1024);
+    reader.send(getHeld);
+    ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
+    const bool isLast = GetParam() == Drains::BeforeIt;
+    if (isLast)
+        server.startDraining();
+    std::exchange(held, nullptr)->respond({ 200, {}, std::string(bodyBytes, 'x') + "!" }, isLast, MonotonicClock::now());
+    if (GetParam() == Drains::BehindTheResponse)
+        server.startDraining();
+    size_t read = 0;
+    runUntil([&, start = MonotonicClock::now()] {
+        const auto elapsed = MonotonicClock::now() - start;
+        while (static_cast<double>(read) < bytesPerSecond * toSeconds(elapsed)) {
+            const auto bytes = reader.receive().size();
+            if (!bytes)
+                break;
+            read += bytes;
+        }
+        return elapsed > readTime;
+    });
+    ASSERT_LT(read, bodyBytes);
+    reader.send("POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\nbehind");
+    std::string received;
+    runUntil([&] {
+        for (auto bytes = reader.receive(); !bytes.empty(); bytes = reader.receive()) {
+            received.erase(0, received.size() - std::min<size_t>(received.size(), 100));
+            received += bytes;
+        }
+        return reader.hasEnded() || received.ends_with("behind!");
+    });
+    EXPECT_TRUE(received.ends_with("behind!"));
+    if (GetParam() != Drains::Never)
+        EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    Drains, GracefulShutdownWhileReading, testing::Values(Drains::Never, Drains::BehindTheResponse, Drains::BeforeIt));
+
 TEST_F(GracefulShutdown, AClientThatStopsReadingIsCutOff)
 {
     constexpr auto idleTimeout = 3s; // Longer than the linger time of a client that has read everything
