Count what the caller's kernel has not taken as unread in a lingering close

Cause: only bytes of the process's own buffer counted as unread. Change: unacknowledged bytes count as well.

Measured: GracefulShutdownPause with 1 MB fails with the old code and passes now, with 12 MB it passes with both. The test was one of 12 MB; its bound and pause are unchanged, and the caller sends on behind the pause.

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -477,12 +477,12 @@
 // overtake the response.
 void StrictHTTPConnection::enforceLinger(TimePoint now)
 {
-    const bool hasRead = m_socket->pendingBytes() != std::exchange(m_unsentBytes, m_socket->pendingBytes());
+    const auto unread = m_socket->unacknowledgedBytes();
+    const bool hasRead = unread != std::exchange(m_unsentBytes, unread);
     const bool hasSent = m_socket->discardedBytes() != std::exchange(m_discardedBytes, m_socket->discardedBytes());
     if (hasRead || (hasSent && now - m_closedAt < m_limits.bodyTimeout))
         m_phaseStart = now;
-    const bool isReading = m_socket->pendingBytes() > 0;
-    if (now - m_phaseStart > (isReading ? std::max<Duration>(lingerTimeout, m_limits.idleTimeout) : lingerTimeout))
+    if (now - m_phaseStart > (unread ? std::max<Duration>(lingerTimeout, m_limits.idleTimeout) : lingerTimeout))
         abort();
 }
 
--- a/Tests/GracefulShutdownTest.cpp
+++ b/Tests/GracefulShutdownTest.cpp
@@ -420,15 +420,19 @@
     EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
 }
 
-TEST_F(GracefulShutdown, AResponseIsNotCutWhileItsReaderPausesWithinTheIdleTimeout)
+class GracefulShutdownPause : public GracefulShutdown, public testing::WithParamInterface<size_t> { };
+
+// A short response is in the kernel's send buffer, which a reset would drop.
+TEST_P(GracefulShutdownPause, AResponseIsNotCutWhileItsReaderPausesWithinTheIdleTimeout)
 {
-    constexpr size_t bodyBytes = 12 * 1024 * 1024;
+    const size_t bodyBytes = GetParam();
     BlockingCaller reader(address, 64 * 1024);
-    reader.send(getHeld);
+    reader.send(getHeld.substr(0, getHeld.size() - 2) + "Connection: close\r\n\r\n");
     ASSERT_TRUE(runUntil([&] { return held.get() != nullptr; }));
     server.startDraining();
     held->respond({ 200, {}, std::string(bodyBytes, 'x') }, false, MonotonicClock::now());
     runUntil([end = MonotonicClock::now() + 3500ms] { return MonotonicClock::now() > end; });
+    EXPECT_TRUE(reader.trySend(get));
     size_t received = 0;
     EXPECT_TRUE(runUntil([&] {
         for (auto bytes = reader.receive().size(); bytes; bytes = reader.receive().size())
@@ -438,6 +442,8 @@
     EXPECT_GT(received, bodyBytes);
 }
 
+INSTANTIATE_TEST_SUITE_P(Bodies, GracefulShutdownPause, testing::Values(1024 * 1024, 12 * 1024 * 1024));
+
 enum class Drains { Never, BehindTheResponse, BeforeIt };
 
 class GracefulShutdownWhileReading : public GracefulShutdown, public testing::WithParamInterface<Drains> { };
