--- a/Tests/SidecarProcessTest.cpp
+++ b/Tests/SidecarProcessTest.cpp
@@ -4,6 +4,7 @@
 #include "TestPorts.h"
 #include "core/Time.h"
 
+#include <array>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -11,6 +12,8 @@
 #include <functional>
 #include <gio/gio.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <thread>
@@ -81,6 +84,53 @@
         return written;
     }
 
+    // Sends one request after the other on kept connections until nothing listens, and stops the process after some of them.
+    // Returns how many had no response although their connection had been kept.
+    size_t countUnansweredOverAStop(uint16_t port, const std::string& request)
+    {
+        constexpr size_t requestsBeforeStop = 20;
+        size_t answered = 0;
+        size_t unanswered = 0;
+        while (const int connection = connectTo(port)) {
+            for (bool isKept = true, hasServed = false; isKept; hasServed = true) {
+                std::this_thread::sleep_for(2ms);
+                const auto response = exchange(connection, request);
+                unanswered += response.empty() && hasServed ? 1 : 0;
+                isKept = !response.empty() && response.find("Connection: close") == std::string::npos;
+                answered += response.empty() ? 0 : 1;
+                if (answered == requestsBeforeStop)
+                    kill(pid, SIGTERM);
+            }
+            close(connection);
+        }
+        EXPECT_GT(answered, requestsBeforeStop);
+        return unanswered;
+    }
+
+    // A connected socket with blocking reads; 0: refused.
+    int connectTo(uint16_t port) const
+    {
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(basePort + port);
+        target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (!::connect(descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof target))
+            return descriptor;
+        close(descriptor);
+        return 0;
+    }
+
+    // Returns the response, which has a short body; empty if the connection ended without one.
+    static std::string exchange(int connection, const std::string& request)
+    {
+        std::array<char, 4096> bytes {};
+        if (::send(connection, request.data(), request.size(), MSG_NOSIGNAL) < 0)
+            return {};
+        const auto size = ::recv(connection, bytes.data(), bytes.size(), 0);
+        return size > 0 ? std::string(bytes.data(), static_cast<size_t>(size)) : std::string();
+    }
+
     bool hasEnded() { return waitpid(pid, &status, WNOHANG) == pid && std::exchange(pid, 0); }
 
     bool listens() const
@@ -126,5 +176,27 @@
     EXPECT_TRUE(WIFEXITED(status) && !WEXITSTATUS(status)) << "wait status " << status;
 }
 
+TEST_F(SidecarProcess, AStopAnswersEachReadinessProbeOfAKeptConnection)
+{
+    writeSettings(settings, "6");
+    start();
+    ASSERT_TRUE(waitUntil([this] { return listens(); }));
+    EXPECT_EQ(countUnansweredOverAStop(2, "GET /shallottrack/readiness HTTP/1.1\r\nHost: daemon\r\n\r\n"), 0U);
+}
+
+TEST_F(SidecarProcess, AStopAnswersEachAnnouncementOfAKeptConnection)
+{
+    writeSettings(settings, "6");
+    start();
+    ASSERT_TRUE(waitUntil([this] { return listens(); }));
+    const std::string body = R"({"service":"alpha","addr":"127.0.0.1:)" + std::to_string(basePort + 4)
+        + R"(","zone":"zone","version":"v1","slots":4,"state":"ready","cold_left_s":0,"seq":1,"born":1000})";
+    EXPECT_EQ(countUnansweredOverAStop(3,
+                  "POST /shallottrack/Instances.Heartbeat/i-1 HTTP/1.1\r\nHost: daemon\r\nContent-Type: application/json\r\n"
+                  "Content-Length: "
+                      + std::to_string(body.size()) + "\r\n\r\n" + body),
+        0U);
+}
+
 } // namespace
 } // namespace shallot
