connection-cut names the listener, and counts what waits in the kernel

Without this a connection that the end of the process closes left no line unless its request had been read, and a line did not say whose connection it was.

--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -75,6 +75,13 @@
     return pendingBytes() + (known ? static_cast<size_t>(queued) : 0);
 }
 
+size_t StreamSocket::unreadBytes() const
+{
+    int queued = 0;
+    const bool known = isOpen() && !ioctl(m_watcher.descriptor, SIOCINQ, &queued);
+    return known ? static_cast<size_t>(queued) : 0;
+}
+
 std::string StreamSocket::peerHost() const
 {
     sockaddr_storage native {};
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -64,6 +64,8 @@
     // Pending bytes and those that the peer's kernel has not acknowledged: a socket that is closed meanwhile drops the latter
     // when the peer sends to it.
     size_t unacknowledgedBytes() const;
+    // Bytes that have arrived and wait in the kernel.
+    size_t unreadBytes() const;
     // Bytes that arrived after finish().
     size_t discardedBytes() const { return m_discardedBytes; }
     // IP address of the peer; empty when unknown.
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -92,8 +92,10 @@
 
 } // namespace
 
-StrictHTTPConnection::StrictHTTPConnection(RefPtr<StreamSocket> socket, const StrictHTTPLimits& limits, Callbacks callbacks)
+StrictHTTPConnection::StrictHTTPConnection(
+    RefPtr<StreamSocket> socket, const std::string& listener, const StrictHTTPLimits& limits, Callbacks callbacks)
     : m_socket(std::move(socket))
+    , m_listener(listener)
     , m_limits(limits)
     , m_callbacks(std::move(callbacks))
     , m_peerHost(m_socket->peerHost())
@@ -379,14 +381,15 @@
 void StrictHTTPConnection::logCut(const char* reason, size_t unreadBytes) const
 {
     EventLog::write("connection-cut",
-        { { "caller", m_peerHost }, { "reason", reason }, { "serving", m_serving }, { "unread_bytes", unreadBytes },
-            { "unsent_bytes", m_socket->pendingBytes() }, { "draining", m_draining } });
+        { { "caller", m_peerHost }, { "listener", m_listener }, { "reason", reason }, { "serving", m_serving },
+            { "unread_bytes", unreadBytes }, { "unsent_bytes", m_socket->pendingBytes() }, { "draining", m_draining } });
 }
 
 void StrictHTTPConnection::abort()
 {
-    if (m_socket->isOpen() && (m_serving || !unparsed().empty() || m_socket->pendingBytes()))
-        logCut("aborted", unparsed().size());
+    const auto unread = unparsed().size() + m_socket->unreadBytes();
+    if (m_socket->isOpen() && (m_serving || unread || m_socket->pendingBytes()))
+        logCut("aborted", unread);
     m_socket->close();
     onSocketClosed(StreamEnd::Reset);
 }
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -37,7 +37,8 @@
         std::function<bool()> mayBufferMore; // Called while a long body arrives; false rejects it. Unset: allowed
     };
 
-    StrictHTTPConnection(RefPtr<StreamSocket>, const StrictHTTPLimits&, Callbacks);
+    // `listener`: the address that accepted the connection, for log lines.
+    StrictHTTPConnection(RefPtr<StreamSocket>, const std::string& listener, const StrictHTTPLimits&, Callbacks);
     ~StrictHTTPConnection();
 
     void start(TimePoint now);
@@ -83,6 +84,7 @@
     static StrictHTTPConnection& from(http_parser* parser) { return *static_cast<StrictHTTPConnection*>(parser->data); }
 
     RefPtr<StreamSocket> m_socket;
+    const std::string& m_listener;
     const StrictHTTPLimits& m_limits;
     Callbacks m_callbacks;
     std::string m_peerHost;
--- a/Source/net/StrictHTTPServer.cpp
+++ b/Source/net/StrictHTTPServer.cpp
@@ -27,6 +27,7 @@
 
 Result<void> StrictHTTPServer::start(const SocketAddress& address, const StrictHTTPLimits& limits, Handlers handlers)
 {
+    m_address = address.toString();
     m_limits = limits;
     m_handlers = std::move(handlers);
     m_timeoutTimer.startRepeating(timeoutCheckInterval, [this] { enforceTimeouts(); });
@@ -40,7 +41,7 @@
         EventLog::write("connection-refused", { { "caller", socket->peerHost() }, { "open", m_connections.size() } });
     if (m_connections.size() >= m_limits.maximumConnections + maximumRefusedConnections)
         return;
-    auto connection = makeRef<StrictHTTPConnection>(std::move(socket), m_limits,
+    auto connection = makeRef<StrictHTTPConnection>(std::move(socket), m_address, m_limits,
         StrictHTTPConnection::Callbacks {
             [this](StrictHTTPConnection& from, HTTPRequest request) {
                 if (m_handlers.onRequest)
--- a/Source/net/StrictHTTPServer.h
+++ b/Source/net/StrictHTTPServer.h
@@ -5,6 +5,7 @@
 #include "net/Timer.h"
 
 #include <functional>
+#include <string>
 #include <unordered_set>
 
 namespace shallot {
@@ -35,6 +36,7 @@
     bool mayBufferMore() const;
 
     Listener m_listener;
+    std::string m_address;
     StrictHTTPLimits m_limits;
     Handlers m_handlers;
     Timer m_timeoutTimer;
