Drain all listeners of a daemon that leaves, not only that of the callers

Callers of the announcement and readiness listeners that kept their connections had one request without an answer for each connection at each stop: the process ended under them. Cause: only the callers' listener said that its connections end; the wait for the end of the process counted its connections only, and the readiness listener was never drained. Now each response of a daemon that leaves closes its connection on all listeners, what has arrived at them at the end is answered, and the end waits for their connections as it does for links. A leave of the backend server that the store has not taken then is refused before the connections are drained, and one that arrives later is refused at once.

--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,6 +1,6 @@
 // Index of this file
 //   Start and leave:  Sidecar, start, leave, waitsForPeers, isIdle, scheduleEnd, stopAcceptingWhenDue, endRequests,
-//                    finishLeaving, endWhenPeersHaveClosed, applySettings
+//                    finishLeaving, endWhenConnectionsHaveClosed, applySettings
 //   Local servers:    handleControl, acknowledge, checkAnnouncement, handleReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
 //                    scheduleAbandonment, onGoAway
@@ -37,9 +37,8 @@
 constexpr auto lastResponsesDivisor = 3;          // Of the margin, for the responses to the requests that are still open
 constexpr auto stallThreshold = 350ms;            // Between two checks; several of their intervals
 constexpr auto tickStallThreshold = tickInterval + 100ms;
-constexpr auto peersCloseTime
-    = 100ms; // Of the margin, until the peers have closed their links; several round trips between zones
-constexpr auto peersCloseCheckInterval = 5ms;
+constexpr auto closeTime = 100ms; // Of the margin, until all links and connections have closed; several round trips between zones
+constexpr auto closeCheckInterval = 5ms;
 constexpr auto peersReadTime = 1s; // For peers that stand still, when nothing is in progress; one that is cut off costs as much
 constexpr auto callResponseTime = 50ms; // From the deadline of a call until its response has been sent
 
@@ -215,30 +214,33 @@
     m_leaveTimer.startOnce(std::max(m_finishBy - MonotonicClock::now(), Duration::zero()), [this] { finishLeaving(); });
 }
 
-// Calls that are on their way to this daemon would count as "may have run" if it closed the links without a word.
+// Calls that are on their way to this daemon would count as "may have run" if it closed the links without a word, and what has
+// arrived at the other listeners would have no response.
 void Sidecar::finishLeaving()
 {
     m_endTimer.stop();
     m_ingress.endAll(RequestOrigin::BackendServer, MonotonicClock::now());
     m_beginsNoCalls = true;
     m_links.goAway();
-    m_control.startDraining(); // Announcements that have arrived are answered
-    const auto latest = std::min(MonotonicClock::now() + peersCloseTime, m_killedAt - peersCloseTime);
-    m_leaveTimer.startRepeating(peersCloseCheckInterval, [this, latest] { endWhenPeersHaveClosed(latest); });
+    for (const auto& connection : std::exchange(m_waitingNotices, {}))
+        acknowledge(*connection, false);
+    m_control.startDraining();
+    m_readiness.startDraining();
+    const auto latest = std::min(MonotonicClock::now() + closeTime, m_killedAt - closeTime);
+    m_leaveTimer.startRepeating(closeCheckInterval, [this, latest] { endWhenConnectionsHaveClosed(latest); });
 }
 
-void Sidecar::endWhenPeersHaveClosed(TimePoint latest)
+void Sidecar::endWhenConnectionsHaveClosed(TimePoint latest)
 {
     const auto now = MonotonicClock::now();
-    if (m_links.linkCount() && (now < latest || (now < m_finishBy && waitsForPeers(now))))
+    const bool waitsForLinks = m_links.linkCount() && now < m_finishBy && waitsForPeers(now);
+    if (waitsForLinks || (now < latest && (m_links.linkCount() || openLocalConnections())))
         return;
     m_leaveTimer.stop();
     EventLog::write("stop",
         { { "open_requests", m_ingress.inProgress() }, { "served_calls", m_served.size() }, { "runs", m_executor.inProgress() },
-            { "open_connections", m_ingress.openConnections() }, { "waiting_notices", m_waitingNotices.size() },
+            { "open_connections", m_ingress.openConnections() }, { "open_local_connections", openLocalConnections() },
             { "outcomes_not_asked_for", m_servedCalls.expectedQueries() } });
-    for (const auto& connection : std::exchange(m_waitingNotices, {}))
-        acknowledge(*connection, false);
     EventLog::flush();
     if (m_onLeaveCompleted)
         m_onLeaveCompleted();
@@ -257,9 +259,9 @@
 void Sidecar::handleControl(const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request)
 {
     const auto now = MonotonicClock::now();
-    const auto refuse = [&connection, now](const Error& error) {
+    const auto refuse = [this, &connection, now](const Error& error) {
         EventLog::write("announcement-refused", { { "detail", error.detail } });
-        connection->respond(platform::makeErrorResponse(error, {}), false, now);
+        connection->respond(platform::makeErrorResponse(error, {}), m_leaving, now);
     };
     const auto notice = platform::decodeNotice(request);
     if (!notice) {
@@ -284,17 +286,20 @@
         acknowledge(*connection, true);
         return;
     }
-    m_waitingNotices.insert(connection);
+    if (m_beginsNoCalls) // This process may end before the store responds
+        acknowledge(*connection, false);
+    else
+        m_waitingNotices.insert(connection);
     m_sync.storeLeave(leave, [this, connection](bool stored) {
         if (m_waitingNotices.erase(connection))
             acknowledge(*connection, stored);
     });
 }
 
-void Sidecar::acknowledge(StrictHTTPConnection& connection, bool stored)
+void Sidecar::acknowledge(StrictHTTPConnection& connection, bool stored) const
 {
     const uint16_t status = stored ? 200 : 503;
-    connection.respond({ status, { { "Content-Type", "application/json" } }, "{}" }, false, MonotonicClock::now());
+    connection.respond({ status, { { "Content-Type", "application/json" } }, "{}" }, m_leaving, MonotonicClock::now());
 }
 
 // Only the backend server at this daemon's address, of a service that exists, may change what is known of it.
@@ -327,14 +332,14 @@
         m_metrics.setGauge("shallot_configuration_version", static_cast<double>(m_view.version()));
         m_metrics.setGauge("shallot_configuration_age_seconds", toSeconds(now - m_view.freshness().confirmedAt));
         m_metrics.setGauge("shallot_log_lines_dropped", static_cast<double>(EventLog::droppedLines()));
-        connection->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.toText() }, false, now);
+        connection->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.toText() }, m_leaving, now);
         return;
     }
     if (!platform::isReadinessProbe(request.target)) {
-        connection->respond({ 404, {}, {} }, false, now);
+        connection->respond({ 404, {}, {} }, m_leaving, now);
         return;
     }
-    connection->respond({ static_cast<uint16_t>(isReady(now) ? 200 : 503), {}, {} }, false, now);
+    connection->respond({ static_cast<uint16_t>(isReady(now) ? 200 : 503), {}, {} }, m_leaving, now);
 }
 
 bool Sidecar::isReady(TimePoint now)
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -49,7 +49,7 @@
     };
 
     void handleControl(const RefPtr<StrictHTTPConnection>&, const HTTPRequest&);
-    static void acknowledge(StrictHTTPConnection& notice, bool stored);
+    void acknowledge(StrictHTTPConnection& notice, bool stored) const;
     Result<void> checkAnnouncement(const EndpointAnnouncement&) const;
     void handleReadiness(const RefPtr<StrictHTTPConnection>&, const HTTPRequest&);
     bool isReady(TimePoint now);
@@ -73,7 +73,8 @@
     void stopAcceptingWhenDue(TimePoint now);
     void endRequests();
     void finishLeaving();
-    void endWhenPeersHaveClosed(TimePoint latest);
+    size_t openLocalConnections() const { return m_control.connectionCount() + m_readiness.connectionCount(); }
+    void endWhenConnectionsHaveClosed(TimePoint latest);
 
     platform::InstanceSettings m_instance;
     MeshMember m_own;
