Keep a backend server in use beside its leaving daemon

A restart took a backend server out of use for 3.1 s, though its daemon was alive for 2.6 of them. Now a daemon that leaves takes runs until those can have ended when its callers are gone (95 in 100 of the latest runs), and until twice that time before the end where no other backend server of the service is in use in its zone. It tells its peers how much longer, as a duration; they place fewer and fewer requests there over the last 0.8 s. A daemon of an earlier version reads the same message as a leave at once.

--- a/Source/mesh/EndpointQueue.cpp
+++ b/Source/mesh/EndpointQueue.cpp
@@ -123,6 +123,7 @@
 
 void EndpointQueue::recordServiceTime(Duration time, TimePoint now)
 {
+    m_runTimes.record(time);
     m_recentRuns = recentRuns(now) + 1;
     m_lastRunEndedAt = now;
     if (m_serviceTime <= Duration::zero())
--- a/Source/mesh/EndpointQueue.h
+++ b/Source/mesh/EndpointQueue.h
@@ -3,6 +3,7 @@
 #include "core/RefCounted.h"
 #include "limits/TokenBucket.h"
 #include "mesh/EndpointReport.h"
+#include "mesh/RunTimes.h"
 #include "policy/RequestQueue.h"
 
 #include <array>
@@ -62,6 +63,7 @@
     uint32_t running() const { return m_running; }
     size_t queued() const { return m_queue.size(); }
     Duration serviceTime() const { return m_serviceTime; }
+    const RunTimes& runTimes() const { return m_runTimes; }
     EndpointReport report(bool available, TimePoint now) const;
 
 private:
@@ -77,6 +79,7 @@
     uint32_t m_running { 0 };
     bool m_paused { false };
     Duration m_serviceTime {};
+    RunTimes m_runTimes;
     double m_recentRuns { 0 }; // Decays with MeshSettings::runsLifetime
     TimePoint m_lastRunEndedAt {};
 };
--- a/Source/mesh/EndpointReport.h
+++ b/Source/mesh/EndpointReport.h
@@ -18,6 +18,7 @@
     Duration rateWait {};            // Time until that limit allows one more request behind those that wait
     Duration pressure {};            // Longest queueing time of the call answered, here or in the services called on its behalf
     double recentRuns { 1000 };      // Runs that the service time is known from, older ones counted less
+    Duration takesRunsFor {};        // Of a daemon that leaves: how much longer its backend server takes requests
     bool leaving { false };          // The daemon is shutting down; set only in reports sent by themselves, not with responses
 };
 
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -24,6 +24,7 @@
     Duration linkPenalty { 1s };     // How long an unreachable member is avoided, doubled at each failure
     Duration linkPenaltyMaximum { 8s };
     Duration unavailablePenalty { 300ms }; // How long a member without an available backend server is avoided
+    Duration leaveSlope { 800ms };         // How long before its last request a leaving member begins to get fewer of them
     Duration failurePenalty { 500ms };     // How long a backend server that failed a request is avoided
 
     // Rerouting and retries
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -22,15 +22,15 @@
     PerhapsGone,
 };
 
-bool mayBeGone(const RemoteEndpoint& endpoint)
+bool mayBeGone(const RemoteEndpoint& endpoint, TimePoint now)
 {
-    return endpoint.leaving || endpoint.linkFailures;
+    return (endpoint.leaving && now >= endpoint.takesRunsUntil) || endpoint.linkFailures;
 }
 
 Prospect prospectOf(const RemoteEndpoint& endpoint, TimePoint now)
 {
     const bool isPenalised = std::max(endpoint.avoidUntil, endpoint.suspectUntil) > now;
-    if (mayBeGone(endpoint))
+    if (mayBeGone(endpoint, now))
         return isPenalised ? Prospect::PerhapsGone : Prospect::PerhapsBack;
     return isPenalised ? Prospect::Penalised : Prospect::Good;
 }
@@ -90,6 +90,15 @@
     return best == Duration::max() ? m_settings.assumedServiceTime : best;
 }
 
+// The others' adaptive limits follow a load that grows over some of their windows, but not one that is there at once.
+double RemoteEndpoints::shareInUse(const RemoteEndpoint& endpoint, TimePoint now) const
+{
+    constexpr double leastShare = 0.05;
+    if (!endpoint.leaving)
+        return 1;
+    return std::clamp(toSeconds(endpoint.takesRunsUntil - now) / toSeconds(m_settings.leaveSlope), leastShare, 1.0);
+}
+
 double RemoteEndpoints::sampleExpectedSeconds(
     const RemoteEndpoint& endpoint, Duration unknownServiceTime, bool anyZone, TimePoint now)
 {
@@ -104,7 +113,7 @@
     // A difference within the standard error does not show which server is faster, so each choice samples the times.
     std::uniform_real_distribution<double> sample(-1, 1);
     service *= 1 + sample(m_random) / std::sqrt(runs + m_settings.assumedRuns);
-    const double limit = std::max(1U, report.limit);
+    const double limit = std::max(1U, report.limit) * shareInUse(endpoint, now);
     const double reportedLoad = reported ? report.running + report.queued + endpoint.sentSinceReport : 0;
     const double load = (std::max<double>(reportedLoad, endpoint.outstanding) + 1) / limit;
     double seconds = service;
@@ -137,7 +146,7 @@
     for (auto* endpoint : found->second) {
         if (std::find(tried.begin(), tried.end(), endpoint->member.name) != tried.end())
             continue;
-        if (conditions.reachableOnly && mayBeGone(*endpoint))
+        if (conditions.reachableOnly && mayBeGone(*endpoint, now))
             continue;
         const auto prospect = prospectOf(*endpoint, now);
         const double cost = sampleExpectedSeconds(*endpoint, unknownServiceTime, conditions.anyZone, now) * factor(m_random);
@@ -230,10 +239,29 @@
     }
 }
 
-void RemoteEndpoints::recordLeaving(std::string_view name, bool leaving)
+void RemoteEndpoints::recordLeaving(std::string_view name, bool leaving, TimePoint takesRunsUntil)
 {
-    if (auto* endpoint = find(name))
+    if (auto* endpoint = find(name)) {
         endpoint->leaving = leaving;
+        endpoint->takesRunsUntil = takesRunsUntil;
+    }
+}
+
+bool RemoteEndpoints::areOthersOutOfUse(std::string_view name, TimePoint now) const
+{
+    const auto own = m_endpoints.find(name);
+    const auto service = own == m_endpoints.end() ? m_byService.end() : m_byService.find(own->second.member.service);
+    if (service == m_byService.end())
+        return false;
+    bool hasOthers = false;
+    for (const auto* other : service->second) {
+        if (other == &own->second || other->member.zone != m_ownZone)
+            continue;
+        hasOthers = true;
+        if (!other->leaving && other->report.available && !mayBeGone(*other, now))
+            return false;
+    }
+    return hasOthers;
 }
 
 // Rendezvous hashing over the reachable members.
@@ -300,7 +328,7 @@
 {
     std::vector<RemoteEndpoint*> due;
     for (auto& [name, endpoint] : m_endpoints) {
-        if (mayBeGone(endpoint) && endpoint.avoidUntil <= now)
+        if (mayBeGone(endpoint, now) && endpoint.avoidUntil <= now)
             due.push_back(&endpoint);
     }
     std::sort(due.begin(), due.end(), [](const auto* a, const auto* b) { return a->avoidUntil < b->avoidUntil; });
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -26,6 +26,7 @@
     TimePoint unreachableSince {};   // Time of the first of these failures
     TimePoint lastSeenAt {};         // Last time that it was reached
     bool leaving { false };          // It announced that it is shutting down
+    TimePoint takesRunsUntil {};     // While it leaves
     TimePoint readerPenaltyUntil {}; // Not chosen as store reader, because its configuration was stale
 };
 
@@ -76,7 +77,10 @@
     // of each is due after linkPenalty.
     std::vector<std::string> takeProbes(size_t count, TimePoint now);
 
-    void recordLeaving(std::string_view name, bool leaving);
+    // `takesRunsUntil`: its backend server gets requests until then, fewer and fewer.
+    void recordLeaving(std::string_view name, bool leaving, TimePoint takesRunsUntil = {});
+    // Whether another backend server of the service is known in the own availability zone, and none of them is in use.
+    bool areOthersOutOfUse(std::string_view name, TimePoint now) const;
     // Owner of a ledger; null if no member is reachable. Members with different views of the reachable members use different
     // owners. An unreachable member owns no ledger until it is reached again: token requests do not serve as probes.
     const RemoteEndpoint* ledgerOwner(size_t ledger) const;
@@ -89,6 +93,7 @@
     const std::map<std::string, RemoteEndpoint, std::less<>>& all() const { return m_endpoints; }
 
 private:
+    double shareInUse(const RemoteEndpoint&, TimePoint now) const;
     double sampleExpectedSeconds(const RemoteEndpoint&, Duration unknownServiceTime, bool anyZone, TimePoint now);
     Duration typicalServiceTime(const std::vector<RemoteEndpoint*>&, TimePoint now) const;
     bool hasReport(const RemoteEndpoint&, TimePoint now) const;
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -18,6 +18,7 @@
 
 constexpr auto inheritedDeadlineTolerance = 3ms; // Deadlines are transmitted in whole milliseconds
 constexpr auto probeTimeout = 1s;                // Of a health probe, which usually takes a few milliseconds
+constexpr double usualShareOfRuns = 0.95;        // That end within the usual time
 constexpr auto probeInterval = 250ms;            // Until a probe that came too early for an announcement is repeated
 
 // Connections that were opened earlier lead to former runs. One that has kept their name may serve requests before it announces
@@ -167,13 +168,15 @@
 
 bool EndpointExecutor::isAvailable(TimePoint now) const
 {
-    return m_life.isAvailable(now) && !m_leaving;
+    return m_life.isAvailable(now) && takesRuns(now);
 }
 
 EndpointReport EndpointExecutor::report(TimePoint now) const
 {
     auto report = m_queue.report(isAvailable(now), now);
     report.leaving = m_leaving;
+    if (m_leaving && report.available)
+        report.takesRunsFor = m_takesRunsUntil - now;
     return report;
 }
 
@@ -195,9 +198,15 @@
     return true;
 }
 
-void EndpointExecutor::startLeaving(TimePoint now, TimePoint endBy)
+std::optional<Duration> EndpointExecutor::usualRunTime() const
+{
+    return m_queue.runTimes().quantile(usualShareOfRuns);
+}
+
+void EndpointExecutor::startLeaving(TimePoint now, TimePoint takesRunsUntil, TimePoint endBy)
 {
     m_leaving = true;
+    m_takesRunsUntil = takesRunsUntil;
     m_lastStart = now + (endBy - now) / 2;
     for (const auto& [id, live] : m_calls) {
         if (live->running)
@@ -217,7 +226,7 @@
     const auto& call = live.call;
     if (!m_life.isAnnounced() || call.service != m_life.current().service)
         return ErrorKind::NoBackendServer;
-    const bool mayStart = live.queued ? now < m_lastStart : !m_leaving;
+    const bool mayStart = live.queued ? now < m_lastStart : takesRuns(now);
     if (!m_life.isAvailable(now) || !mayStart)
         return ErrorKind::Draining;
     if (call.context.remaining <= Duration::zero())
@@ -293,8 +302,9 @@
     }
     const auto service = m_queue.serviceTime();
     const auto target = live->call.targetLatency > Duration::zero() ? live->call.targetLatency : live->call.context.remaining;
-    const auto maximumWait = std::min(target - service, live->call.context.remaining - service);
-    live->item.deadline = now + std::max(Duration::zero(), live->call.context.remaining - service);
+    const auto latestStart = m_leaving ? m_takesRunsUntil : TimePoint::max();
+    const auto maximumWait = std::min({ target - service, live->call.context.remaining - service, latestStart - now });
+    live->item.deadline = std::min(now + std::max(Duration::zero(), live->call.context.remaining - service), m_lastStart);
     switch (m_queue.decide(live->item.priority, maximumWait, now)) {
     case QueueDecision::Run:
         run(*live, now);
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -61,8 +61,11 @@
     EndpointLeave currentLeave() const { return m_life.currentLeave(); }
     // Paths of the health endpoints by service. The first probe also substitutes for announcements not received yet.
     void setHealthPaths(std::map<std::string, std::string>);
-    // Refuses new calls. Those running continue, and those queued if they start in the first half of the time until the end.
-    void startLeaving(TimePoint now, TimePoint endBy);
+    // Refuses new calls from `takesRunsUntil` on. Those running continue, and those queued if they start in the first half of the
+    // time until the end.
+    void startLeaving(TimePoint now, TimePoint takesRunsUntil, TimePoint endBy);
+    // The time within which most runs ended lately; empty if none is known.
+    std::optional<Duration> usualRunTime() const;
     // Refuses what is queued and ends what is running, with its outcome unknown.
     void endAll(TimePoint now);
     // Detects a backend server that has been silent for too long.
@@ -135,6 +138,7 @@
     void onNewRun(const std::string& former, bool mayHaveCrashed, TimePoint now);
     void verifyInstance();
     void onProbe(const Result<HTTPResponse>&);
+    bool takesRuns(TimePoint now) const { return !m_leaving || now < m_takesRunsUntil; }
     bool updateAvailability(); // Returns whether it or the service changed
     void onDeadline(uint64_t id);
 
@@ -176,9 +180,10 @@
     Timer m_suspicionTimer;
     TimePoint m_probeSentAt {};
     bool m_leaving { false };
-    bool m_emptyingQueue { false };             // runNext() is on the call stack
-    TimePoint m_lastStart { TimePoint::max() }; // Of a queued call, while leaving
-    std::string m_formerService;                // With m_wasAvailable, what the last call of the change handler reported
+    TimePoint m_takesRunsUntil { TimePoint::max() }; // While leaving
+    bool m_emptyingQueue { false };                  // runNext() is on the call stack
+    TimePoint m_lastStart { TimePoint::max() };      // Of a queued call, while leaving
+    std::string m_formerService;                     // With m_wasAvailable, what the last call of the change handler reported
     bool m_wasAvailable { false };
 };
 
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -121,6 +121,7 @@
         state.rate_limit = *report.rateLimit;
     state.recent_runs = static_cast<float>(report.recentRuns);
     state.rate_wait_us = toMicroseconds(report.rateWait);
+    state.takes_runs_for_us = toMicroseconds(report.takesRunsFor);
 }
 
 EndpointReport readReport(const wire::MemberStateT& state)
@@ -134,6 +135,7 @@
         report.rateLimit = state.rate_limit;
     report.recentRuns = readRecentRuns(state.recent_runs);
     report.rateWait = fromMicroseconds(state.rate_wait_us);
+    report.takesRunsFor = fromMicroseconds(state.takes_runs_for_us);
     return report;
 }
 
--- a/Source/sidecar/MeshLinks.cpp
+++ b/Source/sidecar/MeshLinks.cpp
@@ -151,8 +151,9 @@
             continue;
         }
         auto report = readReport(*state);
-        report.available = state->state == static_cast<uint8_t>(State::Available);
         report.leaving = state->state == static_cast<uint8_t>(State::Leaving);
+        report.available
+            = report.leaving ? report.takesRunsFor > Duration::zero() : state->state == static_cast<uint8_t>(State::Available);
         MeshMember member;
         member.name = state->member;
         member.zone = state->zone;
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,5 +1,6 @@
 // Index of this file
-//   Start and leave:  Sidecar, start, leave, waitsForPeers, isIdle, scheduleEnd, stopAcceptingWhenDue, endRequests,
+//   Start and leave:  Sidecar, start, leave, startLeavingBackendServer, waitsForPeers, isIdle, scheduleEnd, stopAcceptingWhenDue,
+//   endRequests,
 //                    finishLeaving, endWhenConnectionsHaveClosed, applySettings
 //   Local servers:    handleControl, acknowledge, checkAnnouncement, handleReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
@@ -13,6 +14,7 @@
 #include "core/RequestID.h"
 #include "core/Version.h"
 #include "daemon/CallFrames.h"
+#include "mesh/LeaveSchedule.h"
 #include "platform/AnnouncementCodec.h"
 #include "platform/RequestCodec.h"
 #include "sidecar/MeshFrames.h"
@@ -69,7 +71,7 @@
                   m_crashSuspects.merge(member.crashSuspects, WallClock::now());
                   m_view.endpoints().recordReachable(member.name, MonotonicClock::now());
                   m_view.endpoints().recordReport(member.name, report, MonotonicClock::now());
-                  m_view.endpoints().recordLeaving(member.name, report.leaving);
+                  m_view.endpoints().recordLeaving(member.name, report.leaving, MonotonicClock::now() + report.takesRunsFor);
               },
               [this] { return m_executor.report(MonotonicClock::now()); } },
           meshFrameDictionary())
@@ -133,9 +135,10 @@
     // The next owners receive the ledgers before other members learn that this one leaves.
     m_rateLimiter.handOver(now);
     const auto margin = std::min(maximumShutdownMargin, m_instance.shutdownTime / shutdownMarginDivisor);
-    m_executor.startLeaving(now, scheduleEnd(margin, now));
+    const auto endBy = scheduleEnd(margin, now);
     // Callers learn of the leave from the readiness probe; until then they are served.
     m_refuseCallersAt = m_signalledBy + readinessPropagation;
+    startLeavingBackendServer(endBy, now);
     m_leaveTimer.startRepeating(
         std::min<Duration>(leaveCheckInterval, margin / leaveChecksInMargin), [this, last = now]() mutable {
             const auto now = MonotonicClock::now();
@@ -145,6 +148,7 @@
                 scheduleEnd(m_instance.shutdownTime / shutdownMarginDivisor, now);
             }
             stopAcceptingWhenDue(now);
+            m_executor.tick();
             m_servedCalls.expire(now);
             m_idleSince = isIdle() ? std::min(m_idleSince, now) : TimePoint::max();
             if (m_idleSince != TimePoint::max() && !waitsForPeers(now))
@@ -152,6 +156,20 @@
         });
 }
 
+// The backend server stays in use beside this daemon for as long as its runs can end before the daemon does.
+void Sidecar::startLeavingBackendServer(TimePoint endBy, TimePoint now)
+{
+    auto& endpoints = m_view.endpoints();
+    const auto runTime = m_executor.usualRunTime();
+    const bool isLastInZone = endpoints.areOthersOutOfUse(m_own.name, now);
+    const auto takesRunsUntil = runTime ? lastRunStart({ m_refuseCallersAt, endBy, *runTime, isLastInZone }, now) : now;
+    EventLog::write("backend-server-in-use",
+        { { "for_s", toSeconds(takesRunsUntil - now) }, { "run_time_ms", runTime ? toSeconds(*runTime) * 1000 : -1 },
+            { "last_in_zone", isLastInZone } });
+    endpoints.recordLeaving(m_own.name, true, takesRunsUntil);
+    m_executor.startLeaving(now, takesRunsUntil, endBy);
+}
+
 // What a peer has not acknowledged is lost if it sends anything to a socket that this process has closed.
 bool Sidecar::waitsForPeers(TimePoint now) const
 {
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -67,6 +67,7 @@
     void onBackendServerChange();
     void onConfiguration();
     void tick();
+    void startLeavingBackendServer(TimePoint endBy, TimePoint now);
     bool isIdle() const;
     bool waitsForPeers(TimePoint now) const;
     TimePoint scheduleEnd(Duration margin, TimePoint now);
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -1770,6 +1770,7 @@
   double rate_limit = -1.0;
   uint64_t rate_wait_us = 0;
   float recent_runs = 1000.0f;
+  uint64_t takes_runs_for_us = 0;
   MemberStateT() = default;
   MemberStateT(const MemberStateT &o);
   MemberStateT(MemberStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1796,7 +1797,8 @@
     VT_SERVICE_US = 28,
     VT_RATE_LIMIT = 30,
     VT_RATE_WAIT_US = 32,
-    VT_RECENT_RUNS = 34
+    VT_RECENT_RUNS = 34,
+    VT_TAKES_RUNS_FOR_US = 36
   };
   const flatbuffers::String *member() const {
     return GetPointer<const flatbuffers::String *>(VT_MEMBER);
@@ -1846,6 +1848,9 @@
   float recent_runs() const {
     return GetField<float>(VT_RECENT_RUNS, 1000.0f);
   }
+  uint64_t takes_runs_for_us() const {
+    return GetField<uint64_t>(VT_TAKES_RUNS_FOR_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_MEMBER) &&
@@ -1871,6 +1876,7 @@
            VerifyField<double>(verifier, VT_RATE_LIMIT, 8) &&
            VerifyField<uint64_t>(verifier, VT_RATE_WAIT_US, 8) &&
            VerifyField<float>(verifier, VT_RECENT_RUNS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_TAKES_RUNS_FOR_US, 8) &&
            verifier.EndTable();
   }
   MemberStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1930,6 +1936,9 @@
   void add_recent_runs(float recent_runs) {
     fbb_.AddElement<float>(MemberState::VT_RECENT_RUNS, recent_runs, 1000.0f);
   }
+  void add_takes_runs_for_us(uint64_t takes_runs_for_us) {
+    fbb_.AddElement<uint64_t>(MemberState::VT_TAKES_RUNS_FOR_US, takes_runs_for_us, 0);
+  }
   explicit MemberStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1959,8 +1968,10 @@
     uint64_t service_us = 0,
     double rate_limit = -1.0,
     uint64_t rate_wait_us = 0,
-    float recent_runs = 1000.0f) {
+    float recent_runs = 1000.0f,
+    uint64_t takes_runs_for_us = 0) {
   MemberStateBuilder builder_(_fbb);
+  builder_.add_takes_runs_for_us(takes_runs_for_us);
   builder_.add_rate_wait_us(rate_wait_us);
   builder_.add_rate_limit(rate_limit);
   builder_.add_service_us(service_us);
@@ -2002,7 +2013,8 @@
     uint64_t service_us = 0,
     double rate_limit = -1.0,
     uint64_t rate_wait_us = 0,
-    float recent_runs = 1000.0f) {
+    float recent_runs = 1000.0f,
+    uint64_t takes_runs_for_us = 0) {
   auto member__ = member ? _fbb.CreateString(member) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -2026,7 +2038,8 @@
       service_us,
       rate_limit,
       rate_wait_us,
-      recent_runs);
+      recent_runs,
+      takes_runs_for_us);
 }
 
 flatbuffers::Offset<MemberState> CreateMemberState(flatbuffers::FlatBufferBuilder &_fbb, const MemberStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4248,7 +4261,8 @@
         service_us(o.service_us),
         rate_limit(o.rate_limit),
         rate_wait_us(o.rate_wait_us),
-        recent_runs(o.recent_runs) {
+        recent_runs(o.recent_runs),
+        takes_runs_for_us(o.takes_runs_for_us) {
   crash_suspects.reserve(o.crash_suspects.size());
   for (const auto &crash_suspects_ : o.crash_suspects) { crash_suspects.emplace_back((crash_suspects_) ? new shallot::wire::CrashSuspectT(*crash_suspects_) : nullptr); }
 }
@@ -4270,6 +4284,7 @@
   std::swap(rate_limit, o.rate_limit);
   std::swap(rate_wait_us, o.rate_wait_us);
   std::swap(recent_runs, o.recent_runs);
+  std::swap(takes_runs_for_us, o.takes_runs_for_us);
   return *this;
 }
 
@@ -4298,6 +4313,7 @@
   { auto _e = rate_limit(); _o->rate_limit = _e; }
   { auto _e = rate_wait_us(); _o->rate_wait_us = _e; }
   { auto _e = recent_runs(); _o->recent_runs = _e; }
+  { auto _e = takes_runs_for_us(); _o->takes_runs_for_us = _e; }
 }
 
 inline flatbuffers::Offset<MemberState> MemberState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4324,6 +4340,7 @@
   auto _rate_limit = _o->rate_limit;
   auto _rate_wait_us = _o->rate_wait_us;
   auto _recent_runs = _o->recent_runs;
+  auto _takes_runs_for_us = _o->takes_runs_for_us;
   return shallot::wire::CreateMemberState(
       _fbb,
       _member,
@@ -4341,7 +4358,8 @@
       _service_us,
       _rate_limit,
       _rate_wait_us,
-      _recent_runs);
+      _recent_runs,
+      _takes_runs_for_us);
 }
 
 inline CrashReportT *CrashReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/MeshDecisionsTest.cpp
+++ b/Tests/MeshDecisionsTest.cpp
@@ -131,6 +131,41 @@
     EXPECT_EQ(choose(start), "a1");
 }
 
+TEST_F(EndpointChoice, ALeavingMemberThatStillTakesRunsGetsFewerAndFewerCalls)
+{
+    endpoints.update({ "a2", "zone-a", "a2:1", "s" });
+    const auto until = start + 2s;
+    const auto shareOfLeaving = [&](TimePoint now) {
+        report("a1", 5, 10, 60ms, now);
+        report("a2", 5, 10, 60ms, now);
+        int chosen = 0;
+        for (int i = 0; i < 1000; ++i)
+            chosen += choose(now) == "a1" ? 1 : 0;
+        return chosen;
+    };
+    EXPECT_GT(shareOfLeaving(start), 400);
+    endpoints.recordLeaving("a1", true, until);
+    EXPECT_GT(shareOfLeaving(start + 1s), 400);
+    EXPECT_LT(shareOfLeaving(until - 100ms), 10);
+    EXPECT_EQ(shareOfLeaving(until), 0);
+    report("a2", 5, 10, 60ms, until - 500ms);
+    EXPECT_EQ(endpoints.choose("s", until - 500ms, { "a2", "b1" }, { .reachableOnly = true })->member.name, "a1");
+    EXPECT_EQ(endpoints.choose("s", until, { "a2", "b1" }, { .reachableOnly = true }), nullptr);
+}
+
+TEST_F(EndpointChoice, KnowsWhetherTheOthersOfAZoneAreOutOfUse)
+{
+    EXPECT_FALSE(endpoints.areOthersOutOfUse("a1", start)); // There are none
+    endpoints.update({ "a2", "zone-a", "a2:1", "s" });
+    report("a2", 0, 10, 60ms, start);
+    EXPECT_FALSE(endpoints.areOthersOutOfUse("a1", start));
+    endpoints.recordLeaving("a2", true, start + 2s);
+    EXPECT_TRUE(endpoints.areOthersOutOfUse("a1", start));
+    endpoints.recordLeaving("a2", false);
+    endpoints.recordUnreachable("a2", start, start + 1s);
+    EXPECT_TRUE(endpoints.areOthersOutOfUse("a1", start));
+}
+
 TEST_F(EndpointChoice, ARequestRefusedForLackOfCapacityGoesToAnyZone)
 {
     endpoints.update({ "a2", "zone-a", "a2:1", "s" });
--- a/Tests/ShutdownEndTest.cpp
+++ b/Tests/ShutdownEndTest.cpp
@@ -551,7 +551,7 @@
         });
     }
     ASSERT_EQ(executor.inProgress(), calls);
-    executor.startLeaving(now, now);
+    executor.startLeaving(now, now, now);
     executor.endAll(now);
     EXPECT_EQ(refused, calls - 1);
     EXPECT_EQ(ended, 1U);
