--- a/Source/daemon/AdminAPI.h
+++ b/Source/daemon/AdminAPI.h
@@ -38,6 +38,8 @@
     explicit AdminAPI(AdminDependencies);
 
     Result<void> start(const SocketAddress&);
+    // Requests are still accepted, each on a connection that its response closes.
+    void startLeaving() { m_server.closeAfterResponses(); }
     // Enables POST /faults.
     void setFaultHandler(std::function<void(const std::set<std::string>&)> handler)
     {
--- a/Source/daemon/Daemon.cpp
+++ b/Source/daemon/Daemon.cpp
@@ -409,6 +409,8 @@
     m_leaveStage = LeaveStage::Announced;
     m_leaveStarted = MonotonicClock::now();
     m_executor.setLeaving();
+    m_egress.startLeaving();
+    m_admin.startLeaving();
     updateOwnEntry();
 }
 
--- a/Source/daemon/Egress.h
+++ b/Source/daemon/Egress.h
@@ -18,6 +18,8 @@
     Egress(CallExecutor&, CallRouter&, const ConfigurationIndex&, const PolicySettings&);
 
     Result<void> start(const SocketAddress&);
+    // Calls and announcements are still accepted, each on a connection that its response closes.
+    void startLeaving() { m_server.closeAfterResponses(); }
 
 private:
     void handle(const RefPtr<HTTPExchange>&);
--- a/Source/daemon/Ingress.cpp
+++ b/Source/daemon/Ingress.cpp
@@ -45,7 +45,7 @@
 
 void Ingress::startDraining()
 {
-    m_draining = true;
+    m_server.closeAfterResponses();
     m_server.stopListening();
 }
 
@@ -241,7 +241,7 @@
     // The exchange's disconnect handler holds a reference to the request; clearing both breaks the cycle.
     const auto exchange = std::exchange(pending.exchange, nullptr);
     exchange->setDisconnectHandler(nullptr);
-    exchange->respond(response ? *response : makeErrorResponse(response.error()), m_draining);
+    exchange->respond(response ? *response : makeErrorResponse(response.error()));
 }
 
 } // namespace shallot
--- a/Source/daemon/Ingress.h
+++ b/Source/daemon/Ingress.h
@@ -88,7 +88,6 @@
     std::map<std::string, uint32_t> m_heldByOrganisation;
     size_t m_heldCount { 0 };
     size_t m_inProgress { 0 };
-    bool m_draining { false };
 };
 
 } // namespace shallot
--- a/Source/net/HTTPExchange.cpp
+++ b/Source/net/HTTPExchange.cpp
@@ -4,8 +4,9 @@
 
 namespace shallot {
 
-HTTPExchange::HTTPExchange(SoupServerMessage* message)
+HTTPExchange::HTTPExchange(SoupServerMessage* message, std::shared_ptr<const bool> closes)
     : m_message(message)
+    , m_closes(std::move(closes))
 {
     g_object_ref(m_message);
     m_disconnectedHandler = g_signal_connect(m_message, "disconnected",
@@ -44,7 +45,7 @@
     g_bytes_unref(bytes);
 }
 
-void HTTPExchange::respond(const HTTPResponse& response, bool closeConnection)
+void HTTPExchange::respond(const HTTPResponse& response)
 {
     if (!m_message)
         return;
@@ -54,7 +55,7 @@
         if (!isHopByHopHeader(name) && isSafeHeader(name, value))
             soup_message_headers_append(headers, name.c_str(), value.c_str());
     }
-    if (closeConnection)
+    if (*m_closes)
         soup_message_headers_replace(headers, "Connection", "close");
     soup_message_body_append(
         soup_server_message_get_response_body(m_message), SOUP_MEMORY_COPY, response.body.data(), response.body.size());
--- a/Source/net/HTTPExchange.h
+++ b/Source/net/HTTPExchange.h
@@ -4,6 +4,7 @@
 #include "net/HTTPMessage.h"
 
 #include <functional>
+#include <memory>
 
 typedef struct _SoupServerMessage SoupServerMessage;
 
@@ -13,7 +14,8 @@
 // An exchange that is destroyed without a response sends status 500.
 class HTTPExchange : public RefCounted<HTTPExchange> {
 public:
-    explicit HTTPExchange(SoupServerMessage*);
+    // `closes`: whether responses close their connection, when they are sent.
+    HTTPExchange(SoupServerMessage*, std::shared_ptr<const bool> closes);
     ~HTTPExchange();
 
     const HTTPRequest& request() const { return m_request; }
@@ -21,7 +23,7 @@
     // Path without the query.
     const std::string& path() const { return m_path; }
     // Sends the complete response; later calls do nothing.
-    void respond(const HTTPResponse&, bool closeConnection = false);
+    void respond(const HTTPResponse&);
     void respondJSON(uint16_t status, std::string body);
     void setDisconnectHandler(std::function<void()> handler) { m_onDisconnect = std::move(handler); }
     bool hasResponded() const { return !m_message; }
@@ -32,6 +34,7 @@
     void release();
 
     SoupServerMessage* m_message { nullptr };
+    std::shared_ptr<const bool> m_closes;
     HTTPRequest m_request;
     std::string m_path;
     std::function<void()> m_onDisconnect;
--- a/Source/net/HTTPServer.cpp
+++ b/Source/net/HTTPServer.cpp
@@ -52,8 +52,9 @@
     soup_server_add_handler(
         m_server, nullptr,
         [](SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data) {
+            const auto* server = static_cast<HTTPServer*>(data);
             if (!isRejected(message))
-                static_cast<HTTPServer*>(data)->m_handler(makeRef<HTTPExchange>(message));
+                server->m_handler(makeRef<HTTPExchange>(message, server->m_closes));
         },
         this, nullptr);
 
--- a/Source/net/HTTPServer.h
+++ b/Source/net/HTTPServer.h
@@ -34,6 +34,8 @@
     HTTPServer& operator=(const HTTPServer&) = delete;
 
     Result<void> start(const SocketAddress&, const HTTPServerLimits&, Handler);
+    // Closes each connection after its next response; new connections are accepted.
+    void closeAfterResponses() { *m_closes = true; }
     // Stops accepting connections; open ones continue.
     void stopListening();
     size_t connectionCount() const { return *m_connections; }
@@ -48,6 +50,7 @@
     HTTPServerLimits m_limits;
     Handler m_handler;
     std::shared_ptr<size_t> m_connections { std::make_shared<size_t>(0) };
+    std::shared_ptr<bool> m_closes { std::make_shared<bool>(false) }; // Shared with exchanges, which may outlive this server
 };
 
 } // namespace shallot
--- a/Tests/FleetTest.cpp
+++ b/Tests/FleetTest.cpp
@@ -115,6 +115,26 @@
     EXPECT_EQ(error, "operator-unknown");
 }
 
+TEST(Fleet, ADaemonThatLeavesTellsOperatorsAndItsBackendServerThatTheirConnectionsEnd)
+{
+    FleetHarness fleet({ "zone-a" });
+    const auto closesConnection = [&fleet](uint16_t port) {
+        HTTPPool client;
+        client.setAddress({ "127.0.0.1", port });
+        std::optional<std::string> connection;
+        client.send(1, { "GET", "/status", { { "Host", "a" } }, {} }, [&connection](const Result<HTTPResponse>& response) {
+            connection = response ? findHeader(response->headers, "Connection") : "failed";
+        });
+        EXPECT_TRUE(fleet.runUntil([&connection] { return connection.has_value(); }));
+        return connection == "close";
+    };
+    EXPECT_FALSE(closesConnection(fleet.port(0, 1)));
+    EXPECT_FALSE(closesConnection(fleet.port(0, 2)));
+    fleet.daemon(0).leave();
+    EXPECT_TRUE(closesConnection(fleet.port(0, 1)));
+    EXPECT_TRUE(closesConnection(fleet.port(0, 2)));
+}
+
 TEST(Fleet, RateLimitHoldsAcrossAllDaemons)
 {
     FleetHarness fleet({ "zone-a", "zone-b", "zone-c" });
