--- a/Source/mesh/RunTimes.h
+++ b/Source/mesh/RunTimes.h
@@ -12,6 +12,7 @@
 class RunTimes {
 public:
     void record(Duration);
+    size_t count() const { return m_count; }
     // The time within which this share (0 to 1) of the latest runs ended; empty if no run is known.
     std::optional<Duration> quantile(double share) const;
 
--- a/Source/net/Listener.cpp
+++ b/Source/net/Listener.cpp
@@ -62,9 +62,12 @@
 {
     if (m_watcher.descriptor < 0)
         return false;
-    const int descriptor = ::accept4(m_watcher.descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    int descriptor = -1;
+    do
+        descriptor = ::accept4(m_watcher.descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    while (descriptor < 0 && (errno == EINTR || errno == ECONNABORTED));
     if (descriptor < 0) {
-        if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ECONNABORTED)
+        if (errno != EAGAIN && errno != EWOULDBLOCK)
             waitForDescriptors(errno);
         return false;
     }
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -18,6 +18,7 @@
 
 constexpr auto inheritedDeadlineTolerance = 3ms; // Deadlines are transmitted in whole milliseconds
 constexpr auto probeTimeout = 1s;                // Of a health probe, which usually takes a few milliseconds
+constexpr size_t minimumKnownRuns = 20;          // For a usual time
 constexpr double usualShareOfRuns = 0.95;        // That end within the usual time
 constexpr auto probeInterval = 250ms;            // Until a probe that came too early for an announcement is repeated
 
@@ -198,16 +199,22 @@
     return true;
 }
 
-std::optional<Duration> EndpointExecutor::usualRunTime() const
+std::optional<Duration> EndpointExecutor::usualRunTime(TimePoint now) const
 {
-    return m_queue.runTimes().quantile(usualShareOfRuns);
+    const auto& ended = m_queue.runTimes();
+    if (ended.count() < minimumKnownRuns)
+        return std::nullopt;
+    auto time = *ended.quantile(usualShareOfRuns);
+    for (const auto& [attempt, id] : m_running)
+        time = std::max(time, now - m_calls.at(id)->started);
+    return time;
 }
 
 void EndpointExecutor::startLeaving(TimePoint now, TimePoint takesRunsUntil, TimePoint endBy)
 {
     m_leaving = true;
-    m_takesRunsUntil = takesRunsUntil;
-    m_lastStart = now + (endBy - now) / 2;
+    m_takesRunsUntil = std::min(m_takesRunsUntil, takesRunsUntil);
+    m_lastStart = std::min(m_lastStart, std::max(now + (endBy - now) / 2, m_takesRunsUntil));
     for (const auto& [id, live] : m_calls) {
         if (live->running)
             continue;
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -61,11 +61,12 @@
     EndpointLeave currentLeave() const { return m_life.currentLeave(); }
     // Paths of the health endpoints by service. The first probe also substitutes for announcements not received yet.
     void setHealthPaths(std::map<std::string, std::string>);
-    // Refuses new calls from `takesRunsUntil` on. Those running continue, and those queued if they start in the first half of the
-    // time until the end.
+    // Refuses new calls from `takesRunsUntil` on. Those running continue, and those queued if they start until then or in the
+    // first half of the time until the end. A later call may only shorten these times.
     void startLeaving(TimePoint now, TimePoint takesRunsUntil, TimePoint endBy);
-    // The time within which most runs ended lately; empty if none is known.
-    std::optional<Duration> usualRunTime() const;
+    // The time within which most runs end: of those that ended lately, or as long as one has been running; empty if few are
+    // known.
+    std::optional<Duration> usualRunTime(TimePoint now) const;
     // Refuses what is queued and ends what is running, with its outcome unknown.
     void endAll(TimePoint now);
     // Detects a backend server that has been silent for too long.
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -241,6 +241,7 @@
 void EndpointExecutor::endAll(TimePoint now)
 {
     m_lastStart = std::min(m_lastStart, now);
+    m_takesRunsUntil = std::min(m_takesRunsUntil, now);
     std::vector<RefPtr<LiveRun>> open;
     for (const auto& [id, live] : m_calls)
         open.push_back(live);
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -145,7 +145,7 @@
             // A process that has stalled may do so again.
             if (const auto gap = now - std::exchange(last, now); gap > stallThreshold) {
                 EventLog::write("leave-stalled", { { "stalled_s", toSeconds(gap) } });
-                scheduleEnd(m_instance.shutdownTime / shutdownMarginDivisor, now);
+                startLeavingBackendServer(scheduleEnd(m_instance.shutdownTime / shutdownMarginDivisor, now), now);
             }
             stopAcceptingWhenDue(now);
             m_executor.tick();
@@ -160,7 +160,7 @@
 void Sidecar::startLeavingBackendServer(TimePoint endBy, TimePoint now)
 {
     auto& endpoints = m_view.endpoints();
-    const auto runTime = m_executor.usualRunTime();
+    const auto runTime = m_executor.isAvailable(now) ? m_executor.usualRunTime(now) : std::nullopt;
     const bool isLastInZone = endpoints.areOthersOutOfUse(m_own.name, now);
     const auto takesRunsUntil = runTime ? lastRunStart({ m_refuseCallersAt, endBy, *runTime, isLastInZone }, now) : now;
     EventLog::write("backend-server-in-use",
@@ -239,6 +239,7 @@
     m_endTimer.stop();
     m_ingress.endAll(RequestOrigin::BackendServer, MonotonicClock::now());
     m_beginsNoCalls = true;
+    m_executor.endAll(MonotonicClock::now()); // Its runs would count as not begun
     m_links.goAway();
     for (const auto& connection : std::exchange(m_waitingNotices, {}))
         acknowledge(*connection, false);
@@ -252,7 +253,8 @@
 {
     const auto now = MonotonicClock::now();
     const bool waitsForLinks = m_links.linkCount() && now < m_finishBy && waitsForPeers(now);
-    if (waitsForLinks || (now < latest && (m_links.linkCount() || openLocalConnections())))
+    const bool isOpen = m_links.linkCount() || m_ingress.openConnections() || openLocalConnections();
+    if (waitsForLinks || (now < latest && isOpen))
         return;
     m_leaveTimer.stop();
     EventLog::write("stop",
@@ -487,6 +489,7 @@
 void Sidecar::onGoAway(PeerLink& link)
 {
     EventLog::write("link-goes-away", { { "peer", link.peer() } });
+    m_view.endpoints().recordLeaving(link.peer(), true); // Whatever time it had named
     link.setPeerEnds();
     if (!m_ingress.onGoAway(link))
         link.close();
