--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -1,7 +1,6 @@
 // Index of this file
-//   Start and leave:  Sidecar, start, leave, startLeavingBackendServer, waitsForPeers, isIdle, scheduleEnd, stopAcceptingWhenDue,
-//   endRequests,
-//                    finishLeaving, endWhenConnectionsHaveClosed, applySettings
+//   Start and leave:  Sidecar, start, leave, startLeavingBackendServer, waitsForPeers, isIdle, scheduleEnd,
+//                    stopAcceptingWhenDue, endRequests, finishLeaving, endWhenConnectionsHaveClosed, applySettings
 //   Local servers:    handleControl, acknowledge, checkAnnouncement, handleReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
 //                    scheduleAbandonment, onGoAway
