--- a/Source/mesh/MeshConfiguration.h
+++ b/Source/mesh/MeshConfiguration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Time.h"
+#include "mesh/ColdStart.h"
 
 #include <cstdint>
 #include <optional>
@@ -27,21 +28,24 @@
     unsigned maximumEndpoints { 1 };                    // Limit on backend servers that one request may reach, retries included
     Duration timeLimit { std::chrono::seconds(30) };    // Upper bound of the time to the response
     Duration targetLatency { std::chrono::seconds(1) }; // Latency objective; a later response is worth less
+    std::vector<std::string> allowedRegions;            // Of the backend servers that may get requests; empty: all
 };
 
 // An organisation with its API keys and its rate limit.
 struct MeshOrganisation {
     std::string name;
     std::vector<std::string> keys;
-    std::optional<uint8_t> rank; // Takes precedence over the route's rank
-    double rate { 0 };           // Requests per second over the whole fleet; 0: no limit
-    double burst { 0 };          // Requests at once in excess of the rate
+    std::optional<uint8_t> rank;             // Takes precedence over the route's rank
+    double rate { 0 };                       // Requests per second over the whole fleet; 0: no limit
+    double burst { 0 };                      // Requests at once in excess of the rate
+    std::vector<std::string> allowedRegions; // As of a route; both apply
 };
 
 struct MeshService {
     std::string name;
     std::string healthPath { "/health" };
     unsigned maximumConnections { 100 }; // Connections that one backend server accepts
+    ColdStart coldStart;
 };
 
 // Limits on requests and connections of callers.
@@ -55,6 +59,9 @@
 // A complete configuration; a higher version replaces a lower one.
 struct MeshConfiguration {
     uint64_t version { 0 };
+    // It uses names that came with the second revision of the platform's protocol. What changed together with them applies only
+    // to such deployments, so that the others are served as before.
+    bool usesSecondRevision { false };
     std::vector<MeshRoute> routes;
     std::vector<MeshOrganisation> organisations;
     std::vector<MeshService> services;
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -36,7 +36,17 @@
     // levels use up theirs.
     double retryFractionAtRoot { 0.1 };
     double retryFractionOfCalls { 0.2 };
-    Duration retryBudgetDecayTime { 2500ms }; // Time constant of the decay of unused budget; a quarter of the budget window
+    // Of the share of repeats, where the daemon beside the backend server admits them. Senders that keep budgets of their own
+    // need the rest.
+    double retryFractionAtBackend { 0.75 };
+    double allowanceFractionAtBackend { 0.5 }; // The same of the allowance, divided by the backend servers of the service
+    unsigned maximumSendings { 8 };            // Of one request, where backend servers refuse it and their daemons admit repeats
+    Duration retryBudgetDecayTime { 2500ms };  // Time constant of the decay of unused budget; a quarter of the budget window
+
+    // Cold backend servers
+    Duration warmUpStep { 200ms };          // The rate of one that was cold doubles in each; from 7.5/s to 250/s in one second
+    Duration longestColdTime { 60s };       // Where the service names none
+    Duration warmUpProbeInterval { 500ms }; // Until a probe that was not answered is repeated
 
     // Queue of the backend server
     double slotShare { 0.95 };           // Fraction of the slots that is used; some backend servers slow down beyond it
@@ -59,6 +69,11 @@
     // Without an announcement for this long, three announcement intervals, a backend server counts as unavailable.
     Duration announcementTimeout { 5s };
 
+    // Deployment: of the responses that callers have not read; a quarter of the instance's memory, ten of the longest ones on the
+    // smallest instance. Then callers that read nothing are cut off.
+    size_t maximumUnreadResponseBytes { 40 * 1024 * 1024 };
+    static constexpr double unreadResponseShare = 0.25;
+
     // Calls whose link has ended
     // Until a call that may run more than once is sent elsewhere if its daemon does not tell what became of it; tens of round
     // trips between zones.
