--- a/Source/core/ErrorKind.cpp
+++ b/Source/core/ErrorKind.cpp
@@ -50,6 +50,8 @@
     { OperatorUnknown, "operator-unknown", 401, ExecutionState::NotExecuted, false,
         "The operator credential is missing or wrong." },
     { Internal, "internal", 500, ExecutionState::Unknown, false, "An internal error occurred." },
+    { RetryBudgetExhausted, "retry-budget-exhausted", 503, ExecutionState::NotExecuted, true,
+        "The service has no retries left for requests of this urgency." },
 } };
 
 constexpr bool rowsMatchEnumerators()
--- a/Source/core/ErrorKind.h
+++ b/Source/core/ErrorKind.h
@@ -37,6 +37,7 @@
     EditInvalid,
     OperatorUnknown,
     Internal,
+    RetryBudgetExhausted,
     Count,
 };
 
--- a/Source/daemon/CallFrames.cpp
+++ b/Source/daemon/CallFrames.cpp
@@ -113,6 +113,12 @@
 CallOutcome readOutcome(wire::AnswerT& answer)
 {
     const float level = std::isfinite(answer.level) ? std::clamp(answer.level, 0.0F, static_cast<float>(priorityClasses)) : 0;
+    constexpr uint16_t leastStatus = 100;
+    constexpr uint16_t greatestStatus = 599;
+    if (!answer.error && (answer.status < leastStatus || answer.status > greatestStatus)) {
+        return { fail(ErrorKind::BadResponse, "the status " + std::to_string(answer.status) + " belongs to no response"),
+            answer.retry_tokens, level };
+    }
     if (!answer.error) {
         return { HTTPResponse {
                      answer.status, unpackHeaders(answer.headers), std::string(answer.body.begin(), answer.body.end()) },
--- a/Source/mesh/EndpointReport.h
+++ b/Source/mesh/EndpointReport.h
@@ -19,6 +19,10 @@
     Duration pressure {};            // Longest queueing time of the call answered, here or in the services called on its behalf
     double recentRuns { 1000 };      // Runs that the service time is known from, older ones counted less
     Duration takesRunsFor {};        // Of a daemon that leaves: how much longer its backend server takes requests
+    double pace { 0 };               // How long work takes on its machine now, 1 as usual; 0: not known
+    Duration paceAge {};             // Since the backend server said so
+    double retryLevel { 0 };         // Highest score below which services on the path of the call give out no retry budget
+    bool keepsRetryBudget { false }; // Its daemon admits repeats by the budget of the service
     bool leaving { false };          // The daemon is shutting down; set only in reports sent by themselves, not with responses
 };
 
--- a/Source/mesh/MeshCall.h
+++ b/Source/mesh/MeshCall.h
@@ -16,6 +16,9 @@
     std::string service;
     HTTPRequest request;
     Duration targetLatency {};     // Remaining time within the latency objective; 0: no objective
+    bool repeat { false };         // It has reached a backend server before, or was made by a run that was a repeat
+    bool firstSending { true };    // Of this request
+    std::string rootOrganisation;  // Of the root request of a nested call, if it is limited to some regions
     bool scheduledRetry { false }; // Refused earlier and retried at the time given with the refusal
 };
 
--- a/Source/mesh/MeshConfiguration.h
+++ b/Source/mesh/MeshConfiguration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Time.h"
+#include "mesh/ColdStart.h"
 
 #include <cstdint>
 #include <optional>
@@ -27,6 +28,7 @@
     unsigned maximumEndpoints { 1 };                    // Limit on backend servers that one request may reach, retries included
     Duration timeLimit { std::chrono::seconds(30) };    // Upper bound of the time to the response
     Duration targetLatency { std::chrono::seconds(1) }; // Latency objective; a later response is worth less
+    std::vector<std::string> allowedRegions;            // Of the backend servers that may get requests; empty: all
 };
 
 // An organisation with its API keys and its rate limit.
@@ -36,12 +38,14 @@
     std::optional<uint8_t> rank; // Takes precedence over the route's rank
     double rate { 0 };           // Requests per second over the whole fleet; 0: no limit
     double burst { 0 };          // Requests at once in excess of the rate
+    std::vector<std::string> allowedRegions; // As of a route; both apply
 };
 
 struct MeshService {
     std::string name;
     std::string healthPath { "/health" };
     unsigned maximumConnections { 100 }; // Connections that one backend server accepts
+    ColdStart coldStart;
 };
 
 // Limits on requests and connections of callers.
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -36,8 +36,17 @@
     // levels use up theirs.
     double retryFractionAtRoot { 0.1 };
     double retryFractionOfCalls { 0.2 };
+    // Of the share of repeats, where the daemon beside the backend server admits them. Senders that keep budgets of their own need
+    // the rest.
+    double retryFractionAtBackend { 0.75 };
+    unsigned maximumSendings { 8 }; // Of one request, where backend servers refuse it and their daemons admit repeats
     Duration retryBudgetDecayTime { 2500ms }; // Time constant of the decay of unused budget; a quarter of the budget window
 
+    // Cold backend servers
+    Duration warmUpStep { 200ms };     // The rate of one that was cold doubles in each; from 7.5/s to 250/s in one second
+    Duration longestColdTime { 60s };  // Where the service names none
+    Duration warmUpProbeInterval { 500ms }; // Until a probe that was not answered is repeated
+
     // Queue of the backend server
     double slotShare { 0.95 };           // Fraction of the slots that is used; some backend servers slow down beyond it
     Duration retryAfterMinimum { 30ms }; // Shorter than any target latency
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -132,6 +132,30 @@
     return seconds;
 }
 
+bool RemoteEndpoints::isAllowed(const RemoteEndpoint& endpoint, const AllowedRegions& regions) const
+{
+    if (m_evacuatedZones.contains(endpoint.member.zone))
+        return false;
+    if (!regions.isLimited())
+        return true;
+    const auto region = m_regions.find(endpoint.member.zone);
+    return region != m_regions.end() && regions.allow(region->second);
+}
+
+std::string_view RemoteEndpoints::reasonForNone(std::string_view service, const AllowedRegions& regions) const
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end() || found->second.empty())
+        return {};
+    const auto& members = found->second;
+    const auto allows = [&](const auto* endpoint) { return isAllowed(*endpoint, regions); };
+    const auto isEvacuated = [this](const auto* endpoint) { return m_evacuatedZones.contains(endpoint->member.zone); };
+    if (std::any_of(members.begin(), members.end(), allows))
+        return {};
+    return std::all_of(members.begin(), members.end(), isEvacuated) ? "all zones of the service are evacuated"
+                                                                    : "no backend server in an allowed region may be used";
+}
+
 RemoteEndpoint* RemoteEndpoints::choose(
     std::string_view service, TimePoint now, const std::vector<std::string>& tried, ChoiceConditions conditions)
 {
@@ -148,6 +172,11 @@
             continue;
         if (conditions.reachableOnly && mayBeGone(*endpoint, now))
             continue;
+        if (!isAllowed(*endpoint, conditions.regions))
+            continue;
+        const auto& among = conditions.among;
+        if (!among.empty() && std::find(among.begin(), among.end(), endpoint->member.name) == among.end())
+            continue;
         const auto prospect = prospectOf(*endpoint, now);
         const double cost = sampleExpectedSeconds(*endpoint, unknownServiceTime, conditions.anyZone, now) * factor(m_random);
         if (best && std::tie(prospect, cost) >= std::tie(bestProspect, bestCost))
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "mesh/AllowedRegions.h"
 #include "mesh/EndpointReport.h"
 #include "mesh/MeshMember.h"
 
 #include <map>
 #include <random>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +37,8 @@
 struct ChoiceConditions {
     bool anyZone { false };       // It was not taken: the penalty of other zones is ignored
     bool reachableOnly { false }; // It was refused for lack of capacity: trying members that may be gone would delay the refusal
+    AllowedRegions regions {};
+    std::span<const std::string> among {}; // Only these members, if there are any
 };
 
 // All known members with their endpoints. Balances calls over a service's backend servers by their load reports, and stays in the
@@ -47,6 +52,13 @@
     void remove(const std::string& name);
     RemoteEndpoint* find(std::string_view name);
 
+    // Members of these zones are not chosen.
+    void setEvacuatedZones(std::set<std::string, std::less<>> zones) { m_evacuatedZones = std::move(zones); }
+    // Regions by zone; that of a zone which is not among them is not known.
+    void setRegions(std::map<std::string, std::string, std::less<>> regions) { m_regions = std::move(regions); }
+    // Why a request has no member to go to although there are some; empty if it is neither of them.
+    std::string_view reasonForNone(std::string_view service, const AllowedRegions&) const;
+
     // The endpoint with the lowest expected time to the response, endpoints to avoid last; null if all were tried.
     RemoteEndpoint* choose(
         std::string_view service, TimePoint now, const std::vector<std::string>& tried, ChoiceConditions conditions = {});
@@ -93,6 +105,7 @@
     const std::map<std::string, RemoteEndpoint, std::less<>>& all() const { return m_endpoints; }
 
 private:
+    bool isAllowed(const RemoteEndpoint&, const AllowedRegions&) const;
     double shareInUse(const RemoteEndpoint&, TimePoint now) const;
     double sampleExpectedSeconds(const RemoteEndpoint&, Duration unknownServiceTime, bool anyZone, TimePoint now);
     Duration typicalServiceTime(const std::vector<RemoteEndpoint*>&, TimePoint now) const;
@@ -100,6 +113,8 @@
 
     const MeshSettings& m_settings;
     std::string m_ownZone;
+    std::set<std::string, std::less<>> m_evacuatedZones;
+    std::map<std::string, std::string, std::less<>> m_regions; // By zone
     std::map<std::string, RemoteEndpoint, std::less<>> m_endpoints; // By member
     std::map<std::string, std::vector<RemoteEndpoint*>, std::less<>> m_byService;
     std::minstd_rand m_random { 1 };
--- a/Source/mesh/RouteTable.cpp
+++ b/Source/mesh/RouteTable.cpp
@@ -51,6 +51,15 @@
     return (*organisation->rank - m_firstOrganisationRank) * routeRanks + routeRank;
 }
 
+const MeshOrganisation* RouteTable::findOrganisation(std::string_view name) const
+{
+    for (const auto& organisation : m_configuration.organisations) {
+        if (organisation.name == name)
+            return &organisation;
+    }
+    return nullptr;
+}
+
 const MeshService* RouteTable::findService(std::string_view name) const
 {
     for (const auto& service : m_configuration.services) {
--- a/Source/mesh/RouteTable.h
+++ b/Source/mesh/RouteTable.h
@@ -23,6 +23,7 @@
     // The service for the next request; each service's share deviates from its weight by at most one request.
     const std::string& nextService(const MeshRoute&);
     const MeshConfiguration& configuration() const { return m_configuration; }
+    const MeshOrganisation* findOrganisation(std::string_view name) const;
     const MeshService* findService(std::string_view name) const;
 
 private:
--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -106,6 +106,7 @@
     m_response = {};
     m_complete = false;
     m_messageBytes = 0;
+    m_statusLine.reset();
     m_collector = {};
 }
 
@@ -196,6 +197,10 @@
     parsed = 0;
     while (parsed < bytes.size()) {
         m_responseStarted = true;
+        if (!m_statusLine.accept(bytes.substr(parsed))) {
+            m_rejectReason = "the response does not begin with a status line";
+            return false;
+        }
         const auto length = http_parser_execute(&m_parser, &parserSettings(), bytes.data() + parsed, bytes.size() - parsed);
         parsed += length;
         m_messageBytes += length;
--- a/Source/net/HTTPConnection.h
+++ b/Source/net/HTTPConnection.h
@@ -5,6 +5,7 @@
 #include "core/Time.h"
 #include "net/HTTPMessage.h"
 #include "net/HeaderCollector.h"
+#include "net/StatusLineCheck.h"
 
 #include <functional>
 #include <http_parser.h>
@@ -81,6 +82,7 @@
     Completion m_completion;
     ResponseMatcher m_matcher;
     http_parser m_parser {};
+    StatusLineCheck m_statusLine;
     HTTPResponse m_response;
     TimePoint m_openedAt { MonotonicClock::now() };
     bool m_connected { false };
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -1,7 +1,7 @@
 // Index of this file
-//   Announcements:  recordAnnouncement, onNewRun, recordLeave, verifyInstance, onProbe, isAvailable, startLeaving
-//   Admission:      submit, checkAdmission, checkCrashSuspicion, reserveBodyBytes, runNext, findParent, recordPressure
-// The runs at the backend server are in EndpointExecutorRuns.cpp.
+//   Announcements:  recordAnnouncement, onNewRun, recordLeave, verifyInstance, onProbe, isAvailable, startLeaving, tick
+//   Admission:      submit, checkAdmission, checkCrashSuspicion, checkRetryBudget, reserveBodyBytes, runNext, findParent, recordPressure
+// The runs at the backend server are in EndpointExecutorRuns.cpp, its warm-up is in EndpointExecutorWarmUp.cpp.
 
 #include "sidecar/EndpointExecutor.h"
 
@@ -41,7 +41,9 @@
     , m_host(backendServer.toString())
     , m_life(settings, service)
     , m_queue(settings)
+    , m_warmUp(settings)
     , m_loadShedder(settings)
+    , m_retryBudget(settings.retryShare * settings.retryFractionAtBackend)
     , m_deadlines([this](uint64_t id) { onDeadline(id); })
     , m_formerService(service)
 {
@@ -74,6 +76,7 @@
         m_queue.setSlots(announcement.slots);
         break;
     }
+    recordColdAnnouncement(now);
     if (m_life.needsProbe())
         verifyInstance();
     updateAvailability();
@@ -85,7 +88,9 @@
     const auto& current = m_life.current();
     m_queue.setSlots(current.slots);
     m_rateLimit.reset();
-    m_queue.setRateLimit({}, now);
+    m_reportedLoad.reset();
+    m_warmUp.reset();
+    recordColdAnnouncement(now);
     EventLog::write("instance-new",
         { { "backend_server", current.instance }, { "service", current.service }, { "slots", current.slots },
             { "replaces", former } });
@@ -143,11 +148,11 @@
     m_probeTimer.stop();
     const bool healthy = response && response->status == 200;
     const std::string instance(healthy ? platform::instanceOf(*response) : "");
-    const auto load = healthy ? platform::loadOf(*response) : std::nullopt;
+    const auto slots = healthy ? platform::loadOf(*response).load.value_or(platform::EndpointLoad {}).slots : 0;
     const auto former = m_life.current().instance;
     const bool wasAnnounced = m_life.isAnnounced();
     const bool mayHaveCrashed = wasAnnounced && currentLeave().instance.empty();
-    if (m_life.recordProbe(instance, load ? load->slots : 0, m_probeSentAt, now)) {
+    if (m_life.recordProbe(instance, slots, m_probeSentAt, now)) {
         onNewRun(former, mayHaveCrashed, now);
         // It may have announced its leave before it was confirmed.
         if (!currentLeave().instance.empty() && m_onLeave)
@@ -155,8 +160,10 @@
     } else if (!wasAnnounced && m_life.isAnnounced()) {
         m_queue.setSlots(m_life.current().slots);
     }
-    if (healthy && instance == m_life.current().instance)
+    if (healthy && instance == m_life.current().instance) {
         recordStateHeaders(*response, m_probeSentAt, now);
+        recordColdTime(*response, m_probeSentAt, now);
+    }
     EventLog::write("instance-probed",
         { { "backend_server", instance }, { "verified", m_life.isVerified() },
             { "reason", response ? std::to_string(response->status) : response.error().detail } });
@@ -169,13 +176,22 @@
 
 bool EndpointExecutor::isAvailable(TimePoint now) const
 {
-    return m_life.isAvailable(now) && takesRuns(now);
+    return m_life.isAvailable(now) && takesRuns(now) && !m_evacuated;
+}
+
+void EndpointExecutor::tick()
+{
+    updateAvailability();
+    checkSilence(MonotonicClock::now());
 }
 
 EndpointReport EndpointExecutor::report(TimePoint now) const
 {
     auto report = m_queue.report(isAvailable(now), now);
     report.leaving = m_leaving;
+    report.pace = m_reportedLoad.pace();
+    report.paceAge = m_reportedLoad.paceAge(now);
+    report.keepsRetryBudget = keepsRetryBudget();
     if (m_leaving && report.available)
         report.takesRunsFor = m_takesRunsUntil - now;
     return report;
@@ -193,7 +209,7 @@
         { { "backend_server", current.instance }, { "service", service() }, { "available", available },
             { "draining", current.draining }, { "left", m_life.hasLeft() },
             { "left_before_restart", m_life.formerLeave().instance }, { "unreachable", m_life.isUnreachable() },
-            { "verified", m_life.isVerified() } });
+            { "verified", m_life.isVerified() }, { "evacuated", m_evacuated } });
     if (m_onChange)
         m_onChange();
     return true;
@@ -233,6 +249,8 @@
     const auto& call = live.call;
     if (!m_life.isAnnounced() || call.service != m_life.current().service)
         return ErrorKind::NoBackendServer;
+    if (m_evacuated)
+        return ErrorKind::NoBackendServer;
     const bool mayStart = live.queued ? now < m_lastStart : takesRuns(now);
     if (!m_life.isAvailable(now) || !mayStart)
         return ErrorKind::Draining;
@@ -259,6 +277,13 @@
     return ErrorKind::None;
 }
 
+ErrorKind EndpointExecutor::checkRetryBudget(const LiveRun& live, TimePoint now)
+{
+    if (!live.call.repeat || !keepsRetryBudget() || m_retryLevel.admit(live.score, m_retryBudget.available(now), now))
+        return ErrorKind::None;
+    return ErrorKind::RetryBudgetExhausted;
+}
+
 // The backend server may read a body as slowly as it likes. A request that may be sent again is held twice.
 ErrorKind EndpointExecutor::reserveBodyBytes(LiveRun& live)
 {
@@ -302,6 +327,18 @@
         return id;
     }
     const auto& context = live->call.context;
+    live->score = callGraphScore(context.priority, live->attemptID);
+    if (live->call.firstSending)
+        m_retryBudget.recordRequest(now);
+    if (const auto refusal = checkRetryBudget(*live, now); refusal != ErrorKind::None) {
+        refuse(*live, refusal, now);
+        return id;
+    }
+    live->belowRetryLevel = live->score < m_callGraphAdmission.level(context.route, now);
+    if (!isNestedCallPriority(context.priority) && !m_callGraphAdmission.admits(context.route, live->score, now)) {
+        refuse(*live, ErrorKind::Overloaded, now);
+        return id;
+    }
     if (!isNestedCallPriority(context.priority)
         && !m_loadShedder.admits(context.route, context.priority, live->call.scheduledRetry, now)) {
         refuse(*live, ErrorKind::Overloaded, now);
@@ -340,6 +377,8 @@
         auto refusal = checkAdmission(*live, now);
         if (refusal == ErrorKind::None && item->deadline <= now)
             refusal = ErrorKind::ExpiredInQueue;
+        if (refusal == ErrorKind::None && live->call.repeat && keepsRetryBudget() && m_retryBudget.available(now) < 1)
+            refusal = ErrorKind::RetryBudgetExhausted;
         if (refusal != ErrorKind::None)
             refuse(*live, refusal, now);
         else
@@ -356,7 +395,8 @@
 {
     const auto toParent = [this](uint64_t id) {
         const auto& context = m_calls.at(id)->call.context;
-        return ParentRun { id, context.route, context.priority, context.hops };
+        const auto& call = m_calls.at(id)->call;
+        return ParentRun { id, context.route, context.priority, context.hops, call.repeat, call.rootOrganisation };
     };
     if (const auto dot = attemptID.rfind('.'); dot != std::string_view::npos) {
         if (const auto found = m_running.find(std::string(attemptID.substr(0, dot))); found != m_running.end())
@@ -370,9 +410,10 @@
     return std::nullopt;
 }
 
-void EndpointExecutor::recordPressure(const ParentRun& parent, Duration wait, TimePoint now)
+void EndpointExecutor::recordPressure(const ParentRun& parent, const EndpointReport& report, TimePoint now)
 {
-    m_loadShedder.recordPressure(parent.route, parent.priority, wait, now);
+    m_loadShedder.recordPressure(parent.route, parent.priority, report.pressure, now);
+    m_callGraphAdmission.recordLevel(parent.route, report.retryLevel, now);
 }
 
 void EndpointExecutor::recordFailedNestedCall(const ParentRun& parent)
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -2,11 +2,16 @@
 
 #include "core/RefCounted.h"
 #include "mesh/AnsweredRequests.h"
+#include "mesh/CallGraphAdmission.h"
 #include "mesh/CrashSuspects.h"
 #include "mesh/EndpointLife.h"
 #include "mesh/EndpointQueue.h"
 #include "mesh/MeshCall.h"
+#include "mesh/ReportedLoad.h"
+#include "mesh/RetryBudgetLedger.h"
+#include "mesh/RetryLevel.h"
 #include "mesh/RootLoadShedder.h"
+#include "mesh/WarmUp.h"
 #include "net/DeadlineQueue.h"
 #include "net/HTTPPool.h"
 #include "net/Timer.h"
@@ -28,6 +33,8 @@
     std::string route;
     uint8_t priority { 0 };
     uint8_t hops { 0 };
+    bool isRepeat { false };      // Its nested calls count as repeats
+    std::string rootOrganisation; // If it is limited to some regions
 };
 
 // The only path to the local backend server, so it can decide strictly which request runs, waits or is refused, and knows whether
@@ -46,8 +53,8 @@
 
     // The local run that made a nested call with this attempt id and remaining time; empty for a caller's request.
     std::optional<ParentRun> findParent(std::string_view attemptID, Duration remaining, TimePoint now) const;
-    // Records the wait that a nested call of this run met.
-    void recordPressure(const ParentRun&, Duration wait, TimePoint now);
+    // Records what a nested call of this run met: the wait and the retry level that its report names.
+    void recordPressure(const ParentRun&, const EndpointReport&, TimePoint now);
     // Records that a nested call of this run failed.
     void recordFailedNestedCall(const ParentRun&);
 
@@ -61,6 +68,10 @@
     EndpointLeave currentLeave() const { return m_life.currentLeave(); }
     // Paths of the health endpoints by service. The first probe also substitutes for announcements not received yet.
     void setHealthPaths(std::map<std::string, std::string>);
+    // By service: how its backend servers must be treated after a start.
+    void setColdStarts(std::map<std::string, ColdStart>);
+    // While the zone is evacuated, nothing is sent to the backend server; runs in progress continue.
+    void setEvacuated(bool, TimePoint now);
     // Refuses new calls from `takesRunsUntil` on. Those running continue, and those queued if they start until then or in the
     // first half of the time until the end. A later call may only shorten these times.
     void startLeaving(TimePoint now, TimePoint takesRunsUntil, TimePoint endBy);
@@ -70,18 +81,21 @@
     // Refuses what is queued and ends what is running, with its outcome unknown.
     void endAll(TimePoint now);
     // Detects a backend server that has been silent for too long.
-    void tick() { updateAvailability(); }
+    void tick();
 
     bool isAvailable(TimePoint now) const;
     EndpointReport report(TimePoint now) const;
     // Of the backend server, if it is verified; otherwise the configured one.
     const std::string& service() const { return m_life.service(); }
     size_t inProgress() const { return m_calls.size(); }
+    Duration coldFor(TimePoint now) const { return m_warmUp.coldFor(now); }
     // Requests per second that the backend server takes from all instances together; empty: it names no limit.
     std::optional<double> rateLimit() const { return m_rateLimit; }
+    const ReportedLoad& reportedLoad() const { return m_reportedLoad; }
     // Called when the backend server turns out to leave other than by a notice to this daemon.
     void setLeaveHandler(std::function<void()> handler) { m_onLeave = std::move(handler); }
-    // Called when the limit that the backend server names has ended or risen much, so that the fleet can be told.
+    // Called when the limit that the backend server names has ended or risen much, and when its warm-up begins or ends, so that the
+    // fleet can be told.
     void setLimitRiseHandler(std::function<void()> handler) { m_onLimitRise = std::move(handler); }
     // Called when the records of requests that crash backend servers changed, so that the fleet can be told at once.
     void setSuspectsHandler(std::function<void()> handler) { m_onSuspectsChange = std::move(handler); }
@@ -93,6 +107,7 @@
         MeshCall call;
         MeshCompletion completion;
         std::string attemptID;
+        double score { 0 };          // See callGraphScore()
         uint64_t fingerprint { 0 };  // See requestFingerprint(); computed only when needed
         size_t heldBodyBytes { 0 };  // Counted in m_heldBodyBytes
         uint32_t knownCrashes { 0 }; // Of this request, when the run started
@@ -104,6 +119,7 @@
         bool running { false };
         bool mayResend { false };        // Its request is kept while it runs
         bool nestedCallFailed { false }; // A nested call of this run failed
+        bool belowRetryLevel { false };  // Of the services that its route calls, when it began
         bool resent { false };           // After a stale keep-alive connection
     };
 
@@ -117,6 +133,8 @@
 
     ErrorKind checkAdmission(LiveRun&, TimePoint now);
     ErrorKind checkCrashSuspicion(LiveRun&);
+    bool keepsRetryBudget() const { return m_reportedLoad.isMachineShared(); }
+    ErrorKind checkRetryBudget(const LiveRun&, TimePoint now);
     ErrorKind reserveBodyBytes(LiveRun&);
     uint64_t fingerprintOf(LiveRun&) const;
     void runNext(TimePoint now);
@@ -128,7 +146,14 @@
     void recordAnswered(LiveRun&, uint16_t status);
     void recordStateHeaders(const HTTPResponse&, TimePoint sentAt, TimePoint now);
     void recordRateLimit(const HTTPResponse&, TimePoint sentAt, TimePoint now);
+    void recordLoad(const HTTPResponse&, TimePoint now);
     void announceLimitRise();
+    Duration limitColdTime(Duration named) const;
+    void recordColdAnnouncement(TimePoint now);
+    void recordColdTime(const HTTPResponse&, TimePoint sentAt, TimePoint now);
+    void checkSilence(TimePoint now);
+    void probeColdState();
+    void updateWarmUp(TimePoint now);
     void recordCrash(const std::string& instance, const char* evidence);
     void suspectCrash(TimePoint now);
     void probeSuspectedCrash();
@@ -150,7 +175,18 @@
     HTTPPool m_pool;
     HTTPPool m_probePool;
     EndpointQueue m_queue;
+    ReportedLoad m_reportedLoad;
+    WarmUp m_warmUp;
+    std::map<std::string, ColdStart> m_coldStarts; // By service
+    Timer m_warmUpTimer;                           // Until its rate limit changes
+    bool m_warmingUp { false };                    // That limit was in force at its last update
+    Timer m_coldProbeTimer;                        // Until the next probe while it is not known whether the backend server is cold
+    uint64_t m_coldProbeID { 0 };
+    bool m_evacuated { false };
     RootLoadShedder m_loadShedder;
+    RetryBudgetLedger m_retryBudget;
+    RetryLevel m_retryLevel;
+    CallGraphAdmission m_callGraphAdmission;
     std::unordered_map<uint64_t, RefPtr<LiveRun>> m_calls;
     std::unordered_map<std::string, uint64_t> m_running; // By attempt, while at the backend server
     DeadlineQueue m_deadlines;
@@ -178,6 +214,7 @@
     bool m_crashSuspected { false };
     unsigned m_failedProbes { 0 }; // Since then
     uint64_t m_suspicionProbeID { 0 };
+    TimePoint m_suspicionProbeSentAt {};
     Timer m_suspicionTimer;
     TimePoint m_probeSentAt {};
     bool m_leaving { false };
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Runs:     run, send, onResponse, recordStateHeaders, recordRateLimit, announceLimitRise, finish, refuse, cancel, onDeadline
+//   Runs:     run, send, onResponse, recordStateHeaders, recordRateLimit, recordLoad, announceLimitRise, finish, refuse, cancel, onDeadline
 //   Crashes:  recordUnanswered, recordAnswered, recordCrash, suspectCrash, probeSuspectedCrash, onSuspicionProbe, concludeCrash,
 //             endSuspicion
 
@@ -34,6 +34,8 @@
     if (!m_crashSuspects.isEmpty())
         live.knownCrashes = m_crashSuspects.crashesOf(fingerprintOf(live), WallClock::now());
     m_queue.recordStart(now);
+    if (live.call.repeat)
+        m_retryBudget.recordRepeat(now);
     m_deadlines.set(live.item.id, live.deadline + responseGrace);
     m_running[live.attemptID] = live.item.id;
     m_loadShedder.recordStart(live.call.context.route, live.call.context.priority);
@@ -77,6 +79,7 @@
             && now - live->started < m_settings.staleConnectionWindow;
         if (wasStale && live->mayResend && !std::exchange(live->resent, true)) {
             recordUnanswered(*live, now);
+            m_retryBudget.recordRepeat(now);
             send(*live, Duration::zero());
             return;
         }
@@ -124,6 +127,7 @@
 void EndpointExecutor::recordStateHeaders(const HTTPResponse& response, TimePoint sentAt, TimePoint now)
 {
     recordRateLimit(response, sentAt, now);
+    recordLoad(response, now);
     if (!platform::isLeaving(response) || !currentLeave().instance.empty())
         return;
     recordLeave(m_life.current().instance, m_life.current().startedAt);
@@ -131,6 +135,17 @@
         m_onLeave();
 }
 
+void EndpointExecutor::recordLoad(const HTTPResponse& response, TimePoint now)
+{
+    const auto header = platform::loadOf(response);
+    if (header.load)
+        m_reportedLoad.record(header.load->workTimePercent, now);
+    else if (header.isMalformed && m_reportedLoad.recordMalformed(now))
+        EventLog::write("load-header-malformed",
+            { { "backend_server", m_life.current().instance }, { "malformed_so_far", m_reportedLoad.malformedHeaders() },
+                { "pace_kept", m_reportedLoad.pace() } });
+}
+
 // Responses may overtake each other: one to a request sent before the limit was named does not end it.
 void EndpointExecutor::recordRateLimit(const HTTPResponse& response, TimePoint sentAt, TimePoint now)
 {
@@ -142,7 +157,7 @@
     const auto previous = std::exchange(m_rateLimit, named);
     if (previous == m_rateLimit)
         return;
-    m_queue.setRateLimit(m_rateLimit, now);
+    updateWarmUp(now);
     EventLog::write("backend-server-limit",
         { { "backend_server", m_life.current().instance }, { "named", m_rateLimit.has_value() },
             { "per_second", m_rateLimit.value_or(0) }, { "previous", previous.value_or(0) } });
@@ -168,7 +183,7 @@
 
 void EndpointExecutor::refuse(LiveRun& live, ErrorKind kind, TimePoint now)
 {
-    Error error { kind, {}, {} };
+    Error error { kind, m_evacuated ? "the zone is evacuated" : "", {} };
     if (kind == ErrorKind::Overloaded || kind == ErrorKind::ExpiredInQueue)
         error.retryAfter = m_queue.retryAfter(live.item.priority, now);
     finish(live, tl::unexpected(std::move(error)), false, now);
@@ -202,11 +217,15 @@
         m_queue.recordEnd();
         m_running.erase(live.attemptID);
         m_loadShedder.recordEnd(context.route, context.priority);
+        if (live.belowRetryLevel)
+            m_callGraphAdmission.recordEndBelowLevel(context.route, live.nestedCallFailed, now);
     }
     if (const auto completion = std::exchange(live.completion, nullptr)) {
         auto ownReport = report(now);
         ownReport.pressure
             = std::max(m_queue.pressure(context.priority, now), m_loadShedder.pressure(context.route, context.priority, now));
+        const auto ownLevel = keepsRetryBudget() ? m_retryLevel.level(m_retryBudget.available(now), now) : 0;
+        ownReport.retryLevel = std::max(ownLevel, m_callGraphAdmission.level(context.route, now));
         completion({ std::move(response), ownReport, reachedBackend, live.nestedCallFailed });
     }
     runNext(now);
@@ -340,6 +359,7 @@
         return;
     }
     m_suspicionProbeID = m_nextID++;
+    m_suspicionProbeSentAt = MonotonicClock::now();
     m_suspicionTimer.startOnce(suspicionProbeTimeout, [this] {
         m_probePool.abandon(m_suspicionProbeID);
         onSuspicionProbe(fail(ErrorKind::TimedOut, "no answer"));
@@ -357,6 +377,8 @@
         return;
     if (response) {
         const auto instance = platform::instanceOf(*response);
+        if (instance == m_life.current().instance)
+            recordColdTime(*response, m_suspicionProbeSentAt, now);
         if (instance.empty() || instance == m_life.current().instance)
             endSuspicion(now);
         else
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -8,6 +8,7 @@
 #include "wire/Frames_generated.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shallot {
 
@@ -36,6 +37,15 @@
     return runs >= 0 ? std::min(runs, 1e6F) : 0;
 }
 
+constexpr float maximumRetryLevel = 8; // See callGraphScore()
+
+// A number that is no pace says nothing of the machine.
+double readPace(float pace)
+{
+    constexpr float maximumPace = 1e4F;
+    return pace > 0 ? std::min(pace, maximumPace) : 0;
+}
+
 } // namespace
 
 wire::FrameT makeMeshCallFrame(uint64_t id, const MeshCall& call)
@@ -44,6 +54,9 @@
     auto* body = frame.body.AsCall();
     body->target_us = toMicroseconds(call.targetLatency);
     body->returning = call.scheduledRetry;
+    body->repeat = call.repeat;
+    body->first_sending = call.firstSending;
+    body->root_organisation = call.rootOrganisation;
     return frame;
 }
 
@@ -61,6 +74,10 @@
     body->recent_runs = static_cast<float>(outcome.report.recentRuns);
     body->rate_wait_us = toMicroseconds(outcome.report.rateWait);
     body->pressure_us = toMicroseconds(outcome.report.pressure);
+    body->pace = static_cast<float>(outcome.report.pace);
+    body->pace_age_us = toMicroseconds(outcome.report.paceAge);
+    body->retry_level = static_cast<float>(outcome.report.retryLevel);
+    body->keeps_retry_budget = outcome.report.keepsRetryBudget;
     body->arrived = outcome.reachedBackend;
     body->call_failed = outcome.nestedCallFailed;
     return frame;
@@ -93,6 +110,9 @@
     result.service = std::move(call.service);
     result.targetLatency = fromMicroseconds(call.target_us);
     result.scheduledRetry = call.returning;
+    result.repeat = call.repeat;
+    result.firstSending = call.first_sending;
+    result.rootOrganisation = std::move(call.root_organisation);
     result.request = readRequest(call);
     return result;
 }
@@ -106,6 +126,10 @@
     report.recentRuns = readRecentRuns(answer.recent_runs);
     report.rateWait = fromMicroseconds(answer.rate_wait_us);
     report.pressure = fromMicroseconds(answer.pressure_us);
+    report.pace = readPace(answer.pace);
+    report.paceAge = fromMicroseconds(answer.pace_age_us);
+    report.retryLevel = std::isfinite(answer.retry_level) ? std::clamp(answer.retry_level, 0.0F, maximumRetryLevel) : 0;
+    report.keepsRetryBudget = answer.keeps_retry_budget;
     const bool reachedBackend = answer.arrived;
     const bool nestedCallFailed = answer.call_failed;
     return { readOutcome(answer).response, report, reachedBackend, nestedCallFailed };
@@ -122,6 +146,9 @@
     state.recent_runs = static_cast<float>(report.recentRuns);
     state.rate_wait_us = toMicroseconds(report.rateWait);
     state.takes_runs_for_us = toMicroseconds(report.takesRunsFor);
+    state.pace = static_cast<float>(report.pace);
+    state.pace_age_us = toMicroseconds(report.paceAge);
+    state.keeps_retry_budget = report.keepsRetryBudget;
 }
 
 EndpointReport readReport(const wire::MemberStateT& state)
@@ -136,6 +163,9 @@
     report.recentRuns = readRecentRuns(state.recent_runs);
     report.rateWait = fromMicroseconds(state.rate_wait_us);
     report.takesRunsFor = fromMicroseconds(state.takes_runs_for_us);
+    report.pace = readPace(state.pace);
+    report.paceAge = fromMicroseconds(state.pace_age_us);
+    report.keepsRetryBudget = state.keeps_retry_budget;
     return report;
 }
 
@@ -162,6 +192,29 @@
     return suspects;
 }
 
+void addEvacuations(wire::RecordsT& records, const ZoneEvacuations& evacuations)
+{
+    records.operator_known = evacuations.isKnown();
+    records.operator_era = evacuations.position().era;
+    records.operator_next = evacuations.position().next;
+    for (const auto& [zone, offset] : evacuations.zones()) {
+        auto evacuation = std::make_unique<wire::EvacuationT>();
+        evacuation->zone = zone;
+        evacuation->offset = offset;
+        records.evacuations.push_back(std::move(evacuation));
+    }
+}
+
+ZoneEvacuations::Zones readEvacuations(const wire::RecordsT& records)
+{
+    ZoneEvacuations::Zones zones;
+    for (const auto& evacuation : records.evacuations) {
+        if (evacuation && !evacuation->zone.empty())
+            zones[evacuation->zone] = evacuation->offset;
+    }
+    return zones;
+}
+
 void addMemberUpdate(wire::RecordsT& records, const MemberUpdate& update)
 {
     records.members_known = update.state.isKnown;
--- a/Source/sidecar/MeshFrames.h
+++ b/Source/sidecar/MeshFrames.h
@@ -2,6 +2,7 @@
 
 #include "mesh/MeshCall.h"
 #include "mesh/ServedCalls.h"
+#include "mesh/ZoneEvacuations.h"
 
 #include <memory>
 #include <span>
@@ -40,6 +41,8 @@
 EndpointReport readReport(const wire::MemberStateT&);
 
 // Changes of the member list within a frame of records.
+void addEvacuations(wire::RecordsT&, const ZoneEvacuations&);
+ZoneEvacuations::Zones readEvacuations(const wire::RecordsT&);
 void addMemberUpdate(wire::RecordsT&, const MemberUpdate&);
 MemberUpdate readMemberUpdate(const wire::RecordsT&);
 
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -1,5 +1,5 @@
 // Index of this file
-//   Arrival:    handle, admit, checkRequest, checkCrashSuspicion, authenticate
+//   Arrival:    handle, admit, checkRequest, limitRegions, checkCrashSuspicion, authenticate
 //   Attempts:   dispatch, send, startAttempt, endAttempt, cancelAttempts
 //   Shutdown:   startLeaving, endAll
 // What becomes of an attempt is in MeshIngressOutcomes.cpp.
@@ -146,12 +146,26 @@
     if (auto checked = checkCrashSuspicion(pending, request); !checked)
         return checked;
     pending.maximumEndpoints = route->maximumEndpoints;
+    limitRegions(pending, *route);
     pending.call.service = view.routes()->nextService(*route);
     retryBudgetFor(pending).recordRequest(now);
     platform::addCallerHeaders(request, context.organisation, m_dependencies.executor.service());
     return {};
 }
 
+// The regions of a root request's organisation apply to all calls that are made on its behalf.
+void MeshIngress::limitRegions(PendingRequest& pending, const MeshRoute& route) const
+{
+    pending.routeRegions = route.allowedRegions;
+    const auto* organisation = pending.organisation;
+    if (pending.parent && !pending.parent->rootOrganisation.empty())
+        organisation = m_dependencies.view.routes()->findOrganisation(pending.parent->rootOrganisation);
+    if (!organisation || organisation->allowedRegions.empty())
+        return;
+    pending.organisationRegions = organisation->allowedRegions;
+    pending.call.rootOrganisation = organisation->name;
+}
+
 Result<void> MeshIngress::checkCrashSuspicion(PendingRequest& pending, const HTTPRequest& request)
 {
     auto& suspects = m_dependencies.crashSuspects;
@@ -198,12 +212,18 @@
     }
     while (true) {
         auto* endpoint = m_dependencies.view.endpoints().choose(pending.call.service, now, pending.triedMembers,
-            { .anyZone = pending.reroutes > 0, .reachableOnly = pending.refusal.has_value() });
+            { .anyZone = pending.reroutes > 0, .reachableOnly = pending.refusal.has_value(), .regions = pending.regions() });
+        // No further backend server may get it; one that has refused it may take it now.
+        if (pending.reachedMembers.size() >= pending.maximumEndpoints) {
+            endpoint = m_dependencies.view.endpoints().choose(pending.call.service, now, {},
+                { .anyZone = true, .reachableOnly = true, .regions = pending.regions(), .among = pending.reachedMembers });
+        }
         if (!endpoint) {
             if (returnToReplaced(pending))
                 return;
-            const auto none
-                = pending.refusal.value_or(Error { ErrorKind::NoBackendServer, pending.call.service, startupRetryAfter });
+            const auto reason = m_dependencies.view.endpoints().reasonForNone(pending.call.service, pending.regions());
+            const auto none = pending.refusal.value_or(Error { ErrorKind::NoBackendServer,
+                reason.empty() ? pending.call.service : pending.call.service + ": " + std::string(reason), startupRetryAfter });
             respond(pending, pending.earlierResponse ? *pending.earlierResponse : tl::unexpected(none), now);
             return;
         }
@@ -220,6 +240,8 @@
     // A request from before the leave may be sent again in it.
     call.context.remaining = std::min(pending.deadline, pending.parent ? m_endCallsBy : m_endBy) - now;
     call.targetLatency = pending.targetTime > now ? pending.targetTime - now : Duration::zero();
+    call.repeat = pending.backendsReached > 0 || (pending.parent && pending.parent->isRepeat);
+    call.firstSending = !pending.sendings++;
     pending.member = endpoint.member.name;
     const auto attempt = makeRef<Attempt>();
     attempt->id = m_nextID++;
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -101,10 +101,14 @@
         std::optional<ParentRun> parent; // The request whose run made this nested call; empty for a caller's request
         uint64_t fingerprint { 0 };      // See requestFingerprint(); zero until it is needed
         unsigned maximumEndpoints { 1 };
+        std::vector<std::string> routeRegions; // See AllowedRegions
+        std::vector<std::string> organisationRegions;
         TimePoint arrivedAt {};
         TimePoint deadline {};
         TimePoint targetTime {};
         std::vector<std::string> triedMembers; // Members that attempts were sent to
+        std::vector<std::string> reachedMembers; // Whose backend servers received the request
+        unsigned sendings { 0 };
         unsigned reroutes { 0 };
         unsigned backendsReached { 0 };  // Backend servers that received the request
         std::string member;              // Target of the latest attempt
@@ -114,6 +118,7 @@
         std::optional<Error> refusal;                        // The last one for lack of capacity
         bool hasToken { false };                             // A token of the organisation's rate, granted by a ledger
 
+        AllowedRegions regions() const { return { routeRegions, organisationRegions }; }
         bool hasAttempt() const { return attempt || replacedAttempt; }
     };
 
@@ -121,6 +126,7 @@
     Result<void> checkRequest(PendingRequest&, HTTPRequest&, TimePoint now);
     Result<void> checkCrashSuspicion(PendingRequest&, const HTTPRequest&);
     uint64_t fingerprintOf(PendingRequest&, const HTTPRequest&) const;
+    void limitRegions(PendingRequest&, const MeshRoute&) const;
     Result<void> authenticate(PendingRequest&, const std::string& key, TimePoint now);
     void admit(const RefPtr<PendingRequest>&, TimePoint now);
     void dispatch(PendingRequest&, TimePoint now);
--- a/Source/sidecar/MeshIngressOutcomes.cpp
+++ b/Source/sidecar/MeshIngressOutcomes.cpp
@@ -165,7 +165,7 @@
 void MeshIngress::replaceAttempt(Attempt& attempt, TimePoint now)
 {
     auto& pending = *attempt.request;
-    const ChoiceConditions conditions { .anyZone = pending.reroutes > 0, .reachableOnly = true };
+    const ChoiceConditions conditions { .anyZone = pending.reroutes > 0, .reachableOnly = true, .regions = pending.regions() };
     if (attempt.soughtOthers || pending.replacedAttempt
         || !m_dependencies.view.endpoints().choose(pending.call.service, now, pending.triedMembers, conditions))
         return;
@@ -207,9 +207,12 @@
     auto& endpoints = m_dependencies.view.endpoints();
     endpoints.recordReport(attempt.member, outcome.report, now);
     if (pending.parent)
-        m_dependencies.executor.recordPressure(*pending.parent, outcome.report.pressure, now);
+        m_dependencies.executor.recordPressure(*pending.parent, outcome.report, now);
     const bool hasReached = outcome.response || outcome.reachedBackend;
     pending.backendsReached += hasReached ? 1 : 0;
+    auto& reached = pending.reachedMembers;
+    if (hasReached && std::find(reached.begin(), reached.end(), attempt.member) == reached.end())
+        reached.push_back(attempt.member);
     pending.backendsReached -= attempt.countsAsReached ? 1 : 0;
     const bool isError = !outcome.response || outcome.response->status >= 500;
     if (!isError) {
@@ -264,7 +267,7 @@
     if (!outcome.response) {
         const auto kind = outcome.response.error().kind;
         if (kind == ErrorKind::TimedOut || kind == ErrorKind::Cancelled || kind == ErrorKind::ExpiredInQueue
-            || kind == ErrorKind::CrashSuspect)
+            || kind == ErrorKind::CrashSuspect || kind == ErrorKind::RetryBudgetExhausted)
             return false;
         if (!outcome.reachedBackend) {
             // If a downstream service is overloaded, other backend servers of this service would refuse as well; a rate limit is
@@ -283,7 +286,14 @@
         return false;
     }
     // If a run failed because of a nested call, a retry would fail the same way; retries are better spent on the nested call.
-    if (pending.backendsReached >= pending.maximumEndpoints || outcome.nestedCallFailed)
+    if (outcome.nestedCallFailed)
+        return false;
+    const bool mayGoElsewhere = pending.reachedMembers.size() < pending.maximumEndpoints;
+    if (outcome.report.keepsRetryBudget) {
+        const bool wasRefused = !outcome.response && outcome.response.error().kind == ErrorKind::BackendRefused;
+        return (mayGoElsewhere || wasRefused) && pending.sendings < m_dependencies.settings.maximumSendings;
+    }
+    if (pending.backendsReached >= pending.maximumEndpoints)
         return false;
     return retryBudgetFor(pending).tryTake(m_dependencies.view.memberCount(), now);
 }
--- a/Source/sidecar/MeshSync.cpp
+++ b/Source/sidecar/MeshSync.cpp
@@ -1,14 +1,16 @@
 // Index of this file
-//   Store:       start, onConfigurationRead, applyConfiguration, onMembersRead, onStoreEra, applyMembers, storeOwnRecordAgain,
+//   Store:       start, onConfigurationRead, applyEvacuations, applyConfiguration, onMembersRead, onStoreEra, applyMembers, storeOwnRecordAgain,
 //                onMemberListUpdated, readAllMembers
 //   Own record:  applyOwnRecord, setOwnService, publishOwnRecord, publishCrashSuspects, storeLeave
-//   Peers:       tick, sendSyncRequest, onSyncRequest, onSyncResponse, pushConfiguration, connectToMembers
+//   Peers:       tick, sendSyncRequest, onSyncRequest, onSyncResponse, pushConfiguration, pushEvacuations,
+//                pushToZone, connectToMembers
 //   Repair:      repair
 
 #include "sidecar/MeshSync.h"
 
 #include "core/EventLog.h"
 #include "mesh/CrashSuspects.h"
+#include "platform/EvacuationCodec.h"
 #include "platform/MemberCodec.h"
 #include "sidecar/FollowSettings.h"
 #include "sidecar/MeshFrames.h"
@@ -74,9 +76,31 @@
         if (platform::isConfigurationRecord(record))
             applyConfiguration(record.value, "store");
     }
+    applyEvacuations(read, MonotonicClock::now());
     m_policy.recordStoreRead(seenUntil);
 }
 
+void MeshSync::applyEvacuations(const FollowerUpdate& read, TimePoint now)
+{
+    std::vector<EvacuationRecord> records;
+    for (const auto& record : read.records) {
+        auto evacuation = platform::decodeEvacuation(record);
+        if (!evacuation)
+            continue;
+        if (evacuation->kind == EvacuationRecord::Kind::Unreadable) {
+            EventLog::write("evacuation-unreadable",
+                { { "key", record.key }, { "offset", record.offset },
+                    { "kept_evacuated", m_view.evacuations().isEvacuated(evacuation->zone) } });
+        }
+        records.push_back(std::move(*evacuation));
+    }
+    const TopicPosition position { read.era, read.next };
+    const bool changed = read.isSnapshot ? m_view.applyEvacuationSnapshot(position, records, now)
+                                         : m_view.applyEvacuationRecords(position, records, now);
+    if (changed && m_policy.followsStore())
+        pushEvacuations();
+}
+
 void MeshSync::applyConfiguration(const std::string& document, const char* source)
 {
     const auto before = m_view.version();
@@ -286,6 +310,7 @@
     if (request.from < m_view.version())
         response.snapshot = m_view.document();
     addMemberUpdate(response, m_policy.members().updateFor(requester));
+    addEvacuations(response, m_view.evacuations());
     wire::FrameT frame;
     frame.body.Set(std::move(response));
     const auto peer = link.peer();
@@ -299,6 +324,11 @@
     m_view.endpoints().recordReachable(peer, now);
     if (!response.snapshot.empty() && response.next_offset > m_view.version())
         applyConfiguration(response.snapshot, "peer");
+    if (response.operator_known) {
+        const TopicPosition position { response.operator_era, response.operator_next };
+        if (m_view.applyEvacuationCopy(position, readEvacuations(response), now) && m_policy.followsStore())
+            pushEvacuations();
+    }
     const auto update = readMemberUpdate(response);
     const auto former = m_policy.members().state();
     const auto repairAction = m_policy.applyMemberUpdate(update, now);
@@ -319,6 +349,20 @@
     update.snapshot = m_view.document();
     wire::FrameT frame;
     frame.body.Set(std::move(update));
+    pushToZone(frame);
+}
+
+void MeshSync::pushEvacuations()
+{
+    wire::RecordsT update;
+    addEvacuations(update, m_view.evacuations());
+    wire::FrameT frame;
+    frame.body.Set(std::move(update));
+    pushToZone(frame);
+}
+
+void MeshSync::pushToZone(const wire::FrameT& frame)
+{
     for (const auto& [name, endpoint] : m_view.endpoints().all()) {
         if (name == m_own.name || endpoint.member.zone != m_own.zone)
             continue;
--- a/Source/sidecar/MeshSync.h
+++ b/Source/sidecar/MeshSync.h
@@ -12,6 +12,7 @@
 namespace shallot {
 
 namespace wire {
+struct FrameT;
 struct RecordsRequestT;
 struct RecordsT;
 } // namespace wire
@@ -61,6 +62,9 @@
     void connectToMembers();
     void sendSyncRequest(const std::string& member, TimePoint now);
     void pushConfiguration();
+    void applyEvacuations(const FollowerUpdate&, TimePoint now);
+    void pushEvacuations();
+    void pushToZone(const wire::FrameT&);
 
     MeshView& m_view;
     MeshLinks& m_links;
--- a/Source/sidecar/MeshView.cpp
+++ b/Source/sidecar/MeshView.cpp
@@ -31,6 +31,59 @@
     return {};
 }
 
+bool MeshView::applyEvacuationSnapshot(TopicPosition position, std::span<const EvacuationRecord> records, TimePoint now)
+{
+    const auto former = m_evacuations.zones();
+    const bool changed = m_evacuations.applySnapshot(position, records);
+    if (changed)
+        onEvacuationsChanged(former, now);
+    return changed;
+}
+
+bool MeshView::applyEvacuationRecords(TopicPosition position, std::span<const EvacuationRecord> records, TimePoint now)
+{
+    const auto former = m_evacuations.zones();
+    const bool changed = m_evacuations.applyRecords(position, records);
+    if (changed)
+        onEvacuationsChanged(former, now);
+    return changed;
+}
+
+bool MeshView::applyEvacuationCopy(TopicPosition position, ZoneEvacuations::Zones zones, TimePoint now)
+{
+    const auto former = m_evacuations.zones();
+    const bool changed = m_evacuations.applyCopy(position, std::move(zones));
+    if (changed)
+        onEvacuationsChanged(former, now);
+    return changed;
+}
+
+void MeshView::onEvacuationsChanged(const ZoneEvacuations::Zones& former, TimePoint now)
+{
+    const auto& zones = m_evacuations.zones();
+    const auto& position = m_evacuations.position();
+    for (const auto& [zone, offset] : zones) {
+        if (former.contains(zone))
+            continue;
+        m_evacuatedSince[zone] = now;
+        EventLog::write("zone-evacuated", { { "zone", zone }, { "offset", offset }, { "era", position.era } });
+    }
+    std::set<std::string, std::less<>> names;
+    for (const auto& [zone, offset] : zones)
+        names.insert(zone);
+    for (const auto& [zone, offset] : former) {
+        if (zones.contains(zone))
+            continue;
+        EventLog::write("zone-evacuation-revoked",
+            { { "zone", zone }, { "offset", position.next }, { "era", position.era },
+                { "in_force_s", toSeconds(now - m_evacuatedSince[zone]) } });
+        m_evacuatedSince.erase(zone);
+    }
+    m_endpoints.setEvacuatedZones(std::move(names));
+    if (m_onEvacuation)
+        m_onEvacuation();
+}
+
 bool MeshView::mayAcceptKeys(TimePoint now) const
 {
     return m_freshness.isFresh(now, m_settings.keyStaleness - m_settings.keyStalenessMargin);
--- a/Source/sidecar/MeshView.h
+++ b/Source/sidecar/MeshView.h
@@ -4,9 +4,12 @@
 #include "mesh/ConfigurationFreshness.h"
 #include "mesh/RemoteEndpoints.h"
 #include "mesh/RouteTable.h"
+#include "mesh/ZoneEvacuations.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <utility>
 
@@ -28,6 +31,12 @@
     uint64_t version() const { return m_routes ? m_routes->configuration().version : 0; }
     const std::string& document() const { return m_document; }
 
+    const ZoneEvacuations& evacuations() const { return m_evacuations; }
+    // Each applies an update of the evacuated zones and returns whether they have changed.
+    bool applyEvacuationSnapshot(TopicPosition, std::span<const EvacuationRecord>, TimePoint now);
+    bool applyEvacuationRecords(TopicPosition, std::span<const EvacuationRecord>, TimePoint now);
+    bool applyEvacuationCopy(TopicPosition, ZoneEvacuations::Zones, TimePoint now);
+
     ConfigurationFreshness& freshness() { return m_freshness; }
     // Whether the configuration was confirmed recently enough to accept keys.
     bool mayAcceptKeys(TimePoint now) const;
@@ -37,13 +46,19 @@
     size_t memberCount() const { return m_endpoints.all().size(); }
     // Returns whether this was the first call.
     bool markMembersKnown() { return !std::exchange(m_membersKnown, true); }
-    bool isInitialized() const { return m_routes && m_membersKnown; }
+    bool isInitialized() const { return m_routes && m_membersKnown && m_evacuations.isKnown(); }
     RemoteEndpoints& endpoints() { return m_endpoints; }
 
+    void setEvacuationHandler(std::function<void()> handler) { m_onEvacuation = std::move(handler); }
     void setConfigurationHandler(std::function<void()> handler) { m_onConfiguration = std::move(handler); }
 
 private:
+    void onEvacuationsChanged(const ZoneEvacuations::Zones& former, TimePoint now);
+
     const MeshSettings& m_settings;
+    ZoneEvacuations m_evacuations;
+    std::map<std::string, TimePoint> m_evacuatedSince; // By zone
+    std::function<void()> m_onEvacuation;
     std::unique_ptr<RouteTable> m_routes;
     std::string m_document;
     ConfigurationFreshness m_freshness;
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -83,7 +83,10 @@
     , m_servedCalls(settings)
 {
     m_view.updateMember(m_own);
+    m_view.endpoints().setRegions(m_instance.regions);
     m_view.setConfigurationHandler([this] { onConfiguration(); });
+    m_view.setEvacuationHandler(
+        [this] { m_executor.setEvacuated(m_view.evacuations().isEvacuated(m_own.zone), MonotonicClock::now()); });
     m_sync.setFormerLeaveHandler([this](const EndpointLeave& former) { m_executor.setFormerLeave(former); });
     m_executor.setChangeHandler([this] { onBackendServerChange(); });
     m_executor.setSuspectsHandler([this] { m_links.broadcastCrashSuspects(m_crashSuspects.takeChanges(WallClock::now())); });
@@ -346,6 +349,10 @@
         m_metrics.setGauge("shallot_member_list_offset", static_cast<double>(members.state().offset));
         m_metrics.setGauge("shallot_member_list_in_doubt", m_sync.policy().isListInDoubt() ? 1 : 0);
         m_metrics.setGauge("shallot_backend_server_limit", m_executor.rateLimit().value_or(-1));
+        m_metrics.setGauge("shallot_backend_server_cold_seconds", toSeconds(m_executor.coldFor(now)));
+        m_metrics.setGauge("shallot_zones_evacuated", static_cast<double>(m_view.evacuations().zones().size()));
+        m_metrics.setGauge("shallot_backend_server_pace", m_executor.reportedLoad().pace());
+        m_metrics.setGauge("shallot_load_headers_malformed", static_cast<double>(m_executor.reportedLoad().malformedHeaders()));
         m_metrics.setGauge("shallot_crash_suspects", static_cast<double>(m_crashSuspects.size()));
         m_metrics.setGauge("shallot_requests_open", static_cast<double>(m_ingress.inProgress()));
         m_metrics.setGauge("shallot_configuration_version", static_cast<double>(m_view.version()));
@@ -530,8 +537,12 @@
     const auto& configuration = m_view.routes()->configuration();
     m_ingress.applyLimits(configuration.limits);
     std::map<std::string, std::string> healthPaths;
-    for (const auto& service : configuration.services)
+    std::map<std::string, ColdStart> coldStarts;
+    for (const auto& service : configuration.services) {
         healthPaths[service.name] = service.healthPath;
+        coldStarts[service.name] = service.coldStart;
+    }
+    m_executor.setColdStarts(std::move(coldStarts));
     m_executor.setHealthPaths(std::move(healthPaths));
 }
 
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -76,6 +76,10 @@
 struct RecordBuilder;
 struct RecordT;
 
+struct Evacuation;
+struct EvacuationBuilder;
+struct EvacuationT;
+
 struct Records;
 struct RecordsBuilder;
 struct RecordsT;
@@ -778,6 +782,9 @@
   std::vector<uint8_t> body{};
   uint64_t target_us = 0;
   bool returning = false;
+  bool repeat = false;
+  bool first_sending = false;
+  std::string root_organisation{};
   CallT() = default;
   CallT(const CallT &o);
   CallT(CallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -806,7 +813,10 @@
     VT_HEADERS = 32,
     VT_BODY = 34,
     VT_TARGET_US = 36,
-    VT_RETURNING = 38
+    VT_RETURNING = 38,
+    VT_REPEAT = 40,
+    VT_FIRST_SENDING = 42,
+    VT_ROOT_ORGANISATION = 44
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -862,6 +872,15 @@
   bool returning() const {
     return GetField<uint8_t>(VT_RETURNING, 0) != 0;
   }
+  bool repeat() const {
+    return GetField<uint8_t>(VT_REPEAT, 0) != 0;
+  }
+  bool first_sending() const {
+    return GetField<uint8_t>(VT_FIRST_SENDING, 0) != 0;
+  }
+  const flatbuffers::String *root_organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROOT_ORGANISATION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -890,6 +909,10 @@
            verifier.VerifyVector(body()) &&
            VerifyField<uint64_t>(verifier, VT_TARGET_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_RETURNING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_REPEAT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_FIRST_SENDING, 1) &&
+           VerifyOffset(verifier, VT_ROOT_ORGANISATION) &&
+           verifier.VerifyString(root_organisation()) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -955,6 +978,15 @@
   void add_returning(bool returning) {
     fbb_.AddElement<uint8_t>(Call::VT_RETURNING, static_cast<uint8_t>(returning), 0);
   }
+  void add_repeat(bool repeat) {
+    fbb_.AddElement<uint8_t>(Call::VT_REPEAT, static_cast<uint8_t>(repeat), 0);
+  }
+  void add_first_sending(bool first_sending) {
+    fbb_.AddElement<uint8_t>(Call::VT_FIRST_SENDING, static_cast<uint8_t>(first_sending), 0);
+  }
+  void add_root_organisation(flatbuffers::Offset<flatbuffers::String> root_organisation) {
+    fbb_.AddOffset(Call::VT_ROOT_ORGANISATION, root_organisation);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -988,13 +1020,17 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::Header>>> headers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     uint64_t target_us = 0,
-    bool returning = false) {
+    bool returning = false,
+    bool repeat = false,
+    bool first_sending = false,
+    flatbuffers::Offset<flatbuffers::String> root_organisation = 0) {
   CallBuilder builder_(_fbb);
   builder_.add_target_us(target_us);
   builder_.add_remaining_us(remaining_us);
   builder_.add_request_low(request_low);
   builder_.add_request_high(request_high);
   builder_.add_id(id);
+  builder_.add_root_organisation(root_organisation);
   builder_.add_body(body);
   builder_.add_headers(headers);
   builder_.add_target(target);
@@ -1004,6 +1040,8 @@
   builder_.add_route(route);
   builder_.add_organisation(organisation);
   builder_.add_retry_tokens(retry_tokens);
+  builder_.add_first_sending(first_sending);
+  builder_.add_repeat(repeat);
   builder_.add_returning(returning);
   builder_.add_idempotent(idempotent);
   builder_.add_hops(hops);
@@ -1035,7 +1073,10 @@
     const std::vector<flatbuffers::Offset<shallot::wire::Header>> *headers = nullptr,
     const std::vector<uint8_t> *body = nullptr,
     uint64_t target_us = 0,
-    bool returning = false) {
+    bool returning = false,
+    bool repeat = false,
+    bool first_sending = false,
+    const char *root_organisation = nullptr) {
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   auto route__ = route ? _fbb.CreateString(route) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -1043,6 +1084,7 @@
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  auto root_organisation__ = root_organisation ? _fbb.CreateString(root_organisation) : 0;
   return shallot::wire::CreateCall(
       _fbb,
       id,
@@ -1062,7 +1104,10 @@
       headers__,
       body__,
       target_us,
-      returning);
+      returning,
+      repeat,
+      first_sending,
+      root_organisation__);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1089,6 +1134,10 @@
   double rate_limit = -1.0;
   uint64_t rate_wait_us = 0;
   float recent_runs = 1000.0f;
+  float pace = 0.0f;
+  uint64_t pace_age_us = 0;
+  float retry_level = 0.0f;
+  bool keeps_retry_budget = false;
   AnswerT() = default;
   AnswerT(const AnswerT &o);
   AnswerT(AnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1119,7 +1168,11 @@
     VT_CALL_FAILED = 36,
     VT_RATE_LIMIT = 38,
     VT_RATE_WAIT_US = 40,
-    VT_RECENT_RUNS = 42
+    VT_RECENT_RUNS = 42,
+    VT_PACE = 44,
+    VT_PACE_AGE_US = 46,
+    VT_RETRY_LEVEL = 48,
+    VT_KEEPS_RETRY_BUDGET = 50
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1181,6 +1234,18 @@
   float recent_runs() const {
     return GetField<float>(VT_RECENT_RUNS, 1000.0f);
   }
+  float pace() const {
+    return GetField<float>(VT_PACE, 0.0f);
+  }
+  uint64_t pace_age_us() const {
+    return GetField<uint64_t>(VT_PACE_AGE_US, 0);
+  }
+  float retry_level() const {
+    return GetField<float>(VT_RETRY_LEVEL, 0.0f);
+  }
+  bool keeps_retry_budget() const {
+    return GetField<uint8_t>(VT_KEEPS_RETRY_BUDGET, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1207,6 +1272,10 @@
            VerifyField<double>(verifier, VT_RATE_LIMIT, 8) &&
            VerifyField<uint64_t>(verifier, VT_RATE_WAIT_US, 8) &&
            VerifyField<float>(verifier, VT_RECENT_RUNS, 4) &&
+           VerifyField<float>(verifier, VT_PACE, 4) &&
+           VerifyField<uint64_t>(verifier, VT_PACE_AGE_US, 8) &&
+           VerifyField<float>(verifier, VT_RETRY_LEVEL, 4) &&
+           VerifyField<uint8_t>(verifier, VT_KEEPS_RETRY_BUDGET, 1) &&
            verifier.EndTable();
   }
   AnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1278,6 +1347,18 @@
   void add_recent_runs(float recent_runs) {
     fbb_.AddElement<float>(Answer::VT_RECENT_RUNS, recent_runs, 1000.0f);
   }
+  void add_pace(float pace) {
+    fbb_.AddElement<float>(Answer::VT_PACE, pace, 0.0f);
+  }
+  void add_pace_age_us(uint64_t pace_age_us) {
+    fbb_.AddElement<uint64_t>(Answer::VT_PACE_AGE_US, pace_age_us, 0);
+  }
+  void add_retry_level(float retry_level) {
+    fbb_.AddElement<float>(Answer::VT_RETRY_LEVEL, retry_level, 0.0f);
+  }
+  void add_keeps_retry_budget(bool keeps_retry_budget) {
+    fbb_.AddElement<uint8_t>(Answer::VT_KEEPS_RETRY_BUDGET, static_cast<uint8_t>(keeps_retry_budget), 0);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1310,14 +1391,21 @@
     bool call_failed = false,
     double rate_limit = -1.0,
     uint64_t rate_wait_us = 0,
-    float recent_runs = 1000.0f) {
+    float recent_runs = 1000.0f,
+    float pace = 0.0f,
+    uint64_t pace_age_us = 0,
+    float retry_level = 0.0f,
+    bool keeps_retry_budget = false) {
   AnswerBuilder builder_(_fbb);
+  builder_.add_pace_age_us(pace_age_us);
   builder_.add_rate_wait_us(rate_wait_us);
   builder_.add_rate_limit(rate_limit);
   builder_.add_pressure_us(pressure_us);
   builder_.add_service_us(service_us);
   builder_.add_retry_after_us(retry_after_us);
   builder_.add_id(id);
+  builder_.add_retry_level(retry_level);
+  builder_.add_pace(pace);
   builder_.add_recent_runs(recent_runs);
   builder_.add_queued(queued);
   builder_.add_limit(limit);
@@ -1328,6 +1416,7 @@
   builder_.add_headers(headers);
   builder_.add_retry_tokens(retry_tokens);
   builder_.add_status(status);
+  builder_.add_keeps_retry_budget(keeps_retry_budget);
   builder_.add_call_failed(call_failed);
   builder_.add_arrived(arrived);
   builder_.add_unavailable(unavailable);
@@ -1361,7 +1450,11 @@
     bool call_failed = false,
     double rate_limit = -1.0,
     uint64_t rate_wait_us = 0,
-    float recent_runs = 1000.0f) {
+    float recent_runs = 1000.0f,
+    float pace = 0.0f,
+    uint64_t pace_age_us = 0,
+    float retry_level = 0.0f,
+    bool keeps_retry_budget = false) {
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto detail__ = detail ? _fbb.CreateString(detail) : 0;
@@ -1386,7 +1479,11 @@
       call_failed,
       rate_limit,
       rate_wait_us,
-      recent_runs);
+      recent_runs,
+      pace,
+      pace_age_us,
+      retry_level,
+      keeps_retry_budget);
 }
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1771,6 +1868,9 @@
   uint64_t rate_wait_us = 0;
   float recent_runs = 1000.0f;
   uint64_t takes_runs_for_us = 0;
+  float pace = 0.0f;
+  uint64_t pace_age_us = 0;
+  bool keeps_retry_budget = false;
   MemberStateT() = default;
   MemberStateT(const MemberStateT &o);
   MemberStateT(MemberStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1798,7 +1898,10 @@
     VT_RATE_LIMIT = 30,
     VT_RATE_WAIT_US = 32,
     VT_RECENT_RUNS = 34,
-    VT_TAKES_RUNS_FOR_US = 36
+    VT_TAKES_RUNS_FOR_US = 36,
+    VT_PACE = 38,
+    VT_PACE_AGE_US = 40,
+    VT_KEEPS_RETRY_BUDGET = 42
   };
   const flatbuffers::String *member() const {
     return GetPointer<const flatbuffers::String *>(VT_MEMBER);
@@ -1851,6 +1954,15 @@
   uint64_t takes_runs_for_us() const {
     return GetField<uint64_t>(VT_TAKES_RUNS_FOR_US, 0);
   }
+  float pace() const {
+    return GetField<float>(VT_PACE, 0.0f);
+  }
+  uint64_t pace_age_us() const {
+    return GetField<uint64_t>(VT_PACE_AGE_US, 0);
+  }
+  bool keeps_retry_budget() const {
+    return GetField<uint8_t>(VT_KEEPS_RETRY_BUDGET, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_MEMBER) &&
@@ -1877,6 +1989,9 @@
            VerifyField<uint64_t>(verifier, VT_RATE_WAIT_US, 8) &&
            VerifyField<float>(verifier, VT_RECENT_RUNS, 4) &&
            VerifyField<uint64_t>(verifier, VT_TAKES_RUNS_FOR_US, 8) &&
+           VerifyField<float>(verifier, VT_PACE, 4) &&
+           VerifyField<uint64_t>(verifier, VT_PACE_AGE_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_KEEPS_RETRY_BUDGET, 1) &&
            verifier.EndTable();
   }
   MemberStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1939,6 +2054,15 @@
   void add_takes_runs_for_us(uint64_t takes_runs_for_us) {
     fbb_.AddElement<uint64_t>(MemberState::VT_TAKES_RUNS_FOR_US, takes_runs_for_us, 0);
   }
+  void add_pace(float pace) {
+    fbb_.AddElement<float>(MemberState::VT_PACE, pace, 0.0f);
+  }
+  void add_pace_age_us(uint64_t pace_age_us) {
+    fbb_.AddElement<uint64_t>(MemberState::VT_PACE_AGE_US, pace_age_us, 0);
+  }
+  void add_keeps_retry_budget(bool keeps_retry_budget) {
+    fbb_.AddElement<uint8_t>(MemberState::VT_KEEPS_RETRY_BUDGET, static_cast<uint8_t>(keeps_retry_budget), 0);
+  }
   explicit MemberStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1969,14 +2093,19 @@
     double rate_limit = -1.0,
     uint64_t rate_wait_us = 0,
     float recent_runs = 1000.0f,
-    uint64_t takes_runs_for_us = 0) {
+    uint64_t takes_runs_for_us = 0,
+    float pace = 0.0f,
+    uint64_t pace_age_us = 0,
+    bool keeps_retry_budget = false) {
   MemberStateBuilder builder_(_fbb);
+  builder_.add_pace_age_us(pace_age_us);
   builder_.add_takes_runs_for_us(takes_runs_for_us);
   builder_.add_rate_wait_us(rate_wait_us);
   builder_.add_rate_limit(rate_limit);
   builder_.add_service_us(service_us);
   builder_.add_left_started_by(left_started_by);
   builder_.add_version(version);
+  builder_.add_pace(pace);
   builder_.add_recent_runs(recent_runs);
   builder_.add_queued(queued);
   builder_.add_in_flight(in_flight);
@@ -1987,6 +2116,7 @@
   builder_.add_address(address);
   builder_.add_zone(zone);
   builder_.add_member(member);
+  builder_.add_keeps_retry_budget(keeps_retry_budget);
   builder_.add_state(state);
   return builder_.Finish();
 }
@@ -2014,7 +2144,10 @@
     double rate_limit = -1.0,
     uint64_t rate_wait_us = 0,
     float recent_runs = 1000.0f,
-    uint64_t takes_runs_for_us = 0) {
+    uint64_t takes_runs_for_us = 0,
+    float pace = 0.0f,
+    uint64_t pace_age_us = 0,
+    bool keeps_retry_budget = false) {
   auto member__ = member ? _fbb.CreateString(member) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -2039,7 +2172,10 @@
       rate_limit,
       rate_wait_us,
       recent_runs,
-      takes_runs_for_us);
+      takes_runs_for_us,
+      pace,
+      pace_age_us,
+      keeps_retry_budget);
 }
 
 flatbuffers::Offset<MemberState> CreateMemberState(flatbuffers::FlatBufferBuilder &_fbb, const MemberStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2512,6 +2648,88 @@
 
 flatbuffers::Offset<Record> CreateRecord(flatbuffers::FlatBufferBuilder &_fbb, const RecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EvacuationT : public flatbuffers::NativeTable {
+  typedef Evacuation TableType;
+  std::string zone{};
+  uint64_t offset = 0;
+};
+
+struct Evacuation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationT NativeTableType;
+  typedef EvacuationBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_OFFSET = 6
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           verifier.EndTable();
+  }
+  EvacuationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Evacuation> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationBuilder {
+  typedef Evacuation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(Evacuation::VT_ZONE, zone);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(Evacuation::VT_OFFSET, offset, 0);
+  }
+  explicit EvacuationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Evacuation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Evacuation>(end);
+    fbb_.Required(o, Evacuation::VT_ZONE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    uint64_t offset = 0) {
+  EvacuationBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_zone(zone);
+  return builder_.Finish();
+}
+
+struct Evacuation::Traits {
+  using type = Evacuation;
+  static auto constexpr Create = CreateEvacuation;
+};
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    uint64_t offset = 0) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return shallot::wire::CreateEvacuation(
+      _fbb,
+      zone__,
+      offset);
+}
+
+flatbuffers::Offset<Evacuation> CreateEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct RecordsT : public flatbuffers::NativeTable {
   typedef Records TableType;
   uint64_t sequence = 0;
@@ -2526,6 +2744,10 @@
   bool members_known = false;
   bool members_whole = false;
   uint64_t members_era = 0;
+  std::vector<std::unique_ptr<shallot::wire::EvacuationT>> evacuations{};
+  uint64_t operator_next = 0;
+  uint64_t operator_era = 0;
+  bool operator_known = false;
   RecordsT() = default;
   RecordsT(const RecordsT &o);
   RecordsT(RecordsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2548,7 +2770,11 @@
     VT_MEMBERS_DIGEST = 20,
     VT_MEMBERS_KNOWN = 22,
     VT_MEMBERS_WHOLE = 24,
-    VT_MEMBERS_ERA = 26
+    VT_MEMBERS_ERA = 26,
+    VT_EVACUATIONS = 28,
+    VT_OPERATOR_NEXT = 30,
+    VT_OPERATOR_ERA = 32,
+    VT_OPERATOR_KNOWN = 34
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -2586,6 +2812,18 @@
   uint64_t members_era() const {
     return GetField<uint64_t>(VT_MEMBERS_ERA, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<shallot::wire::Evacuation>> *evacuations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<shallot::wire::Evacuation>> *>(VT_EVACUATIONS);
+  }
+  uint64_t operator_next() const {
+    return GetField<uint64_t>(VT_OPERATOR_NEXT, 0);
+  }
+  uint64_t operator_era() const {
+    return GetField<uint64_t>(VT_OPERATOR_ERA, 0);
+  }
+  bool operator_known() const {
+    return GetField<uint8_t>(VT_OPERATOR_KNOWN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -2605,6 +2843,12 @@
            VerifyField<uint8_t>(verifier, VT_MEMBERS_KNOWN, 1) &&
            VerifyField<uint8_t>(verifier, VT_MEMBERS_WHOLE, 1) &&
            VerifyField<uint64_t>(verifier, VT_MEMBERS_ERA, 8) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyVector(evacuations()) &&
+           verifier.VerifyVectorOfTables(evacuations()) &&
+           VerifyField<uint64_t>(verifier, VT_OPERATOR_NEXT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OPERATOR_ERA, 8) &&
+           VerifyField<uint8_t>(verifier, VT_OPERATOR_KNOWN, 1) &&
            verifier.EndTable();
   }
   RecordsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2652,6 +2896,18 @@
   void add_members_era(uint64_t members_era) {
     fbb_.AddElement<uint64_t>(Records::VT_MEMBERS_ERA, members_era, 0);
   }
+  void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::Evacuation>>> evacuations) {
+    fbb_.AddOffset(Records::VT_EVACUATIONS, evacuations);
+  }
+  void add_operator_next(uint64_t operator_next) {
+    fbb_.AddElement<uint64_t>(Records::VT_OPERATOR_NEXT, operator_next, 0);
+  }
+  void add_operator_era(uint64_t operator_era) {
+    fbb_.AddElement<uint64_t>(Records::VT_OPERATOR_ERA, operator_era, 0);
+  }
+  void add_operator_known(bool operator_known) {
+    fbb_.AddElement<uint8_t>(Records::VT_OPERATOR_KNOWN, static_cast<uint8_t>(operator_known), 0);
+  }
   explicit RecordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2676,8 +2932,14 @@
     uint64_t members_digest = 0,
     bool members_known = false,
     bool members_whole = false,
-    uint64_t members_era = 0) {
+    uint64_t members_era = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<shallot::wire::Evacuation>>> evacuations = 0,
+    uint64_t operator_next = 0,
+    uint64_t operator_era = 0,
+    bool operator_known = false) {
   RecordsBuilder builder_(_fbb);
+  builder_.add_operator_era(operator_era);
+  builder_.add_operator_next(operator_next);
   builder_.add_members_era(members_era);
   builder_.add_members_digest(members_digest);
   builder_.add_members_next(members_next);
@@ -2685,9 +2947,11 @@
   builder_.add_log_age_us(log_age_us);
   builder_.add_next_offset(next_offset);
   builder_.add_sequence(sequence);
+  builder_.add_evacuations(evacuations);
   builder_.add_members(members);
   builder_.add_snapshot(snapshot);
   builder_.add_records(records);
+  builder_.add_operator_known(operator_known);
   builder_.add_members_whole(members_whole);
   builder_.add_members_known(members_known);
   return builder_.Finish();
@@ -2711,10 +2975,15 @@
     uint64_t members_digest = 0,
     bool members_known = false,
     bool members_whole = false,
-    uint64_t members_era = 0) {
+    uint64_t members_era = 0,
+    const std::vector<flatbuffers::Offset<shallot::wire::Evacuation>> *evacuations = nullptr,
+    uint64_t operator_next = 0,
+    uint64_t operator_era = 0,
+    bool operator_known = false) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Record>>(*records) : 0;
   auto snapshot__ = snapshot ? _fbb.CreateString(snapshot) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::MemberState>>(*members) : 0;
+  auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Evacuation>>(*evacuations) : 0;
   return shallot::wire::CreateRecords(
       _fbb,
       sequence,
@@ -2728,7 +2997,11 @@
       members_digest,
       members_known,
       members_whole,
-      members_era);
+      members_era,
+      evacuations__,
+      operator_next,
+      operator_era,
+      operator_known);
 }
 
 flatbuffers::Offset<Records> CreateRecords(flatbuffers::FlatBufferBuilder &_fbb, const RecordsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3866,7 +4139,10 @@
         target(o.target),
         body(o.body),
         target_us(o.target_us),
-        returning(o.returning) {
+        returning(o.returning),
+        repeat(o.repeat),
+        first_sending(o.first_sending),
+        root_organisation(o.root_organisation) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new shallot::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -3890,6 +4166,9 @@
   std::swap(body, o.body);
   std::swap(target_us, o.target_us);
   std::swap(returning, o.returning);
+  std::swap(repeat, o.repeat);
+  std::swap(first_sending, o.first_sending);
+  std::swap(root_organisation, o.root_organisation);
   return *this;
 }
 
@@ -3920,6 +4199,9 @@
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
   { auto _e = target_us(); _o->target_us = _e; }
   { auto _e = returning(); _o->returning = _e; }
+  { auto _e = repeat(); _o->repeat = _e; }
+  { auto _e = first_sending(); _o->first_sending = _e; }
+  { auto _e = root_organisation(); if (_e) _o->root_organisation = _e->str(); }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3948,6 +4230,9 @@
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
   auto _target_us = _o->target_us;
   auto _returning = _o->returning;
+  auto _repeat = _o->repeat;
+  auto _first_sending = _o->first_sending;
+  auto _root_organisation = _o->root_organisation.empty() ? 0 : _fbb.CreateString(_o->root_organisation);
   return shallot::wire::CreateCall(
       _fbb,
       _id,
@@ -3967,7 +4252,10 @@
       _headers,
       _body,
       _target_us,
-      _returning);
+      _returning,
+      _repeat,
+      _first_sending,
+      _root_organisation);
 }
 
 inline AnswerT::AnswerT(const AnswerT &o)
@@ -3989,7 +4277,11 @@
         call_failed(o.call_failed),
         rate_limit(o.rate_limit),
         rate_wait_us(o.rate_wait_us),
-        recent_runs(o.recent_runs) {
+        recent_runs(o.recent_runs),
+        pace(o.pace),
+        pace_age_us(o.pace_age_us),
+        retry_level(o.retry_level),
+        keeps_retry_budget(o.keeps_retry_budget) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new shallot::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -4015,6 +4307,10 @@
   std::swap(rate_limit, o.rate_limit);
   std::swap(rate_wait_us, o.rate_wait_us);
   std::swap(recent_runs, o.recent_runs);
+  std::swap(pace, o.pace);
+  std::swap(pace_age_us, o.pace_age_us);
+  std::swap(retry_level, o.retry_level);
+  std::swap(keeps_retry_budget, o.keeps_retry_budget);
   return *this;
 }
 
@@ -4047,6 +4343,10 @@
   { auto _e = rate_limit(); _o->rate_limit = _e; }
   { auto _e = rate_wait_us(); _o->rate_wait_us = _e; }
   { auto _e = recent_runs(); _o->recent_runs = _e; }
+  { auto _e = pace(); _o->pace = _e; }
+  { auto _e = pace_age_us(); _o->pace_age_us = _e; }
+  { auto _e = retry_level(); _o->retry_level = _e; }
+  { auto _e = keeps_retry_budget(); _o->keeps_retry_budget = _e; }
 }
 
 inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4077,6 +4377,10 @@
   auto _rate_limit = _o->rate_limit;
   auto _rate_wait_us = _o->rate_wait_us;
   auto _recent_runs = _o->recent_runs;
+  auto _pace = _o->pace;
+  auto _pace_age_us = _o->pace_age_us;
+  auto _retry_level = _o->retry_level;
+  auto _keeps_retry_budget = _o->keeps_retry_budget;
   return shallot::wire::CreateAnswer(
       _fbb,
       _id,
@@ -4098,7 +4402,11 @@
       _call_failed,
       _rate_limit,
       _rate_wait_us,
-      _recent_runs);
+      _recent_runs,
+      _pace,
+      _pace_age_us,
+      _retry_level,
+      _keeps_retry_budget);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4262,7 +4570,10 @@
         rate_limit(o.rate_limit),
         rate_wait_us(o.rate_wait_us),
         recent_runs(o.recent_runs),
-        takes_runs_for_us(o.takes_runs_for_us) {
+        takes_runs_for_us(o.takes_runs_for_us),
+        pace(o.pace),
+        pace_age_us(o.pace_age_us),
+        keeps_retry_budget(o.keeps_retry_budget) {
   crash_suspects.reserve(o.crash_suspects.size());
   for (const auto &crash_suspects_ : o.crash_suspects) { crash_suspects.emplace_back((crash_suspects_) ? new shallot::wire::CrashSuspectT(*crash_suspects_) : nullptr); }
 }
@@ -4285,6 +4596,9 @@
   std::swap(rate_wait_us, o.rate_wait_us);
   std::swap(recent_runs, o.recent_runs);
   std::swap(takes_runs_for_us, o.takes_runs_for_us);
+  std::swap(pace, o.pace);
+  std::swap(pace_age_us, o.pace_age_us);
+  std::swap(keeps_retry_budget, o.keeps_retry_budget);
   return *this;
 }
 
@@ -4314,6 +4628,9 @@
   { auto _e = rate_wait_us(); _o->rate_wait_us = _e; }
   { auto _e = recent_runs(); _o->recent_runs = _e; }
   { auto _e = takes_runs_for_us(); _o->takes_runs_for_us = _e; }
+  { auto _e = pace(); _o->pace = _e; }
+  { auto _e = pace_age_us(); _o->pace_age_us = _e; }
+  { auto _e = keeps_retry_budget(); _o->keeps_retry_budget = _e; }
 }
 
 inline flatbuffers::Offset<MemberState> MemberState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4341,6 +4658,9 @@
   auto _rate_wait_us = _o->rate_wait_us;
   auto _recent_runs = _o->recent_runs;
   auto _takes_runs_for_us = _o->takes_runs_for_us;
+  auto _pace = _o->pace;
+  auto _pace_age_us = _o->pace_age_us;
+  auto _keeps_retry_budget = _o->keeps_retry_budget;
   return shallot::wire::CreateMemberState(
       _fbb,
       _member,
@@ -4359,7 +4679,10 @@
       _rate_limit,
       _rate_wait_us,
       _recent_runs,
-      _takes_runs_for_us);
+      _takes_runs_for_us,
+      _pace,
+      _pace_age_us,
+      _keeps_retry_budget);
 }
 
 inline CrashReportT *CrashReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4544,6 +4867,35 @@
       _bytes);
 }
 
+inline EvacuationT *Evacuation::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuationT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Evacuation::UnPackTo(EvacuationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = offset(); _o->offset = _e; }
+}
+
+inline flatbuffers::Offset<Evacuation> Evacuation::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuation(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _fbb.CreateString(_o->zone);
+  auto _offset = _o->offset;
+  return shallot::wire::CreateEvacuation(
+      _fbb,
+      _zone,
+      _offset);
+}
+
 inline RecordsT::RecordsT(const RecordsT &o)
       : sequence(o.sequence),
         snapshot(o.snapshot),
@@ -4554,11 +4906,16 @@
         members_digest(o.members_digest),
         members_known(o.members_known),
         members_whole(o.members_whole),
-        members_era(o.members_era) {
+        members_era(o.members_era),
+        operator_next(o.operator_next),
+        operator_era(o.operator_era),
+        operator_known(o.operator_known) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new shallot::wire::RecordT(*records_) : nullptr); }
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new shallot::wire::MemberStateT(*members_) : nullptr); }
+  evacuations.reserve(o.evacuations.size());
+  for (const auto &evacuations_ : o.evacuations) { evacuations.emplace_back((evacuations_) ? new shallot::wire::EvacuationT(*evacuations_) : nullptr); }
 }
 
 inline RecordsT &RecordsT::operator=(RecordsT o) FLATBUFFERS_NOEXCEPT {
@@ -4574,6 +4931,10 @@
   std::swap(members_known, o.members_known);
   std::swap(members_whole, o.members_whole);
   std::swap(members_era, o.members_era);
+  std::swap(evacuations, o.evacuations);
+  std::swap(operator_next, o.operator_next);
+  std::swap(operator_era, o.operator_era);
+  std::swap(operator_known, o.operator_known);
   return *this;
 }
 
@@ -4598,6 +4959,10 @@
   { auto _e = members_known(); _o->members_known = _e; }
   { auto _e = members_whole(); _o->members_whole = _e; }
   { auto _e = members_era(); _o->members_era = _e; }
+  { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = std::unique_ptr<shallot::wire::EvacuationT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = operator_next(); _o->operator_next = _e; }
+  { auto _e = operator_era(); _o->operator_era = _e; }
+  { auto _e = operator_known(); _o->operator_known = _e; }
 }
 
 inline flatbuffers::Offset<Records> Records::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4620,6 +4985,10 @@
   auto _members_known = _o->members_known;
   auto _members_whole = _o->members_whole;
   auto _members_era = _o->members_era;
+  auto _evacuations = _o->evacuations.size() ? _fbb.CreateVector<flatbuffers::Offset<shallot::wire::Evacuation>> (_o->evacuations.size(), [](size_t i, _VectorArgs *__va) { return CreateEvacuation(*__va->__fbb, __va->__o->evacuations[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _operator_next = _o->operator_next;
+  auto _operator_era = _o->operator_era;
+  auto _operator_known = _o->operator_known;
   return shallot::wire::CreateRecords(
       _fbb,
       _sequence,
@@ -4633,7 +5002,11 @@
       _members_digest,
       _members_known,
       _members_whole,
-      _members_era);
+      _members_era,
+      _evacuations,
+      _operator_next,
+      _operator_era,
+      _operator_known);
 }
 
 inline ReturnedLoanT *ReturnedLoan::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/EndpointResponsesTest.cpp
+++ b/Tests/EndpointResponsesTest.cpp
@@ -104,6 +104,25 @@
     EXPECT_EQ(order("/order/2"), 502);
 }
 
+// A caller received an answer with the status of a backend server that was in trouble, which was none (MIXED).
+TEST_F(EndpointResponses, AnAnswerWithoutAValidStatusIsNotDelivered)
+{
+    for (const auto* status : { "000", "099", "20", "0200", "2000", "600", "999", "+200", "-200", "2x0", " 200", "" }) {
+        raw->setScript([status](StreamSocket& socket, const std::string& attempt) {
+            auto response = RawEndpoint::responseTo(attempt, "whole");
+            socket.write(response.replace(response.find("200"), 3, status));
+        });
+        EXPECT_EQ(order("/order/1"), 502) << '"' << status << '"';
+    }
+    for (const auto* status : { "200", "299", "404", "599" }) {
+        raw->setScript([status](StreamSocket& socket, const std::string& attempt) {
+            auto response = RawEndpoint::responseTo(attempt, "whole");
+            socket.write(response.replace(response.find("200"), 3, status));
+        });
+        EXPECT_EQ(order("/order/1"), std::stoi(status));
+    }
+}
+
 // A backend server that cannot queue a request never responds to it, nor to anything else on that connection.
 TEST_F(EndpointResponses, AnUnresponsiveConnectionIsNotReused)
 {
--- a/Tests/PlatformCodecTest.cpp
+++ b/Tests/PlatformCodecTest.cpp
@@ -135,6 +135,39 @@
     EXPECT_EQ(classifyResponse({ 421, {}, {} }), ResponseClass::WrongInstance);
 }
 
+// A header with a fourth figure was refused as a whole, and a restarted daemon did not learn the slots from its probe.
+TEST(PlatformResponses, TheLoadHeaderHasThreeOrFourFigures)
+{
+    const std::string name(header::load);
+    const auto read = [&name](const std::string& text) { return loadOf({ 200, { { name, text } }, {} }); };
+    ASSERT_TRUE(read("3,0,8").load.has_value());
+    EXPECT_EQ(read("3,1,8").load->slots, 8U);
+    EXPECT_FALSE(read("3,0,8").load->workTimePercent.has_value());
+    ASSERT_TRUE(read("3,0,8,250").load.has_value());
+    EXPECT_EQ(read("3,0,8,250").load->slots, 8U);
+    EXPECT_EQ(read("3,0,8,250").load->workTimePercent, 250U);
+    for (const auto* text : { "", "3", "3,0", "3,0,8,250,1", "3,0,0", "3,0,8,0", "-1,0,8", "3,0,8,-5", "3,0,99999999999999999999",
+             "3,0,2000000", "3,0,8,x", "3,,8", "3,0,8,", ",3,0,8", "3, 0, 8", "3,0,8.5", "+3,0,8" }) {
+        EXPECT_TRUE(read(text).isMalformed) << text;
+        EXPECT_FALSE(read(text).load.has_value()) << text;
+    }
+    EXPECT_TRUE(loadOf({ 200, { { name, "3,0,8" }, { name, "3,0,9" } }, {} }).isMalformed);
+    EXPECT_FALSE(loadOf({ 200, {}, {} }).isMalformed);
+}
+
+// Downloads were not repeated, and uploads must never be.
+TEST(PlatformConfiguration, DownloadsMayBeRepeatedAndUploadsMayNot)
+{
+    const auto isIdempotent = [](const std::string& kind) {
+        const auto configuration = decodeConfiguration(
+            R"({"version":"r1","virtual_hosts":[{"host":"h","paths":[{"name":"r","service":"s","kind":")" + kind + "\"}]}]}");
+        return configuration && configuration->routes[0].idempotent;
+    };
+    EXPECT_TRUE(isIdempotent("idempotent") && isIdempotent("download"));
+    for (const auto* kind : { "non_idempotent", "upload", "keyed", "Download", "" })
+        EXPECT_FALSE(isIdempotent(kind)) << kind;
+}
+
 // Announcements of other writers, each with one field missing or of another type.
 TEST(PlatformAnnouncements, WithAMissingOrMalformedFieldNameNoBackendServer)
 {
