--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -39,6 +39,7 @@
     // Of the share of repeats, where the daemon beside the backend server admits them. Senders that keep budgets of their own need
     // the rest.
     double retryFractionAtBackend { 0.75 };
+    double allowanceFractionAtBackend { 0.5 }; // The same of the allowance, divided by the backend servers of the service
     unsigned maximumSendings { 8 }; // Of one request, where backend servers refuse it and their daemons admit repeats
     Duration retryBudgetDecayTime { 2500ms }; // Time constant of the decay of unused budget; a quarter of the budget window
 
--- a/Source/mesh/RemoteEndpoints.cpp
+++ b/Source/mesh/RemoteEndpoints.cpp
@@ -142,6 +142,12 @@
     return region != m_regions.end() && regions.allow(region->second);
 }
 
+size_t RemoteEndpoints::countOf(std::string_view service) const
+{
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? 0 : found->second.size();
+}
+
 std::string_view RemoteEndpoints::reasonForNone(std::string_view service, const AllowedRegions& regions) const
 {
     const auto found = m_byService.find(service);
--- a/Source/mesh/RemoteEndpoints.h
+++ b/Source/mesh/RemoteEndpoints.h
@@ -56,6 +56,8 @@
     void setEvacuatedZones(std::set<std::string, std::less<>> zones) { m_evacuatedZones = std::move(zones); }
     // Regions by zone; that of a zone which is not among them is not known.
     void setRegions(std::map<std::string, std::string, std::less<>> regions) { m_regions = std::move(regions); }
+    // Members whose backend server is of that service, reachable or not.
+    size_t countOf(std::string_view service) const;
     // Why a request has no member to go to although there are some; empty if it is neither of them.
     std::string_view reasonForNone(std::string_view service, const AllowedRegions&) const;
 
--- a/Source/mesh/ReportedLoad.cpp
+++ b/Source/mesh/ReportedLoad.cpp
@@ -17,13 +17,6 @@
         return;
     m_pace = *workTimePercent / usualPercent;
     m_reportedAt = now;
-    m_machineShared = true;
-}
-
-void ReportedLoad::reset()
-{
-    m_pace = 0;
-    m_machineShared = false;
 }
 
 bool ReportedLoad::recordMalformed(TimePoint now)
--- a/Source/mesh/ReportedLoad.h
+++ b/Source/mesh/ReportedLoad.h
@@ -15,19 +15,16 @@
     // Counts a header that cannot be read. Returns whether it should be logged: at most one a minute is.
     bool recordMalformed(TimePoint now);
     // Another run of the backend server may be of another service.
-    void reset();
+    void reset() { m_pace = 0; }
 
     // How long work takes, 1 as usual; 0: not known.
     double pace() const { return m_pace; }
     Duration paceAge(TimePoint now) const { return m_pace > 0 ? now - m_reportedAt : Duration::zero(); }
-    // Whether the backend server ever named the figure: it shares its machine, and the retry budget is kept beside it.
-    bool isMachineShared() const { return m_machineShared; }
     uint64_t malformedHeaders() const { return m_malformedHeaders; }
 
 private:
     double m_pace { 0 };
     TimePoint m_reportedAt {};
-    bool m_machineShared { false };
     uint64_t m_malformedHeaders { 0 };
     TimePoint m_loggedAt {};
 };
--- a/Source/mesh/RetryBudgetLedger.cpp
+++ b/Source/mesh/RetryBudgetLedger.cpp
@@ -37,8 +37,9 @@
     for (int64_t first = m_current - windowCells + 1; first <= m_current; ++first) {
         const double requests = std::max({ requestsIn(first, first + windowCells), requestsIn(first - windowCells, first),
             requestsIn(first - windowCells / 2, first + windowCells / 2) });
-        const auto repeats = static_cast<double>(totals(m_current).repeats - totals(first - 1).repeats);
-        least = std::min(least, m_share * requests - repeats);
+        // A window that begins within a cell may reach into one more.
+        const auto repeats = static_cast<double>(totals(m_current).repeats - totals(first - 2).repeats);
+        least = std::min(least, m_share * requests + m_allowance - repeats);
     }
     return least;
 }
--- a/Source/mesh/RetryBudgetLedger.h
+++ b/Source/mesh/RetryBudgetLedger.h
@@ -19,6 +19,8 @@
     {
     }
 
+    // Repeats in a window beyond that share.
+    void setAllowance(double allowance) { m_allowance = allowance; }
     void recordRequest(TimePoint now) { ++totalsAt(now).requests; }
     void recordRepeat(TimePoint now) { ++totalsAt(now).repeats; }
     // Further repeats that all windows which contain this moment allow; may be negative.
@@ -40,6 +42,7 @@
     double requestsIn(int64_t first, int64_t end) const;
 
     double m_share;
+    double m_allowance { 0 };
     std::array<Totals, keptCells> m_totals {}; // By the cell's number, modulo the size
     int64_t m_current { 0 };                   // Number of the latest cell
     bool m_started { false };
--- a/Source/mesh/RetryLevel.cpp
+++ b/Source/mesh/RetryLevel.cpp
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto adaptInterval = 100ms;
-constexpr auto spendingTime = 5s;     // In which what is left of the budget would be used up; most faults end sooner
+constexpr auto spendingTime = 3s;     // In which what is left of the budget would be used up; most faults end sooner
 constexpr double slackShare = 0.8;    // The level falls while less than this of the allowed repeats is used
 constexpr double idleShare = 0.1;     // Below this share nobody needs the level
 
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -191,7 +191,7 @@
     report.leaving = m_leaving;
     report.pace = m_reportedLoad.pace();
     report.paceAge = m_reportedLoad.paceAge(now);
-    report.keepsRetryBudget = keepsRetryBudget();
+    report.keepsRetryBudget = m_keepsRetryBudget;
     if (m_leaving && report.available)
         report.takesRunsFor = m_takesRunsUntil - now;
     return report;
@@ -279,7 +279,7 @@
 
 ErrorKind EndpointExecutor::checkRetryBudget(const LiveRun& live, TimePoint now)
 {
-    if (!live.call.repeat || !keepsRetryBudget() || m_retryLevel.admit(live.score, m_retryBudget.available(now), now))
+    if (!live.call.repeat || !m_keepsRetryBudget || m_retryLevel.admit(live.score, m_retryBudget.available(now), now))
         return ErrorKind::None;
     return ErrorKind::RetryBudgetExhausted;
 }
@@ -377,7 +377,7 @@
         auto refusal = checkAdmission(*live, now);
         if (refusal == ErrorKind::None && item->deadline <= now)
             refusal = ErrorKind::ExpiredInQueue;
-        if (refusal == ErrorKind::None && live->call.repeat && keepsRetryBudget() && m_retryBudget.available(now) < 1)
+        if (refusal == ErrorKind::None && live->call.repeat && m_keepsRetryBudget && m_retryBudget.available(now) < 1)
             refusal = ErrorKind::RetryBudgetExhausted;
         if (refusal != ErrorKind::None)
             refuse(*live, refusal, now);
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -70,6 +70,10 @@
     void setHealthPaths(std::map<std::string, std::string>);
     // By service: how its backend servers must be treated after a start.
     void setColdStarts(std::map<std::string, ColdStart>);
+    // Admits repeats by the service's retry budget instead of leaving that to their senders.
+    void setKeepsRetryBudget(bool keeps) { m_keepsRetryBudget = keeps; }
+    // The budget's part that does not depend on the requests, for this backend server.
+    void setRetryAllowance(double repeats) { m_retryBudget.setAllowance(repeats); }
     // While the zone is evacuated, nothing is sent to the backend server; runs in progress continue.
     void setEvacuated(bool, TimePoint now);
     // Refuses new calls from `takesRunsUntil` on. Those running continue, and those queued if they start until then or in the
@@ -133,7 +137,6 @@
 
     ErrorKind checkAdmission(LiveRun&, TimePoint now);
     ErrorKind checkCrashSuspicion(LiveRun&);
-    bool keepsRetryBudget() const { return m_reportedLoad.isMachineShared(); }
     ErrorKind checkRetryBudget(const LiveRun&, TimePoint now);
     ErrorKind reserveBodyBytes(LiveRun&);
     uint64_t fingerprintOf(LiveRun&) const;
@@ -186,6 +189,7 @@
     RootLoadShedder m_loadShedder;
     RetryBudgetLedger m_retryBudget;
     RetryLevel m_retryLevel;
+    bool m_keepsRetryBudget { false };
     CallGraphAdmission m_callGraphAdmission;
     std::unordered_map<uint64_t, RefPtr<LiveRun>> m_calls;
     std::unordered_map<std::string, uint64_t> m_running; // By attempt, while at the backend server
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -224,7 +224,7 @@
         auto ownReport = report(now);
         ownReport.pressure
             = std::max(m_queue.pressure(context.priority, now), m_loadShedder.pressure(context.route, context.priority, now));
-        const auto ownLevel = keepsRetryBudget() ? m_retryLevel.level(m_retryBudget.available(now), now) : 0;
+        const auto ownLevel = m_keepsRetryBudget ? m_retryLevel.level(m_retryBudget.available(now), now) : 0;
         ownReport.retryLevel = std::max(ownLevel, m_callGraphAdmission.level(context.route, now));
         completion({ std::move(response), ownReport, reachedBackend, live.nestedCallFailed });
     }
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -46,7 +46,8 @@
 } // namespace
 
 Sidecar::Sidecar(platform::InstanceSettings instance, const MeshSettings& settings, std::string peerSecret)
-    : m_instance(std::move(instance))
+    : m_settings(settings)
+    , m_instance(std::move(instance))
     , m_own { m_instance.instance, m_instance.zone, m_instance.peers.toString(), m_instance.service }
     , m_boot(makeRandomRequestID().low)
     , m_view(settings, m_instance.zone)
@@ -542,6 +543,7 @@
         healthPaths[service.name] = service.healthPath;
         coldStarts[service.name] = service.coldStart;
     }
+    m_executor.setKeepsRetryBudget(configuration.usesSecondRevision);
     m_executor.setColdStarts(std::move(coldStarts));
     m_executor.setHealthPaths(std::move(healthPaths));
 }
@@ -560,6 +562,8 @@
     m_servedCalls.expire(now);
     if (++m_ticks % ticksPerFlush)
         return;
+    const auto servers = std::max<size_t>(1, m_view.endpoints().countOf(m_own.service));
+    m_executor.setRetryAllowance(m_settings.retryAllowance * m_settings.allowanceFractionAtBackend / static_cast<double>(servers));
     m_executor.tick();
     EventLog::flush();
 }
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -77,6 +77,7 @@
     size_t openLocalConnections() const { return m_control.connectionCount() + m_readiness.connectionCount(); }
     void endWhenConnectionsHaveClosed(TimePoint latest);
 
+    const MeshSettings& m_settings;
     platform::InstanceSettings m_instance;
     MeshMember m_own;
     uint64_t m_boot; // Identity of this process
