--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -69,6 +69,11 @@
     // Without an announcement for this long, three announcement intervals, a backend server counts as unavailable.
     Duration announcementTimeout { 5s };
 
+    // Deployment: of the responses that callers have not read; a quarter of the instance's memory, ten of the longest ones on the
+    // smallest instance. Then callers that read nothing are cut off.
+    size_t maximumUnreadResponseBytes { 40 * 1024 * 1024 };
+    static constexpr double unreadResponseShare = 0.25;
+
     // Calls whose link has ended
     // Until a call that may run more than once is sent elsewhere if its daemon does not tell what became of it; tens of round
     // trips between zones.
--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -1,5 +1,7 @@
 #include "net/StreamSocket.h"
 
+#include "net/ByteBudget.h"
+
 #include <array>
 #include <cerrno>
 #include <gio/gio.h>
@@ -9,6 +11,7 @@
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <utility>
 #include <unistd.h>
 
 namespace shallot {
@@ -16,6 +19,7 @@
 namespace {
 
 constexpr size_t maximumPendingBytes = 32 * 1024 * 1024;
+constexpr size_t compactedBytes = 256 * 1024; // That were sent, after which the rest is moved to a smaller buffer
 constexpr size_t readChunkBytes = 64 * 1024;
 constexpr int maximumReadsPerEvent = 1; // A busy connection starves neither the others nor the timers
 
@@ -172,6 +176,7 @@
     m_sendFailed = true;
     m_pending = {};
     m_pendingOffset = 0;
+    updateHeldBytes();
     m_writeBlocked = false;
     updateWatch();
 }
@@ -222,7 +227,10 @@
         closeAndNotify(StreamEnd::Reset);
         return false;
     }
+    if (!pendingBytes())
+        m_lastSendProgress = MonotonicClock::now();
     m_pending.append(bytes);
+    updateHeldBytes();
     if (m_connecting || m_writeBlocked)
         return true;
     if (!flush()) {
@@ -232,6 +240,19 @@
     return true;
 }
 
+void StreamSocket::setBudget(ByteBudget& budget)
+{
+    m_budget = &budget;
+    updateHeldBytes();
+}
+
+void StreamSocket::updateHeldBytes()
+{
+    const auto held = isOpen() ? m_pending.capacity() : 0;
+    if (m_budget)
+        m_budget->change(std::exchange(m_heldBytes, held), held);
+}
+
 bool StreamSocket::flush()
 {
     while (m_pendingOffset < m_pending.size()) {
@@ -242,12 +263,19 @@
                 return false;
             m_writeBlocked = true;
             updateWatch();
+            // A peer that reads slowly would otherwise hold what it has read.
+            if (m_pendingOffset >= compactedBytes && m_pendingOffset >= m_pending.size() / 4) {
+                m_pending = m_pending.substr(std::exchange(m_pendingOffset, 0));
+                updateHeldBytes();
+            }
             return true;
         }
         m_pendingOffset += static_cast<size_t>(sent);
+        m_lastSendProgress = MonotonicClock::now();
     }
     m_pending = {};
     m_pendingOffset = 0;
+    updateHeldBytes();
     m_writeBlocked = false;
     updateWatch();
     if (m_finishing)
@@ -284,6 +312,9 @@
     SocketPoller::shared().watch(m_watcher, 0);
     ::close(m_watcher.descriptor);
     m_watcher.descriptor = -1;
+    m_pending = {};
+    m_pendingOffset = 0;
+    updateHeldBytes();
 }
 
 } // namespace shallot
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -14,6 +14,8 @@
 
 namespace shallot {
 
+class ByteBudget;
+
 // How a connection was closed.
 enum class StreamEnd : uint8_t {
     Clean,   // The peer shut down its sending side
@@ -48,6 +50,10 @@
     // Sends the buffered data, also to a peer that has shut down its sending side, then shuts down the own sending side and
     // discards received data until the peer closes.
     void finish();
+    // The bytes that wait to be sent are counted in this budget, which must outlive the connection.
+    void setBudget(ByteBudget&);
+    // When the peer last took some of them, or when the first of them began to wait.
+    TimePoint lastSendProgress() const { return m_lastSendProgress; }
     // While paused, received data stays in the kernel, so that the peer has to wait. The end of the connection is noticed only
     // if it is a reset.
     void setReadPaused(bool);
@@ -79,12 +85,16 @@
     void finishConnecting();
     void closeAndNotify(StreamEnd);
     void updateWatch();
+    void updateHeldBytes();
 
     SocketWatcher m_watcher;
     Callbacks m_callbacks;
     std::string m_pending;
     size_t m_pendingOffset { 0 };
     size_t m_discardedBytes { 0 };
+    ByteBudget* m_budget { nullptr };
+    size_t m_heldBytes { 0 }; // Counted in the budget
+    TimePoint m_lastSendProgress {};
     bool m_started { false };
     bool m_connecting { false };
     bool m_writeBlocked { false }; // The kernel's send buffer is full
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -353,6 +353,8 @@
     if (!bodiless && m_parser.method != HTTP_HEAD)
         text += response.body;
     m_parser.method = HTTP_GET; // Until the next header section is parsed; it may be rejected before
+    if (m_callbacks.onResponseBytes)
+        m_callbacks.onResponseBytes(*this, text.size());
     m_socket->write(text);
     if (close) {
         if (!unparsed().empty())
@@ -394,6 +396,30 @@
     onSocketClosed(StreamEnd::Reset);
 }
 
+void StrictHTTPConnection::abortUnread(TimePoint now)
+{
+    EventLog::write("connection-unread",
+        { { "caller", m_peerHost }, { "listener", m_listener }, { "held_bytes", m_socket->pendingBytes() },
+            { "without_progress_s", toSeconds(now - m_socket->lastSendProgress()) }, { "serving", m_serving } });
+    m_socket->close();
+    onSocketClosed(StreamEnd::Reset);
+}
+
+size_t StrictHTTPConnection::unreadResponseBytes() const
+{
+    return m_socket->pendingBytes();
+}
+
+TimePoint StrictHTTPConnection::lastReadProgress() const
+{
+    return m_socket->lastSendProgress();
+}
+
+void StrictHTTPConnection::setResponseBudget(ByteBudget& budget)
+{
+    m_socket->setBudget(budget);
+}
+
 void StrictHTTPConnection::closeWhenIdle()
 {
     const RefPtr<StrictHTTPConnection> protect(this);
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -13,6 +13,7 @@
 
 namespace shallot {
 
+class ByteBudget;
 class StreamSocket;
 enum class StreamEnd : uint8_t;
 
@@ -23,6 +24,7 @@
     Duration headerTimeout { std::chrono::seconds(3) }; // From the first to the last byte of a header section; then 408
     Duration bodyTimeout { std::chrono::seconds(20) };  // From the end of the header section to the end of the body; then 408
     Duration idleTimeout { std::chrono::seconds(15) };  // Without a request; then the connection is closed
+    size_t maximumUnreadResponseBytes { 40 * 1024 * 1024 }; // Of all responses; then clients that do not read are cut off
     size_t maximumConnections { 3000 }; // Further ones are rejected with status 503. Peers share the instance's 4,100 descriptors
 };
 
@@ -34,6 +36,8 @@
         std::function<void(StrictHTTPConnection&, HTTPRequest)> onRequest;
         std::function<void(StrictHTTPConnection&)> onDisconnect; // The client disconnected before the response
         std::function<void(StrictHTTPConnection&)> onClosed;     // Always the last call
+        // Called before so many bytes of a response are passed to the socket, to make room for them.
+        std::function<void(StrictHTTPConnection&, size_t bytes)> onResponseBytes;
         std::function<bool()> mayBufferMore; // Called while a long body arrives; false rejects it. Unset: allowed
     };
 
@@ -48,6 +52,12 @@
     void respond(const HTTPResponse&, bool close, TimePoint now);
     // Closes the connection without a response.
     void abort();
+    // The same, for a client that does not read its responses while they take the memory of others.
+    void abortUnread(TimePoint now);
+    // Bytes of responses that the client has not read.
+    size_t unreadResponseBytes() const;
+    TimePoint lastReadProgress() const;
+    void setResponseBudget(ByteBudget&);
     // Rejects a request whose header section or body is overdue, and closes an idle connection, or one whose client does not read
     // the last response, after its timeout.
     void enforceTimeouts(TimePoint now);
--- a/Source/net/StrictHTTPServer.cpp
+++ b/Source/net/StrictHTTPServer.cpp
@@ -28,7 +28,7 @@
 Result<void> StrictHTTPServer::start(const SocketAddress& address, const StrictHTTPLimits& limits, Handlers handlers)
 {
     m_address = address.toString();
-    m_limits = limits;
+    setLimits(limits);
     m_handlers = std::move(handlers);
     m_timeoutTimer.startRepeating(timeoutCheckInterval, [this] { enforceTimeouts(); });
     return m_listener.start(address, [this](RefPtr<StreamSocket> socket) { accept(std::move(socket)); });
@@ -55,8 +55,10 @@
                 if (m_connections.erase(&from))
                     intrusive_ptr_release(&from);
             },
+            [this](StrictHTTPConnection& from, size_t bytes) { makeRoom(from, bytes); },
             [this] { return mayBufferMore(); },
         });
+    connection->setResponseBudget(m_responseBudget);
     if (isRefused)
         connection->refuse();
     intrusive_ptr_add_ref(connection.get());
@@ -64,6 +66,39 @@
     connection->start(MonotonicClock::now());
 }
 
+void StrictHTTPServer::setLimits(const StrictHTTPLimits& limits)
+{
+    m_limits = limits;
+    m_responseBudget.setMaximum(limits.maximumUnreadResponseBytes);
+}
+
+// The client that has gone longest without reading anything; among those, the one with most bytes.
+StrictHTTPConnection* StrictHTTPServer::findSlowestReader(const StrictHTTPConnection& writer) const
+{
+    const auto rank = [](const StrictHTTPConnection& connection) {
+        constexpr auto progressStep = std::chrono::seconds(1); // Readers that make progress at any time in it are alike
+        return std::pair(-(connection.lastReadProgress().time_since_epoch() / progressStep), connection.unreadResponseBytes());
+    };
+    StrictHTTPConnection* slowest = nullptr;
+    for (auto* connection : m_connections) {
+        if (connection != &writer && connection->unreadResponseBytes() && (!slowest || rank(*connection) > rank(*slowest)))
+            slowest = connection;
+    }
+    return slowest;
+}
+
+void StrictHTTPServer::makeRoom(StrictHTTPConnection& writer, size_t bytes)
+{
+    const auto now = MonotonicClock::now();
+    while (!m_responseBudget.hasRoomFor(bytes)) {
+        const RefPtr<StrictHTTPConnection> slowest(findSlowestReader(writer));
+        if (!slowest)
+            return;
+        ++m_cutOffReaders;
+        slowest->abortUnread(now);
+    }
+}
+
 bool StrictHTTPServer::mayBufferMore() const
 {
     const auto buffered = std::accumulate(m_connections.begin(), m_connections.end(), size_t { 0 },
--- a/Source/net/StrictHTTPServer.h
+++ b/Source/net/StrictHTTPServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/ByteBudget.h"
 #include "net/Listener.h"
 #include "net/StrictHTTPConnection.h"
 #include "net/Timer.h"
@@ -24,21 +25,28 @@
     StrictHTTPServer& operator=(const StrictHTTPServer&) = delete;
 
     Result<void> start(const SocketAddress&, const StrictHTTPLimits&, Handlers);
-    void setLimits(const StrictHTTPLimits& limits) { m_limits = limits; }
+    void setLimits(const StrictHTTPLimits&);
     // Stops accepting connections. Requests that the kernel has already received are served, and each connection is closed after
     // its next response or when it is idle.
     void startDraining();
     size_t connectionCount() const { return m_connections.size(); }
+    // Bytes of responses that wait for clients to read them, and the clients that were cut off for them.
+    size_t unreadResponseBytes() const { return m_responseBudget.held(); }
+    uint64_t cutOffReaders() const { return m_cutOffReaders; }
 
 private:
     void accept(RefPtr<StreamSocket>);
     void enforceTimeouts();
     bool mayBufferMore() const;
+    void makeRoom(StrictHTTPConnection& writer, size_t bytes);
+    StrictHTTPConnection* findSlowestReader(const StrictHTTPConnection& writer) const;
 
     Listener m_listener;
     std::string m_address;
     StrictHTTPLimits m_limits;
     Handlers m_handlers;
+    ByteBudget m_responseBudget { StrictHTTPLimits {}.maximumUnreadResponseBytes };
+    uint64_t m_cutOffReaders { 0 };
     Timer m_timeoutTimer;
     std::unordered_set<StrictHTTPConnection*> m_connections; // The set holds one reference to each
 };
--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -7,6 +7,7 @@
 #include "platform/InstanceSettings.h"
 #include "sidecar/Sidecar.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cerrno>
@@ -26,6 +27,7 @@
 namespace {
 
 constexpr size_t minimumSecretLength = 16;
+constexpr double leastMemoryMB = 32; // Room for two of the longest responses
 
 struct Flags {
     std::string peerSecret;
@@ -59,6 +61,9 @@
     settings.keyStaleness = instance.keyStaleness;
     settings.retryShare = instance.retryShare;
     settings.retryAllowance = instance.retryAllowance;
+    constexpr double bytesPerMB = 1024 * 1024;
+    settings.maximumUnreadResponseBytes
+        = static_cast<size_t>(std::max(instance.memoryMB, leastMemoryMB) * bytesPerMB * settings.unreadResponseShare);
     settings.announcementTimeout = instance.announcementInterval * 3 + shallot::fromSeconds(0.5);
     return settings;
 }
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -255,6 +255,7 @@
 std::string meshFrameDictionary()
 {
     MeshCall call;
+    call.firstSending = false; // Daemons of earlier versions have a dictionary without that field
     call.request = platform::exampleRequest();
     const MeshOutcome outcome { platform::exampleResponse(), {}, false };
     return packFrame(makeMeshAnswerFrame(0, outcome)) + packFrame(makeMeshCallFrame(0, call));
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -36,6 +36,7 @@
     , m_deadlines([this](uint64_t id) { onDeadline(id); })
     , m_queries([this](uint64_t id) { onQueryDue(id); })
 {
+    m_limits.maximumUnreadResponseBytes = m_dependencies.settings.maximumUnreadResponseBytes;
 }
 
 Result<void> MeshIngress::start(const SocketAddress& address)
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -70,6 +70,7 @@
     void onUnresponsive(PeerLink&, Duration unansweredFor);
     size_t inProgress() const { return m_pending.size(); }
     size_t openConnections() const { return m_server.connectionCount(); }
+    const StrictHTTPServer& server() const { return m_server; }
 
 private:
     struct PendingRequest;
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -355,6 +355,8 @@
         m_metrics.setGauge("shallot_backend_server_pace", m_executor.reportedLoad().pace());
         m_metrics.setGauge("shallot_load_headers_malformed", static_cast<double>(m_executor.reportedLoad().malformedHeaders()));
         m_metrics.setGauge("shallot_crash_suspects", static_cast<double>(m_crashSuspects.size()));
+        m_metrics.setGauge("shallot_unread_response_bytes", static_cast<double>(m_ingress.server().unreadResponseBytes()));
+        m_metrics.setGauge("shallot_cut_off_readers", static_cast<double>(m_ingress.server().cutOffReaders()));
         m_metrics.setGauge("shallot_requests_open", static_cast<double>(m_ingress.inProgress()));
         m_metrics.setGauge("shallot_configuration_version", static_cast<double>(m_view.version()));
         m_metrics.setGauge("shallot_configuration_age_seconds", toSeconds(now - m_view.freshness().confirmedAt));
