--- a/Source/mesh/MeshConfiguration.h
+++ b/Source/mesh/MeshConfiguration.h
@@ -59,9 +59,9 @@
 // A complete configuration; a higher version replaces a lower one.
 struct MeshConfiguration {
     uint64_t version { 0 };
-    // It uses names that came with the second revision of the platform's protocol. What changed together with them applies only
-    // to such deployments, so that the others are served as before.
-    bool usesSecondRevision { false };
+    // It has routes for uploads or downloads. Their retry budget is kept beside the backend servers; other deployments are served
+    // as before, as services that are full already are no better off with more retries.
+    bool hasBulkRoutes { false };
     std::vector<MeshRoute> routes;
     std::vector<MeshOrganisation> organisations;
     std::vector<MeshService> services;
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -545,7 +545,7 @@
         healthPaths[service.name] = service.healthPath;
         coldStarts[service.name] = service.coldStart;
     }
-    m_executor.setKeepsRetryBudget(configuration.usesSecondRevision);
+    m_executor.setKeepsRetryBudget(configuration.hasBulkRoutes);
     m_executor.setColdStarts(std::move(coldStarts));
     m_executor.setHealthPaths(std::move(healthPaths));
 }
