--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -37,7 +37,9 @@
     const auto started = m_server->start(m_address, {},
         { [this](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
              if (request.target == "/health") {
-                 const HTTPResponse healthy { 200, { { std::string(platform::header::instance), m_instance } }, {} };
+                 HTTPResponse healthy { 200, { { std::string(platform::header::instance), m_instance } }, {} };
+                 if (const auto cold = coldFor(); cold > Duration::zero())
+                     healthy.headers.emplace_back(platform::header::coldTime, std::to_string(cold / 1ms));
                  connection->respond(healthy, false, MonotonicClock::now());
                  return;
              }
@@ -96,8 +98,9 @@
     const std::string& service, const std::string& state, uint64_t startedAt, uint64_t sequence) const
 {
     return R"({"service":")" + service + R"(","addr":")" + m_address.toString()
-        + R"(","zone":"z","version":"v1","slots":4,"state":")" + state + R"(","cold_left_s":0,"born":)"
-        + std::to_string(startedAt) + R"(,"seq":)" + std::to_string(sequence) + "}";
+        + R"(","zone":"z","version":"v1","slots":4,"state":")" + state + R"(","cold_left_s":)"
+        + std::to_string(toSeconds(coldFor())) + R"(,"born":)" + std::to_string(startedAt) + R"(,"seq":)"
+        + std::to_string(sequence) + "}";
 }
 
 void EndpointStandin::sendAnnouncement(const std::string& instance, const std::string& body)
@@ -239,7 +242,8 @@
             + R"(","attempts":2,"anonymous":)" + (open ? "true" : "false") + "}";
     };
     const std::string document = R"({"version":"r)" + std::to_string(version)
-        + R"(","services":[{"name":"alpha","health_path":"/health","max_connections":100},)"
+        + R"(","services":[{"name":"alpha","health_path":"/health","max_connections":100,"cold_s":5,"cold_per_s":)"
+        + std::to_string(coldPerSecond) + R"(},)"
         + R"({"name":"beta","health_path":"/health","max_connections":100}],"tenants":[{"name":"school","api_keys":)" + keys
         + R"(,"rate_per_s":)" + std::to_string(rate) + R"(,"burst":)" + std::to_string(rate)
         + R"(}],"virtual_hosts":[{"host":"app","paths":[)" + route("/read/", "alpha", "idempotent", false) + ","
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -4,6 +4,7 @@
 #include "net/HTTPPool.h"
 #include "sidecar/Sidecar.h"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -40,6 +41,8 @@
     void crash(Duration downtime, bool acceptsConnections = false);
     // Ends without a word; the next run serves at once, under the same name, and has not announced itself.
     void restartUnannounced();
+    // It says that it stays cold for that long, in announcements and health responses.
+    void setCold(Duration coldFor) { m_coldUntil = MonotonicClock::now() + coldFor; }
     bool isRunning() const { return m_running; }
     // Frees the address for another stand-in with different behaviour; announcements continue.
     void stopServing() { m_server->startDraining(); }
@@ -56,6 +59,7 @@
 private:
     void start();
     void sendNotice(std::string target, const std::string& body);
+    Duration coldFor() const { return std::max<Duration>(m_coldUntil - MonotonicClock::now(), Duration::zero()); }
     std::string bodyOf(const std::string& service, const std::string& state, uint64_t startedAt, uint64_t sequence) const;
 
     SocketAddress m_address;
@@ -67,6 +71,7 @@
     std::string m_service;
     std::string m_instance;
     uint64_t m_startedAt { 1000 };
+    TimePoint m_coldUntil {};
     std::vector<HTTPRequest> m_requests; // Without health probes
     uint64_t m_sequence { 0 };
     uint16_t m_lastNoticeStatus { 0 };
@@ -118,7 +123,8 @@
     SocketAddress peersAddress(size_t daemon) const;
 
     MeshSettings settings;
-    double timeLimit { 1.5 }; // Of all routes, in seconds, from the next configuration on
+    double coldPerSecond { 0 }; // Requests that a cold backend server takes, from the next configuration on; 0: any number
+    double timeLimit { 1.5 };   // Of all routes, in seconds, from the next configuration on
 
 private:
     SocketAddress address(size_t daemon, uint16_t offset) const;
