--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -248,7 +248,7 @@
 
 void StreamSocket::updateHeldBytes()
 {
-    const auto held = isOpen() ? m_pending.capacity() : 0;
+    const auto held = m_pending.empty() ? 0 : m_pending.capacity();
     if (m_budget)
         m_budget->change(std::exchange(m_heldBytes, held), held);
 }
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -1,7 +1,7 @@
 // Index of this file
 //   Announcements:  recordAnnouncement, onNewRun, recordLeave, verifyInstance, onProbe, isAvailable, startLeaving, tick
-//   Admission:      submit, checkAdmission, checkCrashSuspicion, checkRetryBudget, reserveBodyBytes, runNext, findParent,
-//   recordPressure
+//   Admission:      submit, checkAdmission, checkCrashSuspicion, checkRetryBudget, reserveBodyBytes, runNext
+//   Nested calls:   findParent, recordPressure, recordFailedNestedCall
 // The runs at the backend server are in EndpointExecutorRuns.cpp, its warm-up is in EndpointExecutorWarmUp.cpp.
 
 #include "sidecar/EndpointExecutor.h"
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -1,7 +1,7 @@
 // Index of this file
-//   Runs:     run, send, onResponse, recordStateHeaders, recordRateLimit, recordLoad, announceLimitRise, finish, refuse, cancel,
-//   onDeadline Crashes:  recordUnanswered, recordAnswered, recordCrash, suspectCrash, probeSuspectedCrash, onSuspicionProbe,
-//   concludeCrash,
+//   Runs:      run, send, onResponse, finish, refuse, cancel, onDeadline
+//   Headers:   recordStateHeaders, recordRateLimit, recordLoad, announceLimitRise
+//   Crashes:   recordUnanswered, recordAnswered, recordCrash, suspectCrash, probeSuspectedCrash, onSuspicionProbe, concludeCrash,
 //             endSuspicion
 
 #include "core/Digest.h"
--- a/Source/sidecar/EndpointExecutorWarmUp.cpp
+++ b/Source/sidecar/EndpointExecutorWarmUp.cpp
@@ -1,6 +1,7 @@
 // Index of this file
-//   Cold backend servers:  setColdStarts, limitColdTime, recordColdAnnouncement, recordColdTime, checkSilence, probeColdState,
-//   updateWarmUp Evacuation:            setEvacuated
+//   Cold state:  setColdStarts, limitColdTime, recordColdAnnouncement, recordColdTime, checkSilence, probeColdState
+//   Rate:        updateWarmUp
+//   Evacuation:  setEvacuated
 
 #include "core/EventLog.h"
 #include "mesh/MeshSettings.h"
