--- a/Source/sidecar/MeshSync.cpp
+++ b/Source/sidecar/MeshSync.cpp
@@ -1,10 +1,9 @@
 // Index of this file
-//   Store:       start, onConfigurationRead, applyEvacuations, applyConfiguration, onMembersRead, onStoreEra, applyMembers,
-//   storeOwnRecordAgain,
-//                onMemberListUpdated, readAllMembers
+//   Store:       start, onConfigurationRead, applyEvacuations, applyConfiguration
+//   Members:     onMembersRead, onStoreEra, applyMembers, storeOwnRecordAgain, onMemberListUpdated, readAllMembers
 //   Own record:  applyOwnRecord, setOwnService, publishOwnRecord, publishCrashSuspects, storeLeave
-//   Peers:       tick, sendSyncRequest, onSyncRequest, onSyncResponse, pushConfiguration, pushEvacuations,
-//                pushToZone, connectToMembers
+//   Peers:       tick, sendSyncRequest, onSyncRequest, onSyncResponse, connectToMembers
+//   Pushes:      pushConfiguration, pushEvacuations, pushToZone
 //   Repair:      repair
 
 #include "sidecar/MeshSync.h"
