--- a/Source/mesh/MeshConfiguration.h
+++ b/Source/mesh/MeshConfiguration.h
@@ -59,8 +59,8 @@
 // A complete configuration; a higher version replaces a lower one.
 struct MeshConfiguration {
     uint64_t version { 0 };
-    // It has routes for uploads or downloads. Then the retry budget is kept beside the backend servers; other deployments are served
-    // as before.
+    // It has routes for uploads or downloads. Then the retry budget is kept beside the backend servers; other deployments are
+    // served as before.
     bool hasBulkRoutes { false };
     std::vector<MeshRoute> routes;
     std::vector<MeshOrganisation> organisations;
