--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -241,9 +241,9 @@
             + R"(","timeout_s":)" + std::to_string(timeLimit) + R"(,"target_latency_s":1,"priority":1,"service":")" + service
             + R"(","attempts":2,"anonymous":)" + (open ? "true" : "false") + "}";
     };
+    const auto coldStart = coldPerSecond > 0 ? R"(,"cold_s":5,"cold_per_s":)" + std::to_string(coldPerSecond) : std::string();
     const std::string document = R"({"version":"r)" + std::to_string(version)
-        + R"(","services":[{"name":"alpha","health_path":"/health","max_connections":100,"cold_s":5,"cold_per_s":)"
-        + std::to_string(coldPerSecond) + R"(},)"
+        + R"(","services":[{"name":"alpha","health_path":"/health","max_connections":100)" + coldStart + "},"
         + R"({"name":"beta","health_path":"/health","max_connections":100}],"tenants":[{"name":"school","api_keys":)" + keys
         + R"(,"rate_per_s":)" + std::to_string(rate) + R"(,"burst":)" + std::to_string(rate)
         + R"(}],"virtual_hosts":[{"host":"app","paths":[)" + route("/read/", "alpha", "idempotent", false) + ","
