--- a/Tests/LongResponsesTest.cpp
+++ b/Tests/LongResponsesTest.cpp
@@ -24,6 +24,9 @@
 constexpr size_t memoryBoundMB = memoryMB * sanitizerFactor;
 constexpr size_t crowd = 80;                // Callers with a long response each
 constexpr size_t longBodyBytes = 3'900'000; // Within what a single caller may get
+constexpr size_t keptCallers = 16;          // With a request behind a response that they do not read at once
+constexpr size_t keptBodyStep = 490'000;    // Between the sizes of these responses; the kernel takes an unknown part of each
+constexpr size_t keptBodySizes = 8;
 constexpr size_t descriptorBound = 2 * crowd + 64;
 constexpr size_t bytesPerRead = 64 * 1024; // Four of them a second are 250 KB/s
 constexpr auto readInterval = 250ms;
@@ -185,5 +188,31 @@
     EXPECT_EQ(replaced, 0U);
 }
 
+// LOST: a request from a kept connection is passed on, and the connection is closed without an answer.
+TEST_F(LongResponses, ThatAreNotReadEndNoConnectionWhoseNextRequestWasPassedOn)
+{
+    constexpr int receiveBufferBytes = 4096;
+    for (size_t i = 0; i < keptCallers; ++i) {
+        processes.longBodyBytes = keptBodyStep * (i % keptBodySizes + 1);
+        auto& caller = addCaller("long-kept-" + std::to_string(i), receiveBufferBytes);
+        caller.stopReading();
+        caller.pipeline("held-" + std::to_string(i));
+        ASSERT_TRUE(SidecarProcesses::runUntil([this] { return haveAllBegun(); }));
+    }
+    processes.longBodyBytes = longBodyBytes;
+    addCrowd(20ms, receiveBufferBytes);
+    processes.answerHeld();
+    for (size_t i = 0; i < keptCallers; ++i)
+        callers[i]->readOn();
+    EXPECT_TRUE(SidecarProcesses::runUntil([this] {
+        return std::all_of(callers.begin(), callers.begin() + keptCallers,
+            [](const auto& caller) { return caller->isClosed() || caller->responses() == 2; });
+    }));
+    size_t lost = 0;
+    for (size_t i = 0; i < keptCallers; ++i)
+        lost += callers[i]->responses() < 2 && processes.hasRun("held-" + std::to_string(i)) ? 1 : 0;
+    EXPECT_EQ(lost, 0U);
+}
+
 } // namespace
 } // namespace shallot
