Log why a connection was closed before its response, and count such requests

The request line of a caller whose connection this daemon had closed read "the caller disconnected", so a caller that leaves and one that is cut off could not be told apart. It names the reason now; shallot_cut_requests counts them, shallot_heap_bytes stands beside the memory limit.

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -392,6 +392,7 @@
     const auto unread = unparsed().size() + m_socket->unreadBytes();
     if (m_socket->isOpen() && (m_serving || unread || m_socket->pendingBytes()))
         logCut("aborted", unread);
+    m_cutReason = "the connection was aborted";
     m_socket->close();
     onSocketClosed(StreamEnd::Reset);
 }
@@ -401,6 +402,7 @@
     EventLog::write("connection-unread",
         { { "caller", m_peerHost }, { "listener", m_listener }, { "held_bytes", m_socket->pendingBytes() },
             { "without_progress_s", toSeconds(now - m_socket->lastSendProgress()) }, { "serving", m_serving } });
+    m_cutReason = "its caller did not read";
     m_socket->close();
     onSocketClosed(StreamEnd::Reset);
 }
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -34,7 +34,7 @@
 public:
     struct Callbacks {
         std::function<void(StrictHTTPConnection&, HTTPRequest)> onRequest;
-        std::function<void(StrictHTTPConnection&)> onDisconnect; // The client disconnected before the response
+        std::function<void(StrictHTTPConnection&)> onDisconnect; // The connection was closed before the response, see cutReason()
         std::function<void(StrictHTTPConnection&)> onClosed;     // Always the last call
         // Called before so many bytes of a response are passed to the socket, to make room for them.
         std::function<void(StrictHTTPConnection&, size_t bytes)> onResponseBytes;
@@ -70,6 +70,8 @@
     // Bytes held for the request that is being received or served and for pipelined requests.
     size_t bufferedBytes() const { return unparsed().size() + m_request.body.size() + m_currentBodyBytes; }
     const std::string& peerHost() const { return m_peerHost; }
+    // Why the server closed the connection before a response, for log lines; null while it has not.
+    const char* cutReason() const { return m_cutReason; }
 
 private:
     void onData(std::span<const uint8_t>);
@@ -110,6 +112,7 @@
     size_t m_discardedBytes { 0 };          // That arrived after the last response, at the last check
     TimePoint m_closedAt {};                // When the last response was passed to the socket
     size_t m_currentBodyBytes { 0 };        // Body size of the request being served
+    const char* m_cutReason { nullptr };
     const char* m_rejectReason { nullptr }; // Why the body is rejected; null while it is not
     uint16_t m_rejectStatus { 0 };
     bool m_serving { false };
--- a/Source/net/StrictHTTPServer.cpp
+++ b/Source/net/StrictHTTPServer.cpp
@@ -48,6 +48,7 @@
                     m_handlers.onRequest(RefPtr<StrictHTTPConnection>(&from), std::move(request));
             },
             [this](StrictHTTPConnection& from) {
+                m_cutRequests += from.cutReason() ? 1 : 0;
                 if (m_handlers.onDisconnect)
                     m_handlers.onDisconnect(from);
             },
--- a/Source/net/StrictHTTPServer.h
+++ b/Source/net/StrictHTTPServer.h
@@ -16,7 +16,7 @@
 public:
     struct Handlers {
         std::function<void(RefPtr<StrictHTTPConnection>, HTTPRequest)> onRequest;
-        std::function<void(StrictHTTPConnection&)> onDisconnect; // The client disconnected before the response
+        std::function<void(StrictHTTPConnection&)> onDisconnect; // The connection was closed before the response
     };
 
     StrictHTTPServer() = default;
@@ -33,6 +33,8 @@
     // Bytes of responses that wait for clients to read them, and the clients that were cut off for them.
     size_t unreadResponseBytes() const { return m_responseBudget.held(); }
     uint64_t cutOffReaders() const { return m_cutOffReaders; }
+    // Requests whose connection this server closed before their response.
+    uint64_t cutRequests() const { return m_cutRequests; }
 
 private:
     void accept(RefPtr<StreamSocket>);
@@ -47,6 +49,7 @@
     Handlers m_handlers;
     ByteBudget m_responseBudget { StrictHTTPLimits {}.maximumUnreadResponseBytes };
     uint64_t m_cutOffReaders { 0 };
+    uint64_t m_cutRequests { 0 };
     Timer m_timeoutTimer;
     std::unordered_set<StrictHTTPConnection*> m_connections; // The set holds one reference to each
 };
--- a/Source/sidecar/MeshIngressOutcomes.cpp
+++ b/Source/sidecar/MeshIngressOutcomes.cpp
@@ -366,7 +366,8 @@
     if (found == m_byConnection.end())
         return;
     const auto pending = m_pending[found->second];
-    respond(*pending, fail(ErrorKind::Cancelled, "the caller disconnected"), MonotonicClock::now());
+    const auto* cutReason = connection.cutReason();
+    respond(*pending, fail(ErrorKind::Cancelled, cutReason ? cutReason : "the caller disconnected"), MonotonicClock::now());
 }
 
 void MeshIngress::onDeadline(uint64_t id)
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -10,6 +10,7 @@
 #include "sidecar/Sidecar.h"
 
 #include "core/EventLog.h"
+#include "core/Heap.h"
 #include "core/RequestID.h"
 #include "core/Version.h"
 #include "daemon/CallFrames.h"
@@ -357,6 +358,8 @@
         m_metrics.setGauge("shallot_crash_suspects", static_cast<double>(m_crashSuspects.size()));
         m_metrics.setGauge("shallot_unread_response_bytes", static_cast<double>(m_ingress.server().unreadResponseBytes()));
         m_metrics.setGauge("shallot_cut_off_readers", static_cast<double>(m_ingress.server().cutOffReaders()));
+        m_metrics.setGauge("shallot_cut_requests", static_cast<double>(m_ingress.server().cutRequests()));
+        m_metrics.setGauge("shallot_heap_bytes", static_cast<double>(heapBytes()));
         m_metrics.setGauge("shallot_requests_open", static_cast<double>(m_ingress.inProgress()));
         m_metrics.setGauge("shallot_configuration_version", static_cast<double>(m_view.version()));
         m_metrics.setGauge("shallot_configuration_age_seconds", toSeconds(now - m_view.freshness().confirmedAt));
--- a/Tests/SidecarProgram.cpp
+++ b/Tests/SidecarProgram.cpp
@@ -17,7 +17,8 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     setenv("SHALLOTTRACK_CONFIG", settings.c_str(), 1);
     setenv("SHALLOT_PEER_SECRET", "a secret of the tests", 1);
-    if (!std::freopen("/dev/null", "w", stdout))
+    const char* log = std::getenv("SHALLOT_SIDECAR_LOG");
+    if (!std::freopen(log ? log : "/dev/null", "a", stdout))
         _exit(126);
     execl(program.c_str(), program.c_str(), nullptr);
     _exit(127);
