Pass a request on only once its caller has taken the responses before it

Cause: the budget of unread responses closes the connection that has gone longest without reading, and a pipelined request behind up to 1 MB of unsent response had been passed on already. The memory of one caller was taken from an accepted request of another. Evidence: the lost requests, their request lines ("its caller did not read") and connection-unread with serving true are the same, 4 of 4. Change: a pipelined request waits until the responses before it have been sent, so a connection that holds unread bytes has no request at work; one that is serving is never chosen. Callers that wait for each response see no difference.

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -18,7 +18,6 @@
 
 constexpr size_t maximumPipelinedBytes = 256 * 1024;    // Received while a request is being served; the rest waits in the kernel
 constexpr size_t maximumRequestsPerTurn = 64;           // Of one connection, if they are answered at once
-constexpr size_t maximumUnsentBytes = 1024 * 1024;      // Of responses; then further pipelined requests wait
 constexpr size_t maximumUnreadBytesAtClose = 64 * 1024; // Of responses; a client reads as much at once
 constexpr size_t bufferCheckBytes = 64 * 1024;          // Above this size mayBufferMore() is consulted
 constexpr auto firstRequestTimeout = std::chrono::milliseconds(500); // While draining; many times the network delay
@@ -361,7 +360,7 @@
             logCut("closed after a response", unparsed().size());
         finishSocket();
     } else {
-        m_waitsForReader = m_socket->pendingBytes() > maximumUnsentBytes;
+        m_waitsForReader = m_socket->pendingBytes() > 0;
         readRequests();
     }
 }
@@ -401,7 +400,7 @@
 {
     EventLog::write("connection-unread",
         { { "caller", m_peerHost }, { "listener", m_listener }, { "held_bytes", m_socket->pendingBytes() },
-            { "without_progress_s", toSeconds(now - m_socket->lastSendProgress()) }, { "serving", m_serving } });
+            { "without_progress_s", toSeconds(now - m_socket->lastSendProgress()) } });
     m_cutReason = "its caller did not read";
     m_socket->close();
     onSocketClosed(StreamEnd::Reset);
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -52,7 +52,7 @@
     void respond(const HTTPResponse&, bool close, TimePoint now);
     // Closes the connection without a response.
     void abort();
-    // The same, for a client that does not read its responses while they take the memory of others.
+    // The same, for a client that does not read its responses while they take the memory of others. It must not be serving.
     void abortUnread(TimePoint now);
     // Bytes of responses that the client has not read.
     size_t unreadResponseBytes() const;
@@ -119,7 +119,7 @@
     bool m_responseBegun { false };  // The protocol version of the next response has been sent
     bool m_reading { false };        // readRequests() is on the call stack
     bool m_inputEnded { false };     // The client sends nothing more
-    bool m_waitsForReader { false }; // Further requests wait until the client has read the responses
+    bool m_waitsForReader { false }; // Further requests wait until the responses have been sent
     bool m_refused { false };        // No request is served
     bool m_keepAlive { true };
     bool m_hasServed { false }; // Has received a complete request
--- a/Source/net/StrictHTTPServer.cpp
+++ b/Source/net/StrictHTTPServer.cpp
@@ -73,7 +73,8 @@
     m_responseBudget.setMaximum(limits.maximumUnreadResponseBytes);
 }
 
-// The client that has gone longest without reading anything; among those, the one with most bytes.
+// The client that has gone longest without reading anything; among those, the one with most bytes. One whose request is being
+// served would lose its response.
 StrictHTTPConnection* StrictHTTPServer::findSlowestReader(const StrictHTTPConnection& writer) const
 {
     const auto rank = [](const StrictHTTPConnection& connection) {
@@ -82,7 +83,8 @@
     };
     StrictHTTPConnection* slowest = nullptr;
     for (auto* connection : m_connections) {
-        if (connection != &writer && connection->unreadResponseBytes() && (!slowest || rank(*connection) > rank(*slowest)))
+        const bool isCandidate = connection != &writer && !connection->isServing() && connection->unreadResponseBytes();
+        if (isCandidate && (!slowest || rank(*connection) > rank(*slowest)))
             slowest = connection;
     }
     return slowest;
