Return the memory of long bodies to the system

Cause: glibc raises the size from which a block gets pages of its own to that of the largest block freed; later bodies lie in the heap, and small blocks between them keep it from shrinking. Besides, each response was copied for the socket even if the kernel took all of it, and each link kept the buffer of the longest frame that it had received. Change: the threshold is fixed at its initial value, a write copies only what the kernel leaves, a long frame's buffer is released.

--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -229,17 +229,45 @@
     }
     if (!pendingBytes())
         m_lastSendProgress = MonotonicClock::now();
+    // What the kernel takes at once is not copied.
+    if (!m_connecting && !pendingBytes()) {
+        const auto sent = sendSome(bytes);
+        if (!sent) {
+            onSendFailed();
+            return false;
+        }
+        bytes.remove_prefix(*sent);
+        if (bytes.empty())
+            return true;
+        blockWriting();
+    }
     m_pending.append(bytes);
     updateHeldBytes();
-    if (m_connecting || m_writeBlocked)
-        return true;
-    if (!flush()) {
-        onSendFailed();
-        return false;
-    }
     return true;
 }
 
+// Returns how many bytes the kernel has taken; none if the connection has failed.
+std::optional<size_t> StreamSocket::sendSome(std::string_view bytes)
+{
+    size_t total = 0;
+    while (total < bytes.size()) {
+        const ssize_t sent = ::send(m_watcher.descriptor, bytes.data() + total, bytes.size() - total, MSG_NOSIGNAL);
+        if (sent < 0 && !wouldBlock())
+            return std::nullopt;
+        if (sent < 0)
+            break;
+        total += static_cast<size_t>(sent);
+        m_lastSendProgress = MonotonicClock::now();
+    }
+    return total;
+}
+
+void StreamSocket::blockWriting()
+{
+    m_writeBlocked = true;
+    updateWatch();
+}
+
 void StreamSocket::setBudget(ByteBudget& budget)
 {
     m_budget = &budget;
@@ -255,23 +283,18 @@
 
 bool StreamSocket::flush()
 {
-    while (m_pendingOffset < m_pending.size()) {
-        const ssize_t sent
-            = ::send(m_watcher.descriptor, m_pending.data() + m_pendingOffset, m_pending.size() - m_pendingOffset, MSG_NOSIGNAL);
-        if (sent < 0) {
-            if (!wouldBlock())
-                return false;
-            m_writeBlocked = true;
-            updateWatch();
-            // A peer that reads slowly would otherwise hold what it has read.
-            if (m_pendingOffset >= compactedBytes && m_pendingOffset >= m_pending.size() / 4) {
-                m_pending = m_pending.substr(std::exchange(m_pendingOffset, 0));
-                updateHeldBytes();
-            }
-            return true;
+    const auto sent = sendSome(std::string_view(m_pending).substr(m_pendingOffset));
+    if (!sent)
+        return false;
+    m_pendingOffset += *sent;
+    if (pendingBytes()) {
+        blockWriting();
+        // A peer that reads slowly would otherwise hold what it has read.
+        if (m_pendingOffset >= compactedBytes && m_pendingOffset >= m_pending.size() / 4) {
+            m_pending = m_pending.substr(std::exchange(m_pendingOffset, 0));
+            updateHeldBytes();
         }
-        m_pendingOffset += static_cast<size_t>(sent);
-        m_lastSendProgress = MonotonicClock::now();
+        return true;
     }
     m_pending = {};
     m_pendingOffset = 0;
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -81,6 +82,8 @@
     void onReady(uint32_t events);
     void readAvailable();
     bool flush();
+    std::optional<size_t> sendSome(std::string_view);
+    void blockWriting();
     void onSendFailed();
     void finishConnecting();
     void closeAndNotify(StreamEnd);
--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -1,6 +1,7 @@
 // shallot-sidecar: the overload control daemon of one backend server on the platform.
 
 #include "core/EventLog.h"
+#include "core/Heap.h"
 #include "core/Log.h"
 #include "core/Version.h"
 #include "mesh/MeshSettings.h"
@@ -178,6 +179,7 @@
 
 int run(int argc, char** argv)
 {
+    shallot::returnLargeBlocks();
     // The default action would end the process; signals wait until their handlers are installed.
     const auto signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
--- a/Source/wire/FrameReader.cpp
+++ b/Source/wire/FrameReader.cpp
@@ -13,6 +13,7 @@
 constexpr uint32_t compressedFlag = 0x8000'0000U;   // In the length prefix
 constexpr size_t minimumCompressedFrameBytes = 200; // Smaller frames (handshakes, queries) are rare
 constexpr size_t maximumTableDepth = 16;
+constexpr size_t keptBufferBytes = 128 * 1024; // Two reads of a socket
 constexpr size_t maximumTables = 200'000;
 
 } // namespace
@@ -43,9 +44,19 @@
     if (!wire::VerifyFrameBuffer(verifier))
         return fail(ErrorKind::BadRequest, "the frame failed verification");
     m_consumed += lengthBytes + length;
+    releaseLongBuffer();
     return std::unique_ptr<wire::FrameT>(wire::GetFrame(alignedFrame->data())->UnPack());
 }
 
+// The buffer of a long frame is not kept for the short ones behind it.
+void FrameReader::releaseLongBuffer()
+{
+    if (bufferedBytes() > keptBufferBytes || m_buffer.capacity() <= keptBufferBytes)
+        return;
+    m_buffer = std::vector<uint8_t>(m_buffer.begin() + static_cast<ptrdiff_t>(m_consumed), m_buffer.end());
+    m_consumed = 0;
+}
+
 // Returns a copy, because FlatBuffers requires alignment, which the position in the stream does not guarantee.
 Result<std::vector<uint8_t>> FrameReader::copyFrame(size_t position, size_t length, bool compressed)
 {
--- a/Source/wire/FrameReader.h
+++ b/Source/wire/FrameReader.h
@@ -37,6 +37,7 @@
     size_t bufferedBytes() const { return m_buffer.size() - m_consumed; }
 
 private:
+    void releaseLongBuffer();
     Result<std::vector<uint8_t>> copyFrame(size_t position, size_t length, bool compressed);
 
     size_t m_maximumBytes;
