Receive long responses one after the other when memory is short

Cause: the pool failed each response that met its limit of 24 MB, whatever the instance's memory, and counted neither the doubling of its buffers nor what waited for the links. Change: a connection that meets the limit stops reading, and the backend server waits; the first one of them always reads on. The limit is 9% of limits.memory_mb, 24 MB at most, and covers the unsent bytes of the links. A body's buffer takes its named length at once.

--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -74,6 +74,11 @@
     size_t maximumUnreadResponseBytes { 40 * 1024 * 1024 };
     static constexpr double unreadResponseShare = 0.25;
 
+    // Deployment: of the responses that are being received from the backend server and of those that wait for a link; then long
+    // ones are received one after the other.
+    size_t maximumReceivedResponseBytes { 24 * 1024 * 1024 };
+    static constexpr double receivedResponseShare = 0.09;
+
     // Calls whose link has ended
     // Until a call that may run more than once is sent elsewhere if its daemon does not tell what became of it; tens of round
     // trips between zones.
--- a/Source/net/HTTPConnection.cpp
+++ b/Source/net/HTTPConnection.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr size_t maximumResponseBytes = 4 * 1024 * 1024; // Far above the longest responses of the deployments
-constexpr size_t bufferCheckBytes = 64 * 1024;           // mayBufferMore() is consulted once for so many bytes of a body
+constexpr size_t longBodyBytes = 64 * 1024;              // For which mayBufferMore() is consulted before it grows
+constexpr size_t growthBytes = 64 * 1024;                // Least growth of its memory: what one read of the socket brings
 constexpr unsigned maximumMismatchedResponses = 8;       // Late responses dropped in one exchange before it fails
 constexpr unsigned maximumInterimResponses = 64;         // Skipped in one exchange before it fails
 constexpr size_t maximumInterimBytes = 64 * 1024;        // Of all of them
@@ -157,17 +158,38 @@
 bool HTTPConnection::appendBody(std::string_view bytes)
 {
     const auto size = m_response.body.size() + bytes.size();
-    if (size > maximumResponseBytes)
+    if (size > maximumResponseBytes) {
         m_rejectReason = "the response is too large";
-    else if (size / bufferCheckBytes > m_response.body.size() / bufferCheckBytes && m_callbacks.mayBufferMore
-        && !m_callbacks.mayBufferMore())
-        m_rejectReason = "the responses in progress exceed the memory limit";
-    if (m_rejectReason)
         return false;
+    }
+    if (size >= longBodyBytes && size > m_response.body.capacity())
+        growBody(size);
     m_response.body.append(bytes);
     return true;
 }
 
+// A string doubles its memory when it grows, also by reserve().
+void HTTPConnection::growBody(size_t neededBytes)
+{
+    const bool namesLength = !(m_parser.flags & F_CHUNKED) && m_parser.content_length <= maximumResponseBytes;
+    const auto expectedGrowth = namesLength ? static_cast<size_t>(m_parser.content_length) // What remains
+                                            : std::max(growthBytes, neededBytes / 4);
+    auto capacity = std::min(neededBytes + expectedGrowth, maximumResponseBytes);
+    if (m_callbacks.mayBufferMore && !m_callbacks.mayBufferMore(*this, capacity - m_response.body.capacity())) {
+        m_socket->setReadPaused(true);
+        capacity = std::min(neededBytes + growthBytes, maximumResponseBytes);
+    }
+    std::string grown;
+    grown.reserve(capacity);
+    grown.append(m_response.body);
+    m_response.body = std::move(grown);
+}
+
+void HTTPConnection::resumeReading()
+{
+    m_socket->setReadPaused(false);
+}
+
 // Requires a complete response in m_response.
 bool HTTPConnection::matchesRequest()
 {
@@ -244,6 +266,7 @@
 {
     m_idleLifetime = announcedIdleLifetime(m_response.headers).value_or(m_idleLifetime);
     m_used = true;
+    m_socket->setReadPaused(false);
     const bool reusable = m_socket->canSend() && http_should_keep_alive(&m_parser);
     const auto completion = std::exchange(m_completion, nullptr);
     m_matcher = nullptr;
--- a/Source/net/HTTPConnection.h
+++ b/Source/net/HTTPConnection.h
@@ -33,7 +33,8 @@
     using ResponseMatcher = std::function<ResponseMatch(const HTTPResponse&, bool onReusedConnection)>;
 
     struct Callbacks {
-        std::function<bool()> mayBufferMore;           // Called while a long body arrives; false rejects it. Unset: allowed
+        // Called before a long body takes so many more bytes; false stops reading until resumeReading(). Unset: allowed
+        std::function<bool(HTTPConnection&, size_t bytes)> mayBufferMore;
         std::function<void(HTTPConnection&)> onIdle;   // The connection can carry the next exchange
         std::function<void(HTTPConnection&)> onClosed; // Called once, after the completion if an exchange was in progress
     };
@@ -53,6 +54,8 @@
     // Handles what has arrived while no exchange is in progress, which ends the connection.
     void readNow();
     bool isOpen() const;
+    // Reads on after mayBufferMore() has returned false.
+    void resumeReading();
     TimePoint openedAt() const { return m_openedAt; }
     // Bytes allocated for the body of the response that is being received.
     size_t bufferedBytes() const { return m_response.body.capacity(); }
@@ -69,6 +72,7 @@
     void failExchange(ErrorKind, std::string detail);
     void closeAndNotify();
     bool appendBody(std::string_view);
+    void growBody(size_t neededBytes);
     bool matchesRequest();
     bool isInterim() const { return m_parser.status_code < HTTP_STATUS_OK; }
     void skipInterim();
--- a/Source/net/HTTPPool.cpp
+++ b/Source/net/HTTPPool.cpp
@@ -1,18 +1,21 @@
 #include "net/HTTPPool.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace shallot {
 
 namespace {
 
-constexpr size_t maximumBufferedBytes = 24 * 1024 * 1024; // Of all responses; a sixth of the smallest instance's memory
+constexpr auto resumeInterval = std::chrono::milliseconds(10); // Between two looks at the held bytes, while connections lack room
+constexpr size_t bytesPerRead = 64 * 1024;                     // Of a connection that reads on, until it asks again
 
 } // namespace
 
 HTTPPool::~HTTPPool()
 {
     const auto busy = std::exchange(m_busy, {});
+    m_lackingRoom.clear();
     for (const auto& [id, connection] : busy)
         connection->abandon();
     reset();
@@ -42,7 +45,8 @@
         connection->abandon();
     }
     auto connection = HTTPConnection::connect(m_address,
-        { [this] { return bufferedBytes() < maximumBufferedBytes; }, [this](HTTPConnection& connection) { onIdle(connection); },
+        { [this](HTTPConnection& connection, size_t bytes) { return mayBufferMore(connection, bytes); },
+            [this](HTTPConnection& connection) { onIdle(connection); },
             [this](HTTPConnection& connection) { onClosed(connection); } });
     if (connection)
         connection->setAcceptsCloseDelimited(m_acceptsCloseDelimited);
@@ -55,6 +59,49 @@
         [](size_t sum, const auto& item) { return sum + item.second->bufferedBytes(); });
 }
 
+// Bytes that may be received before the maximum is met.
+size_t HTTPPool::roomForBytes() const
+{
+    const auto held = bufferedBytes() + bytesHeldElsewhere();
+    return m_maximumBufferedBytes - std::min(held, m_maximumBufferedBytes);
+}
+
+// The first one that lacked room reads on unless all of it is held elsewhere, so that they do not wait for each other.
+bool HTTPPool::mayBufferMore(HTTPConnection& connection, size_t bytes)
+{
+    if (roomForBytes() >= bytes)
+        return true;
+    if (m_lackingRoom.empty())
+        m_resumeTimer.startRepeating(resumeInterval, [this] { resumeReading(); });
+    if (std::find(m_lackingRoom.begin(), m_lackingRoom.end(), &connection) == m_lackingRoom.end())
+        m_lackingRoom.push_back(&connection);
+    return m_lackingRoom.front() == &connection && bytesHeldElsewhere() < m_maximumBufferedBytes;
+}
+
+void HTTPPool::resumeReading()
+{
+    if (bytesHeldElsewhere() >= m_maximumBufferedBytes)
+        return;
+    auto room = roomForBytes();
+    for (auto* connection : m_lackingRoom) {
+        if (connection != m_lackingRoom.front() && room < bytesPerRead)
+            return;
+        connection->resumeReading();
+        room -= std::min(room, bytesPerRead);
+    }
+}
+
+void HTTPPool::endExchange(uint64_t id, const HTTPConnection& connection)
+{
+    m_busy.erase(id);
+    if (!std::erase(m_lackingRoom, &connection))
+        return;
+    if (m_lackingRoom.empty())
+        m_resumeTimer.stop();
+    else
+        resumeReading();
+}
+
 void HTTPPool::send(
     uint64_t id, const HTTPRequest& request, Completion completion, HTTPConnection::ResponseMatcher matcher, Duration maximumIdle)
 {
@@ -68,7 +115,7 @@
         request,
         [this, id, connection = connection.get(), completion = std::move(completion)](Result<HTTPResponse> response) {
             const RefPtr<HTTPConnection> protect(connection);
-            m_busy.erase(id);
+            endExchange(id, *protect);
             completion(std::move(response));
         },
         std::move(matcher));
@@ -83,6 +130,7 @@
 {
     std::erase_if(m_idle, [&connection](const auto& item) { return item.connection.get() == &connection; });
     std::erase_if(m_busy, [&connection](const auto& item) { return item.second.get() == &connection; });
+    std::erase(m_lackingRoom, &connection);
 }
 
 void HTTPPool::abandon(uint64_t id)
@@ -91,7 +139,7 @@
     if (found == m_busy.end())
         return;
     const auto connection = found->second;
-    m_busy.erase(found);
+    endExchange(id, *connection);
     connection->abandon();
 }
 
--- a/Source/net/HTTPPool.h
+++ b/Source/net/HTTPPool.h
@@ -3,7 +3,9 @@
 #include "core/Time.h"
 #include "net/HTTPConnection.h"
 #include "net/SocketAddress.h"
+#include "net/Timer.h"
 
+#include <functional>
 #include <unordered_map>
 #include <vector>
 
@@ -18,6 +20,10 @@
 
     void setAddress(const SocketAddress&);
     void setAcceptsCloseDelimited(bool accepts) { m_acceptsCloseDelimited = accepts; }
+    // While the responses that are being received hold so many bytes, long ones are received one after the other.
+    void setMaximumBufferedBytes(size_t bytes) { m_maximumBufferedBytes = bytes; }
+    // Names the bytes of earlier responses that their receiver still holds, which count as well.
+    void setBytesHeldElsewhere(std::function<size_t()> bytes) { m_bytesHeldElsewhere = std::move(bytes); }
     // Starts an exchange that `id`, chosen by the user of the pool, identifies in abandon(). A connection that has been idle for
     // longer than `maximumIdle` is not reused. Completes at once with Overloaded when the socket cannot be created.
     void send(uint64_t id, const HTTPRequest&, Completion, HTTPConnection::ResponseMatcher = nullptr,
@@ -32,11 +38,21 @@
 
 private:
     RefPtr<HTTPConnection> takeConnection(Duration maximumIdle, TimePoint now);
+    size_t bytesHeldElsewhere() const { return m_bytesHeldElsewhere ? m_bytesHeldElsewhere() : 0; }
+    size_t roomForBytes() const;
+    bool mayBufferMore(HTTPConnection&, size_t bytes);
+    void resumeReading();
+    void endExchange(uint64_t id, const HTTPConnection&);
     void onIdle(HTTPConnection&);
     void onClosed(HTTPConnection&);
 
     SocketAddress m_address;
     bool m_acceptsCloseDelimited { false };
+    size_t m_maximumBufferedBytes { 24 * 1024 * 1024 };
+    std::function<size_t()> m_bytesHeldElsewhere;
+    std::vector<HTTPConnection*>
+        m_lackingRoom;   // Busy ones that met the maximum, in that order; all but the first one may be paused
+    Timer m_resumeTimer; // Until they are looked at
     struct IdleConnection {
         RefPtr<HTTPConnection> connection;
         TimePoint since;
--- a/Source/net/PeerLinks.cpp
+++ b/Source/net/PeerLinks.cpp
@@ -5,6 +5,7 @@
 #include "wire/Frames_generated.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace shallot {
 
@@ -115,10 +116,11 @@
     return total;
 }
 
-bool PeerLinks::hasUnsentBytes() const
+size_t PeerLinks::unsentBytes() const
 {
     const auto all = links();
-    return std::any_of(all.begin(), all.end(), [](const auto& link) { return link->unsentBytes() > 0; });
+    return std::accumulate(
+        all.begin(), all.end(), size_t { 0 }, [](size_t sum, const auto& link) { return sum + link->unsentBytes(); });
 }
 
 bool PeerLinks::hasUnacknowledgedBytes() const
--- a/Source/net/PeerLinks.h
+++ b/Source/net/PeerLinks.h
@@ -41,8 +41,8 @@
     const PeerIdentity& identity() const { return m_identity; }
     size_t linkCount() const { return m_outgoing.size() + m_accepted.size(); }
     uint64_t bytesSent() const;
-    // Whether frames on established links wait for the kernel to take them.
-    bool hasUnsentBytes() const;
+    // Of established links, that the kernel has not taken.
+    size_t unsentBytes() const;
     bool hasUnacknowledgedBytes() const;
 
 private:
--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -63,8 +63,10 @@
     settings.retryShare = instance.retryShare;
     settings.retryAllowance = instance.retryAllowance;
     constexpr double bytesPerMB = 1024 * 1024;
-    settings.maximumUnreadResponseBytes
-        = static_cast<size_t>(std::max(instance.memoryMB, leastMemoryMB) * bytesPerMB * settings.unreadResponseShare);
+    const auto memoryBytes = std::max(instance.memoryMB, leastMemoryMB) * bytesPerMB;
+    settings.maximumUnreadResponseBytes = static_cast<size_t>(memoryBytes * settings.unreadResponseShare);
+    settings.maximumReceivedResponseBytes
+        = std::min(settings.maximumReceivedResponseBytes, static_cast<size_t>(memoryBytes * settings.receivedResponseShare));
     settings.announcementTimeout = instance.announcementInterval * 3 + shallot::fromSeconds(0.5);
     return settings;
 }
--- a/Source/sidecar/EndpointExecutor.cpp
+++ b/Source/sidecar/EndpointExecutor.cpp
@@ -50,6 +50,7 @@
 {
     m_pool.setAddress(backendServer);
     m_pool.setAcceptsCloseDelimited(true);
+    m_pool.setMaximumBufferedBytes(settings.maximumReceivedResponseBytes);
     m_probePool.setAddress(backendServer);
 }
 
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -102,6 +102,8 @@
     void setLimitRiseHandler(std::function<void()> handler) { m_onLimitRise = std::move(handler); }
     // Called when the records of requests that crash backend servers changed, so that the fleet can be told at once.
     void setSuspectsHandler(std::function<void()> handler) { m_onSuspectsChange = std::move(handler); }
+    // Names the bytes of responses of the backend server that wait to be sent to other daemons.
+    void setUnsentResponseBytes(std::function<size_t()> bytes) { m_pool.setBytesHeldElsewhere(std::move(bytes)); }
     void setChangeHandler(std::function<void()> handler) { m_onChange = std::move(handler); }
 
 private:
--- a/Source/sidecar/MeshLinks.h
+++ b/Source/sidecar/MeshLinks.h
@@ -47,7 +47,7 @@
     void closeAll() { m_links.closeAll(); }
     size_t linkCount() const { return m_links.linkCount(); }
     uint64_t bytesSent() const { return m_links.bytesSent(); }
-    bool hasUnsentBytes() const { return m_links.hasUnsentBytes(); }
+    size_t unsentBytes() const { return m_links.unsentBytes(); }
     bool hasUnacknowledgedBytes() const { return m_links.hasUnacknowledgedBytes(); }
 
 private:
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -92,6 +92,7 @@
     m_sync.setFormerLeaveHandler([this](const EndpointLeave& former) { m_executor.setFormerLeave(former); });
     m_executor.setChangeHandler([this] { onBackendServerChange(); });
     m_executor.setSuspectsHandler([this] { m_links.broadcastCrashSuspects(m_crashSuspects.takeChanges(WallClock::now())); });
+    m_executor.setUnsentResponseBytes([this] { return m_links.unsentBytes(); });
     m_executor.setLimitRiseHandler([this] { m_links.broadcastState(); });
     m_executor.setLeaveHandler([this] { m_sync.storeLeave(m_executor.currentLeave(), [](bool) {}); });
 }
@@ -184,7 +185,7 @@
 bool Sidecar::isIdle() const
 {
     return m_stoppedAccepting && !m_ingress.inProgress() && !m_ingress.openConnections() && m_served.empty()
-        && !m_servedCalls.expectedQueries() && !m_links.hasUnsentBytes() && m_waitingNotices.empty();
+        && !m_servedCalls.expectedQueries() && !m_links.unsentBytes() && m_waitingNotices.empty();
 }
 
 // Returns the time by which requests have to end. All steps are timed from the signal: after a stall, the next one makes up for
