Tests of long responses: independent of the route's time limit, and never green without a case

The limit is 120 s; a lost request is one that ran without its 200; one held request and one whole response at least. Crowd and bounds are unchanged.

--- a/Tests/LongResponsesTest.cpp
+++ b/Tests/LongResponsesTest.cpp
@@ -31,6 +31,8 @@
 constexpr size_t bytesPerRead = 64 * 1024; // Four of them a second are 250 KB/s
 constexpr auto readInterval = 250ms;
 
+constexpr int receiveBufferBytes = 4096; // Of callers whose responses stay in the process
+
 // A caller on one connection of its own, which reads a part of its responses at each turn.
 class SlowCaller {
 public:
@@ -182,16 +184,19 @@
         return std::all_of(
             callers.begin(), callers.end(), [](const auto& caller) { return caller->isClosed() || caller->responses(); });
     }));
+    size_t whole = 0;
     size_t replaced = 0;
-    for (const auto& caller : callers)
+    for (const auto& caller : callers) {
+        whole += caller->status(0) == 200 ? 1 : 0;
         replaced += caller->responses() && caller->status(0) != 200 && processes.hasRun(caller->attempt()) ? 1 : 0;
+    }
+    EXPECT_GT(whole, 0U);
     EXPECT_EQ(replaced, 0U);
 }
 
 // LOST: a request from a kept connection is passed on, and the connection is closed without an answer.
 TEST_F(LongResponses, ThatAreNotReadEndNoConnectionWhoseNextRequestWasPassedOn)
 {
-    constexpr int receiveBufferBytes = 4096;
     for (size_t i = 0; i < keptCallers; ++i) {
         processes.longBodyBytes = keptBodyStep * (i % keptBodySizes + 1);
         auto& caller = addCaller("long-kept-" + std::to_string(i), receiveBufferBytes);
@@ -201,6 +206,7 @@
     }
     processes.longBodyBytes = longBodyBytes;
     addCrowd(20ms, receiveBufferBytes);
+    EXPECT_GT(processes.heldCount(), 0U);
     processes.answerHeld();
     for (size_t i = 0; i < keptCallers; ++i)
         callers[i]->readOn();
@@ -210,7 +216,7 @@
     }));
     size_t lost = 0;
     for (size_t i = 0; i < keptCallers; ++i)
-        lost += callers[i]->responses() < 2 && processes.hasRun("held-" + std::to_string(i)) ? 1 : 0;
+        lost += callers[i]->status(1) != 200 && processes.hasRun("held-" + std::to_string(i)) ? 1 : 0;
     EXPECT_EQ(lost, 0U);
 }
 
--- a/Tests/SidecarProcesses.cpp
+++ b/Tests/SidecarProcesses.cpp
@@ -50,7 +50,7 @@
         R"({"version":"r1","services":[{"name":"alpha","health_path":"/health","max_connections":500},)"
         R"({"name":"beta","health_path":"/health","max_connections":500}],)"
         R"("tenants":[{"name":"school","api_keys":["key-1"]}],"virtual_hosts":[{"host":"app","paths":[{"name":"read",)"
-        R"("path_prefix":"/read/","kind":"idempotent","timeout_s":20,"target_latency_s":5,"service":"alpha","attempts":2}]}]})");
+        R"("path_prefix":"/read/","kind":"idempotent","timeout_s":120,"target_latency_s":5,"service":"alpha","attempts":2}]}]})");
     m_backend = std::make_unique<RawEndpoint>(at(1, BackendServer), "instance-1",
         [this](StreamSocket& socket, const std::string& attempt) { respond(socket, attempt); });
     for (size_t daemon = 0; daemon < daemonCount; ++daemon)
@@ -101,7 +101,7 @@
 void SidecarProcesses::respond(StreamSocket& socket, const std::string& attempt)
 {
     m_ran.insert(attempt);
-    if (attempt.starts_with("held"))
+    if (attempt.starts_with("held") && m_holds)
         m_held[attempt] = RefPtr<StreamSocket>(&socket);
     else
         socket.write(RawEndpoint::responseTo(attempt, attempt.starts_with("long") ? std::string(longBodyBytes, 'x') : "short"));
@@ -109,6 +109,7 @@
 
 void SidecarProcesses::answerHeld()
 {
+    m_holds = false;
     for (const auto& [attempt, socket] : std::exchange(m_held, {}))
         socket->write(RawEndpoint::responseTo(attempt, "held"));
 }
@@ -135,7 +136,7 @@
 std::string SidecarProcesses::requestText(const std::string& attempt)
 {
     return "GET /read/1 HTTP/1.1\r\nHost: app\r\n" + std::string(platform::header::attemptID) + ": " + attempt + "\r\n"
-        + std::string(platform::header::key) + ": key-1\r\n" + std::string(platform::header::deadline) + ": 20000\r\n\r\n";
+        + std::string(platform::header::key) + ": key-1\r\n" + std::string(platform::header::deadline) + ": 120000\r\n\r\n";
 }
 
 bool SidecarProcesses::fetchShort()
--- a/Tests/SidecarProcesses.h
+++ b/Tests/SidecarProcesses.h
@@ -29,7 +29,8 @@
     // A GET request whose response depends on the beginning of its attempt id: "long-" gets the long body, "held-" none until
     // answerHeld(), any other one a few bytes.
     static std::string requestText(const std::string& attempt);
-    void answerHeld();
+    void answerHeld(); // Also those that come later
+    size_t heldCount() const { return m_held.size(); }
     // Whether the backend server has received a request with that attempt id.
     bool hasRun(const std::string& attempt) const { return m_ran.contains(attempt); }
 
@@ -59,6 +60,7 @@
     std::vector<pid_t> m_pids;
     std::set<std::string> m_ran;
     std::map<std::string, RefPtr<StreamSocket>> m_held; // By attempt id
+    bool m_holds { true };
     uint64_t m_nextID { 1 };
     uint64_t m_sequence { 0 };
 };
