Cut off the caller that has held memory longest, and only for bytes that the process holds

Cause: readers with progress in the same second were alike, and then most unread bytes decided, which a new response always has; room was made for the whole response before the kernel was offered any of it. Change: among readers that make progress, bytes times waiting time decide; room is made for what the kernel has left.

--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -228,7 +228,7 @@
         return false;
     }
     if (!pendingBytes())
-        m_lastSendProgress = MonotonicClock::now();
+        m_pendingSince = m_lastSendProgress = MonotonicClock::now();
     // What the kernel takes at once is not copied.
     if (!m_connecting && !pendingBytes()) {
         const auto sent = sendSome(bytes);
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -55,6 +55,8 @@
     void setBudget(ByteBudget&);
     // When the peer last took some of them, or when the first of them began to wait.
     TimePoint lastSendProgress() const { return m_lastSendProgress; }
+    // When the first of them began to wait.
+    TimePoint pendingSince() const { return m_pendingSince; }
     // While paused, received data stays in the kernel, so that the peer has to wait. The end of the connection is noticed only
     // if it is a reset.
     void setReadPaused(bool);
@@ -98,6 +100,7 @@
     ByteBudget* m_budget { nullptr };
     size_t m_heldBytes { 0 }; // Counted in the budget
     TimePoint m_lastSendProgress {};
+    TimePoint m_pendingSince {};
     bool m_started { false };
     bool m_connecting { false };
     bool m_writeBlocked { false }; // The kernel's send buffer is full
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -352,9 +352,10 @@
     if (!bodiless && m_parser.method != HTTP_HEAD)
         text += response.body;
     m_parser.method = HTTP_GET; // Until the next header section is parsed; it may be rejected before
-    if (m_callbacks.onResponseBytes)
-        m_callbacks.onResponseBytes(*this, text.size());
     m_socket->write(text);
+    text = {};
+    if (m_socket->pendingBytes() && m_callbacks.onUnreadResponse)
+        m_callbacks.onUnreadResponse(*this);
     if (close) {
         if (!unparsed().empty())
             logCut("closed after a response", unparsed().size());
@@ -416,6 +417,11 @@
     return m_socket->lastSendProgress();
 }
 
+TimePoint StrictHTTPConnection::unreadSince() const
+{
+    return m_socket->pendingSince();
+}
+
 void StrictHTTPConnection::setResponseBudget(ByteBudget& budget)
 {
     m_socket->setBudget(budget);
@@ -538,8 +544,10 @@
 void StrictHTTPConnection::onFlushed()
 {
     const RefPtr<StrictHTTPConnection> protect(this);
-    if (std::exchange(m_waitsForReader, false))
+    if (std::exchange(m_waitsForReader, false)) {
+        m_phaseStart = MonotonicClock::now(); // What waited is not late
         readRequests();
+    }
     if (!isIdle())
         return;
     m_phaseStart = MonotonicClock::now();
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -36,8 +36,7 @@
         std::function<void(StrictHTTPConnection&, HTTPRequest)> onRequest;
         std::function<void(StrictHTTPConnection&)> onDisconnect; // The connection was closed before the response, see cutReason()
         std::function<void(StrictHTTPConnection&)> onClosed;     // Always the last call
-        // Called before so many bytes of a response are passed to the socket, to make room for them.
-        std::function<void(StrictHTTPConnection&, size_t bytes)> onResponseBytes;
+        std::function<void(StrictHTTPConnection&)> onUnreadResponse; // The client did not take the whole response at once
         std::function<bool()> mayBufferMore; // Called while a long body arrives; false rejects it. Unset: allowed
     };
 
@@ -57,6 +56,7 @@
     // Bytes of responses that the client has not read.
     size_t unreadResponseBytes() const;
     TimePoint lastReadProgress() const;
+    TimePoint unreadSince() const;
     void setResponseBudget(ByteBudget&);
     // Rejects a request whose header section or body is overdue, and closes an idle connection, or one whose client does not read
     // the last response, after its timeout.
@@ -108,10 +108,10 @@
     TimePoint m_phaseStart {}; // Start of the current phase: idle, header section, body or lingering close
     HeaderCollector m_collector;
     bool m_messageComplete { false };
-    size_t m_unsentBytes { 0 };             // Of the last response, at the last check
-    size_t m_discardedBytes { 0 };          // That arrived after the last response, at the last check
-    TimePoint m_closedAt {};                // When the last response was passed to the socket
-    size_t m_currentBodyBytes { 0 };        // Body size of the request being served
+    size_t m_unsentBytes { 0 };      // Of the last response, at the last check
+    size_t m_discardedBytes { 0 };   // That arrived after the last response, at the last check
+    TimePoint m_closedAt {};         // When the last response was passed to the socket
+    size_t m_currentBodyBytes { 0 }; // Body size of the request being served
     const char* m_cutReason { nullptr };
     const char* m_rejectReason { nullptr }; // Why the body is rejected; null while it is not
     uint16_t m_rejectStatus { 0 };
--- a/Source/net/StrictHTTPServer.cpp
+++ b/Source/net/StrictHTTPServer.cpp
@@ -56,7 +56,7 @@
                 if (m_connections.erase(&from))
                     intrusive_ptr_release(&from);
             },
-            [this](StrictHTTPConnection& from, size_t bytes) { makeRoom(from, bytes); },
+            [this](StrictHTTPConnection& from) { makeRoom(from); },
             [this] { return mayBufferMore(); },
         });
     connection->setResponseBudget(m_responseBudget);
@@ -73,13 +73,15 @@
     m_responseBudget.setMaximum(limits.maximumUnreadResponseBytes);
 }
 
-// The client that has gone longest without reading anything; among those, the one with most bytes. One whose request is being
-// served would lose its response.
-StrictHTTPConnection* StrictHTTPServer::findSlowestReader(const StrictHTTPConnection& writer) const
+// The client that has gone longest without reading anything; among those, the one whose bytes have cost most so far: one that
+// has just begun to read a long response is given time. One whose request is being served would lose its response.
+StrictHTTPConnection* StrictHTTPServer::findSlowestReader(const StrictHTTPConnection& writer, TimePoint now) const
 {
-    const auto rank = [](const StrictHTTPConnection& connection) {
+    const auto rank = [now](const StrictHTTPConnection& connection) {
         constexpr auto progressStep = std::chrono::seconds(1); // Readers that make progress at any time in it are alike
-        return std::pair(-(connection.lastReadProgress().time_since_epoch() / progressStep), connection.unreadResponseBytes());
+        const auto byteSeconds
+            = static_cast<double>(connection.unreadResponseBytes()) * toSeconds(now - connection.unreadSince());
+        return std::pair(-(connection.lastReadProgress().time_since_epoch() / progressStep), byteSeconds);
     };
     StrictHTTPConnection* slowest = nullptr;
     for (auto* connection : m_connections) {
@@ -90,11 +92,11 @@
     return slowest;
 }
 
-void StrictHTTPServer::makeRoom(StrictHTTPConnection& writer, size_t bytes)
+void StrictHTTPServer::makeRoom(const StrictHTTPConnection& writer)
 {
     const auto now = MonotonicClock::now();
-    while (!m_responseBudget.hasRoomFor(bytes)) {
-        const RefPtr<StrictHTTPConnection> slowest(findSlowestReader(writer));
+    while (!m_responseBudget.hasRoomFor(0)) {
+        const RefPtr<StrictHTTPConnection> slowest(findSlowestReader(writer, now));
         if (!slowest)
             return;
         ++m_cutOffReaders;
--- a/Source/net/StrictHTTPServer.h
+++ b/Source/net/StrictHTTPServer.h
@@ -40,8 +40,8 @@
     void accept(RefPtr<StreamSocket>);
     void enforceTimeouts();
     bool mayBufferMore() const;
-    void makeRoom(StrictHTTPConnection& writer, size_t bytes);
-    StrictHTTPConnection* findSlowestReader(const StrictHTTPConnection& writer) const;
+    void makeRoom(const StrictHTTPConnection& writer);
+    StrictHTTPConnection* findSlowestReader(const StrictHTTPConnection& writer, TimePoint now) const;
 
     Listener m_listener;
     std::string m_address;
--- a/Tests/StrictHTTPTest.cpp
+++ b/Tests/StrictHTTPTest.cpp
@@ -6,9 +6,13 @@
 #include "net/StreamSocket.h"
 #include "net/StrictHTTPServer.h"
 
+#include <array>
+#include <glib-unix.h>
 #include <glib.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <random>
+#include <sys/socket.h>
 
 namespace shallot {
 namespace {
@@ -187,6 +191,66 @@
     EXPECT_TRUE(requests.empty());
 }
 
+// Memory is taken from the caller that has held it longest, however many bytes a new one has not read yet.
+TEST_F(StrictHTTP, ACallerThatHasJustBegunToReadIsNotCutOffForOneThatTrickles)
+{
+    const SocketAddress longAddress { "127.0.0.1", static_cast<uint16_t>(address.port + 1) };
+    StrictHTTPServer longServer;
+    StrictHTTPLimits longLimits;
+    const auto started = longServer.start(longAddress, longLimits,
+        { [](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
+             const std::string body(std::strtoul(request.target.c_str() + 1, nullptr, 10), 'x');
+             connection->respond({ 200, {}, body }, false, MonotonicClock::now());
+         },
+            nullptr });
+    ASSERT_TRUE(started.has_value());
+    struct Caller {
+        RefPtr<StreamSocket> socket;
+        size_t received { 0 };
+        bool closed { false };
+        bool readsOn { false };
+    };
+    std::array<Caller, 3> callers;
+    const auto request = [&](Caller& caller, size_t bytes) {
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int bufferBytes = 4096;
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bufferBytes, sizeof bufferBytes);
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(longAddress.port);
+        target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ASSERT_EQ(::connect(descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof target), 0);
+        g_unix_set_fd_nonblocking(descriptor, TRUE, nullptr);
+        caller.socket = makeRef<StreamSocket>(descriptor);
+        caller.socket->start({ [&caller](std::span<const uint8_t> received) {
+                                  caller.received += received.size();
+                                  caller.socket->setReadPaused(!caller.readsOn);
+                              },
+            nullptr, [&caller](StreamEnd) { caller.closed = true; } });
+        caller.socket->write("GET /" + std::to_string(bytes) + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        runUntil([&caller] { return caller.received > 0; });
+    };
+    constexpr size_t bodyBytes = 4'000'000;
+    auto& [trickling, reading, last] = callers;
+    request(trickling, bodyBytes);
+    for (int i = 0; i < 5; ++i) {
+        runUntil([] { return false; }, 100ms);
+        trickling.socket->setReadPaused(false);
+        trickling.socket->readNow();
+    }
+    request(reading, bodyBytes + 100'000);
+    longLimits.maximumUnreadResponseBytes = longServer.unreadResponseBytes() + 100'000;
+    longServer.setLimits(longLimits);
+    request(last, bodyBytes - 600'000);
+    reading.readsOn = true;
+    reading.socket->setReadPaused(false);
+    runUntil([&] { return reading.closed || reading.received > bodyBytes; });
+    EXPECT_EQ(longServer.cutOffReaders(), 1U);
+    EXPECT_GT(reading.received, bodyBytes);
+    for (auto& caller : callers)
+        caller.socket->close();
+}
+
 TEST_F(StrictHTTP, IncompleteHeaderSectionsTimeOutWithoutAffectingOthers)
 {
     std::vector<RefPtr<StreamSocket>> incomplete;
