--- a/Tests/LongResponsesTest.cpp
+++ b/Tests/LongResponsesTest.cpp
@@ -28,8 +28,7 @@
 constexpr size_t keptBodyStep = 490'000;    // Between the sizes of these responses; the kernel takes an unknown part of each
 constexpr size_t keptBodySizes = 8;
 constexpr size_t descriptorBound = 2 * crowd + 64;
-constexpr size_t bytesPerRead = 64 * 1024; // Four of them a second are 250 KB/s
-constexpr auto readInterval = 250ms;
+constexpr auto readInterval = 250ms; // Between two reads of 64 KB at most: 250 KB/s
 
 constexpr int receiveBufferBytes = 4096; // Of callers whose responses stay in the process
 
--- a/Tests/StrictHTTPTest.cpp
+++ b/Tests/StrictHTTPTest.cpp
@@ -231,7 +231,9 @@
         runUntil([&caller] { return caller.received > 0; });
     };
     constexpr size_t bodyBytes = 4'000'000;
-    auto& [trickling, reading, last] = callers;
+    auto& trickling = callers[0];
+    auto& reading = callers[1];
+    auto& last = callers[2];
     request(trickling, bodyBytes);
     for (int i = 0; i < 5; ++i) {
         runUntil([] { return false; }, 100ms);
