Keep room for the response that is written next

Change: a third of the budget, and one longest response at least, stays free; a long body is no longer copied behind its headers.

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -19,6 +19,7 @@
 constexpr size_t maximumPipelinedBytes = 256 * 1024;    // Received while a request is being served; the rest waits in the kernel
 constexpr size_t maximumRequestsPerTurn = 64;           // Of one connection, if they are answered at once
 constexpr size_t maximumUnreadBytesAtClose = 64 * 1024; // Of responses; a client reads as much at once
+constexpr size_t longBodyBytes = 64 * 1024;             // Of responses; longer ones are not copied to be sent with their headers
 constexpr size_t bufferCheckBytes = 64 * 1024;          // Above this size mayBufferMore() is consulted
 constexpr auto firstRequestTimeout = std::chrono::milliseconds(500); // While draining; many times the network delay
 constexpr std::string_view protocolVersion = "HTTP/1.1 ";            // Begins each response
@@ -331,7 +332,8 @@
     m_currentBodyBytes = 0;
     m_phaseStart = now;
     std::string text;
-    text.reserve(256 + response.body.size());
+    const bool isLong = response.body.size() > longBodyBytes;
+    text.reserve(256 + (isLong ? 0 : response.body.size()));
     if (!std::exchange(m_responseBegun, false))
         text += protocolVersion;
     text += std::to_string(response.status) + " " + reasonPhrase(response.status) + "\r\n";
@@ -349,11 +351,13 @@
     if (close)
         text += "Connection: close\r\n";
     text += "\r\n";
-    if (!bodiless && m_parser.method != HTTP_HEAD)
+    const bool sendsBody = !bodiless && m_parser.method != HTTP_HEAD;
+    if (sendsBody && !isLong)
         text += response.body;
     m_parser.method = HTTP_GET; // Until the next header section is parsed; it may be rejected before
     m_socket->write(text);
-    text = {};
+    if (sendsBody && isLong)
+        m_socket->write(response.body);
     if (m_socket->pendingBytes() && m_callbacks.onUnreadResponse)
         m_callbacks.onUnreadResponse(*this);
     if (close) {
--- a/Source/net/StrictHTTPServer.cpp
+++ b/Source/net/StrictHTTPServer.cpp
@@ -3,6 +3,7 @@
 #include "core/EventLog.h"
 #include "net/StreamSocket.h"
 
+#include <algorithm>
 #include <numeric>
 #include <vector>
 
@@ -12,7 +13,9 @@
 
 constexpr auto timeoutCheckInterval = std::chrono::milliseconds(500); // Maximum delay of the timeouts, which last seconds
 constexpr size_t maximumBufferedBytes = 32 * 1024 * 1024; // Of all request bodies; a fifth of the smallest instance's memory
-constexpr size_t maximumRefusedConnections = 200;         // Open until their first request is answered with 503
+constexpr size_t longestResponseBytes = 4 * 1024 * 1024;
+constexpr size_t freeShareDivisor = 3;            // Of the budget that is kept free for responses that are being written
+constexpr size_t maximumRefusedConnections = 200; // Open until their first request is answered with 503
 
 } // namespace
 
@@ -92,10 +95,11 @@
     return slowest;
 }
 
+// How much of a response the kernel takes is known once it is written, so there is room for the next one before.
 void StrictHTTPServer::makeRoom(const StrictHTTPConnection& writer)
 {
     const auto now = MonotonicClock::now();
-    while (!m_responseBudget.hasRoomFor(0)) {
+    while (!m_responseBudget.hasRoomFor(std::max(longestResponseBytes, m_responseBudget.maximum() / freeShareDivisor))) {
         const RefPtr<StrictHTTPConnection> slowest(findSlowestReader(writer, now));
         if (!slowest)
             return;
--- a/Tests/StrictHTTPTest.cpp
+++ b/Tests/StrictHTTPTest.cpp
@@ -241,7 +241,7 @@
         trickling.socket->readNow();
     }
     request(reading, bodyBytes + 100'000);
-    longLimits.maximumUnreadResponseBytes = longServer.unreadResponseBytes() + 100'000;
+    longLimits.maximumUnreadResponseBytes = longServer.unreadResponseBytes() + 4 * 1024 * 1024 + 100'000;
     longServer.setLimits(longLimits);
     request(last, bodyBytes - 600'000);
     reading.readsOn = true;
