Keep a response that arrived before a reset while reading is paused

What callers saw: 502 for a response that the backend server had sent whole, if it reset the connection while this daemon had paused reading for want of memory. Cause: since a connection that lacks room stops reading, and a paused socket reported a reset at once, with the rest of the response in the kernel's buffer. Change: a socket that reads what arrived before a reset does so after a pause as well; it is not watched until then, since epoll always reports the end.

--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -140,7 +140,10 @@
         m_callbacks.onFlushed();
     if (!isOpen())
         return;
-    if ((m_readPaused || m_peerFinished) && (events & (EPOLLHUP | EPOLLERR)))
+    const bool hasEnded = (m_readPaused || m_peerFinished) && (events & (EPOLLHUP | EPOLLERR));
+    if (hasEnded && m_readPaused && m_callbacks.readsAfterReset)
+        SocketPoller::shared().watch(m_watcher, 0); // Until reading goes on; epoll always reports the end
+    else if (hasEnded)
         closeAndNotify(StreamEnd::Reset);
     else if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
         readAvailable();
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -34,7 +34,7 @@
         // The peer shut down its sending side. Returns whether the connection stays open for sending; unset: it does not.
         std::function<bool()> onPeerFinished;
         std::function<void()> onFlushed; // What the kernel did not take at once has been sent
-        bool readsAfterReset { false };  // What arrived before a reset that ends the sending is read before onClosed
+        bool readsAfterReset { false };  // What arrived before a reset is read before onClosed, also when reading was paused
     };
 
     // Takes ownership of a connected, non-blocking socket.
@@ -58,7 +58,7 @@
     // When the first of them began to wait.
     TimePoint pendingSince() const { return m_pendingSince; }
     // While paused, received data stays in the kernel, so that the peer has to wait. The end of the connection is noticed only
-    // if it is a reset.
+    // if it is a reset and nothing is read after it.
     void setReadPaused(bool);
     // Reads the data in the kernel's receive buffer at once instead of in the next iteration of the main loop.
     void readNow();
--- a/Tests/HTTPPoolTest.cpp
+++ b/Tests/HTTPPoolTest.cpp
@@ -3,6 +3,7 @@
 #include "net/HTTPPool.h"
 #include "TestPorts.h"
 #include "core/Log.h"
+#include "net/StreamSocket.h"
 #include "net/StrictHTTPServer.h"
 
 #include <glib.h>
@@ -36,6 +37,20 @@
     rlimit m_limit {};
 };
 
+int listenAt(const SocketAddress& address)
+{
+    const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in native {};
+    native.sin_family = AF_INET;
+    native.sin_port = htons(address.port);
+    native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int on = 1; // Connections of an earlier test at this port may be in TIME_WAIT
+    EXPECT_EQ(::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on), 0);
+    EXPECT_EQ(::bind(listener, reinterpret_cast<const sockaddr*>(&native), sizeof native), 0);
+    EXPECT_EQ(::listen(listener, 4), 0);
+    return listener;
+}
+
 class HTTPPoolOverSockets : public testing::Test {
 protected:
     HTTPPoolOverSockets()
@@ -94,15 +109,7 @@
 // A server with too many connections resets further ones; both happen before this process looks.
 TEST_F(HTTPPoolOverSockets, AServerThatResetsANewConnectionIsThereAndHasNotRunTheRequest)
 {
-    const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in native {};
-    native.sin_family = AF_INET;
-    native.sin_port = htons(address.port);
-    native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const int on = 1; // Connections of an earlier test at this port may be in TIME_WAIT
-    ASSERT_EQ(::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on), 0);
-    ASSERT_EQ(::bind(listener, reinterpret_cast<const sockaddr*>(&native), sizeof native), 0);
-    ASSERT_EQ(::listen(listener, 1), 0);
+    const int listener = listenAt(address);
     send();
     const int connection = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
     const linger reset { 1, 0 };
@@ -114,6 +121,44 @@
     EXPECT_EQ(result.error().kind, ErrorKind::BackendRefused);
 }
 
+// Three responses: one takes all room, one is received all the same, and of the last one the kernel holds the rest when its
+// connection is reset.
+TEST_F(HTTPPoolOverSockets, AResponseThatArrivedBeforeAResetIsKeptWhileReadingIsPaused)
+{
+    constexpr size_t bodyBytes = 150 * 1024;
+    const std::string body(bodyBytes, 'b');
+    const auto response = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + body;
+    pool.setMaximumBufferedBytes(bodyBytes);
+    const int listener = listenAt(address);
+    std::vector<int> descriptors;
+    std::vector<RefPtr<StreamSocket>> connections;
+    std::vector<Result<HTTPResponse>> results;
+    for (const size_t sentBytes : { response.size() - 1, response.size() - 1, response.size() }) {
+        pool.send(++requestID, { "GET", "/", { { "Host", "a" } }, {} },
+            [&results](Result<HTTPResponse> result) { results.push_back(std::move(result)); });
+        descriptors.push_back(::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        connections.push_back(makeRef<StreamSocket>(descriptors.back()));
+        connections.back()->start({ [](std::span<const uint8_t>) {} });
+        connections.back()->write(std::string_view(response).substr(0, sentBytes));
+        runUntil([&connections] { return !connections.back()->unacknowledgedBytes(); });
+        runUntil([] { return false; }, 50ms);
+    }
+    const linger reset { 1, 0 };
+    ASSERT_EQ(::setsockopt(descriptors.back(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset), 0);
+    connections.back()->close();
+    runUntil([] { return false; }, 50ms);
+    EXPECT_TRUE(results.empty());
+    connections[1]->write("b");
+    connections[0]->write("b");
+    runUntil([&results] { return results.size() == 3; });
+    EXPECT_EQ(results.size(), 3U);
+    for (const auto& result : results) {
+        ASSERT_TRUE(result.has_value()) << result.error().detail;
+        EXPECT_EQ(result->body, body);
+    }
+    ::close(listener);
+}
+
 TEST_F(HTTPPoolOverSockets, AProcessWithoutDescriptorsDoesNotTakeTheServerForGone)
 {
     startServer();
