Do not pass a request on whose caller closed the connection before it was read

What callers saw: nothing; backend servers received requests whose callers had given up, since a daemon that is short of processor time reads a request late and the end of its connection, which waits in the kernel behind it, only in the next turn. Cause: each turn reads once, and a request is passed on as soon as it is complete. Change: the kernel tells with the request that its sender has finished (EPOLLRDHUP). The first bytes of the response, which make a caller that is gone reset the connection, are sent at once, and the request is passed on 20 ms later. A caller that has only finished sending is served as before.

--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -114,7 +114,7 @@
     if (!isOpen() || !m_started)
         return;
     const bool reads = !m_connecting && !m_readPaused && !m_peerFinished;
-    const uint32_t readable = reads ? static_cast<uint32_t>(EPOLLIN) : 0U;
+    const uint32_t readable = reads ? static_cast<uint32_t>(EPOLLIN) | static_cast<uint32_t>(EPOLLRDHUP) : 0U;
     const uint32_t writable = m_connecting || m_writeBlocked ? static_cast<uint32_t>(EPOLLOUT) : 0U;
     SocketPoller::shared().watch(m_watcher, readable | writable | static_cast<uint32_t>(EPOLLERR));
 }
@@ -140,6 +140,7 @@
         m_callbacks.onFlushed();
     if (!isOpen())
         return;
+    m_peerFinishes = m_peerFinishes || (events & EPOLLRDHUP);
     const bool hasEnded = (m_readPaused || m_peerFinished) && (events & (EPOLLHUP | EPOLLERR));
     if (hasEnded && m_readPaused && m_callbacks.readsAfterReset)
         SocketPoller::shared().watch(m_watcher, 0); // Until reading goes on; epoll always reports the end
--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -1,8 +1,8 @@
 // Index of this file
 //   Validation:   isUnambiguousHeaderSection
-//   Parsing:      onData, readRequests, readRequest, readHeaderSection, dispatchRequest
+//   Parsing:      onData, readRequests, readRequest, readHeaderSection, dispatchRequest, passRequestOn
 //   Responses:    respond, reject
-//   Closing:      abort, closeWhenIdle, enforceTimeouts, onPeerFinished, onFlushed, onSocketClosed
+//   Closing:      abort, closeWhenIdle, enforceTimeouts, beginResponse, onPeerFinished, onFlushed, onSocketClosed
 
 #include "net/StrictHTTPConnection.h"
 
@@ -23,6 +23,7 @@
 constexpr size_t bufferCheckBytes = 64 * 1024;          // Above this size mayBufferMore() is consulted
 constexpr auto firstRequestTimeout = std::chrono::milliseconds(500); // While draining; many times the network delay
 constexpr std::string_view protocolVersion = "HTTP/1.1 ";            // Begins each response
+constexpr auto clientCheckTime = std::chrono::milliseconds(20);      // Several round trips to a client that is near
 constexpr auto lingerTimeout = std::chrono::seconds(2); // For the client to read or send on, or to close, after the last response
 
 // http_parser accepts white space before the colon and drops it; other parsers differ, so it must be rejected here.
@@ -303,10 +304,26 @@
 void StrictHTTPConnection::dispatchRequest()
 {
     m_hasServed = true;
-    m_currentBodyBytes = m_request.body.size();
     m_collector.headersComplete = false;
     m_messageComplete = false;
     m_serving = true;
+    if (!m_socket->hasPeerFinished() || m_responseBegun) {
+        passRequestOn();
+        return;
+    }
+    // Of a client that gave up before its request was read, the end of the connection arrives with the request.
+    m_checksClient = true;
+    m_resumeTimer.startOnce(clientCheckTime, [this] {
+        const RefPtr<StrictHTTPConnection> protect(this);
+        m_checksClient = false;
+        passRequestOn();
+    });
+    beginResponse();
+}
+
+void StrictHTTPConnection::passRequestOn()
+{
+    m_currentBodyBytes = m_request.body.size();
     m_callbacks.onRequest(*this, std::move(m_request));
 }
 
@@ -528,6 +545,12 @@
 
 // Whether the client has closed the connection or only its sending side shows when something is sent to it: the first bytes of
 // the response, whatever it will be, make one that is gone reset the connection.
+void StrictHTTPConnection::beginResponse()
+{
+    if (!std::exchange(m_responseBegun, true))
+        m_socket->write(protocolVersion);
+}
+
 bool StrictHTTPConnection::onPeerFinished()
 {
     const RefPtr<StrictHTTPConnection> protect(this);
@@ -540,8 +563,8 @@
     }
     if (!m_serving && !m_reading)
         readRequests();
-    if (m_serving && !std::exchange(m_responseBegun, true))
-        m_socket->write(protocolVersion);
+    if (m_serving)
+        beginResponse();
     return true;
 }
 
@@ -565,7 +588,9 @@
     m_socket->close();
     if (m_socket->discardedBytes())
         logCut("sent after the close", m_socket->discardedBytes());
-    if (std::exchange(m_serving, false) && m_callbacks.onDisconnect)
+    m_resumeTimer.stop();
+    const bool passedOn = !std::exchange(m_checksClient, false);
+    if (std::exchange(m_serving, false) && passedOn && m_callbacks.onDisconnect)
         m_callbacks.onDisconnect(*this);
     if (const auto onClosed = std::exchange(m_callbacks.onClosed, nullptr))
         onClosed(*this);
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -83,6 +83,8 @@
     bool readHeaderSection();
     void reject(uint16_t status, const char* reason);
     void dispatchRequest();
+    void passRequestOn();
+    void beginResponse();
     bool appendBody(std::string_view);
     std::string_view unparsed() const { return std::string_view(m_input).substr(m_parsedBytes); }
     void consume(size_t bytes);
@@ -102,7 +104,7 @@
     std::string m_peerHost;
     std::string m_input;        // Received bytes
     size_t m_parsedBytes { 0 }; // Of m_input
-    Timer m_resumeTimer;        // Until further pipelined requests are read
+    Timer m_resumeTimer;        // Until further pipelined requests are read, or the request that waits is passed on
     http_parser m_parser {};
     HTTPRequest m_request;
     TimePoint m_phaseStart {}; // Start of the current phase: idle, header section, body or lingering close
@@ -116,6 +118,7 @@
     const char* m_rejectReason { nullptr }; // Why the body is rejected; null while it is not
     uint16_t m_rejectStatus { 0 };
     bool m_serving { false };
+    bool m_checksClient { false };   // The request waits until it is known whether the client is gone
     bool m_responseBegun { false };  // The protocol version of the next response has been sent
     bool m_reading { false };        // readRequests() is on the call stack
     bool m_inputEnded { false };     // The client sends nothing more
