Keep resends on new connections within the retry budget

What operators saw: more repeats than the retry budget allows at a service whose backend servers reset connections (BUDGET). Cause: a request whose kept connection ends at once is sent again by the daemon beside the backend server; each such repeat was counted and none was refused. The calls that the second run makes were not taken for repeats. Change: a resend needs room in the budget like any other repeat, and its run counts as one. The allowance is set with the configuration, not half a second after the start. Test: EndpointResponses.RequestsOnStaleConnections* fails in 3 of 3 plays before, passes in 3 of 3 now, as does AStaleKeepAliveConnection*.

--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -78,7 +78,9 @@
     if (!response) {
         const bool wasStale = response.error().kind == ErrorKind::BackendFailed && response.error().onReusedConnection
             && now - live->started < m_settings.staleConnectionWindow;
-        if (wasStale && live->mayResend && !std::exchange(live->resent, true)) {
+        if (wasStale && live->mayResend && !live->resent && m_retryBudget.available(now) >= 1) {
+            live->resent = true;
+            live->call.repeat = true; // The first sending may have run, and its nested calls are made again
             recordUnanswered(*live, now);
             m_retryBudget.recordRepeat(now);
             send(*live, Duration::zero());
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -4,7 +4,7 @@
 //   Local servers:    handleControl, acknowledge, checkAnnouncement, handleReadiness, isReady
 //   Peers:            onFrame, onLinkClosed, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
 //                    scheduleAbandonment, onGoAway
-//   Changes:          onBackendServerChange, onConfiguration
+//   Changes:          onBackendServerChange, onConfiguration, updateRetryAllowance
 //   Time:             tick
 
 #include "sidecar/Sidecar.h"
@@ -552,6 +552,14 @@
     m_executor.setKeepsRetryBudget(configuration.hasBulkRoutes);
     m_executor.setColdStarts(std::move(coldStarts));
     m_executor.setHealthPaths(std::move(healthPaths));
+    updateRetryAllowance();
+}
+
+void Sidecar::updateRetryAllowance()
+{
+    const auto servers = std::max<size_t>(1, m_view.endpoints().countOf(m_own.service));
+    m_executor.setRetryAllowance(
+        m_settings.retryAllowance * m_settings.allowanceFractionAtBackend / static_cast<double>(servers));
 }
 
 // Time
@@ -568,9 +576,7 @@
     m_servedCalls.expire(now);
     if (++m_ticks % ticksPerFlush)
         return;
-    const auto servers = std::max<size_t>(1, m_view.endpoints().countOf(m_own.service));
-    m_executor.setRetryAllowance(
-        m_settings.retryAllowance * m_settings.allowanceFractionAtBackend / static_cast<double>(servers));
+    updateRetryAllowance();
     m_executor.tick();
     EventLog::flush();
 }
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -66,6 +66,7 @@
 
     void onBackendServerChange();
     void onConfiguration();
+    void updateRetryAllowance();
     void tick();
     void startLeavingBackendServer(TimePoint endBy, TimePoint now);
     bool isIdle() const;
--- a/Tests/EndpointResponsesTest.cpp
+++ b/Tests/EndpointResponsesTest.cpp
@@ -4,12 +4,14 @@
 #include "RawEndpoint.h"
 #include "SidecarHarness.h"
 #include "TestPorts.h"
+#include "mesh/MeshSettings.h"
 #include "platform/Names.h"
 
 #include <fstream>
 #include <glib.h>
 #include <gtest/gtest.h>
 #include <map>
+#include <set>
 
 namespace shallot {
 namespace {
@@ -91,6 +93,26 @@
     }
 }
 
+// Each connection carries one response and is closed when the next request arrives, which then is sent again.
+TEST_F(EndpointResponses, RequestsOnStaleConnectionsAreNotSentAgainBeyondTheRetryBudget)
+{
+    constexpr size_t count = 300;
+    mesh.settings.retryAllowance = MeshSettings().retryAllowance;
+    mesh.runFor(1s); // Until the daemon beside the backend server applies it
+    std::set<StreamSocket*> used;
+    raw->setScript([&used](StreamSocket& socket, const std::string& attempt) {
+        if (used.insert(&socket).second)
+            socket.write(RawEndpoint::responseTo(attempt, "whole"));
+        else
+            socket.close();
+    });
+    const auto arrivedBefore = raw->requestCount();
+    for (size_t i = 0; i < count; ++i)
+        mesh.fetch(1, "/read/1");
+    const auto repeats = static_cast<double>(raw->requestCount() - arrivedBefore) - count;
+    EXPECT_LE(repeats, mesh.settings.retryShare * count + mesh.settings.retryAllowance);
+}
+
 // A late refusal must not be taken for the outcome of the request in progress.
 TEST_F(EndpointResponses, ALateRefusalOfAnEarlierRequestIsNotAttributedToTheNextOne)
 {
