Do not begin calls that were held up on their way

Cause: a link that falls silent is closed, and the kernel delivers what is on the way once the partition ends, up to seven seconds later. The receiver took such a call for a new one with its whole time left, ran it, and read its cancellation behind it. Change: a call carries the time of its sending, and the receiver compares the time on the way with the shortest one of the last minute (TransitTime; the clocks of the two need not agree). What was held up for longer than 400 ms is refused as not begun, and what was held up for less has less time left. Test: LinkEndHeldUp.ACallWhoseCallerHasLeft* fails in 3 of 3 plays before, passes in 3 of 3 now, as does all of LinkEnd* and TransitTime*.

--- a/Source/mesh/MeshCall.h
+++ b/Source/mesh/MeshCall.h
@@ -20,6 +20,7 @@
     bool firstSending { true };    // Of this request
     std::string rootOrganisation;  // Of the root request of a nested call, if it is limited to some regions
     bool scheduledRetry { false }; // Refused earlier and retried at the time given with the refusal
+    TimePoint sentAt {};           // By the clock of its sender; the epoch if that is not known
 };
 
 // Result of a call, with the load report of the backend server's daemon.
--- a/Source/mesh/MeshSettings.h
+++ b/Source/mesh/MeshSettings.h
@@ -83,6 +83,9 @@
     // Until a call that may run more than once is sent elsewhere if its daemon does not tell what became of it; tens of round
     // trips between zones.
     Duration callQueryTimeout { 200ms };
+    // A call that was held up for longer on its way is refused: its sender has dispatched the request elsewhere by then, or its
+    // caller may have left. Below the half second after which no work is begun for a caller that has left.
+    Duration maximumTransitDelay { 400ms };
     Duration callQueryInterval { 50ms }; // Between two links to a daemon that is asked; below detachedCallLifetime
     // How long a call runs on without a link. Longer than the query takes; a run whose caller left must end within 0.5 s.
     Duration detachedCallLifetime { 300ms };
--- a/Source/sidecar/MeshFrames.cpp
+++ b/Source/sidecar/MeshFrames.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr auto latestSendingTime = static_cast<uint64_t>(longestDuration.count()); // By any clock
+
 uint64_t toMicroseconds(Duration duration)
 {
     return static_cast<uint64_t>(std::max<int64_t>(0, duration.count()));
@@ -54,6 +56,7 @@
     body->repeat = call.repeat;
     body->first_sending = call.firstSending;
     body->root_organisation = call.rootOrganisation;
+    body->sent_us = toMicroseconds(call.sentAt.time_since_epoch());
     return frame;
 }
 
@@ -109,6 +112,7 @@
     result.repeat = call.repeat;
     result.firstSending = call.first_sending;
     result.rootOrganisation = std::move(call.root_organisation);
+    result.sentAt = TimePoint(Duration(static_cast<Duration::rep>(std::min(call.sent_us, latestSendingTime))));
     result.request = readRequest(call);
     return result;
 }
--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -243,6 +243,7 @@
     call.targetLatency = pending.targetTime > now ? pending.targetTime - now : Duration::zero();
     call.repeat = pending.backendsReached > 0 || (pending.parent && pending.parent->isRepeat);
     call.firstSending = !pending.sendings++;
+    call.sentAt = now;
     pending.member = endpoint.member.name;
     const auto attempt = makeRef<Attempt>();
     attempt->id = m_nextID++;
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -2,7 +2,7 @@
 //   Start and leave:  Sidecar, start, leave, startLeavingBackendServer, waitsForPeers, isIdle, scheduleEnd,
 //                    stopAcceptingWhenDue, endRequests, finishLeaving, endWhenConnectionsHaveClosed, applySettings
 //   Local servers:    handleControl, acknowledge, checkAnnouncement, handleReadiness, isReady
-//   Peers:            onFrame, onLinkClosed, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
+//   Peers:            onFrame, onLinkClosed, transitDelay, serveCall, answerCall, cancelCall, onCallQuery, cancelAbandonedCalls,
 //                    scheduleAbandonment, onGoAway
 //   Changes:          onBackendServerChange, onConfiguration, updateRetryAllowance
 //   Time:             tick
@@ -42,7 +42,8 @@
 constexpr auto closeTime = 100ms; // Of the margin, until all links and connections have closed; several round trips between zones
 constexpr auto closeCheckInterval = 5ms;
 constexpr auto peersReadTime = 1s; // For peers that stand still, when nothing is in progress; one that is cut off costs as much
-constexpr auto callResponseTime = 50ms; // From the deadline of a call until its response has been sent
+constexpr auto transitTimeLifetime = 60s; // Of what is known of a process that sends no calls
+constexpr auto callResponseTime = 50ms;   // From the deadline of a call until its response has been sent
 
 } // namespace
 
@@ -413,6 +414,13 @@
         m_sync.onSyncResponse(link, *syncResponse, now);
 }
 
+Duration Sidecar::transitDelay(const PeerLink& link, const MeshCall& call, TimePoint now)
+{
+    if (call.sentAt == TimePoint())
+        return {};
+    return m_transitTimes[{ link.peer(), link.peerBoot() }].record(call.sentAt, now);
+}
+
 void Sidecar::serveCall(PeerLink& link, wire::CallT& frame)
 {
     const auto now = MonotonicClock::now();
@@ -422,8 +430,13 @@
     }
     const ServedCallKey key { link.peer(), link.peerBoot(), frame.id };
     auto call = readMeshCall(frame);
-    if (!m_servedCalls.begin(key, now + call.context.remaining, now)) {
-        EventLog::write("call-late", { { "peer", key.sender }, { "call", key.id } });
+    const auto delay = transitDelay(link, call, now);
+    call.context.remaining -= delay;
+    const bool isNew = m_servedCalls.begin(key, now + call.context.remaining, now);
+    if (!isNew || delay > m_settings.maximumTransitDelay) {
+        EventLog::write("call-late", { { "peer", key.sender }, { "call", key.id }, { "held_up_s", toSeconds(delay) } });
+        if (isNew)
+            m_servedCalls.refuse(key);
         link.send(makeMeshAnswerFrame(key.id, { fail(ErrorKind::NoBackendServer, "it arrived late"), m_executor.report(now) }));
         return;
     }
@@ -577,6 +590,7 @@
     if (++m_ticks % ticksPerFlush)
         return;
     updateRetryAllowance();
+    std::erase_if(m_transitTimes, [now](const auto& item) { return now - item.second.lastRecordedAt() > transitTimeLifetime; });
     m_executor.tick();
     EventLog::flush();
 }
--- a/Source/sidecar/Sidecar.h
+++ b/Source/sidecar/Sidecar.h
@@ -3,6 +3,7 @@
 #include "mesh/CrashSuspects.h"
 #include "mesh/MeshSettings.h"
 #include "mesh/ServedCalls.h"
+#include "mesh/TransitTime.h"
 #include "net/Timer.h"
 #include "platform/InstanceSettings.h"
 #include "sidecar/DistributedRateLimiter.h"
@@ -56,6 +57,7 @@
 
     void onFrame(PeerLink&, wire::FrameT&);
     void onLinkClosed(PeerLink&);
+    Duration transitDelay(const PeerLink&, const MeshCall&, TimePoint now);
     void serveCall(PeerLink&, wire::CallT&);
     void answerCall(const ServedCallKey&, MeshOutcome);
     void cancelCall(const ServedCallKey&);
@@ -98,6 +100,7 @@
     Timer m_endTimer; // While leaving: until what is open is ended
     Timer m_abandonmentTimer;
     ServedCalls m_servedCalls;
+    std::map<std::pair<std::string, uint64_t>, TransitTime> m_transitTimes; // Of calls, by the member and boot of their sender
     std::map<ServedCallKey, ServedCall> m_served;
     std::set<RefPtr<StrictHTTPConnection>> m_waitingNotices; // For the store
     std::function<void()> m_onLeaveCompleted;
--- a/Source/wire/Frames_generated.h
+++ b/Source/wire/Frames_generated.h
@@ -785,6 +785,7 @@
   bool repeat = false;
   bool first_sending = false;
   std::string root_organisation{};
+  uint64_t sent_us = 0;
   CallT() = default;
   CallT(const CallT &o);
   CallT(CallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -816,7 +817,8 @@
     VT_RETURNING = 38,
     VT_REPEAT = 40,
     VT_FIRST_SENDING = 42,
-    VT_ROOT_ORGANISATION = 44
+    VT_ROOT_ORGANISATION = 44,
+    VT_SENT_US = 46
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -881,6 +883,9 @@
   const flatbuffers::String *root_organisation() const {
     return GetPointer<const flatbuffers::String *>(VT_ROOT_ORGANISATION);
   }
+  uint64_t sent_us() const {
+    return GetField<uint64_t>(VT_SENT_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -913,6 +918,7 @@
            VerifyField<uint8_t>(verifier, VT_FIRST_SENDING, 1) &&
            VerifyOffset(verifier, VT_ROOT_ORGANISATION) &&
            verifier.VerifyString(root_organisation()) &&
+           VerifyField<uint64_t>(verifier, VT_SENT_US, 8) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -987,6 +993,9 @@
   void add_root_organisation(flatbuffers::Offset<flatbuffers::String> root_organisation) {
     fbb_.AddOffset(Call::VT_ROOT_ORGANISATION, root_organisation);
   }
+  void add_sent_us(uint64_t sent_us) {
+    fbb_.AddElement<uint64_t>(Call::VT_SENT_US, sent_us, 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1023,8 +1032,10 @@
     bool returning = false,
     bool repeat = false,
     bool first_sending = false,
-    flatbuffers::Offset<flatbuffers::String> root_organisation = 0) {
+    flatbuffers::Offset<flatbuffers::String> root_organisation = 0,
+    uint64_t sent_us = 0) {
   CallBuilder builder_(_fbb);
+  builder_.add_sent_us(sent_us);
   builder_.add_target_us(target_us);
   builder_.add_remaining_us(remaining_us);
   builder_.add_request_low(request_low);
@@ -1076,7 +1087,8 @@
     bool returning = false,
     bool repeat = false,
     bool first_sending = false,
-    const char *root_organisation = nullptr) {
+    const char *root_organisation = nullptr,
+    uint64_t sent_us = 0) {
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   auto route__ = route ? _fbb.CreateString(route) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -1107,7 +1119,8 @@
       returning,
       repeat,
       first_sending,
-      root_organisation__);
+      root_organisation__,
+      sent_us);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4129,7 +4142,8 @@
         returning(o.returning),
         repeat(o.repeat),
         first_sending(o.first_sending),
-        root_organisation(o.root_organisation) {
+        root_organisation(o.root_organisation),
+        sent_us(o.sent_us) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new shallot::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -4156,6 +4170,7 @@
   std::swap(repeat, o.repeat);
   std::swap(first_sending, o.first_sending);
   std::swap(root_organisation, o.root_organisation);
+  std::swap(sent_us, o.sent_us);
   return *this;
 }
 
@@ -4189,6 +4204,7 @@
   { auto _e = repeat(); _o->repeat = _e; }
   { auto _e = first_sending(); _o->first_sending = _e; }
   { auto _e = root_organisation(); if (_e) _o->root_organisation = _e->str(); }
+  { auto _e = sent_us(); _o->sent_us = _e; }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4220,6 +4236,7 @@
   auto _repeat = _o->repeat;
   auto _first_sending = _o->first_sending;
   auto _root_organisation = _o->root_organisation.empty() ? 0 : _fbb.CreateString(_o->root_organisation);
+  auto _sent_us = _o->sent_us;
   return shallot::wire::CreateCall(
       _fbb,
       _id,
@@ -4242,7 +4259,8 @@
       _returning,
       _repeat,
       _first_sending,
-      _root_organisation);
+      _root_organisation,
+      _sent_us);
 }
 
 inline AnswerT::AnswerT(const AnswerT &o)
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -1,6 +1,7 @@
 // What becomes of calls between daemons when their link ends.
 
 #include "LinkRelay.h"
+#include "RawEndpoint.h"
 #include "SidecarHarness.h"
 
 #include "platform/Names.h"
@@ -516,6 +517,61 @@
     EXPECT_EQ(mesh.endpoint(0).disconnectCount(), before + 1);
 }
 
+// A partition holds calls up until they are of no use any more, and ends then: the kernel delivers them all the same.
+class LinkEndHeldUp : public LinkEnd {
+protected:
+    void SetUp() override
+    {
+        LinkEnd::SetUp();
+        for (size_t i = 0; i < sender; ++i) {
+            mesh.endpoint(i).stopServing();
+            // It counts what arrives, also if it is cancelled at once.
+            raws.push_back(std::make_unique<RawEndpoint>(mesh.backendServerAddress(i), "instance-" + std::to_string(i),
+                [this](StreamSocket& socket, const std::string& attempt) {
+                    ++arrivals;
+                    socket.write(RawEndpoint::responseTo(attempt, "whole"));
+                }));
+        }
+        for (size_t i = 0; i < 2 * sender; ++i)
+            ASSERT_TRUE(mesh.runUntil([this] { return mesh.fetch(sender, "/read/raw").status() == 200; }));
+        arrivals = 0;
+    }
+
+    std::vector<std::unique_ptr<RawEndpoint>> raws;
+    size_t arrivals { 0 };
+};
+
+TEST_F(LinkEndHeldUp, ACallWhoseCallerHasLeftDoesNotReachTheBackendServer)
+{
+    forAllRelays([](LinkRelay& relay) { relay.holdToTarget(true); });
+    for (const HTTPRequest& request : { HTTPRequest { "GET", "/read/1", {}, {} }, HTTPRequest { "POST", "/order/1", {}, {} } }) {
+        mesh.send(sender, request);
+        mesh.runFor(50ms);
+        mesh.disconnectCaller();
+    }
+    EXPECT_TRUE(isAnyHeld(&LinkRelay::heldToTarget));
+    mesh.runFor(1500ms);
+    forAllRelays([](LinkRelay& relay) { relay.holdToTarget(false); });
+    mesh.runFor(300ms);
+    EXPECT_EQ(arrivals, 0U);
+    EXPECT_TRUE(mesh.runUntil([this] { return mesh.fetch(sender, "/read/2").status() == 200; }));
+}
+
+TEST_F(LinkEndHeldUp, ACallWhoseRequestWasAnsweredElsewhereDoesNotReachTheBackendServer)
+{
+    constexpr size_t sent = 12;
+    relays[0]->holdToTarget(true);
+    for (size_t i = 0; i < sent; ++i) {
+        mesh.send(sender, { "GET", "/read/1", {}, {} });
+        mesh.runFor(10ms);
+    }
+    EXPECT_GT(relays[0]->heldToTarget(), 0U);
+    mesh.runFor(1500ms);
+    relays[0]->holdToTarget(false);
+    mesh.runFor(300ms);
+    EXPECT_EQ(arrivals, sent);
+}
+
 // Its caller disconnects after the link has ended.
 TEST_F(LinkEndOneBackendServer, ACallOnANewLinkCanBeCancelled)
 {
