Count a silent backend server as one that has the request

Cause: where daemons beside backend servers keep the retry budget, the attempts of a route were compared with the backend servers that had answered. One that had fallen silent, and in whose stead a second one was asked, did not count: when the second one failed, a third one was asked. Change: the attempt that was replaced counts until its outcome shows that it was not begun.

--- a/Source/sidecar/MeshIngress.cpp
+++ b/Source/sidecar/MeshIngress.cpp
@@ -215,7 +215,7 @@
         auto* endpoint = m_dependencies.view.endpoints().choose(pending.call.service, now, pending.triedMembers,
             { .anyZone = pending.reroutes > 0, .reachableOnly = pending.refusal.has_value(), .regions = pending.regions() });
         // No further backend server may get it; one that has refused it may take it now.
-        if (pending.reachedMembers.size() >= pending.maximumEndpoints) {
+        if (!pending.mayReachAnother()) {
             endpoint = m_dependencies.view.endpoints().choose(pending.call.service, now, {},
                 { .anyZone = true, .reachableOnly = true, .regions = pending.regions(), .among = pending.reachedMembers });
         }
--- a/Source/sidecar/MeshIngress.h
+++ b/Source/sidecar/MeshIngress.h
@@ -121,6 +121,8 @@
 
         AllowedRegions regions() const { return { routeRegions, organisationRegions }; }
         bool hasAttempt() const { return attempt || replacedAttempt; }
+        // Whether the route allows a further backend server. A silent one may have received the request.
+        bool mayReachAnother() const { return reachedMembers.size() + (replacedAttempt ? 1 : 0) < maximumEndpoints; }
     };
 
     void handle(const RefPtr<StrictHTTPConnection>&, HTTPRequest, TimePoint now);
--- a/Source/sidecar/MeshIngressOutcomes.cpp
+++ b/Source/sidecar/MeshIngressOutcomes.cpp
@@ -288,10 +288,9 @@
     // If a run failed because of a nested call, a retry would fail the same way; retries are better spent on the nested call.
     if (outcome.nestedCallFailed)
         return false;
-    const bool mayGoElsewhere = pending.reachedMembers.size() < pending.maximumEndpoints;
     if (outcome.report.keepsRetryBudget) {
         const bool wasRefused = !outcome.response && outcome.response.error().kind == ErrorKind::BackendRefused;
-        return (mayGoElsewhere || wasRefused) && pending.sendings < m_dependencies.settings.maximumSendings;
+        return (pending.mayReachAnother() || wasRefused) && pending.sendings < m_dependencies.settings.maximumSendings;
     }
     if (pending.backendsReached >= pending.maximumEndpoints)
         return false;
--- a/Tests/LinkEndTest.cpp
+++ b/Tests/LinkEndTest.cpp
@@ -418,6 +418,32 @@
     EXPECT_EQ(mesh.endpoint(first).disconnectCount(), 1U);
 }
 
+class LinkEndThreeBackendServers : public LinkEnd {
+protected:
+    LinkEndThreeBackendServers()
+        : LinkEnd({ "zone-a/alpha", "zone-a/alpha", "zone-a/alpha", "zone-a/beta" })
+    {
+    }
+};
+
+// The route allows two; the silent one may be running the request.
+TEST_F(LinkEndThreeBackendServers, ASilentBackendServerCountsAsOneThatGotTheRequest)
+{
+    holdRuns();
+    const auto exchange = mesh.send(sender, { "GET", "/read/1", {}, {} });
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 1; }));
+    size_t first = 0;
+    while (mesh.endpoint(first).requests().back().target != "/read/1")
+        ++first;
+    relays[first]->holdToTarget(true);
+    relays[first]->holdFromTarget(true);
+    ASSERT_TRUE(mesh.runUntil([this] { return held.size() == 2; }));
+    EndpointStandin::respond(*held.back().first, held.back().second, 500, "own failure");
+    mesh.runFor(300ms);
+    EXPECT_EQ(mesh.executionCount("/read/1"), 2U);
+    EXPECT_EQ(mesh.wait(exchange).status(), 500);
+}
+
 TEST_F(LinkEnd, ARequestThatWasNotBegunAndIsRefusedElsewhereHasNotRun)
 {
     mesh.endpoint(1).setScript(EndpointStandin::refuse);
