Check only once whether a caller that has finished sending is gone

What callers saw: since each pipelined request of a caller that had finished sending waited for 20 ms. Cause: the check began with each response; one tells of the whole connection.

--- a/Source/net/StrictHTTPConnection.cpp
+++ b/Source/net/StrictHTTPConnection.cpp
@@ -307,7 +307,7 @@
     m_collector.headersComplete = false;
     m_messageComplete = false;
     m_serving = true;
-    if (!m_socket->hasPeerFinished() || m_responseBegun) {
+    if (!m_socket->hasPeerFinished() || std::exchange(m_wasClientChecked, true)) {
         passRequestOn();
         return;
     }
--- a/Source/net/StrictHTTPConnection.h
+++ b/Source/net/StrictHTTPConnection.h
@@ -118,7 +118,8 @@
     const char* m_rejectReason { nullptr }; // Why the body is rejected; null while it is not
     uint16_t m_rejectStatus { 0 };
     bool m_serving { false };
-    bool m_checksClient { false };   // The request waits until it is known whether the client is gone
+    bool m_checksClient { false }; // The request waits until it is known whether the client is gone
+    bool m_wasClientChecked { false };
     bool m_responseBegun { false };  // The protocol version of the next response has been sent
     bool m_reading { false };        // readRequests() is on the call stack
     bool m_inputEnded { false };     // The client sends nothing more
--- a/Tests/GracefulShutdownTest.cpp
+++ b/Tests/GracefulShutdownTest.cpp
@@ -292,6 +292,18 @@
     EXPECT_TRUE(runUntil([&] { return !server.connectionCount(); }));
 }
 
+TEST_F(GracefulShutdown, PipelinedRequestsOfACallerThatHasFinishedSendingDoNotWaitForEachOther)
+{
+    constexpr size_t count = 300;
+    BlockingCaller caller(address);
+    std::string text;
+    for (size_t i = 0; i < count; ++i)
+        text += get;
+    caller.send(text);
+    caller.finishSending();
+    EXPECT_EQ(receiveResponses(caller, count), count);
+}
+
 TEST_F(GracefulShutdown, ACallerThatHasFinishedSendingReceivesNothingButItsAnswer)
 {
     for (const std::string version : { "HTTP/1.0", "HTTP/1.1" }) {
