--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -140,7 +140,7 @@
         m_callbacks.onFlushed();
     if (!isOpen())
         return;
-    m_peerFinishes = m_peerFinishes || (events & EPOLLRDHUP);
+    m_peerEndArrived = m_peerEndArrived || (events & EPOLLRDHUP);
     const bool hasEnded = (m_readPaused || m_peerFinished) && (events & (EPOLLHUP | EPOLLERR));
     if (hasEnded && m_readPaused && m_callbacks.readsAfterReset)
         SocketPoller::shared().watch(m_watcher, 0); // Until reading goes on; epoll always reports the end
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -70,7 +70,7 @@
     bool canSend() const { return isOpen() && !m_finishing && !m_sendFailed; }
     bool isConnecting() const { return m_connecting; }
     // The peer has shut down its sending side, perhaps behind data that has not been read yet.
-    bool hasPeerFinished() const { return m_peerFinishes; }
+    bool hasPeerFinished() const { return m_peerEndArrived; }
     size_t pendingBytes() const { return m_pending.size() - m_pendingOffset; }
     // Pending bytes and those that the peer's kernel has not acknowledged: a socket that is closed meanwhile drops the latter
     // when the peer sends to it.
@@ -109,8 +109,8 @@
     bool m_sendFailed { false };   // The peer has reset the connection; the rest is read
     bool m_finishing { false };
     bool m_readPaused { false };
-    bool m_peerFinishes { false }; // Its end has arrived
-    bool m_peerFinished { false }; // and has been read
+    bool m_peerEndArrived { false }; // Perhaps behind data that has not been read
+    bool m_peerFinished { false };   // Its end has been read
 };
 
 } // namespace shallot
