Log the end of a process by a fatal signal or an uncaught exception

A line "process-end" names the signal and the exception; lines that waited in memory are written before it. The process ends as before, and a sanitizer's handlers stay.

--- a/Source/core/EventLog.cpp
+++ b/Source/core/EventLog.cpp
@@ -3,6 +3,8 @@
 #include "core/Time.h"
 
 #include <array>
+#include <atomic>
+#include <charconv>
 #include <cmath>
 #include <cstdio>
 #include <fcntl.h>
@@ -24,6 +26,7 @@
     bool isOpen { false };
     std::string instance;
     std::string buffer;
+    std::atomic<bool> isBufferChanging { false }; // A signal handler must not read it then
     double tokens { burstLines };
     TimePoint refillTime {};
     uint64_t dropped { 0 };
@@ -83,6 +86,38 @@
     return line;
 }
 
+// A line that is written by a signal handler, which must not allocate memory.
+class FixedLine {
+public:
+    void append(std::string_view text)
+    {
+        for (const char c : text) {
+            if (m_size < m_text.size())
+                m_text[m_size++] = c;
+        }
+    }
+    void appendQuoted(std::string_view text)
+    {
+        append("\"");
+        for (const char c : text)
+            append(std::string_view(isPlain(c) ? &c : " ", 1));
+        append("\"");
+    }
+    void appendNumber(int64_t number)
+    {
+        std::array<char, 24> digits {};
+        const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number).ptr;
+        append({ digits.data(), static_cast<size_t>(end - digits.data()) });
+    }
+    std::string_view text() const { return { m_text.data(), m_size }; }
+
+private:
+    static bool isPlain(char c) { return c != '"' && c != '\\' && static_cast<unsigned char>(c) >= ' '; }
+
+    std::array<char, 512> m_text {};
+    size_t m_size { 0 };
+};
+
 bool tryTakeToken()
 {
     auto& log = state();
@@ -126,19 +161,46 @@
         appendValue(line, field);
     }
     line += "}\n";
+    log.isBufferChanging = true;
     log.buffer += line;
+    log.isBufferChanging = false;
     if (log.buffer.size() >= flushBytes)
         flush();
 }
 
 void EventLog::flush()
 {
-    auto& buffer = state().buffer;
-    if (buffer.empty())
+    auto& log = state();
+    if (log.buffer.empty())
+        return;
+    const ssize_t written = ::write(STDOUT_FILENO, log.buffer.data(), log.buffer.size());
+    if (written <= 0)
+        return;
+    log.isBufferChanging = true;
+    log.buffer.erase(0, static_cast<size_t>(written));
+    log.isBufferChanging = false;
+}
+
+void EventLog::writeAtFatalSignal(int signal, std::string_view detail)
+{
+    const auto& log = state();
+    if (!log.isOpen)
         return;
-    const ssize_t written = ::write(STDOUT_FILENO, buffer.data(), buffer.size());
-    if (written > 0)
-        buffer.erase(0, static_cast<size_t>(written));
+    timespec time {};
+    clock_gettime(CLOCK_REALTIME, &time);
+    FixedLine line;
+    line.append("{\"time\":");
+    line.appendNumber(time.tv_sec);
+    line.append(",\"instance\":");
+    line.appendQuoted(log.instance);
+    line.append(",\"event\":\"process-end\",\"signal\":");
+    line.appendNumber(signal);
+    line.append(",\"detail\":");
+    line.appendQuoted(detail);
+    line.append("}\n");
+    const auto buffered = log.isBufferChanging ? std::string_view {} : std::string_view(log.buffer);
+    for (const auto text : { buffered, line.text() })
+        [[maybe_unused]] const auto written = ::write(STDOUT_FILENO, text.data(), text.size());
 }
 
 uint64_t EventLog::droppedLines()
--- a/Source/core/EventLog.h
+++ b/Source/core/EventLog.h
@@ -56,6 +56,8 @@
     static void flush();
     // Waits up to 50 ms for a reader that is behind; for the last lines of a process.
     static void flushAtEnd();
+    // For the handler of a fatal signal: writes the buffer and a line "process-end". `detail` may be empty.
+    static void writeAtFatalSignal(int signal, std::string_view detail);
     static uint64_t droppedLines();
 };
 
--- a/Source/core/JSON.h
+++ b/Source/core/JSON.h
@@ -15,7 +15,7 @@
 };
 using JSONNodePtr = std::unique_ptr<JsonNode, JSONNodeDeleter>;
 
-// Parses a JSON text whose root is an object; null for any other text.
+// Parses a JSON text whose root is an object; null for any other text and for one of more than 64 levels.
 JSONNodePtr parseJSONObject(std::string_view);
 std::string serializeJSON(JsonNode*, bool pretty = false);
 
--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -1,6 +1,7 @@
 // shallot-sidecar: the overload control daemon of one backend server on the platform.
 
 #include "core/EventLog.h"
+#include "core/FatalSignals.h"
 #include "core/Heap.h"
 #include "core/Log.h"
 #include "core/Version.h"
@@ -201,6 +202,7 @@
     }
     configureLogging();
     shallot::EventLog::open(instance->instance);
+    shallot::logFatalSignals();
     std::signal(SIGPIPE, SIG_IGN); // NOLINT: write() reports a closed connection
     const auto settings = meshSettings(*instance);
     GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
@@ -232,6 +234,8 @@
     try {
         return run(argc, argv);
     } catch (const std::exception& exception) {
+        shallot::EventLog::write("process-end", { { "detail", exception.what() } });
+        shallot::EventLog::flushAtEnd();
         std::cerr << "shallot-sidecar: " << exception.what() << "\n";
         return 1;
     }
--- a/Tests/SidecarProcessTest.cpp
+++ b/Tests/SidecarProcessTest.cpp
@@ -1,4 +1,4 @@
-// Signals and changes of the settings around the start and the stop of a shallot-sidecar process.
+// Signals and changes of the settings around the start and the stop of a shallot-sidecar process, and what must not end it.
 
 #include "SidecarProgram.h"
 #include "TestPorts.h"
@@ -13,6 +13,7 @@
 #include <gio/gio.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -131,6 +132,29 @@
         return size > 0 ? std::string(bytes.data(), static_cast<size_t>(size)) : std::string();
     }
 
+    void startWithLog()
+    {
+        writeSettings(settings, "6");
+        setenv("SHALLOT_SIDECAR_LOG", log().c_str(), 1);
+        start();
+        unsetenv("SHALLOT_SIDECAR_LOG");
+    }
+
+    std::filesystem::path log() const { return folder / "log"; }
+
+    bool logs(const std::string& text) const
+    {
+        std::ifstream file(log());
+        return std::string((std::istreambuf_iterator<char>(file)), {}).find(text) != std::string::npos;
+    }
+
+    static std::string heartbeat(const std::string& body)
+    {
+        return "POST /shallottrack/Instances.Heartbeat/i-1 HTTP/1.1\r\nHost: daemon\r\nContent-Type: application/json\r\n"
+               "Content-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
     bool hasEnded() { return waitpid(pid, &status, WNOHANG) == pid && std::exchange(pid, 0); }
 
     bool listens() const
@@ -191,11 +215,21 @@
     ASSERT_TRUE(waitUntil([this] { return listens(); }));
     const std::string body = R"({"service":"alpha","addr":"127.0.0.1:)" + std::to_string(basePort + 4)
         + R"(","zone":"zone","version":"v1","slots":4,"state":"ready","cold_left_s":0,"seq":1,"born":1000})";
-    EXPECT_EQ(countUnansweredOverAStop(3,
-                  "POST /shallottrack/Instances.Heartbeat/i-1 HTTP/1.1\r\nHost: daemon\r\nContent-Type: application/json\r\n"
-                  "Content-Length: "
-                      + std::to_string(body.size()) + "\r\n\r\n" + body),
-        0U);
+    EXPECT_EQ(countUnansweredOverAStop(3, heartbeat(body)), 0U);
+}
+
+TEST_F(SidecarProcess, AnEndByAFatalSignalIsLogged)
+{
+    for (const int signal : { SIGSEGV, SIGABRT }) {
+        setenv("ASAN_OPTIONS", "handle_segv=0", 1); // Its own handler would stay
+        startWithLog();
+        unsetenv("ASAN_OPTIONS");
+        ASSERT_TRUE(waitUntil([this] { return listens(); }));
+        kill(pid, signal);
+        ASSERT_TRUE(waitUntil([this] { return hasEnded(); }));
+        EXPECT_TRUE(WIFSIGNALED(status) && WTERMSIG(status) == signal) << "wait status " << status;
+        EXPECT_TRUE(logs(R"("event":"process-end","signal":)" + std::to_string(signal)));
+    }
 }
 
 } // namespace
