Keep a log file that may not grow from ending the process

What callers saw: all connections of a daemon closed at once, requests that had been passed on without an answer, without any stop, reload or change; nothing in the log.

Cause: a write beyond the process's limit on the size of files (RLIMIT_FSIZE) raises SIGXFSZ, whose default action ends the process. Only SIGPIPE was ignored. The busier the daemon, the earlier its log reaches the limit, and the process that follows ends at its first line.

SidecarProcess.ALogFileThatMayNotGrowDoesNotEndIt fails before in 3 of 3 plays (wait status 25) and passes in 3 of 3. With the signal ignored write() fails with EFBIG, and the log drops and counts lines as for a pipe that is full. The same in shallotd, not tested there.

--- a/Source/programs/shallot_sidecar.cpp
+++ b/Source/programs/shallot_sidecar.cpp
@@ -204,6 +204,7 @@
     shallot::EventLog::open(instance->instance);
     shallot::logFatalSignals();
     std::signal(SIGPIPE, SIG_IGN); // NOLINT: write() reports a closed connection
+    std::signal(SIGXFSZ, SIG_IGN); // NOLINT: write() reports a file that may not grow
     const auto settings = meshSettings(*instance);
     GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
     int status = 0;
--- a/Source/programs/shallotd.cpp
+++ b/Source/programs/shallotd.cpp
@@ -56,6 +56,7 @@
     }
     configureLogging(settings->logLevel);
     std::signal(SIGPIPE, SIG_IGN); // NOLINT: write() reports a closed connection
+    std::signal(SIGXFSZ, SIG_IGN); // NOLINT: write() reports a file that may not grow
     GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
     int status = 0;
     {
--- a/Tests/SidecarProcessTest.cpp
+++ b/Tests/SidecarProcessTest.cpp
@@ -218,6 +218,23 @@
     EXPECT_EQ(countUnansweredOverAStop(3, heartbeat(body)), 0U);
 }
 
+TEST_F(SidecarProcess, ALogFileThatMayNotGrowDoesNotEndIt)
+{
+    constexpr rlim_t largestFile = 4096;
+    startWithLog();
+    ASSERT_TRUE(waitUntil([this] { return listens(); }));
+    const rlimit limit { largestFile, largestFile };
+    ASSERT_EQ(prlimit(pid, RLIMIT_FSIZE, &limit, nullptr), 0);
+    const std::string request = "GET /none HTTP/1.1\r\nHost: app\r\n\r\n";
+    const int connection = connectTo(1);
+    EXPECT_TRUE(
+        waitUntil([&] { return exchange(connection, request).empty() || std::filesystem::file_size(log()) == largestFile; }));
+    std::this_thread::sleep_for(1s); // Two flushes of the log
+    EXPECT_FALSE(hasEnded()) << "wait status " << status;
+    EXPECT_FALSE(exchange(connection, request).empty());
+    close(connection);
+}
+
 TEST_F(SidecarProcess, AnEndByAFatalSignalIsLogged)
 {
     for (const int signal : { SIGSEGV, SIGABRT }) {
