Reject JSON texts that are nested too deeply

What callers saw: the daemon ended while it read a message, and every request that was open in it had no answer.

Cause: json-glib 1.6.6 parses objects and arrays recursively without a limit. Some 100,000 levels exhaust a stack of 8 MB; an announcement may have 8 MB, a record of the store 256 KB, and one unreadable record would end every daemon that reads it, again after each start.

Texts of more than 64 levels are not parsed at all, and neither is what json-glib accepts beyond JSON (comments, cut escape sequences), in which the count of levels could be evaded: PlatformAnnouncements.ThatAreNestedDeeplyDoNotExhaustTheStack has those evasions.

--- a/Source/core/JSON.cpp
+++ b/Source/core/JSON.cpp
@@ -1,9 +1,67 @@
 #include "core/JSON.h"
 
+#include <algorithm>
+#include <cctype>
+
 namespace shallot {
 
 namespace {
 
+constexpr int maximumDepth = 64; // Of objects and arrays in one another; the platform's documents have fewer than ten levels
+
+bool isOutsideStrings(char c)
+{
+    return std::isalnum(static_cast<unsigned char>(c)) || std::string_view("{}[]:,+-. \t\r\n").find(c) != std::string_view::npos;
+}
+
+bool isHexNumber(std::string_view text)
+{
+    return text.size() == 4 && std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isxdigit(c); });
+}
+
+// Returns the length of the escape sequence at the beginning of the text; zero if it is invalid.
+size_t escapeLength(std::string_view text)
+{
+    if (!text.substr(1).starts_with('u'))
+        return 2;
+    constexpr size_t length = 6;
+    const auto digits = text.substr(2).substr(0, 4);
+    if (!isHexNumber(digits))
+        return 0;
+    const auto kind = static_cast<char>(std::tolower(static_cast<unsigned char>(digits[1])));
+    const bool isSurrogate = (digits[0] == 'd' || digits[0] == 'D') && kind >= '8';
+    if (!isSurrogate)
+        return length;
+    const auto second = text.substr(length);
+    const bool isPair = kind < 'c' && second.starts_with("\\u") && isHexNumber(second.substr(2).substr(0, 4));
+    return isPair ? 2 * length : 0;
+}
+
+// json-glib parses recursively without a limit, and a text that exhausts the stack would end the process. It also reads texts
+// that are no JSON, such as comments and cut escape sequences, in which this scan would lose count of the levels.
+bool isFlatEnough(std::string_view text)
+{
+    int depth = 0;
+    bool isInString = false;
+    for (size_t i = 0; i < text.size() && depth <= maximumDepth; ++i) {
+        const char c = text[i];
+        if (c == '"') {
+            isInString = !isInString;
+        } else if (isInString && c == '\\') {
+            const auto length = escapeLength(text.substr(i));
+            if (!length)
+                return false;
+            i += length - 1;
+        } else if (!isInString) {
+            if (!isOutsideStrings(c))
+                return false;
+            depth += c == '{' || c == '[' ? 1 : 0;
+            depth -= c == '}' || c == ']' ? 1 : 0;
+        }
+    }
+    return depth <= maximumDepth;
+}
+
 JsonNode* memberOfType(JsonObject* object, const char* name, JsonNodeType type)
 {
     JsonNode* node = object ? json_object_get_member(object, name) : nullptr;
@@ -14,6 +72,8 @@
 
 JSONNodePtr parseJSONObject(std::string_view text)
 {
+    if (!isFlatEnough(text))
+        return nullptr;
     JsonParser* parser = json_parser_new();
     JSONNodePtr result;
     if (json_parser_load_from_data(parser, text.data(), static_cast<gssize>(text.size()), nullptr)) {
--- a/Tests/PlatformCodecTest.cpp
+++ b/Tests/PlatformCodecTest.cpp
@@ -1,5 +1,6 @@
 // The platform's formats: decoding, and rejection of malformed or forged input.
 
+#include "core/JSON.h"
 #include "platform/AnnouncementCodec.h"
 #include "platform/ConfigurationCodec.h"
 #include "platform/InstanceSettings.h"
@@ -198,6 +199,17 @@
     }
 }
 
+TEST(PlatformAnnouncements, ThatAreNestedDeeplyDoNotExhaustTheStack)
+{
+    const std::string levels(1'000'000, '[');
+    const auto isRead = [](const std::string& member) { return parseJSONObject("{\"a\":1," + member + "}") != nullptr; };
+    EXPECT_TRUE(isRead(R"("text":"\"[ \\", "b":[{"c":[1e-3, true, null]}], "pair":"\uD83D\uDE00", "tab":"\t\u0041")"));
+    EXPECT_FALSE(isRead("\"b\":" + levels));
+    EXPECT_FALSE(isRead("/*\"*/\"b\":" + levels));
+    for (const auto* cut : { "\\u12", "\\uD800", "\\uD800\\n", "\\uD800\\u12" })
+        EXPECT_FALSE(isRead("\"" + std::string(cut) + "\" \":" + levels)) << cut;
+}
+
 TEST(PlatformMembers, RoundTripAndInvalidRecordsAreRejected)
 {
     const MeshMember member { "m", "z", "10.0.0.1:7000", "s" };
--- a/Tests/SidecarProcessTest.cpp
+++ b/Tests/SidecarProcessTest.cpp
@@ -155,6 +155,17 @@
             + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
+    // Sends a heartbeat with that body on a connection of its own. Returns the response; empty if there was none.
+    std::string announce(const std::string& body) const
+    {
+        const int connection = connectTo(3);
+        if (!connection)
+            return {};
+        auto response = exchange(connection, heartbeat(body));
+        close(connection);
+        return response;
+    }
+
     bool hasEnded() { return waitpid(pid, &status, WNOHANG) == pid && std::exchange(pid, 0); }
 
     bool listens() const
@@ -235,6 +246,15 @@
     close(connection);
 }
 
+TEST_F(SidecarProcess, AnAnnouncementThatIsNestedDeeplyDoesNotEndIt)
+{
+    startWithLog();
+    ASSERT_TRUE(waitUntil([this] { return listens(); }));
+    EXPECT_TRUE(announce(R"({"service":)" + std::string(1'000'000, '[')).starts_with("HTTP/1.1 400"));
+    EXPECT_TRUE(announce(R"({"service":"alpha"})").starts_with("HTTP/1.1 400"));
+    EXPECT_FALSE(hasEnded()) << "wait status " << status;
+}
+
 TEST_F(SidecarProcess, AnEndByAFatalSignalIsLogged)
 {
     for (const int signal : { SIGSEGV, SIGABRT }) {
