Keep connections open while the kernel has no memory for them

What callers saw: a connection closed with a request at work on it, without an answer, at any time, on a machine that is short of socket memory.

Cause: StreamSocket took each error of send() and recv() but EAGAIN, EWOULDBLOCK and EINTR for the end of the connection, ENOBUFS and ENOMEM too, which say that the call may succeed later. The same class closes legs to backend servers, whose run becomes a 502, and links between daemons.

The socket is not watched for 20 ms, since epoll would report it all the time, and a line "socket-memory" tells it. No machine of ours has shown such an error by itself.

--- a/Source/net/StreamSocket.cpp
+++ b/Source/net/StreamSocket.cpp
@@ -1,9 +1,11 @@
 #include "net/StreamSocket.h"
 
+#include "core/EventLog.h"
 #include "net/ByteBudget.h"
 
 #include <array>
 #include <cerrno>
+#include <cstring>
 #include <gio/gio.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
@@ -21,13 +23,19 @@
 constexpr size_t maximumPendingBytes = 32 * 1024 * 1024;
 constexpr size_t compactedBytes = 256 * 1024; // That were sent, after which the rest is moved to a smaller buffer
 constexpr size_t readChunkBytes = 64 * 1024;
-constexpr int maximumReadsPerEvent = 1; // A busy connection starves neither the others nor the timers
+constexpr auto memoryInterval = std::chrono::milliseconds(20); // Between two attempts while the kernel has no memory for a socket
+constexpr int maximumReadsPerEvent = 1;                        // A busy connection starves neither the others nor the timers
 
 bool wouldBlock()
 {
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 }
 
+bool lacksMemory()
+{
+    return errno == ENOBUFS || errno == ENOMEM;
+}
+
 } // namespace
 
 StreamSocket::StreamSocket(int descriptor)
@@ -113,9 +121,9 @@
 {
     if (!isOpen() || !m_started)
         return;
-    const bool reads = !m_connecting && !m_readPaused && !m_peerFinished;
+    const bool reads = !m_connecting && !m_readPaused && !m_peerFinished && !m_lacksMemory;
     const uint32_t readable = reads ? static_cast<uint32_t>(EPOLLIN) | static_cast<uint32_t>(EPOLLRDHUP) : 0U;
-    const uint32_t writable = m_connecting || m_writeBlocked ? static_cast<uint32_t>(EPOLLOUT) : 0U;
+    const uint32_t writable = m_connecting || (m_writeBlocked && !m_lacksMemory) ? static_cast<uint32_t>(EPOLLOUT) : 0U;
     SocketPoller::shared().watch(m_watcher, readable | writable | static_cast<uint32_t>(EPOLLERR));
 }
 
@@ -198,7 +206,9 @@
     for (int i = 0; i < maximumReadsPerEvent && isOpen() && !m_readPaused; ++i) {
         const ssize_t size = ::recv(m_watcher.descriptor, chunk.data(), chunk.size(), 0);
         if (size < 0) {
-            if (!wouldBlock())
+            if (lacksMemory())
+                waitForMemory(errno);
+            else if (!wouldBlock())
                 closeAndNotify(StreamEnd::Reset);
             return;
         }
@@ -256,7 +266,9 @@
     size_t total = 0;
     while (total < bytes.size()) {
         const ssize_t sent = ::send(m_watcher.descriptor, bytes.data() + total, bytes.size() - total, MSG_NOSIGNAL);
-        if (sent < 0 && !wouldBlock())
+        if (sent < 0 && lacksMemory())
+            waitForMemory(errno);
+        else if (sent < 0 && !wouldBlock())
             return std::nullopt;
         if (sent < 0)
             break;
@@ -272,6 +284,19 @@
     updateWatch();
 }
 
+// epoll would report the socket all the time.
+void StreamSocket::waitForMemory(int error)
+{
+    if (std::exchange(m_lacksMemory, true))
+        return;
+    EventLog::write("socket-memory", { { "peer", peerHost() }, { "detail", std::strerror(error) } });
+    m_memoryTimer.startOnce(memoryInterval, [this] {
+        m_lacksMemory = false;
+        updateWatch();
+    });
+    updateWatch();
+}
+
 void StreamSocket::setBudget(ByteBudget& budget)
 {
     m_budget = &budget;
@@ -336,6 +361,7 @@
 {
     if (!isOpen())
         return;
+    m_memoryTimer.stop();
     SocketPoller::shared().watch(m_watcher, 0);
     ::close(m_watcher.descriptor);
     m_watcher.descriptor = -1;
--- a/Source/net/StreamSocket.h
+++ b/Source/net/StreamSocket.h
@@ -5,6 +5,7 @@
 #include "core/Time.h"
 #include "net/SocketAddress.h"
 #include "net/SocketPoller.h"
+#include "net/Timer.h"
 
 #include <cstdint>
 #include <functional>
@@ -88,6 +89,7 @@
     bool flush();
     std::optional<size_t> sendSome(std::string_view);
     void blockWriting();
+    void waitForMemory(int error);
     void onSendFailed();
     void finishConnecting();
     void closeAndNotify(StreamEnd);
@@ -95,6 +97,7 @@
     void updateHeldBytes();
 
     SocketWatcher m_watcher;
+    Timer m_memoryTimer;
     Callbacks m_callbacks;
     std::string m_pending;
     size_t m_pendingOffset { 0 };
@@ -106,6 +109,7 @@
     bool m_started { false };
     bool m_connecting { false };
     bool m_writeBlocked { false }; // The kernel's send buffer is full
+    bool m_lacksMemory { false };  // The kernel has none for this socket at the moment
     bool m_sendFailed { false };   // The peer has reset the connection; the rest is read
     bool m_finishing { false };
     bool m_readPaused { false };
