Bound the bodies of announcements

What callers saw: the process ended by memory while it read a heartbeat, and each request that was open in it had no answer.

Every backend server, or whatever writes in its place, could end the daemon beside it.

Bodies over 64 KB at the announcement and readiness addresses are answered 413 before they are read; an announcement has some 200 bytes.

--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -42,8 +42,9 @@
 constexpr auto closeTime = 100ms; // Of the margin, until all links and connections have closed; several round trips between zones
 constexpr auto closeCheckInterval = 5ms;
 constexpr auto peersReadTime = 1s; // For peers that stand still, when nothing is in progress; one that is cut off costs as much
-constexpr auto transitTimeLifetime = 60s; // Of what is known of a process that sends no calls
-constexpr auto callResponseTime = 50ms;   // From the deadline of a call until its response has been sent
+constexpr auto transitTimeLifetime = 60s;           // Of what is known of a process that sends no calls
+constexpr size_t maximumLocalBodyBytes = 64 * 1024; // Of announcements; parsed, a body takes up to a hundred times as much
+constexpr auto callResponseTime = 50ms;             // From the deadline of a call until its response has been sent
 
 } // namespace
 
@@ -107,14 +108,16 @@
         return started;
     if (auto started = m_ingress.start(m_instance.callers); !started)
         return started;
-    if (auto started = m_control.start(m_instance.announcements, {},
+    StrictHTTPLimits localLimits;
+    localLimits.maximumBodyBytes = maximumLocalBodyBytes;
+    if (auto started = m_control.start(m_instance.announcements, localLimits,
             { [this](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
                  handleControl(connection, request);
              },
                 nullptr });
         !started)
         return started;
-    if (auto started = m_readiness.start(m_instance.readiness, {},
+    if (auto started = m_readiness.start(m_instance.readiness, localLimits,
             { [this](const RefPtr<StrictHTTPConnection>& connection, const HTTPRequest& request) {
                  handleReadiness(connection, request);
              },
