--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -9,11 +9,11 @@
 
 constexpr double revokeBound = 5; // bounds.revoke_s
 constexpr double cutTime = 6.4;   // A zone is cut off for up to 6.5 s in the users' site files
-constexpr double stormGap = 0.26; // Between two configurations
-constexpr int stormSize = 5;      // Configurations in the storm; the last of them takes the key away
+constexpr double stormGap = 0.08; // Between two configurations, as in a storm of the site files
+constexpr int stormSize = 15;     // Configurations in the storm; the last of them takes the key away
 constexpr int routeCount = 1380;  // Of the configuration; up to 1,400 are added in the users' site files
 constexpr double requestGap = 0.01; // Of one client
-constexpr int clientsPerMachine = 6;
+constexpr int clientsPerMachine = 4;
 constexpr int machineCount = 1; // In the zone; the other zones are on the far side of the cut and are not played
 
 // The route that is used, and many more; with or without the key that is taken away.
