--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -21,6 +21,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <random>
 #include <set>
 #include <string>
 #include <sys/prctl.h>
@@ -28,6 +29,7 @@
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace lab {
@@ -290,6 +292,7 @@
 class Store {
 public:
     static constexpr double answerTime = 0.004;
+    static constexpr double bytesPerSecond = 20e6; // Of appends to one partition
 
     Store(const std::string& ip, int port)
         : m_server(ip, port, [this](int fd) { serve(fd); })
@@ -298,6 +301,7 @@
     // What the operator writes; acknowledged when this returns.
     void put(const std::string& topic, const std::string& key, const std::string& value)
     {
+        sleepFor(answerTime + static_cast<double>(value.size()) / bytesPerSecond);
         append(topic, static_cast<char>(key.size()) + key + value);
     }
 
@@ -552,6 +556,8 @@
         std::thread([this] { announce(); }).detach();
     }
     std::atomic<double> workTime { 0.005 };
+    std::atomic<double> refusedShare { 0 }; // Of the requests, answered 503 with Shallottrack-Not-Executed
+    std::atomic<double> extraShare { 0 };   // Of the answers, followed by a copy when the next one is expected on the connection
     std::vector<Run> runs()
     {
         const std::lock_guard lock(m_mutex);
@@ -559,6 +565,11 @@
     }
 
 private:
+    bool chance(double share)
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+    }
     std::string common(const std::string& attempt) const
     {
         const int running = m_running;
@@ -568,7 +579,14 @@
     {
         Reader reader(fd);
         Message request;
+        std::string extra; // A copy of an earlier answer
         while (reader.read(request) == 1) {
+            if (!extra.empty()) {
+                m_record.line("extra answer of %s before that to %s", m_instance.c_str(),
+                    request.header("Shallottrack-Attempt-Id").c_str());
+                if (!sendAll(fd, std::exchange(extra, {})))
+                    return;
+            }
             if (request.target() == "/health") {
                 if (!sendAll(fd, "HTTP/1.1 200 OK\r\nShallottrack-Instance-Id: " + m_instance
                             + "\r\nShallottrack-Server-Load: " + std::to_string(m_running) + ",0,40\r\nContent-Length: 0\r\n\r\n"))
@@ -583,6 +601,16 @@
                     return;
                 continue;
             }
+            if (chance(refusedShare)) {
+                const auto refusal = "HTTP/1.1 503 Service Unavailable\r\nShallottrack-Not-Executed: 1\r\n" + common(attempt)
+                    + "Content-Length: 0\r\n\r\n";
+                m_record.line("refused %s at %s", attempt.c_str(), m_instance.c_str());
+                if (chance(extraShare))
+                    extra = refusal;
+                if (!sendAll(fd, refusal))
+                    return;
+                continue;
+            }
             ++m_running;
             {
                 const std::lock_guard lock(m_mutex);
@@ -593,8 +621,11 @@
             sleepFor(workTime);
             const auto body = "body of " + attempt;
             --m_running;
-            if (!sendAll(fd, "HTTP/1.1 200 OK\r\nShallottrack-Server-Seal: s." + attempt + "\r\n" + common(attempt)
-                        + "Content-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body))
+            const auto answer = "HTTP/1.1 200 OK\r\nShallottrack-Server-Seal: s." + attempt + "\r\n" + common(attempt)
+                + "Content-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            if (chance(extraShare))
+                extra = answer;
+            if (!sendAll(fd, answer))
                 return;
         }
     }
@@ -623,6 +654,7 @@
     int64_t m_born;
     std::atomic<int> m_running { 0 };
     std::mutex m_mutex;
+    std::mt19937 m_random { std::random_device()() };
     std::vector<Run> m_runs;
     Server m_server;
 };
