--- a/review/6/case.cpp
+++ b/review/6/play.cc
@@ -1,5 +1,5 @@
 // See claim.txt.
-#include "../standins-2/lab.h"
+#include "../standins-2/lab.hh"
 
 #include <algorithm>
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/*/case.cpp; do
+for source in review/*/play.cc; do
     number=$(basename "$(dirname "$source")")
     g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-2/$number" "$source"
 done
