--- a/review/6/play.cc
+++ b/review/6/play.cc
@@ -64,7 +64,7 @@
 int main(int, char** arguments)
 {
     startTime();
-    Record record(std::string(arguments[1]) + "/record.txt");
+    Record record(arguments[1]);
     const auto folder = temporaryFolder();
     const int base = freePorts(10);
     Store store("127.0.0.1", base + 8);
@@ -95,6 +95,7 @@
     };
     if (!waitUntilReady(all, 20)) {
         std::puts("could not run: the daemons are not ready");
+        record.line("could not run: the daemons are not ready");
         endAll();
         finish(folder, 2);
     }
