Log requests that are sent again on the same connection

HTTPConnection now keeps the identifiers of its requests until they can no longer be sent again, and HTTPPool logs request-sent-again-on-connection.

--- a/Source/net/HTTPConnection.h
+++ b/Source/net/HTTPConnection.h
@@ -5,6 +5,7 @@
 #include "core/Time.h"
 #include "net/HTTPMessage.h"
 #include "net/HeaderCollector.h"
+#include "net/RecentRequests.h"
 #include "net/StatusLineCheck.h"
 
 #include <functional>
@@ -56,6 +57,8 @@
     bool isOpen() const;
     // Reads on after mayBufferMore() has returned false.
     void resumeReading();
+    // Kept by the user of the connection.
+    RecentRequests& recentRequests() { return m_recentRequests; }
     TimePoint openedAt() const { return m_openedAt; }
     // Bytes allocated for the body of the response that is being received.
     size_t bufferedBytes() const { return m_response.body.capacity(); }
@@ -102,6 +105,7 @@
     size_t m_messageBytes { 0 }; // Parsed of the current response
     bool m_complete { false };
     HeaderCollector m_collector;
+    RecentRequests m_recentRequests;
 };
 
 } // namespace shallot
--- a/Source/net/HTTPPool.cpp
+++ b/Source/net/HTTPPool.cpp
@@ -1,5 +1,7 @@
 #include "net/HTTPPool.h"
 
+#include "core/EventLog.h"
+
 #include <algorithm>
 #include <numeric>
 
@@ -29,11 +31,11 @@
     m_address = address;
 }
 
-RefPtr<HTTPConnection> HTTPPool::takeConnection(Duration maximumIdle, TimePoint now)
+RefPtr<HTTPConnection> HTTPPool::takeConnection(const ExchangeOptions& options, TimePoint now)
 {
     while (!m_idle.empty()) {
         // The last connection was used most recently; all others have been idle for longer.
-        if (now - m_idle.back().since > maximumIdle)
+        if (now - m_idle.back().since > options.maximumIdle)
             break;
         auto [connection, since] = std::move(m_idle.back());
         m_idle.pop_back();
@@ -102,14 +104,22 @@
         resumeReading();
 }
 
-void HTTPPool::send(
-    uint64_t id, const HTTPRequest& request, Completion completion, HTTPConnection::ResponseMatcher matcher, Duration maximumIdle)
+void HTTPPool::send(uint64_t id, const HTTPRequest& request, Completion completion, ExchangeOptions options)
 {
-    auto connection = takeConnection(maximumIdle, MonotonicClock::now());
+    const auto now = MonotonicClock::now();
+    auto connection = takeConnection(options, now);
     if (!connection) {
         completion(fail(ErrorKind::Overloaded, "the socket could not be created"));
         return;
     }
+    if (!options.requestID.empty()) {
+        auto& recent = connection->recentRequests();
+        if (recent.contains(options.requestID, now))
+            EventLog::write("request-sent-again-on-connection",
+                { { "request", options.requestID }, { "connection", reinterpret_cast<uintptr_t>(connection.get()) },
+                    { "idle", m_idle.size() }, { "busy", m_busy.size() } });
+        recent.record(options.requestID, options.mayBeSentAgainUntil, now);
+    }
     m_busy[id] = connection;
     connection->send(
         request,
@@ -118,7 +128,7 @@
             endExchange(id, *protect);
             completion(std::move(response));
         },
-        std::move(matcher));
+        std::move(options.matcher));
 }
 
 void HTTPPool::onIdle(HTTPConnection& connection)
--- a/Source/net/HTTPPool.h
+++ b/Source/net/HTTPPool.h
@@ -6,11 +6,20 @@
 #include "net/Timer.h"
 
 #include <functional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace shallot {
 
+// How an exchange uses the connections of a pool.
+struct ExchangeOptions {
+    HTTPConnection::ResponseMatcher matcher {}; // Unset: each response belongs to the exchange in progress
+    Duration maximumIdle { Duration::max() };   // A connection that has been idle for longer is not reused
+    std::string_view requestID {};              // That the matcher looks for; used only during the call. Empty: none
+    TimePoint mayBeSentAgainUntil {};           // With that identifier
+};
+
 // Pool of keep-alive client connections to one server. Does not limit concurrency; its user does.
 class HTTPPool {
 public:
@@ -24,10 +33,9 @@
     void setMaximumBufferedBytes(size_t bytes) { m_maximumBufferedBytes = bytes; }
     // Names the bytes of earlier responses that their receiver still holds, which count as well.
     void setBytesHeldElsewhere(std::function<size_t()> bytes) { m_bytesHeldElsewhere = std::move(bytes); }
-    // Starts an exchange that `id`, chosen by the user of the pool, identifies in abandon(). A connection that has been idle for
-    // longer than `maximumIdle` is not reused. Completes at once with Overloaded when the socket cannot be created.
-    void send(uint64_t id, const HTTPRequest&, Completion, HTTPConnection::ResponseMatcher = nullptr,
-        Duration maximumIdle = Duration::max());
+    // Starts an exchange that `id`, chosen by the user of the pool, identifies in abandon(). Completes at once with Overloaded
+    // when the socket cannot be created.
+    void send(uint64_t id, const HTTPRequest&, Completion, ExchangeOptions = {});
     // Aborts an exchange: its completion is not called and its connection is closed.
     void abandon(uint64_t id);
     // Closes the connections that were opened before that time; exchanges in progress on them complete with BackendFailed.
@@ -37,7 +45,7 @@
     size_t openConnections() const { return m_idle.size() + m_busy.size(); }
 
 private:
-    RefPtr<HTTPConnection> takeConnection(Duration maximumIdle, TimePoint now);
+    RefPtr<HTTPConnection> takeConnection(const ExchangeOptions&, TimePoint now);
     size_t bytesHeldElsewhere() const { return m_bytesHeldElsewhere ? m_bytesHeldElsewhere() : 0; }
     size_t roomForBytes() const;
     bool mayBufferMore(HTTPConnection&, size_t bytes);
--- a/Source/sidecar/EndpointExecutorRuns.cpp
+++ b/Source/sidecar/EndpointExecutorRuns.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr auto responseGrace = 20ms; // The backend server stops at the deadline by itself; its response gets this much longer
+constexpr auto deliveryMargin = 2s;  // After a request's deadline, for one that was sent again and is delivered late
 constexpr size_t maximumUnansweredRuns = 1024; // Several times the slots of the largest backend server
 constexpr auto suspicionProbeTimeout = 200ms;  // Of a probe after a suspected crash; tens of times the usual response time
 constexpr double limitRiseFactor = 2;          // A smaller rise of a limit reaches the senders with the next responses
@@ -55,17 +56,19 @@
 void EndpointExecutor::send(LiveRun& live, Duration maximumIdle)
 {
     const auto id = live.item.id;
-    m_pool.send(
-        id, live.call.request, [this, id](Result<HTTPResponse> response) { onResponse(id, std::move(response)); },
-        [attemptID = live.attemptID](const HTTPResponse& response, bool onReusedConnection) {
-            const auto echoed = platform::attemptIDOf(response.headers);
-            if (echoed == attemptID)
-                return HTTPConnection::ResponseMatch::Matched;
-            if (!echoed.empty())
-                return HTTPConnection::ResponseMatch::Mismatched;
-            return onReusedConnection ? HTTPConnection::ResponseMatch::Unknown : HTTPConnection::ResponseMatch::Matched;
-        },
-        maximumIdle);
+    m_pool.send(id, live.call.request, [this, id](Result<HTTPResponse> response) { onResponse(id, std::move(response)); },
+        { .matcher =
+                [attemptID = live.attemptID](const HTTPResponse& response, bool onReusedConnection) {
+                    const auto echoed = platform::attemptIDOf(response.headers);
+                    if (echoed == attemptID)
+                        return HTTPConnection::ResponseMatch::Matched;
+                    if (!echoed.empty())
+                        return HTTPConnection::ResponseMatch::Mismatched;
+                    return onReusedConnection ? HTTPConnection::ResponseMatch::Unknown : HTTPConnection::ResponseMatch::Matched;
+                },
+            .maximumIdle = maximumIdle,
+            .requestID = live.attemptID,
+            .mayBeSentAgainUntil = live.deadline + deliveryMargin });
 }
 
 void EndpointExecutor::onResponse(uint64_t id, Result<HTTPResponse> response)
@@ -363,9 +366,8 @@
         m_probePool.abandon(m_suspicionProbeID);
         onSuspicionProbe(fail(ErrorKind::TimedOut, "no answer"));
     });
-    m_probePool.send(
-        m_suspicionProbeID, { "GET", path->second, { { "Host", m_host } }, {} },
-        [this](const Result<HTTPResponse>& response) { onSuspicionProbe(response); }, nullptr, Duration::zero());
+    m_probePool.send(m_suspicionProbeID, { "GET", path->second, { { "Host", m_host } }, {} },
+        [this](const Result<HTTPResponse>& response) { onSuspicionProbe(response); }, { .maximumIdle = Duration::zero() });
 }
 
 void EndpointExecutor::onSuspicionProbe(const Result<HTTPResponse>& response)
--- a/Source/sidecar/EndpointExecutorWarmUp.cpp
+++ b/Source/sidecar/EndpointExecutorWarmUp.cpp
@@ -83,8 +83,7 @@
     m_coldProbeID = m_nextID++;
     const auto sentAt = MonotonicClock::now();
     m_coldProbeTimer.startOnce(coldProbeTimeout, [this] { probeColdState(); });
-    m_probePool.send(
-        m_coldProbeID, { "GET", path->second, { { "Host", m_host } }, {} },
+    m_probePool.send(m_coldProbeID, { "GET", path->second, { { "Host", m_host } }, {} },
         [this, sentAt](const Result<HTTPResponse>& response) {
             const auto now = MonotonicClock::now();
             if (response && platform::classifyResponse(*response) != platform::ResponseClass::NotExecuted
@@ -95,7 +94,7 @@
             else
                 m_coldProbeTimer.stop();
         },
-        nullptr, Duration::zero());
+        { .maximumIdle = Duration::zero() });
 }
 
 void EndpointExecutor::updateWarmUp(TimePoint now)
