Do not send a request again on a connection that carried it

Cause: the executor knows a response by the attempt id, which identifies a request only as long as it is sent once on a connection. Where a route of kind upload or download is configured, a refused request goes to the same backend server again, and HTTPPool gave it the connection of the refusal, which had become idle last. The backend server ran it and sent a late copy of the refusal first; that was taken for the response, and the request was sent, and ran, once more.

HTTPPool now leaves out idle connections on which the same request was sent, until 2 s after its deadline. If there is no other, a new connection takes the place of the least recently used one, so that the backend server never sees more connections than before. That closes all ways by which an id is sent again on one connection: refusals, retries after a server error, calls that are replaced, and callers that use an id twice. Gauges: shallot_backend_connections_opened and _avoided.

--- a/Source/net/HTTPPool.cpp
+++ b/Source/net/HTTPPool.cpp
@@ -1,7 +1,5 @@
 #include "net/HTTPPool.h"
 
-#include "core/EventLog.h"
-
 #include <algorithm>
 #include <numeric>
 
@@ -31,27 +29,48 @@
     m_address = address;
 }
 
-RefPtr<HTTPConnection> HTTPPool::takeConnection(const ExchangeOptions& options, TimePoint now)
+// A late copy of a response would be taken for the response to the same request if that were sent again on its connection.
+RefPtr<HTTPConnection> HTTPPool::takeIdleConnection(const ExchangeOptions& options, TimePoint now)
 {
-    while (!m_idle.empty()) {
-        // The last connection was used most recently; all others have been idle for longer.
-        if (now - m_idle.back().since > options.maximumIdle)
+    bool avoidsReuse = false;
+    for (size_t i = m_idle.size(); i-- > 0;) {
+        // Those before it have been idle for longer.
+        if (now - m_idle[i].since > options.maximumIdle)
             break;
-        auto [connection, since] = std::move(m_idle.back());
-        m_idle.pop_back();
+        if (!options.requestID.empty() && m_idle[i].connection->recentRequests().contains(options.requestID, now)) {
+            avoidsReuse = true;
+            continue;
+        }
+        const auto [connection, since] = std::move(m_idle[i]);
+        m_idle.erase(m_idle.begin() + static_cast<ptrdiff_t>(i));
         connection->readNow(); // Its end may have arrived; what is sent after it may count as run
         if (!connection->isOpen())
             continue;
-        if (now - since < connection->idleLifetime())
+        if (now - since < connection->idleLifetime()) {
+            m_avoidedReuses += avoidsReuse ? 1 : 0;
             return connection;
+        }
         connection->abandon();
     }
+    if (!avoidsReuse)
+        return nullptr;
+    // The server may accept no further connection, so the new one takes the place of the least recently used one.
+    ++m_avoidedReuses;
+    const auto replaced = m_idle.front().connection;
+    replaced->abandon();
+    return nullptr;
+}
+
+RefPtr<HTTPConnection> HTTPPool::openConnection()
+{
     auto connection = HTTPConnection::connect(m_address,
         { [this](HTTPConnection& connection, size_t bytes) { return mayBufferMore(connection, bytes); },
             [this](HTTPConnection& connection) { onIdle(connection); },
             [this](HTTPConnection& connection) { onClosed(connection); } });
-    if (connection)
-        connection->setAcceptsCloseDelimited(m_acceptsCloseDelimited);
+    if (!connection)
+        return nullptr;
+    ++m_openedConnections;
+    connection->setAcceptsCloseDelimited(m_acceptsCloseDelimited);
     return connection;
 }
 
@@ -107,19 +126,15 @@
 void HTTPPool::send(uint64_t id, const HTTPRequest& request, Completion completion, ExchangeOptions options)
 {
     const auto now = MonotonicClock::now();
-    auto connection = takeConnection(options, now);
+    auto connection = takeIdleConnection(options, now);
+    if (!connection)
+        connection = openConnection();
     if (!connection) {
         completion(fail(ErrorKind::Overloaded, "the socket could not be created"));
         return;
     }
-    if (!options.requestID.empty()) {
-        auto& recent = connection->recentRequests();
-        if (recent.contains(options.requestID, now))
-            EventLog::write("request-sent-again-on-connection",
-                { { "request", options.requestID }, { "connection", reinterpret_cast<uintptr_t>(connection.get()) },
-                    { "idle", m_idle.size() }, { "busy", m_busy.size() } });
-        recent.record(options.requestID, options.mayBeSentAgainUntil, now);
-    }
+    if (!options.requestID.empty())
+        connection->recentRequests().record(options.requestID, options.mayBeSentAgainUntil, now);
     m_busy[id] = connection;
     connection->send(
         request,
--- a/Source/net/HTTPPool.h
+++ b/Source/net/HTTPPool.h
@@ -16,8 +16,10 @@
 struct ExchangeOptions {
     HTTPConnection::ResponseMatcher matcher {}; // Unset: each response belongs to the exchange in progress
     Duration maximumIdle { Duration::max() };   // A connection that has been idle for longer is not reused
-    std::string_view requestID {};              // That the matcher looks for; used only during the call. Empty: none
-    TimePoint mayBeSentAgainUntil {};           // With that identifier
+    // By which the matcher knows the response; read only during the call. A connection on which that request has been sent is not
+    // reused. Empty: responses carry no identifier.
+    std::string_view requestID {};
+    TimePoint mayBeSentAgainUntil {}; // With that identifier
 };
 
 // Pool of keep-alive client connections to one server. Does not limit concurrency; its user does.
@@ -42,10 +44,16 @@
     void reset(TimePoint openedBefore = TimePoint::max());
     // Bytes allocated for the bodies of responses that are being received.
     size_t bufferedBytes() const;
+    // Connections opened so far.
+    uint64_t openedConnections() const { return m_openedConnections; }
+    // Exchanges so far that left out an idle connection on which the same request had been sent.
+    uint64_t avoidedReuses() const { return m_avoidedReuses; }
+    size_t idleConnections() const { return m_idle.size(); }
     size_t openConnections() const { return m_idle.size() + m_busy.size(); }
 
 private:
-    RefPtr<HTTPConnection> takeConnection(const ExchangeOptions&, TimePoint now);
+    RefPtr<HTTPConnection> takeIdleConnection(const ExchangeOptions&, TimePoint now);
+    RefPtr<HTTPConnection> openConnection();
     size_t bytesHeldElsewhere() const { return m_bytesHeldElsewhere ? m_bytesHeldElsewhere() : 0; }
     size_t roomForBytes() const;
     bool mayBufferMore(HTTPConnection&, size_t bytes);
@@ -68,6 +76,8 @@
 
     std::vector<IdleConnection> m_idle; // Most recently used last
     std::unordered_map<uint64_t, RefPtr<HTTPConnection>> m_busy;
+    uint64_t m_openedConnections { 0 };
+    uint64_t m_avoidedReuses { 0 };
 };
 
 } // namespace shallot
--- a/Source/sidecar/EndpointExecutor.h
+++ b/Source/sidecar/EndpointExecutor.h
@@ -90,6 +90,9 @@
     EndpointReport report(TimePoint now) const;
     // Of the backend server, if it is verified; otherwise the configured one.
     const std::string& service() const { return m_life.service(); }
+    // To the backend server, so far.
+    uint64_t openedConnections() const { return m_pool.openedConnections(); }
+    uint64_t avoidedReuses() const { return m_pool.avoidedReuses(); }
     size_t inProgress() const { return m_calls.size(); }
     Duration coldFor(TimePoint now) const { return m_warmUp.coldFor(now); }
     // Requests per second that the backend server takes from all instances together; empty: it names no limit.
--- a/Source/sidecar/Sidecar.cpp
+++ b/Source/sidecar/Sidecar.cpp
@@ -356,6 +356,8 @@
         m_metrics.setGauge("shallot_member_list_offset", static_cast<double>(members.state().offset));
         m_metrics.setGauge("shallot_member_list_in_doubt", m_sync.policy().isListInDoubt() ? 1 : 0);
         m_metrics.setGauge("shallot_backend_server_limit", m_executor.rateLimit().value_or(-1));
+        m_metrics.setGauge("shallot_backend_connections_opened", static_cast<double>(m_executor.openedConnections()));
+        m_metrics.setGauge("shallot_backend_connections_avoided", static_cast<double>(m_executor.avoidedReuses()));
         m_metrics.setGauge("shallot_backend_server_cold_seconds", toSeconds(m_executor.coldFor(now)));
         m_metrics.setGauge("shallot_zones_evacuated", static_cast<double>(m_view.evacuations().zones().size()));
         m_metrics.setGauge("shallot_backend_server_pace", m_executor.reportedLoad().pace());
--- a/Tests/EndpointResponsesTest.cpp
+++ b/Tests/EndpointResponsesTest.cpp
@@ -130,6 +130,65 @@
     EXPECT_EQ(order("/order/2"), 502);
 }
 
+// Answers the first request of each attempt by `first` and the others by `later`, preceded by a copy of the last response on that
+// connection.
+class LateCopies {
+public:
+    using Response = std::function<std::string(const std::string& attempt)>;
+
+    LateCopies(RawEndpoint& endpoint, Response first, Response later)
+    {
+        endpoint.setScript(
+            [this, first = std::move(first), later = std::move(later)](StreamSocket& socket, const std::string& attempt) {
+                const bool isFirst = !m_arrivals[attempt]++;
+                const auto response = isFirst ? first(attempt) : later(attempt);
+                socket.write((isFirst ? "" : m_lastResponses[&socket]) + response);
+                m_lastResponses[&socket] = response;
+            });
+    }
+    int arrivals(const std::string& attempt) { return m_arrivals[attempt]; }
+
+private:
+    std::map<std::string, int> m_arrivals;
+    std::map<StreamSocket*, std::string> m_lastResponses;
+};
+
+std::string refusalOf(const std::string& attempt)
+{
+    return "HTTP/1.1 503 Busy\r\n" + attemptHeader + attempt + "\r\n" + std::string(platform::header::notExecuted)
+        + ": 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+// An order ran twice: the late copy of its refusal was taken for the answer to its second sending (TWICE).
+TEST_F(EndpointResponses, AnOrderDoesNotRunTwiceAfterALateCopyOfItsRefusal)
+{
+    mesh.maximumEndpoints = 1;
+    mesh.writeConfiguration(2);
+    mesh.runFor(300ms);
+    LateCopies copies(*raw, refusalOf, [](const std::string& attempt) { return RawEndpoint::responseTo(attempt, "run"); });
+    for (int i = 0; i < 5; ++i) {
+        const auto id = "order-" + std::to_string(i);
+        const auto& exchange
+            = mesh.wait(mesh.send(1, { "POST", "/order/1", { { std::string(platform::header::attemptID), id } }, "tiles" }));
+        EXPECT_EQ(exchange.status(), 200);
+        EXPECT_EQ(copies.arrivals(id), 2); // One of them refused
+    }
+}
+
+// A caller that used an identifier twice got the late copy of the first answer for the second one (MIXED).
+TEST_F(EndpointResponses, ARequestWithAnIdentifierThatWasUsedBeforeDoesNotGetTheEarlierAnswer)
+{
+    const auto answer
+        = [](const char* body) { return [body](const std::string& attempt) { return RawEndpoint::responseTo(attempt, body); }; };
+    LateCopies copies(*raw, answer("first"), answer("second"));
+    for (const auto* body : { "first", "second" }) {
+        const auto& exchange
+            = mesh.wait(mesh.send(1, { "GET", "/read/1", { { std::string(platform::header::attemptID), "same" } }, {} }));
+        ASSERT_EQ(exchange.status(), 200);
+        EXPECT_EQ(exchange.response->body, body);
+    }
+}
+
 // A caller received an answer with the status of a backend server that was in trouble, which was none (MIXED).
 TEST_F(EndpointResponses, AnAnswerWithoutAValidStatusIsNotDelivered)
 {
--- a/Tests/HTTPPoolTest.cpp
+++ b/Tests/HTTPPoolTest.cpp
@@ -159,6 +159,65 @@
     ::close(listener);
 }
 
+// A request that was sent again could be answered by a late copy of its first response (TWICE).
+TEST_F(HTTPPoolOverSockets, ARequestIsNotSentAgainOnAConnectionThatCarriedIt)
+{
+    startServer();
+    const auto sendAs = [this](const char* identifier, Duration lifetime) {
+        done = false;
+        pool.send(++requestID, { "GET", "/", { { "Host", "a" } }, {} }, [this](const Result<HTTPResponse>&) { done = true; },
+            { .requestID = identifier, .mayBeSentAgainUntil = MonotonicClock::now() + lifetime });
+    };
+    sendAs("x", 1h);
+    sendAs("y", 1h);
+    runUntil([this] { return pool.idleConnections() == 2; });
+    ASSERT_EQ(pool.openedConnections(), 2U);
+    // Each has carried one of them, so each finds the other one's connection.
+    for (const auto* identifier : { "x", "y" }) {
+        sendAs(identifier, 1h);
+        runUntil([this] { return pool.idleConnections() == 2; });
+    }
+    EXPECT_EQ(pool.openedConnections(), 2U);
+    // Both connections have carried both, so that a new one takes the place of one of them.
+    sendAs("x", 1h);
+    EXPECT_EQ(pool.openConnections(), 2U);
+    runUntil([this] { return pool.idleConnections() == 2; });
+    EXPECT_EQ(pool.openedConnections(), 3U);
+    EXPECT_GT(pool.avoidedReuses(), 0U);
+    // Others are not concerned.
+    for (int i = 0; i < 5; ++i) {
+        sendAs(std::to_string(i).c_str(), 1h);
+        runUntil([this] { return pool.idleConnections() == 2; });
+    }
+    EXPECT_EQ(pool.openedConnections(), 3U);
+}
+
+TEST_F(HTTPPoolOverSockets, AConnectionCarriesARequestAgainOnceNoResponseToItCanBeLate)
+{
+    startServer();
+    for (int i = 0; i < 3; ++i) {
+        pool.send(++requestID, { "GET", "/", { { "Host", "a" } }, {} }, [](const Result<HTTPResponse>&) {},
+            { .requestID = "x", .mayBeSentAgainUntil = MonotonicClock::now() });
+        runUntil([this] { return pool.idleConnections() == 1; });
+    }
+    EXPECT_EQ(pool.openedConnections(), 1U);
+    EXPECT_EQ(pool.avoidedReuses(), 0U);
+}
+
+TEST(RecentRequests, AreForgottenOnceTheyCannotBeSentAgain)
+{
+    RecentRequests requests;
+    TimePoint now { 1s };
+    for (int i = 0; i < 10'000; ++i) {
+        now += 1ms;
+        requests.record(std::to_string(i), now + 100ms, now);
+        ASSERT_TRUE(requests.contains(std::to_string(i), now));
+        ASSERT_TRUE(i < 99 || requests.contains(std::to_string(i - 99), now));
+        ASSERT_FALSE(requests.contains(std::to_string(i - 100), now));
+        ASSERT_LE(requests.size(), 201U); // Twice those that may be sent again
+    }
+}
+
 TEST_F(HTTPPoolOverSockets, AProcessWithoutDescriptorsDoesNotTakeTheServerForGone)
 {
     startServer();
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -239,7 +239,7 @@
     const auto route = [this](const char* prefix, const char* service, const char* kind, bool open) {
         return std::string(R"({"name":"route-)") + service + kind + R"(","path_prefix":")" + prefix + R"(","kind":")" + kind
             + R"(","timeout_s":)" + std::to_string(timeLimit) + R"(,"target_latency_s":1,"priority":1,"service":")" + service
-            + R"(","attempts":2,"anonymous":)" + (open ? "true" : "false") + "}";
+            + R"(","attempts":)" + std::to_string(maximumEndpoints) + R"(,"anonymous":)" + (open ? "true" : "false") + "}";
     };
     const auto coldStart = coldPerSecond > 0 ? R"(,"cold_s":5,"cold_per_s":)" + std::to_string(coldPerSecond) : std::string();
     const std::string document = R"({"version":"r)" + std::to_string(version)
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -123,8 +123,9 @@
     SocketAddress peersAddress(size_t daemon) const;
 
     MeshSettings settings;
-    double coldPerSecond { 0 }; // Requests that a cold backend server takes, from the next configuration on; 0: any number
-    double timeLimit { 1.5 };   // Of all routes, in seconds, from the next configuration on
+    double coldPerSecond { 0 };      // Requests that a cold backend server takes, from the next configuration on; 0: any number
+    unsigned maximumEndpoints { 2 }; // Of all routes, from the next configuration on
+    double timeLimit { 1.5 };        // Of all routes, in seconds, from the next configuration on
 
 private:
     SocketAddress address(size_t daemon, uint16_t offset) const;
