--- a/Source/sidecar/StoreFollower.cpp
+++ b/Source/sidecar/StoreFollower.cpp
@@ -111,6 +111,10 @@
     }
     if (std::exchange(m_era, read->era) < read->era)
         m_offset.reset();
+    if (!read->isComplete())
+        EventLog::write("store-read-incomplete",
+            { { "topic", topicName(m_settings.topic) }, { "records", read->records.size() }, { "next", read->nextOffset },
+                { "end", read->endOffset } });
     // A late response brings nothing new, and its records may be older than those received meanwhile.
     const uint64_t known = m_offset.value_or(0);
     if (m_offset && !wasSnapshot && read->nextOffset <= known)
