Confirm the configuration only by reads that reach the end of the log

Cause: each read of the store confirmed the configuration as the newest at the time of its sending. The store cuts a read at 1,024 KB; after a cut in which ten configurations of 225 KB were written, a read brings four of them, and the next one was sent 20 ms later. Between them the daemon accepted the keys of a configuration that it held for confirmed, and handed that on.

A read confirms nothing unless it has reached the end offset that the store names in each answer. What was left out is read at once, without a hold or a delay and also while the follower is paused, so that keys are accepted again as early as before. The member list, whose follower waits 0.4 s between reads, is continued in the same way. A late response whose records were known no longer counts as a read that was held to its end.

The tests' store was kinder than PROTOCOL.md: it returned any number of bytes and items.

Tests, red before: IncompleteReads.AWithdrawnKeyIsNotAcceptedAgainWhileADaemonCatchesUp, IncompleteReadsOf.AreContinuedAtOnceAndConfirmNothing for both topics.

--- a/Source/sidecar/MeshSync.cpp
+++ b/Source/sidecar/MeshSync.cpp
@@ -56,8 +56,9 @@
     , m_own(own)
     , m_policy(settings, view.endpoints(), view.freshness(), own)
     , m_configurationFollower(store, followConfiguration(settings),
-          [this](const FollowerUpdate& read, TimePoint seenUntil) { onConfigurationRead(read, seenUntil); })
-    , m_memberFollower(store, followMembers(), [this](const FollowerUpdate& read, TimePoint) { onMembersRead(read); })
+          [this](const FollowerUpdate& read, std::optional<TimePoint> seenUntil) { onConfigurationRead(read, seenUntil); })
+    , m_memberFollower(
+          store, followMembers(), [this](const FollowerUpdate& read, std::optional<TimePoint>) { onMembersRead(read); })
 {
     m_store.setEraHandler([this](uint64_t era) { onStoreEra(era); });
 }
@@ -70,14 +71,15 @@
     m_memberFollower.start();
 }
 
-void MeshSync::onConfigurationRead(const FollowerUpdate& read, TimePoint seenUntil)
+void MeshSync::onConfigurationRead(const FollowerUpdate& read, std::optional<TimePoint> seenUntil)
 {
     for (const auto& record : read.records) {
         if (platform::isConfigurationRecord(record))
             applyConfiguration(record.value, "store");
     }
     applyEvacuations(read, MonotonicClock::now());
-    m_policy.recordStoreRead(seenUntil);
+    if (seenUntil)
+        m_policy.recordStoreRead(*seenUntil);
 }
 
 void MeshSync::applyEvacuations(const FollowerUpdate& read, TimePoint now)
--- a/Source/sidecar/MeshSync.h
+++ b/Source/sidecar/MeshSync.h
@@ -6,6 +6,7 @@
 #include "sidecar/StoreFollower.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,7 +48,7 @@
     const MeshSyncPolicy& policy() const { return m_policy; }
 
 private:
-    void onConfigurationRead(const FollowerUpdate&, TimePoint seenUntil);
+    void onConfigurationRead(const FollowerUpdate&, std::optional<TimePoint> seenUntil);
     void onMembersRead(const FollowerUpdate&);
     void applyConfiguration(const std::string& document, const char* source);
     void onStoreEra(uint64_t era);
--- a/Source/sidecar/StoreFollower.cpp
+++ b/Source/sidecar/StoreFollower.cpp
@@ -34,10 +34,10 @@
     if (paused == std::exchange(m_paused, paused))
         return;
     EventLog::write("store-follower", { { "topic", topicName(m_settings.topic) }, { "paused", paused } });
-    if (paused)
-        m_timer.stop();
-    else if (!m_reading)
+    if (!paused && !m_reading)
         readNext();
+    else if (paused && !m_catchingUp)
+        m_timer.stop();
 }
 
 void StoreFollower::readOnce()
@@ -65,6 +65,7 @@
 
 void StoreFollower::readNext()
 {
+    m_timer.stop(); // Of a read that was due later
     if (!m_offset) {
         readSnapshot();
         return;
@@ -74,7 +75,7 @@
     // confirms freshness only up to the time it was sent; if the next one were held as well, the confirmation would become older
     // than other members accept.
     const bool readsAgain = m_hadRecords && m_settings.readsAgainAfterRecords;
-    const auto hold = m_failures || m_paused || readsAgain ? Duration::zero() : m_settings.hold;
+    const auto hold = m_failures || m_paused || m_catchingUp || readsAgain ? Duration::zero() : m_settings.hold;
     m_reading = true;
     m_client.readFrom(m_settings.topic, *m_offset, hold, hold + m_settings.timeout,
         [this, sentAt, hold](Result<platform::StoreRead> read) { onRead(sentAt, hold, false, std::move(read)); });
@@ -84,7 +85,10 @@
 {
     m_reading = false;
     if (!read) {
+        m_catchingUp = false;
         if (read.error().kind == ErrorKind::LogTrimmed) {
+            EventLog::write("store-read-from-start",
+                { { "topic", topicName(m_settings.topic) }, { "offset", offset() }, { "detail", read.error().detail } });
             m_offset.reset();
             scheduleNext({});
             return;
@@ -111,20 +115,27 @@
     }
     if (std::exchange(m_era, read->era) < read->era)
         m_offset.reset();
-    if (!read->isComplete())
+    m_catchingUp = !read->isComplete();
+    if (m_catchingUp)
         EventLog::write("store-read-incomplete",
             { { "topic", topicName(m_settings.topic) }, { "records", read->records.size() }, { "next", read->nextOffset },
                 { "end", read->endOffset } });
+    // A read held to its end without records shows that there were none when it ended. The store counts the hold from the arrival
+    // of the request.
+    const bool held = read->records.empty() && hold > Duration::zero() && MonotonicClock::now() - sentAt >= hold;
     // A late response brings nothing new, and its records may be older than those received meanwhile.
     const uint64_t known = m_offset.value_or(0);
     if (m_offset && !wasSnapshot && read->nextOffset <= known)
         read->records.clear();
     m_offset = std::max(known, read->nextOffset);
     m_hadRecords = !wasSnapshot && !read->records.empty();
-    // A read held to its end without records shows that there were none when it ended. The store counts the hold from the arrival
-    // of the request.
-    const bool held = read->records.empty() && hold > Duration::zero() && MonotonicClock::now() - sentAt >= hold;
-    m_onRead({ read->records, known, read->nextOffset, wasSnapshot, m_era }, held ? sentAt + hold : sentAt);
+    const auto seenUntil = held ? sentAt + hold : sentAt;
+    m_onRead({ read->records, known, read->nextOffset, wasSnapshot, m_era },
+        m_catchingUp ? std::nullopt : std::optional<TimePoint>(seenUntil));
+    if (m_catchingUp) {
+        scheduleNext({});
+        return;
+    }
     // If the store does not hold the read, the rate of reads must stay bounded.
     const auto readDelay = wasSnapshot ? m_settings.delayAfterSnapshot : m_settings.readDelay;
     scheduleNext(held ? Duration::zero() : std::max<Duration>(readDelay, minimumReadDelay));
@@ -132,7 +143,7 @@
 
 void StoreFollower::scheduleNext(Duration delay)
 {
-    if (!m_paused)
+    if (!m_paused || m_catchingUp)
         m_timer.startOnce(delay, [this] { readNext(); });
 }
 
--- a/Source/sidecar/StoreFollower.h
+++ b/Source/sidecar/StoreFollower.h
@@ -21,12 +21,12 @@
 // Follows one topic: reads the snapshot first, then new records with held reads. Starts again with a snapshot in each later era.
 class StoreFollower {
 public:
-    // All records written before `seenUntil` have been read.
-    using Callback = std::function<void(const FollowerUpdate&, TimePoint seenUntil)>;
+    // All records written before `seenUntil` have been read; empty: the store holds more, which are read at once.
+    using Callback = std::function<void(const FollowerUpdate&, std::optional<TimePoint> seenUntil)>;
 
     StoreFollower(platform::StoreClient&, FollowSettings, Callback);
     void start() { readSnapshot(); }
-    // While paused, the follower sends no reads of its own; it resumes at the same offset.
+    // While paused, the follower sends no reads of its own except to complete one; it resumes at the same offset.
     void setPaused(bool);
     // Sends the next read now unless one is in progress, also while paused; a read sent while paused is not held.
     void readOnce();
@@ -52,6 +52,7 @@
     unsigned m_failures { 0 };        // Consecutive
     bool m_reachable { true };
     bool m_hadRecords { false }; // The last read returned records
+    bool m_catchingUp { false }; // The last read left out the newest records
     bool m_paused { false };
     bool m_reading { false };
 };
--- a/Tests/IncompleteReadsTest.cpp
+++ b/Tests/IncompleteReadsTest.cpp
@@ -14,6 +14,96 @@
 
 using namespace std::chrono_literals;
 
+constexpr size_t longDocumentBytes = 225 * 1024; // Four of them fill a read
+constexpr uint64_t missedChanges = 10;
+
+// A key that had been withdrawn during a cut ran again while its daemon read what it had missed (CONFIG, strict_revoke).
+TEST(IncompleteReads, AWithdrawnKeyIsNotAcceptedAgainWhileADaemonCatchesUp)
+{
+    SidecarHarness mesh({ "zone-a/alpha" });
+    mesh.settings.keyStaleness = 2s;
+    ASSERT_TRUE(mesh.waitUntilServing());
+    ASSERT_EQ(mesh.fetch(0, "/read/1", "key-2").status(), 200);
+    mesh.store().setMode(StoreStandin::Mode::Unresponsive);
+    mesh.configurationPadding = longDocumentBytes;
+    for (uint64_t version = 2; version < 2 + missedChanges; ++version)
+        mesh.writeConfiguration(version, version <= missedChanges ? R"(["key-1","key-2"])" : R"(["key-1"])");
+    mesh.runFor(mesh.settings.keyStaleness);
+    mesh.store().setMode(StoreStandin::Mode::Serving);
+    EXPECT_TRUE(mesh.runUntil([&] {
+        EXPECT_NE(mesh.fetch(0, "/read/1", "key-2").status(), 200);
+        return mesh.fetch(0, "/read/1", "key-1").status() == 200;
+    }));
+    EXPECT_EQ(mesh.fetch(0, "/read/1", "key-2").status(), 401);
+}
+
+class IncompleteReadsOf : public testing::TestWithParam<platform::StoreTopic> { };
+
+// The newest records came a delay later, and the records before them were taken for the newest until then (CONFIG).
+TEST_P(IncompleteReadsOf, AreContinuedAtOnceAndConfirmNothing)
+{
+    const SocketAddress address { "127.0.0.1", nextBasePort() };
+    StoreStandin store(address);
+    platform::StoreClient client(address);
+    const bool isConfiguration = GetParam() == platform::StoreTopic::Configuration;
+    size_t records = 0;
+    std::vector<std::optional<TimePoint>> confirmations;
+    StoreFollower follower(client, isConfiguration ? followConfiguration({}) : followMembers(),
+        [&](const FollowerUpdate& read, std::optional<TimePoint> seenUntil) {
+            records += read.records.size();
+            confirmations.push_back(seenUntil);
+        });
+    const auto runUntil = [](const std::function<bool()>& condition) {
+        const auto end = MonotonicClock::now() + 5s;
+        Timer wake;
+        wake.startRepeating(10ms, [] {});
+        while (!condition() && MonotonicClock::now() < end)
+            g_main_context_iteration(nullptr, TRUE);
+    };
+    follower.start();
+    runUntil([&] { return !confirmations.empty(); });
+    follower.setPaused(true);
+    confirmations.clear();
+    const auto callsBefore = store.callCount();
+    for (uint64_t i = 0; i < missedChanges; ++i)
+        store.put(isConfiguration ? "keyed.op" : "keyed.members", std::to_string(i), std::string(longDocumentBytes, 'x'));
+    const auto readAt = MonotonicClock::now();
+    follower.readOnce();
+    runUntil([&] { return records == missedChanges; });
+    EXPECT_EQ(records, missedChanges);
+    EXPECT_EQ(store.callCount() - callsBefore, 3U); // 4, 4 and 2 records
+    EXPECT_LT(MonotonicClock::now() - readAt, followMembers().readDelay);
+    ASSERT_EQ(confirmations.size(), 3U);
+    EXPECT_FALSE(confirmations[0]);
+    EXPECT_FALSE(confirmations[1]);
+    ASSERT_TRUE(confirmations[2]);
+    EXPECT_GT(*confirmations[2], readAt);
+    runUntil([end = MonotonicClock::now() + 100ms] { return MonotonicClock::now() > end; });
+    EXPECT_EQ(store.callCount() - callsBefore, 3U); // It is paused
+}
+
+INSTANTIATE_TEST_SUITE_P(EachTopic, IncompleteReadsOf,
+    testing::Values(platform::StoreTopic::Configuration, platform::StoreTopic::Members),
+    [](const auto& info) { return info.param == platform::StoreTopic::Configuration ? "Configuration" : "Members"; });
+
+TEST(IncompleteReads, ASnapshotOfSeveralPagesIsReadToItsEnd)
+{
+    constexpr size_t keys = 1'200; // More than two pages
+    const SocketAddress address { "127.0.0.1", nextBasePort() };
+    StoreStandin store(address);
+    platform::StoreClient client(address);
+    for (size_t i = 0; i < keys; ++i)
+        store.put("keyed.members", "member " + std::to_string(i), "x");
+    std::optional<Result<platform::StoreRead>> read;
+    client.readSnapshot(
+        platform::StoreTopic::Members, 1s, [&read](Result<platform::StoreRead> result) { read = std::move(result); });
+    while (!read)
+        g_main_context_iteration(nullptr, TRUE);
+    ASSERT_TRUE(*read);
+    EXPECT_EQ((*read)->records.size(), keys);
+    EXPECT_TRUE((*read)->isComplete());
+}
+
 // A store that answers each call with the same bytes.
 class StoreAnswers : public testing::Test {
 protected:
--- a/Tests/RestoredStoreTest.cpp
+++ b/Tests/RestoredStoreTest.cpp
@@ -22,7 +22,7 @@
     StoreStandin store(address);
     platform::StoreClient client(address);
     std::string newest;
-    StoreFollower follower(client, followConfiguration({}), [&newest](const FollowerUpdate& read, TimePoint) {
+    StoreFollower follower(client, followConfiguration({}), [&newest](const FollowerUpdate& read, std::optional<TimePoint>) {
         for (const auto& record : read.records)
             newest = record.value;
     });
--- a/Tests/SidecarHarness.cpp
+++ b/Tests/SidecarHarness.cpp
@@ -242,7 +242,8 @@
             + R"(","attempts":)" + std::to_string(maximumEndpoints) + R"(,"anonymous":)" + (open ? "true" : "false") + "}";
     };
     const auto coldStart = coldPerSecond > 0 ? R"(,"cold_s":5,"cold_per_s":)" + std::to_string(coldPerSecond) : std::string();
-    const std::string document = R"({"version":"r)" + std::to_string(version)
+    const std::string document = R"({"version":"r)" + std::to_string(version) + R"(","padding":")"
+        + std::string(configurationPadding, 'x')
         + R"(","services":[{"name":"alpha","health_path":"/health","max_connections":100)" + coldStart + "},"
         + R"({"name":"beta","health_path":"/health","max_connections":100}],"tenants":[{"name":"school","api_keys":)" + keys
         + R"(,"rate_per_s":)" + std::to_string(rate) + R"(,"burst":)" + std::to_string(rate)
--- a/Tests/SidecarHarness.h
+++ b/Tests/SidecarHarness.h
@@ -123,9 +123,10 @@
     SocketAddress peersAddress(size_t daemon) const;
 
     MeshSettings settings;
-    double coldPerSecond { 0 };      // Requests that a cold backend server takes, from the next configuration on; 0: any number
-    unsigned maximumEndpoints { 2 }; // Of all routes, from the next configuration on
-    double timeLimit { 1.5 };        // Of all routes, in seconds, from the next configuration on
+    double coldPerSecond { 0 };        // Requests that a cold backend server takes, from the next configuration on; 0: any number
+    size_t configurationPadding { 0 }; // Bytes by which the next configurations are longer than they need to be
+    unsigned maximumEndpoints { 2 };   // Of all routes, from the next configuration on
+    double timeLimit { 1.5 };          // Of all routes, in seconds, from the next configuration on
 
 private:
     SocketAddress address(size_t daemon, uint16_t offset) const;
--- a/Tests/SidecarTest.cpp
+++ b/Tests/SidecarTest.cpp
@@ -526,8 +526,8 @@
     platform::StoreClient client(address);
     std::vector<std::string> values;
     size_t reads = 0;
-    StoreFollower follower(
-        client, { platform::StoreTopic::Members, 5s, 1s, {}, {}, 1s }, [&values, &reads](const FollowerUpdate& read, TimePoint) {
+    StoreFollower follower(client, { platform::StoreTopic::Members, 5s, 1s, {}, {}, 1s },
+        [&values, &reads](const FollowerUpdate& read, std::optional<TimePoint>) {
             for (const auto& record : read.records)
                 values.push_back(record.value);
             ++reads;
@@ -561,8 +561,8 @@
     platform::StoreClient client(address);
     const MeshSettings settings;
     size_t records = 0;
-    StoreFollower follower(
-        client, followConfiguration(settings), [&](const FollowerUpdate& read, TimePoint) { records += read.records.size(); });
+    StoreFollower follower(client, followConfiguration(settings),
+        [&](const FollowerUpdate& read, std::optional<TimePoint>) { records += read.records.size(); });
     const auto runUntil = [](const std::function<bool()>& condition) {
         while (!condition())
             g_main_context_iteration(nullptr, TRUE);
--- a/Tests/StoreStandin.h
+++ b/Tests/StoreStandin.h
@@ -53,13 +53,14 @@
         RefPtr<StrictHTTPConnection> connection;
         std::string topic;
         size_t from { 0 };
+        size_t maximumBytes { 0 };
         std::unique_ptr<Timer> timer;
     };
 
     void handle(const RefPtr<StrictHTTPConnection>&, const HTTPRequest&);
     void respond(StrictHTTPConnection&, uint16_t status, std::string body) const;
-    void respondWithSnapshot(StrictHTTPConnection&, const std::string& topic);
-    void respondWithRecords(StrictHTTPConnection&, const std::string& topic, size_t from);
+    void respondWithSnapshot(StrictHTTPConnection&, const std::string& topic, const std::string& after);
+    void respondWithRecords(StrictHTTPConnection&, const std::string& topic, size_t from, size_t maximumBytes);
     void completeHeldReads(const std::string& topic);
 
     StrictHTTPServer m_server;
