--- a/Source/sidecar/StoreFollower.cpp
+++ b/Source/sidecar/StoreFollower.cpp
@@ -85,8 +85,8 @@
 {
     m_reading = false;
     if (!read) {
-        m_catchingUp = false;
-        if (read.error().kind == ErrorKind::LogTrimmed) {
+        m_catchingUp = read.error().kind == ErrorKind::LogTrimmed;
+        if (m_catchingUp) {
             EventLog::write("store-read-from-start",
                 { { "topic", topicName(m_settings.topic) }, { "offset", offset() }, { "detail", read.error().detail } });
             m_offset.reset();
@@ -105,6 +105,7 @@
     m_failures = 0;
     // The store came back from an earlier copy: other records may stand at the offsets that were read.
     if (read->era > m_era && m_offset && !wasSnapshot) {
+        m_catchingUp = true;
         m_offset.reset();
         scheduleNext({});
         return;
--- a/Source/sidecar/StoreFollower.h
+++ b/Source/sidecar/StoreFollower.h
@@ -52,7 +52,7 @@
     unsigned m_failures { 0 };        // Consecutive
     bool m_reachable { true };
     bool m_hadRecords { false }; // The last read returned records
-    bool m_catchingUp { false }; // The last read left out the newest records
+    bool m_catchingUp { false }; // The last read has to be completed by another one
     bool m_paused { false };
     bool m_reading { false };
 };
--- a/Tests/IncompleteReadsTest.cpp
+++ b/Tests/IncompleteReadsTest.cpp
@@ -37,36 +37,49 @@
     EXPECT_EQ(mesh.fetch(0, "/read/1", "key-2").status(), 401);
 }
 
-class IncompleteReadsOf : public testing::TestWithParam<platform::StoreTopic> { };
+class IncompleteReadsOf : public testing::TestWithParam<platform::StoreTopic> {
+protected:
+    IncompleteReadsOf()
+        : address { "127.0.0.1", nextBasePort() }
+        , store(address)
+        , client(address)
+        , follower(client, isConfiguration() ? followConfiguration({}) : followMembers(),
+              [this](const FollowerUpdate& read, std::optional<TimePoint> seenUntil) {
+                  records += read.records.size();
+                  confirmations.push_back(seenUntil);
+              })
+    {
+    }
 
-// The newest records came a delay later, and the records before them were taken for the newest until then (CONFIG).
-TEST_P(IncompleteReadsOf, AreContinuedAtOnceAndConfirmNothing)
-{
-    const SocketAddress address { "127.0.0.1", nextBasePort() };
-    StoreStandin store(address);
-    platform::StoreClient client(address);
-    const bool isConfiguration = GetParam() == platform::StoreTopic::Configuration;
-    size_t records = 0;
-    std::vector<std::optional<TimePoint>> confirmations;
-    StoreFollower follower(client, isConfiguration ? followConfiguration({}) : followMembers(),
-        [&](const FollowerUpdate& read, std::optional<TimePoint> seenUntil) {
-            records += read.records.size();
-            confirmations.push_back(seenUntil);
-        });
-    const auto runUntil = [](const std::function<bool()>& condition) {
+    static bool isConfiguration() { return GetParam() == platform::StoreTopic::Configuration; }
+
+    static void runUntil(const std::function<bool()>& condition)
+    {
         const auto end = MonotonicClock::now() + 5s;
         Timer wake;
         wake.startRepeating(10ms, [] {});
         while (!condition() && MonotonicClock::now() < end)
             g_main_context_iteration(nullptr, TRUE);
-    };
+    }
+
+    SocketAddress address;
+    StoreStandin store;
+    platform::StoreClient client;
+    StoreFollower follower;
+    size_t records { 0 };
+    std::vector<std::optional<TimePoint>> confirmations; // Of each read
+};
+
+// The newest records came a delay later, and the records before them were taken for the newest until then (CONFIG).
+TEST_P(IncompleteReadsOf, AreContinuedAtOnceAndConfirmNothing)
+{
     follower.start();
     runUntil([&] { return !confirmations.empty(); });
     follower.setPaused(true);
     confirmations.clear();
     const auto callsBefore = store.callCount();
     for (uint64_t i = 0; i < missedChanges; ++i)
-        store.put(isConfiguration ? "keyed.op" : "keyed.members", std::to_string(i), std::string(longDocumentBytes, 'x'));
+        store.put(isConfiguration() ? "keyed.op" : "keyed.members", std::to_string(i), std::string(longDocumentBytes, 'x'));
     const auto readAt = MonotonicClock::now();
     follower.readOnce();
     runUntil([&] { return records == missedChanges; });
@@ -82,6 +95,23 @@
     EXPECT_EQ(store.callCount() - callsBefore, 3U); // It is paused
 }
 
+// A daemon that had been cut off for longer than the store keeps records refused keys for one more second (SHORT).
+TEST_P(IncompleteReadsOf, AreContinuedWithTheSnapshotWhereRecordsAreNoLongerKept)
+{
+    const std::string topic = isConfiguration() ? "keyed.op" : "keyed.members";
+    follower.start();
+    runUntil([&] { return !confirmations.empty(); });
+    follower.setPaused(true);
+    confirmations.clear();
+    store.put(topic, "a", "x");
+    store.put(topic, "b", "x");
+    store.trim(topic);
+    follower.readOnce();
+    runUntil([&] { return records == 2; });
+    EXPECT_EQ(records, 2U);
+    EXPECT_EQ(confirmations.size(), 1U);
+}
+
 INSTANTIATE_TEST_SUITE_P(EachTopic, IncompleteReadsOf,
     testing::Values(platform::StoreTopic::Configuration, platform::StoreTopic::Members),
     [](const auto& info) { return info.param == platform::StoreTopic::Configuration ? "Configuration" : "Members"; });
