--- a/Tests/EndpointResponsesTest.cpp
+++ b/Tests/EndpointResponsesTest.cpp
@@ -159,7 +159,7 @@
         + ": 1\r\nContent-Length: 0\r\n\r\n";
 }
 
-// An order ran twice: the late copy of its refusal was taken for the answer to its second sending (TWICE).
+// An order ran twice: the late copy of its refusal was taken for the answer to its second sending.
 TEST_F(EndpointResponses, AnOrderDoesNotRunTwiceAfterALateCopyOfItsRefusal)
 {
     mesh.maximumEndpoints = 1;
@@ -175,7 +175,7 @@
     }
 }
 
-// A caller that used an identifier twice got the late copy of the first answer for the second one (MIXED).
+// A caller that used an identifier twice got the late copy of the first answer for the second one.
 TEST_F(EndpointResponses, ARequestWithAnIdentifierThatWasUsedBeforeDoesNotGetTheEarlierAnswer)
 {
     const auto answer
--- a/Tests/HTTPPoolTest.cpp
+++ b/Tests/HTTPPoolTest.cpp
@@ -159,7 +159,7 @@
     ::close(listener);
 }
 
-// A request that was sent again could be answered by a late copy of its first response (TWICE).
+// A request that was sent again could be answered by a late copy of its first response.
 TEST_F(HTTPPoolOverSockets, ARequestIsNotSentAgainOnAConnectionThatCarriedIt)
 {
     startServer();
--- a/Tests/IncompleteReadsTest.cpp
+++ b/Tests/IncompleteReadsTest.cpp
@@ -17,7 +17,7 @@
 constexpr size_t longDocumentBytes = 225 * 1024; // Four of them fill a read
 constexpr uint64_t missedChanges = 10;
 
-// A key that had been withdrawn during a cut ran again while its daemon read what it had missed (CONFIG, strict_revoke).
+// A key that had been withdrawn during a cut ran again while its daemon read what it had missed.
 TEST(IncompleteReads, AWithdrawnKeyIsNotAcceptedAgainWhileADaemonCatchesUp)
 {
     SidecarHarness mesh({ "zone-a/alpha" });
@@ -70,7 +70,7 @@
     std::vector<std::optional<TimePoint>> confirmations; // Of each read
 };
 
-// The newest records came a delay later, and the records before them were taken for the newest until then (CONFIG).
+// The newest records came a delay later, and the records before them were taken for the newest until then.
 TEST_P(IncompleteReadsOf, AreContinuedAtOnceAndConfirmNothing)
 {
     follower.start();
@@ -95,7 +95,7 @@
     EXPECT_EQ(store.callCount() - callsBefore, 3U); // It is paused
 }
 
-// A daemon that had been cut off for longer than the store keeps records refused keys for one more second (SHORT).
+// A daemon that had been cut off for longer than the store keeps records refused keys for one more second.
 TEST_P(IncompleteReadsOf, AreContinuedWithTheSnapshotWhereRecordsAreNoLongerKept)
 {
     const std::string topic = isConfiguration() ? "keyed.op" : "keyed.members";
@@ -214,7 +214,7 @@
     }
 }
 
-// A first record over the size of a read never arrives, and an answer without it confirmed what lay before (CONFIG).
+// A first record over the size of a read never arrives, and an answer without it confirmed what lay before.
 TEST_F(StoreAnswers, RecordsThatTheStoreHoldsAndDoesNotReturnAreReadAnotherWay)
 {
     const auto read = readFrom(5, headerOf(6));
